entry: Serve a query over all shards of a service, end to end

Cause: there was nothing; the first aim is the whole path, thin, as separate processes.

Change: five modules in one workspace. An entry process watches the platform stand-in for documents, accepts them by a conditional update, finds replicas through the host list, asks each what it holds, pins a query to one version and fans it out to one replica of every shard.

Left out: peers, writes, hedging, fair admission, most faults of the stand-ins.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+MODULES := core entry gsctl standin load
+BIN := $(CURDIR)/.bin
+LINT := $(BIN)/golangci-lint
+LINT_VERSION := v2.12.2
+
+.PHONY: all build test fmt vet lint unit demo bench clean
+
+all: build
+
+build:
+	@mkdir -p $(BIN)
+	go build -o $(BIN)/ ./entry ./gsctl ./standin ./load
+
+# test is every check, in the order of the quickest answer; .ci/run calls it and nothing else.
+test: fmt vet lint unit
+
+fmt:
+	@out=$$(gofmt -l $(MODULES)); if [ -n "$$out" ]; then echo "not formatted by gofmt:"; echo "$$out"; exit 1; fi
+
+vet:
+	@for m in $(MODULES); do (cd $$m && go vet ./...) || exit 1; done
+
+lint: $(LINT)
+	@for m in $(MODULES); do (cd $$m && $(LINT) run --allow-parallel-runners ./...) || exit 1; done
+
+$(LINT):
+	@mkdir -p $(BIN)
+	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+unit:
+	@for m in $(MODULES); do (cd $$m && go test -race ./...) || exit 1; done
+
+demo: build
+	scripts/demo.sh
+
+clean:
+	rm -rf $(BIN) .out
--- /dev/null
+++ b/core/event/doc.go
@@ -0,0 +1,2 @@
+// Package event writes numbered log events; docs/EVENTS.md catalogues every one of them.
+package event
--- /dev/null
+++ b/core/platform/client.go
@@ -0,0 +1,171 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+)
+
+// Kind names a kind of object that the system keeps on the platform.
+type Kind string
+
+// The kinds of objects: what operators propose, what a host accepted, what is reported, and where hosts are found.
+const (
+	KindDocument Kind = "document"
+	KindAccepted Kind = "accepted"
+	KindStatus   Kind = "status"
+	KindHosts    Kind = "entry_hosts"
+)
+
+// MaxReply is the most bytes read from one reply of the platform.
+const MaxReply = 8 << 20
+
+// Errors of the object API that callers act on; every other failure is an outage.
+var (
+	ErrNotFound    = errors.New("platform: no such object")
+	ErrConflict    = errors.New("platform: the object has changed since it was read")
+	ErrRateLimited = errors.New("platform: rate limit reached")
+	ErrUnavailable = errors.New("platform: unavailable")
+)
+
+// Object is one versioned value of the platform.
+type Object struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+	// Version grows by one with each update of this object; zero means that it does not exist.
+	Version int64 `json:"version"`
+	// Revision is the platform's global counter at the object's last update.
+	Revision int64           `json:"revision"`
+	Body     json.RawMessage `json:"body"`
+}
+
+// ReplicaState is what the platform's host list says of an upstream replica.
+type ReplicaState string
+
+// The two states of the host list; the list lags behind the truth.
+const (
+	StateLive    ReplicaState = "live"
+	StateLeaving ReplicaState = "leaving"
+)
+
+// Replica is one row of the platform's host list.
+type Replica struct {
+	ID      string         `json:"id"`
+	Service string         `json:"service"`
+	Addr    netip.AddrPort `json:"addr"`
+	Zone    string         `json:"zone"`
+	State   ReplicaState   `json:"state"`
+}
+
+// Client calls the platform's API at one address.
+type Client struct {
+	http *khttp.Client
+	base string
+}
+
+// New returns a client of the platform at addr; each call lasts as long as its context allows.
+func New(addr netip.AddrPort) (*Client, error) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+	hc, err := khttp.NewClient(context.Background(),
+		khttp.WithTransport(transport), khttp.WithTimeout(0),
+		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }))
+	if err != nil {
+		return nil, fmt.Errorf("platform client for %s: %w", addr, err)
+	}
+	return &Client{http: hc, base: "http://" + addr.String()}, nil
+}
+
+// Get returns one object; ErrNotFound where it does not exist.
+func (c *Client) Get(ctx context.Context, kind Kind, name string) (Object, error) {
+	var obj Object
+	err := c.call(ctx, http.MethodGet, "/v1/objects/"+string(kind)+"/"+name, nil, nil, &obj)
+	return obj, err
+}
+
+// Put stores body if the object's version still is version (zero: does not exist yet); ErrConflict otherwise.
+func (c *Client) Put(ctx context.Context, kind Kind, name string, version int64, body []byte) (Object, error) {
+	var obj Object
+	header := http.Header{"If-Match": {strconv.FormatInt(version, 10)}}
+	err := c.call(ctx, http.MethodPut, "/v1/objects/"+string(kind)+"/"+name, header, body, &obj)
+	return obj, err
+}
+
+// List returns all objects of a kind and the global revision they were read at.
+func (c *Client) List(ctx context.Context, kind Kind) ([]Object, int64, error) {
+	var reply struct {
+		Revision int64    `json:"revision"`
+		Objects  []Object `json:"objects"`
+	}
+	err := c.call(ctx, http.MethodGet, "/v1/objects/"+string(kind), nil, nil, &reply)
+	return reply.Objects, reply.Revision, err
+}
+
+// Watch waits at most wait for objects of a kind changed after the global revision, and returns them with the revision to resume at.
+func (c *Client) Watch(ctx context.Context, kind Kind, after int64, wait time.Duration) ([]Object, int64, error) {
+	var reply struct {
+		Revision int64    `json:"revision"`
+		Objects  []Object `json:"objects"`
+	}
+	path := fmt.Sprintf("/v1/watch/%s?after=%d&wait_ms=%d", kind, after, wait.Milliseconds())
+	err := c.call(ctx, http.MethodGet, path, nil, nil, &reply)
+	return reply.Objects, reply.Revision, err
+}
+
+// Replicas returns the platform's list of upstream replicas, which lags.
+func (c *Client) Replicas(ctx context.Context) ([]Replica, error) {
+	var reply struct {
+		Hosts []Replica `json:"hosts"`
+	}
+	err := c.call(ctx, http.MethodGet, "/v1/hosts", nil, nil, &reply)
+	return reply.Hosts, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, header http.Header, body []byte, reply any) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("platform request %s %s: %w", method, path, err)
+	}
+	if header != nil {
+		req.Header = header
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("%w: %s %s: %w", ErrUnavailable, method, path, err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, MaxReply))
+	if err != nil {
+		return fmt.Errorf("%w: %s %s: %w", ErrUnavailable, method, path, err)
+	}
+	if err := statusError(resp.StatusCode); err != nil {
+		return fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	if err := json.Unmarshal(b, reply); err != nil {
+		return fmt.Errorf("%w: %s %s: %w", ErrUnavailable, method, path, err)
+	}
+	return nil
+}
+
+func statusError(code int) error {
+	switch code {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusConflict:
+		return ErrConflict
+	case http.StatusTooManyRequests:
+		return ErrRateLimited
+	default:
+		return ErrUnavailable
+	}
+}
--- /dev/null
+++ b/core/ring/ring.go
@@ -0,0 +1,62 @@
+package ring
+
+import "sync"
+
+// Ring is a bounded first-in-first-out buffer; when full, Push discards the oldest entry and counts it.
+type Ring[T any] struct {
+	mu      sync.Mutex
+	buf     []T
+	head    int
+	n       int
+	dropped uint64
+	wake    chan struct{}
+}
+
+// New returns a ring that holds at most size entries; it panics unless size is positive.
+func New[T any](size int) *Ring[T] {
+	if size <= 0 {
+		panic("ring: size must be positive")
+	}
+	return &Ring[T]{buf: make([]T, size), wake: make(chan struct{}, 1)}
+}
+
+// Push appends v, discarding the oldest entry of a full ring, and wakes the reader.
+func (r *Ring[T]) Push(v T) {
+	r.mu.Lock()
+	if r.n == len(r.buf) {
+		r.head = (r.head + 1) % len(r.buf)
+		r.n--
+		r.dropped++
+	}
+	r.buf[(r.head+r.n)%len(r.buf)] = v
+	r.n++
+	r.mu.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Pop removes the oldest entry and reports whether there was one.
+func (r *Ring[T]) Pop() (v T, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.n == 0 {
+		return v, false
+	}
+	var zero T
+	v, r.buf[r.head] = r.buf[r.head], zero
+	r.head = (r.head + 1) % len(r.buf)
+	r.n--
+	return v, true
+}
+
+// Ready receives after a Push; the reader then calls Pop until it reports false.
+func (r *Ring[T]) Ready() <-chan struct{} { return r.wake }
+
+// Dropped returns how many entries were discarded because the reader was too slow.
+func (r *Ring[T]) Dropped() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dropped
+}
--- /dev/null
+++ b/core/upstream/client.go
@@ -0,0 +1,199 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"guavaspring.org/core/clock"
+)
+
+const maxReply = 8 << 20
+
+// Options configures a Client.
+type Options struct {
+	// Clock tells the time; nil means the system's.
+	Clock clock.Clock
+	// Seats is the most connections held to each replica.
+	Seats int
+}
+
+// Client sends tries to the replicas of one service; it never sends one twice.
+type Client struct {
+	clock clock.Clock
+	http  *khttp.Client
+	tr    *http.Transport
+}
+
+// New returns a client without any connection yet.
+func New(opts Options) (*Client, error) {
+	if opts.Clock == nil {
+		opts.Clock = clock.System{}
+	}
+	tr := &http.Transport{
+		MaxConnsPerHost:     opts.Seats,
+		MaxIdleConnsPerHost: opts.Seats,
+		DisableCompression:  true,
+	}
+	hc, err := khttp.NewClient(context.Background(), khttp.WithTransport(tr), khttp.WithTimeout(0),
+		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }))
+	if err != nil {
+		return nil, fmt.Errorf("upstream client: %w", err)
+	}
+	return &Client{clock: opts.Clock, http: hc, tr: tr}, nil
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() { c.tr.CloseIdleConnections() }
+
+// QueryTry is one try of a query at one replica.
+type QueryTry struct {
+	ID      string
+	Version int64
+	Shard   int
+	Body    []byte
+}
+
+// Query sends one try; the deadline of ctx is passed on and its cancellation reaches the replica.
+func (c *Client) Query(ctx context.Context, addr netip.AddrPort, try QueryTry) Result {
+	req, err := c.request(ctx, http.MethodPost, addr, "/v1/query", try.ID, try.Body)
+	if err != nil {
+		return Result{Kind: KindNotSent, Detail: err.Error()}
+	}
+	req.Header.Set(HeaderVersion, strconv.FormatInt(try.Version, 10))
+	req.Header.Set(HeaderShard, strconv.Itoa(try.Shard))
+	res, body := c.do(ctx, req)
+	if res.Kind != KindOK {
+		return res
+	}
+	if err := json.Unmarshal(body, &res.Query); err != nil {
+		return failed(res, KindError, fmt.Sprintf("reply can't be read: %v", err))
+	}
+	// A late reply of an earlier request on the same connection must never be taken for this one's.
+	q := res.Query
+	if q.RequestID != try.ID || q.Version != try.Version || q.Shard != try.Shard {
+		return failed(res, KindForeign, fmt.Sprintf("reply belongs to request %q, version %d, shard %d", q.RequestID, q.Version, q.Shard))
+	}
+	return res
+}
+
+// Write sends one try of a non-idempotent request; nothing below this call sends it again.
+func (c *Client) Write(ctx context.Context, addr netip.AddrPort, id string, body []byte) Result {
+	req, err := c.request(ctx, http.MethodPost, addr, "/v1/write", id, body)
+	if err != nil {
+		return Result{Kind: KindNotSent, Detail: err.Error()}
+	}
+	res, b := c.do(ctx, req)
+	if res.Kind != KindOK {
+		return res
+	}
+	var reply WriteReply
+	if err := json.Unmarshal(b, &reply); err != nil {
+		return failed(res, KindError, fmt.Sprintf("reply can't be read: %v", err))
+	}
+	if reply.RequestID != id {
+		return failed(res, KindForeign, fmt.Sprintf("reply belongs to request %q", reply.RequestID))
+	}
+	res.Write = reply.Result
+	return res
+}
+
+// Health reads the health endpoint of a replica.
+func (c *Client) Health(ctx context.Context, addr netip.AddrPort) (Health, Result) {
+	var h Health
+	req, err := c.request(ctx, http.MethodGet, addr, "/v1/health", "", nil)
+	if err != nil {
+		return h, Result{Kind: KindNotSent, Detail: err.Error()}
+	}
+	res, b := c.do(ctx, req)
+	if res.Kind != KindOK {
+		return h, res
+	}
+	if err := json.Unmarshal(b, &h); err != nil {
+		return h, failed(res, KindError, fmt.Sprintf("health can't be read: %v", err))
+	}
+	return h, res
+}
+
+func (c *Client) request(ctx context.Context, method string, addr netip.AddrPort, path, id string, body []byte) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("request to %s: %w", addr, err)
+	}
+	// Without GetBody neither net/http's transport nor a redirect can send the body a second time.
+	req.GetBody = nil
+	if id != "" {
+		req.Header.Set(HeaderRequest, id)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		left := deadline.Sub(c.clock.Now())
+		if left <= 0 {
+			return nil, fmt.Errorf("deadline passed before sending")
+		}
+		req.Header.Set(HeaderDeadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	}
+	return req, nil
+}
+
+func (c *Client) do(ctx context.Context, req *http.Request) (Result, []byte) {
+	start := c.clock.Now()
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return c.transportFailure(ctx, start, err), nil
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return c.transportFailure(ctx, start, err), nil
+	}
+	res := Result{
+		Kind:     KindOK,
+		Took:     c.clock.Now().Sub(start),
+		Holdings: resp.Header.Get(HeaderVersions),
+		Draining: resp.Header.Get(HeaderDraining) == "1",
+		Claimed:  resp.Header.Get(HeaderLoad),
+	}
+	if resp.StatusCode != http.StatusOK {
+		return refusal(res, resp, body), nil
+	}
+	return res, body
+}
+
+func (c *Client) transportFailure(ctx context.Context, start time.Time, err error) Result {
+	kind := KindBroken
+	if ctx.Err() != nil {
+		kind = KindCanceled
+	}
+	return Result{Kind: kind, Detail: err.Error(), Took: c.clock.Now().Sub(start)}
+}
+
+func refusal(res Result, resp *http.Response, body []byte) Result {
+	var p Problem
+	if err := json.Unmarshal(body, &p); err != nil {
+		return failed(res, KindError, fmt.Sprintf("status %d", resp.StatusCode))
+	}
+	notRun := resp.Header.Get(HeaderNotRun) == "true"
+	kind := KindError
+	switch {
+	case p.Code == CodeVersionGone:
+		kind = KindVersionGone
+	case p.Code == CodeShed && notRun:
+		kind = KindShed
+	case p.Code == CodeDraining && notRun:
+		kind = KindDraining
+	}
+	return failed(res, kind, string(p.Code)+": "+p.Reason)
+}
+
+func failed(res Result, kind Kind, detail string) Result {
+	res.Kind, res.Detail = kind, detail
+	return res
+}
--- /dev/null
+++ b/entry/internal/accepted/store.go
@@ -0,0 +1,67 @@
+package accepted
+
+import (
+	"sync"
+
+	"guavaspring.org/core/document"
+)
+
+// Generation is one accepted document; Number is the platform version of the proposal it came from.
+type Generation struct {
+	Service  string            `json:"service"`
+	Number   int64             `json:"number"`
+	Document document.Document `json:"document"`
+}
+
+// Store holds the highest generation heard for each service.
+type Store struct {
+	mu    sync.RWMutex
+	byKey map[string]Generation
+	// OnChange is called after a higher generation came into force, one call at a time.
+	onChange func(Generation)
+	change   sync.Mutex
+}
+
+// New returns an empty store that calls onChange, which may be nil, after each change.
+func New(onChange func(Generation)) *Store {
+	return &Store{byKey: map[string]Generation{}, onChange: onChange}
+}
+
+// Offer puts gen in force if it is higher than what is known, and reports whether it was.
+//
+// Every source passes through here: the platform, whose reads may lag, and peers, which may have been
+// paused. Taking only higher numbers is what keeps an accepted generation from being reverted.
+func (s *Store) Offer(gen Generation) bool {
+	s.change.Lock()
+	defer s.change.Unlock()
+	s.mu.Lock()
+	if old, ok := s.byKey[gen.Service]; ok && old.Number >= gen.Number {
+		s.mu.Unlock()
+		return false
+	}
+	s.byKey[gen.Service] = gen
+	s.mu.Unlock()
+	if s.onChange != nil {
+		s.onChange(gen)
+	}
+	return true
+}
+
+// Get returns the generation in force for a service.
+func (s *Store) Get(service string) (Generation, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	gen, ok := s.byKey[service]
+	return gen, ok
+}
+
+// All returns the generation in force of every service, in no order.
+func (s *Store) All() []Generation {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	list := make([]Generation, 0, len(s.byKey))
+	for _, gen := range s.byKey {
+		list = append(list, gen)
+	}
+	return list
+}
--- /dev/null
+++ b/entry/internal/admission/doc.go
@@ -0,0 +1,2 @@
+// Package admission decides which requests run now, which wait and which are refused.
+package admission
--- /dev/null
+++ b/entry/internal/callers/doc.go
@@ -0,0 +1,2 @@
+// Package callers serves the HTTP API for callers and operators.
+package callers
--- /dev/null
+++ b/entry/internal/events/events.go
@@ -0,0 +1,36 @@
+package events
+
+import "guavaspring.org/core/event"
+
+// Events of a host's life, 1000 to 1099.
+var (
+	Started  = event.New(1000, "host_started", "The host listens and has begun its duties.")
+	Stopping = event.New(1001, "host_stopping", "The host was told to stop: it is no longer handed out and finishes what is in flight.")
+	Stopped  = event.New(1002, "host_stopped", "The host has finished every request in flight and ends.")
+)
+
+// Events of configuration, 1100 to 1199.
+var (
+	ConfigInForce  = event.New(1100, "config_in_force", "A newer accepted generation of a service's document is in force on this host.")
+	ConfigAccepted = event.New(1101, "config_accepted", "This host validated a document and recorded its acceptance in the platform.")
+	ConfigRefused  = event.New(1102, "config_refused", "This host found a document wrong; the last accepted one stays in force.")
+	ConfigStale    = event.New(1103, "config_stale_ignored", "An older generation than the one in force was received and ignored.")
+)
+
+// Events of the platform's side, 1200 to 1299.
+var (
+	PlatformDown = event.New(1200, "platform_down", "A call to the platform failed; the host goes on with what it knows.")
+	PlatformUp   = event.New(1201, "platform_up", "The platform answers again.")
+	ReplicaSeen  = event.New(1202, "replica_seen", "A replica was added to a service.")
+	ReplicaGone  = event.New(1203, "replica_gone", "A replica was removed from a service.")
+)
+
+// Events of requests, 1300 to 1399.
+var (
+	Routed   = event.New(1300, "query_routed", "A query was pinned to a snapshot and each shard's first replica chosen.")
+	Retried  = event.New(1301, "shard_retried", "A shard was tried again at another replica after a failure.")
+	Hedged   = event.New(1302, "shard_hedged", "A shard was tried at a second replica while the first still ran.")
+	Answered = event.New(1303, "query_answered", "A query was answered; coverage, time and extra tries are in the line.")
+	Refused  = event.New(1304, "request_refused", "A request was refused before anything was sent upstream.")
+	WriteRun = event.New(1305, "write_ended", "A write ended as done, not_run or unknown.")
+)
--- /dev/null
+++ b/entry/internal/explain/explain.go
@@ -0,0 +1,69 @@
+package explain
+
+import (
+	"sync"
+	"time"
+)
+
+// Decision is one thing that the host decided about a request.
+type Decision struct {
+	// AtMS is when, in milliseconds after the request arrived.
+	AtMS float64 `json:"at_ms"`
+	// What names the decision, such as "route", "hedge", "retry", "miss" or "refuse".
+	What string `json:"what"`
+	// Shard is the shard concerned, -1 where it concerns the whole request.
+	Shard int `json:"shard"`
+	// Replica is the replica concerned, if any.
+	Replica string `json:"replica,omitempty"`
+	// Why gives the reason in words.
+	Why string `json:"why,omitempty"`
+}
+
+// Record is the explanation of one answer.
+type Record struct {
+	ID        string     `json:"id"`
+	RequestID string     `json:"request_id"`
+	Service   string     `json:"service"`
+	Caller    string     `json:"caller"`
+	Arrived   time.Time  `json:"arrived"`
+	TookMS    float64    `json:"took_ms"`
+	Outcome   string     `json:"outcome"`
+	Reason    string     `json:"reason,omitempty"`
+	Decisions []Decision `json:"decisions"`
+}
+
+// Store keeps the latest records of this host, bounded.
+type Store struct {
+	mu   sync.Mutex
+	buf  []*Record
+	next int
+	byID map[string]*Record
+}
+
+// New returns a store of the latest size records; it panics unless size is positive.
+func New(size int) *Store {
+	if size <= 0 {
+		panic("explain: size must be positive")
+	}
+	return &Store{buf: make([]*Record, size), byID: make(map[string]*Record, size)}
+}
+
+// Add keeps rec and forgets the oldest record of a full store.
+func (s *Store) Add(rec *Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old := s.buf[s.next]; old != nil {
+		delete(s.byID, old.ID)
+	}
+	s.buf[s.next] = rec
+	s.byID[rec.ID] = rec
+	s.next = (s.next + 1) % len(s.buf)
+}
+
+// Get returns the record with the id, if it is still kept.
+func (s *Store) Get(id string) (*Record, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rec, ok := s.byID[id]
+	return rec, ok
+}
--- /dev/null
+++ b/entry/internal/peers/doc.go
@@ -0,0 +1,2 @@
+// Package peers speaks net/rpc with the other hosts.
+package peers
--- /dev/null
+++ b/entry/internal/replica/doc.go
@@ -0,0 +1,2 @@
+// Package replica keeps what this host knows of the replicas of one service.
+package replica
--- /dev/null
+++ b/entry/internal/service/service.go
@@ -0,0 +1,166 @@
+package service
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"guavaspring.org/core/caller"
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/document"
+	"guavaspring.org/core/platform"
+	"guavaspring.org/core/upstream"
+	"guavaspring.org/entry/internal/accepted"
+	"guavaspring.org/entry/internal/admission"
+	"guavaspring.org/entry/internal/events"
+	"guavaspring.org/entry/internal/explain"
+	"guavaspring.org/entry/internal/fanout"
+	"guavaspring.org/entry/internal/replica"
+	"guavaspring.org/entry/internal/snapshot"
+)
+
+// Options configures a Service.
+type Options struct {
+	Clock   clock.Clock
+	Log     logr.Logger
+	Explain *explain.Store
+	// NewID returns a new random identifier.
+	NewID func() string
+}
+
+// Service is one service under the generation that is in force.
+type Service struct {
+	opts   Options
+	name   string
+	gen    atomic.Pointer[accepted.Generation]
+	table  *replica.Table
+	gate   *admission.Gate
+	client *upstream.Client
+	runner *fanout.Runner
+	probes sync.WaitGroup
+}
+
+// New returns the service described by gen, with no replica known yet.
+func New(gen accepted.Generation, opts Options) (*Service, error) {
+	client, err := upstream.New(upstream.Options{Clock: opts.Clock, Seats: seats(gen.Document)})
+	if err != nil {
+		return nil, err
+	}
+	s := &Service{opts: opts, name: gen.Service, table: replica.New(), gate: admission.New(limits(gen.Document)), client: client}
+	s.gen.Store(&gen)
+	s.runner = fanout.New(fanout.Options{
+		Clock: opts.Clock,
+		Send: func(ctx context.Context, r *replica.Replica, try upstream.QueryTry) upstream.Result {
+			return client.Query(ctx, r.Addr, try)
+		},
+		Heard: func(r *replica.Replica, res upstream.Result) { s.table.Heard(r, res.Holdings, res.Draining) },
+	})
+	return s, nil
+}
+
+// SetGeneration puts a newer generation in force for the requests that come next.
+func (s *Service) SetGeneration(gen accepted.Generation) {
+	s.gen.Store(&gen)
+	s.gate.SetLimits(limits(gen.Document))
+}
+
+// Generation returns the generation in force.
+func (s *Service) Generation() accepted.Generation { return *s.gen.Load() }
+
+// Update takes over the platform's list of the service's replicas and asks each new one what it holds.
+func (s *Service) Update(ctx context.Context, list []platform.Replica) {
+	added, removed := s.table.Update(list)
+	for _, r := range removed {
+		events.ReplicaGone.Log(s.opts.Log, "service", s.name, "replica", r.ID)
+	}
+	for _, r := range added {
+		events.ReplicaSeen.Log(s.opts.Log, "service", s.name, "replica", r.ID, "addr", r.Addr.String())
+	}
+	s.probeAll(ctx)
+}
+
+const probeTimeout = time.Second
+
+// probeAll asks every replica for its holdings, so that versions are known before the first query and while no query runs.
+func (s *Service) probeAll(ctx context.Context) {
+	for _, r := range s.table.View().Replicas {
+		s.probes.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			health, res := s.client.Health(ctx, r.Addr)
+			if res.Kind == upstream.KindOK {
+				s.table.Heard(r, upstream.FormatHoldings(health.Holdings), health.Draining)
+			}
+		})
+	}
+	s.probes.Wait()
+}
+
+// QueryRequest is one query as it arrived at the host.
+type QueryRequest struct {
+	ID       string
+	Caller   string
+	Arrived  time.Time
+	Deadline time.Time
+	Query    caller.Query
+}
+
+// Query admits, runs and explains one query.
+func (s *Service) Query(ctx context.Context, req QueryRequest) caller.Answer {
+	gen := s.Generation()
+	ans := caller.Answer{RequestID: req.ID, Service: s.name, Generation: gen.Number, ExplanationID: s.opts.NewID(), Hits: []caller.Hit{}}
+	rec := &explain.Record{ID: ans.ExplanationID, RequestID: req.ID, Service: s.name, Caller: req.Caller, Arrived: req.Arrived}
+	defer func() { s.finish(rec, ans) }()
+	if refusal := s.gate.Enter(ctx, admission.Request{Caller: req.Caller, Key: req.Query.Key, Deadline: req.Deadline}); refusal != nil {
+		ans.Outcome, ans.Reason, ans.RetryAfterMS = caller.OutcomeRefused, refusal.Reason, refusal.RetryAfter.Milliseconds()
+		return ans
+	}
+	start := s.opts.Clock.Now()
+	defer func() { s.gate.Leave(s.opts.Clock.Now().Sub(start)) }()
+	vm, ok := snapshot.Pick(s.table.View())
+	if !ok {
+		ans.Outcome, ans.Reason, ans.RetryAfterMS = caller.OutcomeRefused, "no index version of the service is known yet", 500
+		return ans
+	}
+	report := s.runner.Run(ctx, fanout.Request{ID: req.ID, Arrived: req.Arrived, Deadline: req.Deadline, Query: req.Query, Document: gen.Document, Map: vm})
+	rec.Decisions = report.Decisions
+	ans.Snapshot = caller.Snapshot{Version: vm.Version, Shards: len(vm.Holders)}
+	ans.Coverage, ans.Hits = report.Coverage, report.Hits
+	ans.Outcome = outcome(report.Coverage)
+	return ans
+}
+
+func (s *Service) finish(rec *explain.Record, ans caller.Answer) {
+	took := s.opts.Clock.Now().Sub(rec.Arrived)
+	rec.Outcome, rec.Reason, rec.TookMS = string(ans.Outcome), ans.Reason, float64(took.Microseconds())/1000
+	s.opts.Explain.Add(rec)
+	ev := events.Answered
+	if ans.Outcome == caller.OutcomeRefused {
+		ev = events.Refused
+	}
+	ev.Log(s.opts.Log, "service", s.name, "request", ans.RequestID, "outcome", ans.Outcome, "reason", ans.Reason,
+		"answered", ans.Coverage.Answered, "shards", ans.Coverage.Shards, "took_ms", rec.TookMS, "explanation", ans.ExplanationID)
+}
+
+func outcome(cov caller.Coverage) caller.Outcome {
+	switch cov.Answered {
+	case 0:
+		return caller.OutcomeFailed
+	case cov.Shards:
+		return caller.OutcomeComplete
+	default:
+		return caller.OutcomePartial
+	}
+}
+
+func limits(doc document.Document) admission.Limits {
+	return admission.Limits{Concurrency: doc.Admission.Concurrency, Queue: doc.Admission.Queue, CallerShare: doc.Admission.CallerShare}
+}
+
+// seats is this host's share of a replica's connections; the share is fixed, so the sum holds however much hosts disagree on who is a member.
+func seats(doc document.Document) int {
+	return max(1, doc.Upstream.Connections/doc.Upstream.EntryHosts)
+}
