--- a/entry/internal/host/host.go
+++ b/entry/internal/host/host.go
@@ -91,13 +91,16 @@
 		s.SetGeneration(gen)
 		return
 	}
-	s, err := service.New(gen, service.Options{Clock: h.opts.Clock, Log: h.opts.Log, Explain: h.explain, NewID: rand.Text})
+	s, err := service.New(gen, service.Options{Clock: h.opts.Clock, Log: h.opts.Log, Explain: h.explain, NewID: h.explanationID})
 	if err != nil {
 		panic(fmt.Sprintf("host: a client without an endpoint can't be made: %v", err))
 	}
 	h.services[gen.Service] = s
 }
 
+// explanationID names this host, so that gsctl finds the explanation again.
+func (h *Host) explanationID() string { return caller.NewExplanationID(h.opts.Listen, rand.Text()) }
+
 func (h *Host) service(name string) *service.Service {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
--- /dev/null
+++ b/gsctl/internal/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator carries out the commands of gsctl against the platform and the hosts.
+package operator
--- a/gsctl/main.go
+++ b/gsctl/main.go
@@ -2,27 +2,71 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"io"
+	"net/netip"
 	"os"
+	"os/signal"
+	"strings"
 
-	"guavaspring.org/core/document"
+	klog "github.com/go-kratos/kratos/v2/log"
+
+	"guavaspring.org/core/platform"
 	"guavaspring.org/core/settings"
+	"guavaspring.org/gsctl/internal/operator"
 )
 
 func main() {
 	app := settings.New("gsctl", "Checks and applies the document of a service and shows what the system reports of it.")
+	plat := settings.AddrPort(app.Flag("platform", "IP:port of the platform's object API."))
+	timeout := app.Flag("timeout", "How long a command may take; watching has no limit.").Default("10s").Duration()
 	check := app.Command("check", "Check a document without applying it.")
-	file := check.Arg("file", "The document.").Required().String()
-	if _, err := app.Parse(os.Args[1:]); err != nil {
+	checkFile := check.Arg("file", "The document.").Required().String()
+	get := app.Command("get", "Print a service's document, ready to be edited and applied.")
+	getService := get.Arg("service", "Name of the service.").Required().String()
+	apply := app.Command("apply", "Propose a document, if nobody has changed it since it was taken.")
+	applyFile := apply.Arg("file", "The document.").Required().String()
+	explain := app.Command("explain", "Print why an answer came out as it did.")
+	explainID := explain.Arg("id", "The answer's explanation_id.").Required().String()
+	cmd, err := app.Parse(os.Args[1:])
+	if err != nil {
 		settings.Fail(os.Stderr, "gsctl", err)
 	}
-	b, err := os.ReadFile(*file)
+	klog.SetLogger(klog.NewStdLogger(io.Discard))
+	client, err := clientFor(cmd, *plat)
 	if err != nil {
 		settings.Fail(os.Stderr, "gsctl", err)
 	}
-	doc, err := document.Parse(b)
+	o := operator.New(operator.Options{Platform: client, Out: os.Stdout})
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	limited, cancel := context.WithTimeout(ctx, *timeout)
+	defer cancel()
+	switch cmd {
+	case check.FullCommand():
+		err = o.Check(*checkFile)
+	case get.FullCommand():
+		err = o.Get(limited, *getService)
+	case apply.FullCommand():
+		err = o.Apply(limited, *applyFile)
+	case explain.FullCommand():
+		err = o.Explain(limited, *explainID)
+	}
 	if err != nil {
-		settings.Fail(os.Stderr, "gsctl", fmt.Errorf("%s: %w", *file, err))
+		fmt.Fprintf(os.Stderr, "gsctl: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+// clientFor returns the platform's client, which only some commands need.
+func clientFor(cmd string, addr netip.AddrPort) (*platform.Client, error) {
+	if addr.IsValid() {
+		return platform.New(addr)
+	}
+	if strings.HasPrefix(cmd, "check") || strings.HasPrefix(cmd, "explain") {
+		return nil, nil
 	}
-	fmt.Printf("%s: the document of %s is right\n", *file, doc.Service)
+	return nil, errors.New("--platform is needed for this command; it can be set by GSCTL_PLATFORM")
 }
