service: Name tries after an id of our own, not the caller's

Cause: the ids of tries were built from X-Request-Id, which callers choose and repeat. The echoed id is the only proof that a reply belongs to a try, so two requests with one id could be given each other's answers by a late reply or by an upstream that remembers what it answered. Ruled out: refusing repeated ids (callers that number from 1 are in their right, and a host can't see what the others are given). Change: the random explanation id of each query names its tries; the caller's id is only echoed to it. Seen red: TestQueryOfCallersThatUseTheSameRequestID against the code before, 'got bundles for linen, want bundles for wool'.

--- a/entry/internal/service/service.go
+++ b/entry/internal/service/service.go
@@ -125,7 +125,8 @@
 		ans.Outcome, ans.Reason, ans.RetryAfterMS = caller.OutcomeRefused, "no index version of the service is known yet", 500
 		return ans
 	}
-	report := s.runner.Run(ctx, fanout.Request{ID: req.ID, Arrived: req.Arrived, Deadline: req.Deadline, Query: req.Query, Document: gen.Document, Map: vm})
+	// The tries are named after an id of our own: callers repeat theirs, and an upstream or a late reply could not tell two such requests apart.
+	report := s.runner.Run(ctx, fanout.Request{ID: ans.ExplanationID, Arrived: req.Arrived, Deadline: req.Deadline, Query: req.Query, Document: gen.Document, Map: vm})
 	rec.Decisions = report.Decisions
 	ans.Snapshot = caller.Snapshot{Version: vm.Version, Shards: len(vm.Holders)}
 	ans.Coverage, ans.Hits = report.Coverage, report.Hits
