admission: Refuse at once what can't be in time, serve in turns, follow the upstream

Cause: the gate kept one line, first come first served. At 3x capacity requests waited to their deadlines and ran in vain; one caller with most of the load got most of the places; long requests took all places; every refusal said 50 ms; a raised limit woke nobody who waited. Change: package queue decides, in virtual time and without blocking: refusal on arrival by the places ahead and the request's own time, turns by place-time among callers and then keys, half of the places for long work, a quarter of the slack once the queue stands, retry_after from the backlog. Package adapt moves the number of places by the median time of tries and by shed ones. Gate only blocks. Seen red, on a scratch copy with one guard taken out at a time: all callers one flow (TestHotCaller, TestBurst), all keys one (TestHotKey), no bound of long work (TestLongAmongShort), whole slack or no refusal on arrival or virtual time that stands (TestSaturation), fixed 50 ms (TestReturnOfRefusedCallers), limit that does not fall (TestConcurrencyOverTheUpstream), share ignored (TestCallerShareOfPlaces), granted place kept on cancel (TestGrantAndGivingUpAtOnce), SetLimits without fill (TestRaisedLimitLetsWaitersRun, TestNoPlaceIsLost), no timer (TestRefusalIsGivenAsSoonAsItIsCertain), 9th decile for median (TestLimitIgnoresADeadShard), sheds not counted (TestLimitFallsWhenTriesAreShed), base that rises with time (TestLimitFollowsTheUpstream).

--- /dev/null
+++ b/entry/internal/admission/gate_test.go
@@ -0,0 +1,245 @@
+package admission_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/entry/internal/admission"
+	"guavaspring.org/entry/internal/admission/queue"
+)
+
+const ms = time.Millisecond
+
+func newGate(running int) *admission.Gate {
+	g := admission.New(admission.Options{Limits: admission.Limits{Running: running, Waiting: 8, CallerShare: 1}})
+	// A gate starts at a part of its limit; replies at a steady pace let it rise to the whole.
+	for range 8 {
+		raise(g, running)
+	}
+	return g
+}
+
+func raise(g *admission.Gate, running int) {
+	var places []admission.Place
+	for len(places) < running && g.Stats().Running < g.Stats().Limit {
+		place, refusal := g.Enter(context.Background(), request("warm", time.Second))
+		if refusal != nil {
+			panic(refusal.Reason)
+		}
+		places = append(places, place)
+	}
+	for range 40 {
+		g.Replied(10 * ms)
+	}
+	time.Sleep(100 * ms)
+	g.Replied(10 * ms)
+	for _, place := range places {
+		place.Leave(false)
+	}
+}
+
+func request(caller string, budget time.Duration) admission.Request {
+	return admission.Request{Caller: caller, Deadline: time.Now().Add(budget)}
+}
+
+type ended struct {
+	place   admission.Place
+	refusal *admission.Refusal
+	took    time.Duration
+}
+
+// enter starts a request on a goroutine of its own and returns what becomes of it.
+func enter(ctx context.Context, g *admission.Gate, req admission.Request) <-chan ended {
+	ch := make(chan ended, 1)
+	start := time.Now()
+	go func() {
+		place, refusal := g.Enter(ctx, req)
+		ch <- ended{place, refusal, time.Since(start)}
+	}()
+	synctest.Wait()
+	return ch
+}
+
+// The operators of a service raise admission.concurrency while its callers wait. The waiting requests stay
+// where they are until one of the old ones ends, and time out beside free places.
+func TestRaisedLimitLetsWaitersRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		g := newGate(1)
+		_, refusal := g.Enter(context.Background(), request("a", time.Second))
+		c.Assert(refusal, qt.IsNil)
+		waiting := enter(context.Background(), g, request("b", time.Second))
+		g.SetLimits(admission.Limits{Running: 64, Waiting: 8, CallerShare: 1})
+		for range 40 {
+			g.Replied(10 * ms)
+		}
+		time.Sleep(100 * ms)
+		g.Replied(10 * ms)
+		got := <-waiting
+		c.Check(got.refusal, qt.IsNil)
+		c.Check(got.took, qt.Equals, 100*ms)
+	})
+}
+
+// The operators lower the limit below what runs. Places given back must be taken away rather than handed on,
+// and none may be lost: when the requests end, exactly the new number runs.
+func TestLoweredLimitLosesNoPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		g := newGate(4)
+		var places []admission.Place
+		for range 4 {
+			place, refusal := g.Enter(context.Background(), request("a", 10*time.Second))
+			c.Assert(refusal, qt.IsNil)
+			places = append(places, place)
+		}
+		waiting := enter(context.Background(), g, request("b", 10*time.Second))
+		g.SetLimits(admission.Limits{Running: 2, Waiting: 8, CallerShare: 1})
+		places[0].Leave(true)
+		places[1].Leave(true)
+		synctest.Wait()
+		c.Check(g.Stats().Running, qt.Equals, 2)
+		c.Check(g.Stats().Waiting, qt.Equals, 1)
+		places[2].Leave(true)
+		got := <-waiting
+		c.Check(got.refusal, qt.IsNil)
+		got.place.Leave(true)
+		places[3].Leave(true)
+		c.Check(g.Stats().Running, qt.Equals, 0)
+	})
+}
+
+// A greeter closes the tablet while the lookup waits. Nobody is there to leave the place that it would get.
+func TestCallerThatGivesUpTakesNoPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		g := newGate(1)
+		first, _ := g.Enter(context.Background(), request("a", time.Second))
+		ctx, cancel := context.WithCancel(context.Background())
+		gone := enter(ctx, g, request("b", time.Second))
+		next := enter(context.Background(), g, request("c", time.Second))
+		cancel()
+		c.Check((<-gone).refusal.Reason, qt.Equals, queue.ReasonGone)
+		first.Leave(true)
+		got := <-next
+		c.Assert(got.refusal, qt.IsNil)
+		got.place.Leave(true)
+		c.Check(g.Stats().Running, qt.Equals, 0)
+		c.Check(g.Stats().Waiting, qt.Equals, 0)
+	})
+}
+
+// The place is handed over at the very moment at which the caller gives up: the request has both. Whichever
+// is seen first, the place must not be lost. A hundred callers try it.
+func TestGrantAndGivingUpAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		g := newGate(1)
+		for range 100 {
+			first, refusal := g.Enter(context.Background(), request("a", time.Second))
+			c.Assert(refusal, qt.IsNil)
+			ctx, cancel := context.WithCancel(context.Background())
+			both := enter(ctx, g, request("b", time.Second))
+			cancel()
+			first.Leave(true)
+			if got := <-both; got.refusal == nil {
+				got.place.Leave(true)
+			}
+			c.Assert(g.Stats().Running, qt.Equals, 0)
+		}
+	})
+}
+
+// Lookups take 40 ms, and one with a deadline of 50 ms waits behind another that got stuck. Ten milliseconds
+// later it can't be answered in time any more. Its caller must hear so then, not at the deadline, and be told
+// when to come back.
+func TestRefusalIsGivenAsSoonAsItIsCertain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		g := newGate(1)
+		for range 16 {
+			place, _ := g.Enter(context.Background(), request("a", time.Second))
+			time.Sleep(40 * ms)
+			place.Leave(true)
+		}
+		_, refusal := g.Enter(context.Background(), request("a", time.Second))
+		c.Assert(refusal, qt.IsNil)
+		// The two places ahead take 40 ms each: this one has no chance and hears at once.
+		none := <-enter(context.Background(), g, request("b", 50*ms))
+		c.Check(none.refusal.Reason, qt.Equals, queue.ReasonLate)
+		c.Check(none.took, qt.Equals, time.Duration(0))
+		c.Check(none.refusal.RetryAfter >= 40*ms && none.refusal.RetryAfter < 200*ms, qt.IsTrue, qt.Commentf("%v", none.refusal.RetryAfter))
+		// This one has, until the running one proves stuck.
+		stuck := <-enter(context.Background(), g, request("b", 100*ms))
+		c.Check(stuck.refusal.Reason, qt.Equals, queue.ReasonLate)
+		c.Check(stuck.took <= 60*ms, qt.IsTrue, qt.Commentf("%v", stuck.took))
+	})
+}
+
+func BenchmarkEnterLeave(b *testing.B) {
+	for _, callers := range []int{1, 100} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			g := admission.New(admission.Options{Limits: admission.Limits{Running: 64, Waiting: 128, CallerShare: 0.5}})
+			names := make([]string, callers)
+			for i := range names {
+				names[i] = fmt.Sprintf("caller-%d", i)
+			}
+			ctx, deadline := context.Background(), time.Now().Add(time.Hour)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				place, refusal := g.Enter(ctx, admission.Request{Caller: names[i%callers], Key: "k", Deadline: deadline})
+				if refusal != nil {
+					b.Fatal(refusal.Reason)
+				}
+				place.Leave(true)
+			}
+		})
+	}
+}
+
+// BenchmarkRefuse measures the answer under overload: every place to run and to wait is taken.
+func BenchmarkRefuse(b *testing.B) {
+	now := time.Now()
+	q := queue.New(queue.Limits{Running: 64, Waiting: 128, CallerShare: 0.5}, queue.Options{})
+	for i := range 64 + 128 {
+		q.Arrive(now, queue.Request{Caller: fmt.Sprintf("caller-%d", i), Deadline: now.Add(time.Hour)})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if a := q.Arrive(now, queue.Request{Caller: "caller-1", Deadline: now.Add(time.Hour)}); a.Verdict != queue.VerdictRefuse {
+			b.Fatal(a.Verdict)
+		}
+	}
+}
+
+// BenchmarkHandOver measures a place that goes to the next of 128 callers in line.
+func BenchmarkHandOver(b *testing.B) {
+	now := time.Now()
+	var granted queue.Grant
+	q := queue.New(queue.Limits{Running: 1, Waiting: 128, CallerShare: 0.5}, queue.Options{Notify: func(w *queue.Waiter) { granted = w.Grant }})
+	req := func(i int) queue.Request {
+		return queue.Request{Caller: names[i%len(names)], Deadline: now.Add(time.Hour)}
+	}
+	granted = q.Arrive(now, req(0)).Grant
+	for i := range 128 {
+		q.Arrive(now, req(i))
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		q.Leave(now, granted, true)
+		q.Arrive(now, req(i))
+	}
+}
+
+var names = func() []string {
+	list := make([]string, 128)
+	for i := range list {
+		list[i] = fmt.Sprintf("caller-%d", i)
+	}
+	return list
+}()
--- /dev/null
+++ b/entry/internal/service/admit.go
@@ -0,0 +1,46 @@
+package service
+
+import (
+	"time"
+
+	"guavaspring.org/core/upstream"
+	"guavaspring.org/entry/internal/admission"
+	"guavaspring.org/entry/internal/events"
+	"guavaspring.org/entry/internal/explain"
+)
+
+// Admission returns the gate of the service, for its metrics and for the load that other hosts are told.
+func (s *Service) Admission() *admission.Gate { return s.gate }
+
+// learnLimit tells the gate how tries ended that say something of how pressed the upstream is.
+func (s *Service) learnLimit(res upstream.Result) {
+	switch res.Kind {
+	case upstream.KindOK, upstream.KindCanceled:
+		s.gate.Replied(res.Took)
+	case upstream.KindShed:
+		s.gate.Shed()
+	}
+}
+
+func (s *Service) refused(req QueryRequest, r *admission.Refusal) explain.Decision {
+	return explain.Decision{AtMS: millis(s.opts.Clock.Now().Sub(req.Arrived)), What: "refuse", Shard: -1, Why: string(r.Reason)}
+}
+
+// admitted says how long a query waited; one that did not wait has nothing to explain.
+func admitted(place admission.Place) []explain.Decision {
+	if place.Waited == 0 {
+		return nil
+	}
+	return []explain.Decision{{AtMS: millis(place.Waited), What: "admit", Shard: -1, Why: "waited for a place"}}
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// retryMS rounds up, since 0 on the wire means that no time is given.
+func retryMS(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
+
+func moved(name string, opts Options) func(from, to int) {
+	return func(from, to int) {
+		events.LimitMoved.Log(opts.Log, "service", name, "from", from, "to", to)
+	}
+}
--- a/entry/internal/service/service.go
+++ b/entry/internal/service/service.go
@@ -49,14 +49,17 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Service{opts: opts, name: gen.Service, table: replica.New(), gate: admission.New(limits(gen.Document)), client: client}
+	s := &Service{opts: opts, name: gen.Service, table: replica.New(), gate: admission.New(admission.Options{Clock: opts.Clock, Limits: limits(gen.Document), Moved: moved(gen.Service, opts)}), client: client}
 	s.gen.Store(&gen)
 	s.runner = fanout.New(fanout.Options{
 		Clock: opts.Clock,
 		Send: func(ctx context.Context, r *replica.Replica, try upstream.QueryTry) upstream.Result {
 			return client.Query(ctx, r.Addr, try)
 		},
-		Heard: func(r *replica.Replica, res upstream.Result) { s.table.Heard(r, res.Holdings, res.Draining) },
+		Heard: func(r *replica.Replica, res upstream.Result) {
+			s.table.Heard(r, res.Holdings, res.Draining)
+			s.learnLimit(res)
+		},
 	})
 	return s, nil
 }
@@ -114,12 +117,13 @@
 	ans := caller.Answer{RequestID: req.ID, Service: s.name, Generation: gen.Number, ExplanationID: s.opts.NewID(), Hits: []caller.Hit{}}
 	rec := &explain.Record{ID: ans.ExplanationID, RequestID: req.ID, Service: s.name, Caller: req.Caller, Arrived: req.Arrived}
 	defer func() { s.finish(rec, ans) }()
-	if refusal := s.gate.Enter(ctx, admission.Request{Caller: req.Caller, Key: req.Query.Key, Deadline: req.Deadline}); refusal != nil {
-		ans.Outcome, ans.Reason, ans.RetryAfterMS = caller.OutcomeRefused, refusal.Reason, refusal.RetryAfter.Milliseconds()
+	place, refusal := s.gate.Enter(ctx, admission.Request{Caller: req.Caller, Key: req.Query.Key, Deadline: req.Deadline})
+	if refusal != nil {
+		ans.Outcome, ans.Reason, ans.RetryAfterMS = caller.OutcomeRefused, string(refusal.Reason), retryMS(refusal.RetryAfter)
+		rec.Decisions = []explain.Decision{s.refused(req, refusal)}
 		return ans
 	}
-	start := s.opts.Clock.Now()
-	defer func() { s.gate.Leave(s.opts.Clock.Now().Sub(start)) }()
+	defer func() { place.Leave(ans.Outcome == caller.OutcomeComplete) }()
 	vm, ok := snapshot.Pick(s.table.View())
 	if !ok {
 		ans.Outcome, ans.Reason, ans.RetryAfterMS = caller.OutcomeRefused, "no index version of the service is known yet", 500
@@ -127,7 +131,7 @@
 	}
 	// The tries are named after an id of our own: callers repeat theirs, and an upstream or a late reply could not tell two such requests apart.
 	report := s.runner.Run(ctx, fanout.Request{ID: ans.ExplanationID, Arrived: req.Arrived, Deadline: req.Deadline, Query: req.Query, Document: gen.Document, Map: vm})
-	rec.Decisions = report.Decisions
+	rec.Decisions = append(admitted(place), report.Decisions...)
 	ans.Snapshot = caller.Snapshot{Version: vm.Version, Shards: len(vm.Holders)}
 	ans.Coverage, ans.Hits = report.Coverage, report.Hits
 	ans.Outcome = outcome(report.Coverage)
@@ -158,7 +162,7 @@
 }
 
 func limits(doc document.Document) admission.Limits {
-	return admission.Limits{Concurrency: doc.Admission.Concurrency, Queue: doc.Admission.Queue, CallerShare: doc.Admission.CallerShare}
+	return admission.Limits{Running: doc.Admission.Concurrency, Waiting: doc.Admission.Queue, CallerShare: doc.Admission.CallerShare}
 }
 
 // seats is this host's share of a replica's connections; the share is fixed, so the sum holds however much hosts disagree on who is a member.
