--- a/entry/internal/replica/table.go
+++ b/entry/internal/replica/table.go
@@ -1,40 +1,81 @@
 package replica
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
+	"guavaspring.org/core/clock"
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/upstream"
 )
 
+// claimsYield is how long a reply's own headers outrank what the health endpoint claims, which lags or misleads.
+const claimsYield = 5 * time.Second
+
 // VersionMap is the shard map of one index version with the replicas known to hold each shard.
 type VersionMap struct {
 	Version int64
 	// Holders lists the replicas of each shard; its length is the number of shards.
 	Holders [][]*Replica
+	// Least is the number of replicas of the shard that has fewest; zero means that a shard has none.
+	Least int
+	// Held is the number of shards that have a replica.
+	Held int
+}
+
+// Complete reports whether every shard has a replica.
+func (vm VersionMap) Complete() bool { return vm.Least > 0 }
+
+// Share returns the share of shards that have a replica, between 0 and 1.
+func (vm VersionMap) Share() float64 {
+	if len(vm.Holders) == 0 {
+		return 0
+	}
+	return float64(vm.Held) / float64(len(vm.Holders))
+}
+
+// Same reports whether both are maps of one version with one number of shards.
+func (vm VersionMap) Same(other VersionMap) bool {
+	return vm.Version == other.Version && len(vm.Holders) == len(other.Holders)
 }
 
 // View is an immutable picture of a service's replicas.
 type View struct {
 	// Replicas lists every replica that is not known to be leaving or gone.
 	Replicas []*Replica
-	// Versions lists the index versions, newest first.
+	// Versions lists the shard maps, newest version first; of two maps of one version the fuller comes first.
 	Versions []VersionMap
 }
 
+// Options configures a Table.
+type Options struct {
+	// Clock tells the time; nil means the system's.
+	Clock clock.Clock
+	// Draining is told once of each replica that is found to be leaving, and by which sign; it may be nil and must not call the table.
+	Draining func(r *Replica, sign string)
+}
+
 // Table holds the replicas of one service; readers take a View without locking.
 type Table struct {
+	opts Options
 	mu   sync.Mutex
 	all  map[netip.AddrPort]*Replica
 	view atomic.Pointer[View]
 }
 
 // New returns a table without replicas.
-func New() *Table {
-	t := &Table{all: map[netip.AddrPort]*Replica{}}
+func New(opts Options) *Table {
+	if opts.Clock == nil {
+		opts.Clock = clock.System{}
+	}
+	if opts.Draining == nil {
+		opts.Draining = func(*Replica, string) {}
+	}
+	t := &Table{opts: opts, all: map[netip.AddrPort]*Replica{}}
 	t.view.Store(&View{})
 	return t
 }
@@ -42,6 +83,25 @@
 // View returns the current picture; it must not be changed.
 func (t *Table) View() *View { return t.view.Load() }
 
+// Unheard returns the replicas of which no recent reply is known, and so those whose health endpoint is worth asking.
+func (t *Table) Unheard() []*Replica {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []*Replica
+	for _, r := range t.all {
+		if !r.draining.Load() && !t.recent(r) {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, compareAddr)
+	return list
+}
+
+// recent reports whether a reply's own headers are fresh enough to outrank a claim.
+func (t *Table) recent(r *Replica) bool {
+	return t.opts.Clock.Now().Sub(time.Unix(0, r.heard.Load())) < claimsYield
+}
+
 // Update takes over the platform's list of the service's replicas and returns those added and removed.
 func (t *Table) Update(list []platform.Replica) (added, removed []*Replica) {
 	t.mu.Lock()
@@ -51,12 +111,16 @@
 		seen[row.Addr] = true
 		r, ok := t.all[row.Addr]
 		if !ok || r.ID != row.ID {
+			if ok {
+				removed = append(removed, r)
+			}
+			// Another ID at the same address is another process: nothing learned of the old one holds for it.
 			r = &Replica{ID: row.ID, Addr: row.Addr, Zone: row.Zone}
 			t.all[row.Addr] = r
 			added = append(added, r)
 		}
 		if row.State == platform.StateLeaving {
-			r.draining.Store(true)
+			t.drain(r, "the platform's list")
 		}
 	}
 	for addr, r := range t.all {
@@ -69,63 +133,137 @@
 	return added, removed
 }
 
-// Heard takes over what a reply said of the replica: the raw version header, and whether it is leaving.
+// MarkDraining takes over that the replica with the id is leaving, and reports whether it is known here.
+func (t *Table) MarkDraining(id, sign string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.all {
+		if r.ID == id {
+			if t.drain(r, sign) {
+				t.rebuild()
+			}
+			return true
+		}
+	}
+	return false
+}
+
+// Heard takes over what a reply said of its replica: the raw version header, and whether it is leaving.
 func (t *Table) Heard(r *Replica, holdings string, draining bool) {
-	wasDraining := r.draining.Swap(draining || r.draining.Load())
+	if holdings != "" {
+		r.heard.Store(t.opts.Clock.Now().UnixNano())
+	}
 	old := r.raw.Load()
-	if holdings == "" || (old != nil && *old == holdings) {
-		if draining && !wasDraining {
-			t.mu.Lock()
-			t.rebuild()
-			t.mu.Unlock()
-		}
+	same := holdings == "" || (old != nil && *old == holdings)
+	if same && (!draining || r.Draining()) {
 		return
 	}
-	list, err := upstream.ParseHoldings(holdings)
-	if err != nil {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed := draining && t.drain(r, "a reply's header")
+	if !same {
+		changed = r.takeHoldings(holdings) || changed
+	}
+	if changed {
+		t.rebuild()
+	}
+}
+
+// Claimed takes over what the health endpoint says, but nothing that contradicts a recent reply.
+//
+// The endpoint lags or misleads: it names versions that the replica refuses, and replicas that serve as
+// leaving. A claim to be leaving is therefore kept only as long as the endpoint repeats it.
+func (t *Table) Claimed(r *Replica, holdings string, draining bool) {
+	if t.recent(r) {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r.raw.Store(&holdings)
-	r.holdings = list
+	changed := r.claimed.Swap(draining) != draining
+	if old := r.raw.Load(); holdings != "" && (old == nil || *old != holdings) {
+		changed = r.takeHoldings(holdings) || changed
+	}
+	if changed {
+		t.rebuild()
+	}
+}
+
+// Gone takes over that the replica refused the version; what it did outranks what any header or endpoint names.
+func (t *Table) Gone(r *Replica, version int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.gone == nil {
+		r.gone = map[int64]time.Time{}
+	}
+	r.gone[version] = t.opts.Clock.Now()
 	t.rebuild()
 }
 
+// drain notes that r is leaving and reports whether that is news.
+func (t *Table) drain(r *Replica, sign string) bool {
+	if r.draining.Swap(true) {
+		return false
+	}
+	t.opts.Draining(r, sign)
+	return true
+}
+
+// mapKey tells two maps of one version apart: replicas that disagree on the number of shards never share a map.
+type mapKey struct {
+	version int64
+	shards  int
+}
+
 func (t *Table) rebuild() {
-	view := &View{}
-	versions := map[int64]*VersionMap{}
+	now := t.opts.Clock.Now()
+	view := &View{Replicas: make([]*Replica, 0, len(t.all))}
 	for _, r := range t.all {
-		if r.draining.Load() {
-			continue
+		if !r.Draining() {
+			view.Replicas = append(view.Replicas, r)
 		}
-		view.Replicas = append(view.Replicas, r)
+	}
+	slices.SortFunc(view.Replicas, compareAddr)
+	maps := map[mapKey]*VersionMap{}
+	for _, r := range view.Replicas {
 		for _, h := range r.holdings {
-			addHolding(versions, r, h)
+			if !r.refused(h.Version, now) {
+				addHolding(maps, r, h)
+			}
 		}
 	}
-	for _, vm := range versions {
-		for _, holders := range vm.Holders {
-			slices.SortFunc(holders, compareAddr)
-		}
+	for _, vm := range maps {
+		vm.count()
 		view.Versions = append(view.Versions, *vm)
 	}
-	slices.SortFunc(view.Replicas, compareAddr)
-	slices.SortFunc(view.Versions, func(a, b VersionMap) int { return int(b.Version - a.Version) })
+	slices.SortFunc(view.Versions, compareMaps)
 	t.view.Store(view)
 }
 
-// addHolding ignores a replica whose shard count disagrees with the first one heard, since mixing two maps of one version would mix snapshots.
-func addHolding(versions map[int64]*VersionMap, r *Replica, h upstream.Holding) {
-	vm := versions[h.Version]
+func addHolding(maps map[mapKey]*VersionMap, r *Replica, h upstream.Holding) {
+	key := mapKey{h.Version, h.Shards}
+	vm := maps[key]
 	if vm == nil {
 		vm = &VersionMap{Version: h.Version, Holders: make([][]*Replica, h.Shards)}
-		versions[h.Version] = vm
+		maps[key] = vm
 	}
-	if len(vm.Holders) != h.Shards {
-		return
+	if !slices.Contains(vm.Holders[h.Shard], r) {
+		vm.Holders[h.Shard] = append(vm.Holders[h.Shard], r)
 	}
-	vm.Holders[h.Shard] = append(vm.Holders[h.Shard], r)
+}
+
+func (vm *VersionMap) count() {
+	vm.Least = len(vm.Holders[0])
+	for _, holders := range vm.Holders {
+		vm.Least = min(vm.Least, len(holders))
+		if len(holders) > 0 {
+			vm.Held++
+		}
+	}
+}
+
+func compareMaps(a, b VersionMap) int {
+	return cmp.Or(cmp.Compare(b.Version, a.Version), cmp.Compare(b.Least, a.Least),
+		cmp.Compare(b.Share(), a.Share()), cmp.Compare(len(a.Holders), len(b.Holders)))
 }
 
 func compareAddr(a, b *Replica) int { return a.Addr.Compare(b.Addr) }
--- /dev/null
+++ b/entry/internal/replica/table_test.go
@@ -0,0 +1,134 @@
+package replica_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/platform"
+	"guavaspring.org/entry/internal/replica"
+)
+
+func rows(n int) []platform.Replica {
+	var list []platform.Replica
+	for i := range n {
+		list = append(list, platform.Replica{ID: fmt.Sprintf("r%d", i), Addr: addr(i), Zone: "osborne-hall", State: platform.StateLive})
+	}
+	return list
+}
+
+func addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 9000)
+}
+
+// One replica of thirty comes up with version 7 cut into 11 shards, the others with 10. If whoever is heard
+// first decides the cut, one wrong replica that starts early takes every other one out of version 7, and
+// pages come back almost empty until it is found.
+func TestOneReplicaThatDisagreesOnTheCut(t *testing.T) {
+	for first := range 2 {
+		table := replica.New(replica.Options{})
+		added, _ := table.Update(rows(5))
+		said := []string{"7=0/11", "7=0/10", "7=1/10", "7=0/10", "7=1/10"}
+		for i := range added {
+			k := (i + first*4) % 5
+			table.Heard(added[k], said[k], false)
+		}
+		versions := table.View().Versions
+		qt.Assert(t, versions, qt.HasLen, 2)
+		qt.Assert(t, versions[0].Holders, qt.HasLen, 10)
+		qt.Assert(t, versions[0].Held, qt.Equals, 2)
+		qt.Assert(t, versions[1].Held, qt.Equals, 1)
+	}
+}
+
+// A replica drops version 7; its health endpoint still names it a while later. If the endpoint were
+// believed over the refusal, queries would be pinned to version 7 again and come back thin.
+func TestRefusedVersionIsNotBelievedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := replica.New(replica.Options{})
+		added, _ := table.Update(rows(1))
+		r := added[0]
+		table.Heard(r, "7=0/1,8=0/1", false)
+		table.Heard(r, "7=0/1,8=0/1", false)
+		table.Gone(r, 7)
+		qt.Assert(t, versionsOf(table), qt.DeepEquals, []int64{8})
+		table.Heard(r, "8=0/1", false)
+		table.Claimed(r, "7=0/1,8=0/1", false)
+		qt.Assert(t, versionsOf(table), qt.DeepEquals, []int64{8})
+		time.Sleep(6 * time.Second)
+		table.Claimed(r, "7=0/1,8=0/1", false)
+		qt.Assert(t, versionsOf(table), qt.DeepEquals, []int64{8})
+	})
+}
+
+// A replica begins to leave. The sign comes by a reply, by the list, or from another host, in any order;
+// after any one of them a donor's search must not be sent there. The same address comes back with a new
+// process, which must get work.
+func TestLeavingReplicaGetsNoWork(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		sign func(table *replica.Table, r *replica.Replica)
+	}{
+		{"a reply's header", func(table *replica.Table, r *replica.Replica) { table.Heard(r, "", true) }},
+		{"another host", func(table *replica.Table, r *replica.Replica) { table.MarkDraining(r.ID, "another host") }},
+		{"the platform's list", func(table *replica.Table, _ *replica.Replica) {
+			list := rows(1)
+			list[0].State = platform.StateLeaving
+			table.Update(list)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			signs := []string{}
+			table := replica.New(replica.Options{Draining: func(_ *replica.Replica, sign string) { signs = append(signs, sign) }})
+			added, _ := table.Update(rows(1))
+			table.Heard(added[0], "7=0/1", false)
+			test.sign(table, added[0])
+			test.sign(table, added[0])
+			qt.Assert(t, table.View().Versions, qt.HasLen, 0)
+			qt.Assert(t, signs, qt.DeepEquals, []string{test.name})
+
+			// The list lags and still calls it live; what was seen stands.
+			table.Update(rows(1))
+			qt.Assert(t, table.View().Replicas, qt.HasLen, 0)
+
+			again := rows(1)
+			again[0].ID = "r-new"
+			fresh, gone := table.Update(again)
+			table.Heard(fresh[0], "7=0/1", false)
+			qt.Assert(t, gone, qt.HasLen, 1)
+			qt.Assert(t, table.View().Versions, qt.HasLen, 1)
+		})
+	}
+}
+
+// A health endpoint calls a replica leaving while the replica serves. If the claim were final, one lying
+// endpoint would take a replica out for good; it counts only while nothing better is known, and only as
+// long as it is repeated.
+func TestClaimToBeLeavingIsNotFinal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := replica.New(replica.Options{})
+		added, _ := table.Update(rows(1))
+		r := added[0]
+		table.Heard(r, "7=0/1", false)
+		table.Claimed(r, "7=0/1", true)
+		qt.Assert(t, table.View().Replicas, qt.HasLen, 1)
+		time.Sleep(6 * time.Second)
+		table.Claimed(r, "7=0/1", true)
+		qt.Assert(t, table.View().Replicas, qt.HasLen, 0)
+		qt.Assert(t, table.Unheard(), qt.HasLen, 1)
+		table.Claimed(r, "7=0/1", false)
+		qt.Assert(t, table.View().Replicas, qt.HasLen, 1)
+	})
+}
+
+func versionsOf(table *replica.Table) []int64 {
+	var list []int64
+	for _, vm := range table.View().Versions {
+		list = append(list, vm.Version)
+	}
+	return list
+}
--- /dev/null
+++ b/entry/internal/service/fleet_test.go
@@ -0,0 +1,189 @@
+package service_test
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/document"
+	"guavaspring.org/core/platform"
+	"guavaspring.org/core/upstream"
+	"guavaspring.org/entry/internal/accepted"
+	"guavaspring.org/entry/internal/explain"
+	"guavaspring.org/entry/internal/replica"
+	"guavaspring.org/entry/internal/service"
+)
+
+// node is one replica of the test's fleet.
+type node struct {
+	id       string
+	addr     netip.AddrPort
+	place    int
+	holdings []upstream.Holding
+	// claims is what the health endpoint names; it lags behind holdings.
+	claims []upstream.Holding
+	dead   bool
+}
+
+// fleet plays the replicas of a service whose index versions move.
+type fleet struct {
+	mu    sync.Mutex
+	seed  uint64
+	rnd   *rand.Rand
+	nodes []*node
+	next  int
+	// newest and shards are the last version that was published and its number of shards.
+	newest int64
+	shards int
+}
+
+func newFleet(seed uint64, shards, copies int) *fleet {
+	f := &fleet{seed: seed, rnd: rand.New(rand.NewPCG(seed, 1)), newest: 1, shards: shards}
+	for i := range shards * copies {
+		n := &node{place: i, addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 9000)}
+		f.restart(n)
+		n.holdings = []upstream.Holding{f.holding(n)}
+		n.claims = n.holdings
+		f.nodes = append(f.nodes, n)
+	}
+	return f
+}
+
+func (f *fleet) restart(n *node) {
+	f.next++
+	n.id, n.dead = fmt.Sprintf("r%d", f.next), false
+}
+
+func (f *fleet) holding(n *node) upstream.Holding {
+	return upstream.Holding{Version: f.newest, Shard: n.place % f.shards, Shards: f.shards}
+}
+
+func (f *fleet) list() []platform.Replica {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []platform.Replica
+	for _, n := range f.nodes {
+		list = append(list, platform.Replica{ID: n.id, Addr: n.addr, State: platform.StateLive})
+	}
+	return list
+}
+
+// step changes one thing: a replica loads the newest version, drops its oldest, dies, comes back, or cuts a version differently from the others; now and then a new version is published, with another number of shards as often as not.
+func (f *fleet) step() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.nodes[f.rnd.IntN(len(f.nodes))]
+	n.claims = n.holdings
+	switch f.rnd.IntN(12) {
+	case 0:
+		f.newest++
+		f.shards = max(2, f.shards+f.rnd.IntN(5)-2)
+	case 1:
+		n.dead = true
+	case 2:
+		f.restart(n)
+	case 3, 4, 5:
+		if len(n.holdings) > 1 {
+			n.holdings = slices.Clone(n.holdings[1:])
+		}
+	case 6:
+		odd := f.holding(n)
+		odd.Shards++
+		f.load(n, odd)
+	default:
+		f.load(n, f.holding(n))
+	}
+}
+
+func (f *fleet) load(n *node, h upstream.Holding) {
+	same := func(other upstream.Holding) bool { return other.Version == h.Version }
+	n.holdings = append(slices.DeleteFunc(slices.Clone(n.holdings), same), h)
+}
+
+func (f *fleet) find(addr netip.AddrPort) *node {
+	for _, n := range f.nodes {
+		if n.addr == addr {
+			return n
+		}
+	}
+	panic("no node at " + addr.String())
+}
+
+// delay is drawn from the try's id, so that a seed gives the same delays whatever order goroutines run in.
+func (f *fleet) delay(try upstream.QueryTry) time.Duration {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(try.ID))
+	rnd := rand.New(rand.NewPCG(f.seed, h.Sum64()))
+	if rnd.IntN(40) == 0 {
+		return time.Second
+	}
+	return time.Duration(rnd.IntN(3000)) * time.Microsecond
+}
+
+// send answers as the replica at r's address does; a hit names the query and the cut that it truly comes from.
+func (f *fleet) send(ctx context.Context, r *replica.Replica, try upstream.QueryTry) upstream.Result {
+	d := f.delay(try)
+	res := f.serve(r, try)
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+		return upstream.Result{Kind: upstream.KindCanceled}
+	}
+	res.Took = d
+	return res
+}
+
+func (f *fleet) serve(r *replica.Replica, try upstream.QueryTry) upstream.Result {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.find(r.Addr)
+	if n.dead {
+		return upstream.Result{Kind: upstream.KindNotSent, Detail: "connection refused"}
+	}
+	res := upstream.Result{Kind: upstream.KindOK, Holdings: upstream.FormatHoldings(n.holdings)}
+	for _, h := range n.holdings {
+		if h.Version == try.Version && h.Shard == try.Shard {
+			id := fmt.Sprintf("%d/%d/%d", h.Version, h.Shard, h.Shards)
+			res.Query = upstream.QueryReply{Hits: []upstream.Hit{{ID: id, Score: 1, Data: try.Body}}}
+			return res
+		}
+	}
+	res.Kind, res.Detail = upstream.KindVersionGone, "not held"
+	return res
+}
+
+func (f *fleet) health(_ context.Context, r *replica.Replica) (upstream.Health, upstream.Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.find(r.Addr)
+	if n.dead {
+		return upstream.Health{}, upstream.Result{Kind: upstream.KindNotSent}
+	}
+	return upstream.Health{Holdings: n.claims}, upstream.Result{Kind: upstream.KindOK}
+}
+
+func newFleetService(f *fleet, doc document.Document) *service.Service {
+	ids := 0
+	var mu sync.Mutex
+	s, err := service.New(accepted.Generation{Service: doc.Service, Number: 1, Document: doc}, service.Options{
+		Clock: clock.System{}, Log: logr.Discard(), Explain: explain.New(64), Send: f.send, Health: f.health,
+		NewID: func() string {
+			mu.Lock()
+			defer mu.Unlock()
+			ids++
+			return fmt.Sprintf("x%d", ids)
+		},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
--- a/entry/internal/service/service.go
+++ b/entry/internal/service/service.go
@@ -29,6 +29,12 @@
 	Explain *explain.Store
 	// NewID returns a new random identifier.
 	NewID func() string
+	// Send sends one try; nil means over HTTP.
+	Send func(ctx context.Context, r *replica.Replica, try upstream.QueryTry) upstream.Result
+	// Health reads the health endpoint of a replica; nil means over HTTP.
+	Health func(ctx context.Context, r *replica.Replica) (upstream.Health, upstream.Result)
+	// Draining is told once of each replica that this host finds leaving, and by which sign; it may be nil and must not call the service.
+	Draining func(service string, r *replica.Replica, sign string)
 }
 
 // Service is one service under the generation that is in force.
@@ -40,6 +46,7 @@
 	gate   *admission.Gate
 	client *upstream.Client
 	runner *fanout.Runner
+	picker *snapshot.Picker
 	probes sync.WaitGroup
 }
 
@@ -49,18 +56,46 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Service{opts: opts, name: gen.Service, table: replica.New(), gate: admission.New(limits(gen.Document)), client: client}
-	s.gen.Store(&gen)
-	s.runner = fanout.New(fanout.Options{
-		Clock: opts.Clock,
-		Send: func(ctx context.Context, r *replica.Replica, try upstream.QueryTry) upstream.Result {
+	if opts.Send == nil {
+		opts.Send = func(ctx context.Context, r *replica.Replica, try upstream.QueryTry) upstream.Result {
 			return client.Query(ctx, r.Addr, try)
-		},
-		Heard: func(r *replica.Replica, res upstream.Result) { s.table.Heard(r, res.Holdings, res.Draining) },
-	})
+		}
+	}
+	if opts.Health == nil {
+		opts.Health = func(ctx context.Context, r *replica.Replica) (upstream.Health, upstream.Result) {
+			return client.Health(ctx, r.Addr)
+		}
+	}
+	s := &Service{opts: opts, name: gen.Service, gate: admission.New(limits(gen.Document)), client: client}
+	s.gen.Store(&gen)
+	s.table = replica.New(replica.Options{Clock: opts.Clock, Draining: s.draining})
+	s.picker = snapshot.New(snapshot.Options{Moved: s.moved})
+	s.runner = fanout.New(fanout.Options{Clock: opts.Clock, Send: opts.Send, Heard: s.heard})
 	return s, nil
 }
 
+func (s *Service) heard(r *replica.Replica, version int64, res upstream.Result) {
+	if res.Kind == upstream.KindVersionGone {
+		s.table.Gone(r, version)
+	}
+	s.table.Heard(r, res.Holdings, res.Draining || res.Kind == upstream.KindDraining)
+}
+
+func (s *Service) moved(from, to replica.VersionMap) {
+	events.SnapshotMoved.Log(s.opts.Log, "service", s.name, "from", from.Version, "from_shards", len(from.Holders),
+		"to", to.Version, "to_shards", len(to.Holders), "least_holders", to.Least)
+}
+
+func (s *Service) draining(r *replica.Replica, sign string) {
+	events.ReplicaDraining.Log(s.opts.Log, "service", s.name, "replica", r.ID, "sign", sign)
+	if s.opts.Draining != nil {
+		s.opts.Draining(s.name, r, sign)
+	}
+}
+
+// MarkDraining takes over from another host that the replica with the id is leaving, and reports whether it is known here.
+func (s *Service) MarkDraining(id string) bool { return s.table.MarkDraining(id, "another host") }
+
 // SetGeneration puts a newer generation in force for the requests that come next.
 func (s *Service) SetGeneration(gen accepted.Generation) {
 	s.gen.Store(&gen)
@@ -84,15 +119,15 @@
 
 const probeTimeout = time.Second
 
-// probeAll asks every replica for its holdings, so that versions are known before the first query and while no query runs.
+// probeAll asks the replicas that no query reaches for their holdings, so that versions are known before the first query and while none runs.
 func (s *Service) probeAll(ctx context.Context) {
-	for _, r := range s.table.View().Replicas {
+	for _, r := range s.table.Unheard() {
 		s.probes.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 			defer cancel()
-			health, res := s.client.Health(ctx, r.Addr)
+			health, res := s.opts.Health(ctx, r)
 			if res.Kind == upstream.KindOK {
-				s.table.Heard(r, upstream.FormatHoldings(health.Holdings), health.Draining)
+				s.table.Claimed(r, upstream.FormatHoldings(health.Holdings), health.Draining)
 			}
 		})
 	}
@@ -120,20 +155,24 @@
 	}
 	start := s.opts.Clock.Now()
 	defer func() { s.gate.Leave(s.opts.Clock.Now().Sub(start)) }()
-	vm, ok := snapshot.Pick(s.table.View())
+	vm, ok := s.pick()
 	if !ok {
 		ans.Outcome, ans.Reason, ans.RetryAfterMS = caller.OutcomeRefused, "no index version of the service is known yet", 500
 		return ans
 	}
 	// The tries are named after an id of our own: callers repeat theirs, and an upstream or a late reply could not tell two such requests apart.
-	report := s.runner.Run(ctx, fanout.Request{ID: ans.ExplanationID, Arrived: req.Arrived, Deadline: req.Deadline, Query: req.Query, Document: gen.Document, Map: vm})
+	report := s.runner.Run(ctx, fanout.Request{
+		ID: ans.ExplanationID, Arrived: req.Arrived, Deadline: req.Deadline, Query: req.Query, Document: gen.Document, Map: vm, Replan: s.pick,
+	})
 	rec.Decisions = report.Decisions
-	ans.Snapshot = caller.Snapshot{Version: vm.Version, Shards: len(vm.Holders)}
+	ans.Snapshot = report.Snapshot
 	ans.Coverage, ans.Hits = report.Coverage, report.Hits
-	ans.Outcome = outcome(report.Coverage)
+	ans.Outcome, ans.Reason = outcome(report.Coverage), report.Reason
 	return ans
 }
 
+func (s *Service) pick() (replica.VersionMap, bool) { return s.picker.Pick(s.table.View()) }
+
 func (s *Service) finish(rec *explain.Record, ans caller.Answer) {
 	took := s.opts.Clock.Now().Sub(rec.Arrived)
 	rec.Outcome, rec.Reason, rec.TookMS = string(ans.Outcome), ans.Reason, float64(took.Microseconds())/1000
--- /dev/null
+++ b/entry/internal/service/snapshot_test.go
@@ -0,0 +1,139 @@
+package service_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/caller"
+	"guavaspring.org/core/document"
+	"guavaspring.org/entry/internal/service"
+)
+
+const snapshotSeeds = 1000
+
+// A quilter searches while index versions are published, repartitioned and dropped, replicas die, come
+// back and cut a version differently from their neighbours. Her page must hold hits of one version and
+// one cut only, and name exactly the shards without an answer. Without the guards she sees a remnant
+// twice, or a page of two evenings mixed, because the replica of a late try had moved on.
+func TestOneSnapshotThroughVersionMoves(t *testing.T) {
+	var total tally
+	for seed := range uint64(snapshotSeeds) {
+		synctest.Test(t, func(t *testing.T) { total.add(playMoves(t, seed)) })
+	}
+	t.Logf("%d answers: %d complete, %d partial, %d failed, %d refused, %d started again", total.answers, total.complete, total.partial, total.failed, total.refused, total.replanned)
+	qt.Assert(t, total.complete > total.answers/2, qt.IsTrue)
+	qt.Assert(t, total.partial > 0 && total.replanned > 0, qt.IsTrue)
+}
+
+type tally struct {
+	answers, complete, partial, failed, refused, replanned int
+}
+
+func (c *tally) add(other tally) {
+	c.answers += other.answers
+	c.complete += other.complete
+	c.partial += other.partial
+	c.failed += other.failed
+	c.refused += other.refused
+	c.replanned += other.replanned
+}
+
+func playMoves(t *testing.T, seed uint64) tally {
+	const queries, apart = 12, 2 * time.Millisecond
+	f := newFleet(seed, 4, 3)
+	doc := document.Default()
+	doc.Service = "remnant-finder"
+	if seed%2 == 0 {
+		doc.Prefer = document.PreferLatency
+	}
+	s := newFleetService(f, doc)
+	s.Update(t.Context(), f.list())
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var count tally
+	for i := range queries {
+		wg.Go(func() {
+			ans := ask(t.Context(), s, fmt.Sprintf("q%d", i))
+			mu.Lock()
+			defer mu.Unlock()
+			count.note(ans)
+			if err := truthful(ans, fmt.Sprintf("q%d", i)); err != nil {
+				t.Errorf("seed %d, query %d: %v", seed, i, err)
+			}
+		})
+		for range 4 {
+			time.Sleep(apart / 4)
+			f.step()
+		}
+		if i%3 == 0 {
+			s.Update(t.Context(), f.list())
+		}
+	}
+	wg.Wait()
+	return count
+}
+
+func ask(ctx context.Context, s *service.Service, text string) caller.Answer {
+	now := time.Now()
+	deadline := now.Add(100 * time.Millisecond)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	return s.Query(ctx, service.QueryRequest{
+		ID: "reused", Caller: "quilter", Arrived: now, Deadline: deadline, Query: caller.Query{Query: text, Limit: 1000},
+	})
+}
+
+func (c *tally) note(ans caller.Answer) {
+	c.answers++
+	switch ans.Outcome {
+	case caller.OutcomeComplete:
+		c.complete++
+	case caller.OutcomePartial:
+		c.partial++
+	case caller.OutcomeRefused:
+		c.refused++
+	default:
+		c.failed++
+	}
+	if strings.Contains(ans.Reason, "started again") {
+		c.replanned++
+	}
+}
+
+// truthful compares what an answer says with what its hits are; each shard that answers gives one hit.
+func truthful(ans caller.Answer, text string) error {
+	answered := map[int]bool{}
+	for _, h := range ans.Hits {
+		want := fmt.Sprintf("%d/%d/%d", ans.Snapshot.Version, h.Shard, ans.Snapshot.Shards)
+		if h.ID != want {
+			return fmt.Errorf("a hit of %s in an answer of %s", h.ID, want)
+		}
+		if answered[h.Shard] {
+			return fmt.Errorf("shard %d is in the answer twice", h.Shard)
+		}
+		if !strings.Contains(string(h.Data), text) {
+			return fmt.Errorf("a hit of another request: %s", h.Data)
+		}
+		answered[h.Shard] = true
+	}
+	if len(answered) != ans.Coverage.Answered || ans.Coverage.Shards != ans.Snapshot.Shards {
+		return fmt.Errorf("coverage says %d of %d, hits come from %d of %d", ans.Coverage.Answered, ans.Coverage.Shards, len(answered), ans.Snapshot.Shards)
+	}
+	missing := map[int]bool{}
+	for _, i := range ans.Coverage.Missing {
+		missing[i] = true
+	}
+	for i := range ans.Coverage.Shards {
+		if missing[i] == answered[i] {
+			return fmt.Errorf("shard %d: missing %v, answered %v", i, missing[i], answered[i])
+		}
+	}
+	return nil
+}
