member: Keep a list of hosts by probes over net/rpc

Cause: hosts did not know each other, so no duty could be shared and no address but the own handed out. Change: member.List decides (probe, ask others, suspect, refute by Epoch, dead, leaving), peers carries it over net/rpc with a bounded cache of connections, and digests of hashed prefixes repair what the news missed. Ruled out: probing hosts at random, as SWIM does: each probe would pay a handshake and a new gob stream's type descriptions; each host probes a fixed small set instead, two of it ring successors so that nobody is left out.

--- a/entry/internal/host/host.go
+++ b/entry/internal/host/host.go
@@ -43,6 +43,7 @@
 	store    *accepted.Store
 	explain  *explain.Store
 	follower *follow.Follower
+	joined   *joined
 
 	mu       sync.RWMutex
 	services map[string]*service.Service
@@ -57,6 +58,10 @@
 	h := &Host{opts: opts, explain: explain.New(explanations), services: map[string]*service.Service{}}
 	h.store = accepted.New(h.inForce)
 	h.follower = follow.New(follow.Options{Clock: opts.Clock, Log: opts.Log, Platform: client, Store: h.store, Replicas: h.replicas})
+	h.joined, err = join(opts)
+	if err != nil {
+		return nil, err
+	}
 	return h, nil
 }
 
@@ -71,7 +76,8 @@
 	var duties sync.WaitGroup
 	duties.Go(func() { h.follower.WatchDocuments(ctx) })
 	duties.Go(func() { h.follower.PollReplicas(ctx) })
-	app := kratos.New(kratos.Context(ctx), kratos.Name("entry"), kratos.Server(srv))
+	duties.Go(func() { h.joined.peers.Run(ctx) })
+	app := kratos.New(kratos.Context(ctx), kratos.Name("entry"), kratos.Server(srv), kratos.BeforeStop(h.joined.leave))
 	events.Started.Log(h.opts.Log, "listen", h.opts.Listen.String(), "zone", h.opts.Zone)
 	err := app.Run()
 	cancel()
--- /dev/null
+++ b/entry/internal/member/list.go
@@ -0,0 +1,315 @@
+package member
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"guavaspring.org/entry/internal/digest"
+)
+
+// Options configures a List.
+type Options struct {
+	// Self is this host's own row; its Epoch and State are set by New.
+	Self Host
+	// Rand draws probe orders and helpers; a seeded one makes a test repeatable.
+	Rand *rand.Rand
+	// Changed is called, without locks held, after each change of a host's state; it may be nil.
+	Changed func(old, now Host)
+}
+
+// Timings and bounds of membership. docs/design/membership.md says which measurement each came from.
+const (
+	// ProbeEvery is the fixed time between two probes of one host, whatever the fleet's size.
+	ProbeEvery = time.Second
+	// SuspectFor is how long a suspect has to refute; three probe times cover a pause of the collector and one lost message.
+	SuspectFor = 4 * time.Second
+	// KeepDead is how long a dead row is kept, so that a region cut off for an hour is sought again after it.
+	KeepDead = 2 * time.Hour
+	// maxRows is the most changed rows in one message, about 600 bytes.
+	maxRows = 6
+	// maxLoads is the most load marks in one message, about 100 bytes.
+	maxLoads = 6
+	// pauseAfter is the gap between two ticks that counts as a pause of this process.
+	pauseAfter = 2 * time.Second
+)
+
+// List is one host's picture of all hosts, with the decisions of a SWIM failure detector and no network.
+//
+// It answers the load of failures and restarts in a fleet of any size: each host probes one neighbour a second,
+// asks others to probe when that fails, suspects before it declares dead, and lets the accused refute by a higher
+// Epoch. Without the suspicion a host that pauses for a second would be dropped by all; without the fixed probe rate
+// the traffic of a host would grow with the fleet. Each message carries a bounded number of changed rows.
+type List struct {
+	opts Options
+
+	mu       sync.Mutex
+	self     Host
+	rows     map[string]*row
+	byKey    map[uint64]*row
+	queue    map[string]int
+	loads    map[uint64]int
+	lastTick time.Time
+	resumed  time.Time
+	toldLoad float64
+	toldAt   time.Time
+	load     float64
+	turn     int
+	around   []string
+	entries  []digest.Entry
+	total    uint64
+	stale    bool
+	// staleLoad says that only loads changed, which needs a new snapshot but no new neighbours.
+	staleLoad bool
+	pending   []change
+	snapshot  atomic.Pointer[[]Host]
+	own       atomic.Pointer[Host]
+}
+
+type row struct {
+	Host
+	// until is when a suspect becomes dead, or a dead row is dropped.
+	until time.Time
+	// left says that the host had announced its stop, so that it isn't sought again.
+	left bool
+}
+
+type change struct{ old, now Host }
+
+// New returns a list that knows only this host.
+func New(opts Options) *List {
+	opts.Self.Epoch, opts.Self.State = 1, StateAlive
+	l := &List{opts: opts, self: opts.Self, rows: map[string]*row{}, byKey: map[uint64]*row{}, queue: map[string]int{}, loads: map[uint64]int{}}
+	l.queue[l.self.ID] = 0
+	l.rebuild()
+	return l
+}
+
+// Self returns this host's own row.
+func (l *List) Self() Host { return *l.own.Load() }
+
+// Hosts returns every host that is not dead, this one included, ordered by ID; the slice is shared and must not be changed.
+func (l *List) Hosts() []Host { return *l.snapshot.Load() }
+
+// SetLoad sets the share of this host's capacity in use, 0 to 1; the others hear of it at a bounded rate.
+func (l *List) SetLoad(load float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.load = min(1, max(0, load))
+}
+
+// Leave announces that this host is stopping; the announcement can't be taken back.
+func (l *List) Leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.self.State == StateLeaving {
+		return
+	}
+	l.self.Epoch++
+	l.self.State = StateLeaving
+	l.queue[l.self.ID] = 0
+	l.rebuild()
+}
+
+// Tick lets time pass: suspects die, old rows go and a changed load is told. Call it every few hundred milliseconds.
+func (l *List) Tick(now time.Time) {
+	l.mu.Lock()
+	l.notePause(now)
+	for _, r := range l.rows {
+		l.expire(r, now)
+	}
+	l.tellLoad(now)
+	switch {
+	case l.stale:
+		l.rebuild()
+	case l.staleLoad:
+		l.publish()
+	}
+	changes := l.takeChanges()
+	l.mu.Unlock()
+	l.announce(changes)
+}
+
+// notePause guards against the failure in which a host that was stopped for a while wakes up, finds every suspicion
+// and every probe of its own overdue, and declares healthy hosts dead: what waited during the pause waits that much longer.
+func (l *List) notePause(now time.Time) {
+	gap := now.Sub(l.lastTick)
+	if !l.lastTick.IsZero() && gap > pauseAfter {
+		l.resumed = now
+		for _, r := range l.rows {
+			r.until = r.until.Add(gap)
+		}
+	}
+	l.lastTick = now
+}
+
+func (l *List) expire(r *row, now time.Time) {
+	if now.Before(r.until) {
+		return
+	}
+	switch r.State {
+	case StateSuspect:
+		h := r.Host
+		h.State = StateDead
+		l.put(h, now)
+	case StateDead:
+		delete(l.rows, r.ID)
+		delete(l.byKey, r.Key())
+		delete(l.queue, r.ID)
+	}
+}
+
+// Merge takes over rows that another host sent.
+func (l *List) Merge(now time.Time, rows []Host) {
+	l.mu.Lock()
+	for _, h := range rows {
+		l.mergeOne(now, h)
+	}
+	if l.stale {
+		l.rebuild()
+	}
+	changes := l.takeChanges()
+	l.mu.Unlock()
+	l.announce(changes)
+}
+
+func (l *List) mergeOne(now time.Time, h Host) {
+	if !h.valid() {
+		return
+	}
+	if h.ID == l.self.ID {
+		l.refute(h)
+		return
+	}
+	old, known := l.rows[h.ID]
+	if !known && h.State == StateDead {
+		// A tombstone of a host never known here would only travel on and never expire.
+		return
+	}
+	if known && !h.newer(old.Host) {
+		return
+	}
+	l.put(h, now)
+}
+
+// refute answers a suspicion against this host by a higher Epoch, which overrides the accusation wherever it went.
+func (l *List) refute(h Host) {
+	if h.Epoch < l.self.Epoch || h.Epoch == l.self.Epoch && h.State == l.self.State {
+		return
+	}
+	l.self.Epoch = h.Epoch + 1
+	l.queue[l.self.ID] = 0
+	l.stale = true
+}
+
+// put stores h, which the caller found to be newer, and queues it for the others.
+func (l *List) put(h Host, now time.Time) {
+	r := l.rows[h.ID]
+	if r == nil {
+		r = &row{}
+		l.rows[h.ID] = r
+		l.byKey[h.Key()] = r
+	} else if h.LoadSeq < r.LoadSeq {
+		h.Load, h.LoadSeq = r.Load, r.LoadSeq
+	}
+	old := r.Host
+	r.left = h.State == StateLeaving || h.State == StateDead && old.State == StateLeaving
+	r.Host = h
+	switch h.State {
+	case StateSuspect:
+		r.until = now.Add(SuspectFor)
+	case StateDead:
+		r.until = now.Add(KeepDead)
+	}
+	l.queue[h.ID] = 0
+	l.stale = true
+	if old.State != h.State {
+		l.pending = append(l.pending, change{old, h})
+	}
+}
+
+func (l *List) takeChanges() []change {
+	list := l.pending
+	l.pending = nil
+	return list
+}
+
+func (l *List) announce(changes []change) {
+	if l.opts.Changed == nil {
+		return
+	}
+	for _, c := range changes {
+		l.opts.Changed(c.old, c.now)
+	}
+}
+
+// rebuild must be called with l.mu held; it publishes the snapshot and chooses the neighbours anew.
+func (l *List) rebuild() {
+	l.stale = false
+	list := l.publish()
+	l.entries, l.total = entriesOf(list)
+	l.around = neighbours(l.self, list)
+}
+
+// publish must be called with l.mu held.
+func (l *List) publish() []Host {
+	l.staleLoad = false
+	list := make([]Host, 0, len(l.rows)+1)
+	list = append(list, l.self)
+	for _, r := range l.rows {
+		if r.State != StateDead {
+			list = append(list, r.Host)
+		}
+	}
+	slices.SortFunc(list, func(a, b Host) int { return strings.Compare(a.ID, b.ID) })
+	own := l.self
+	l.own.Store(&own)
+	l.snapshot.Store(&list)
+	return list
+}
+
+// entriesOf leaves out load, which changes all the time, and dead rows, which each host drops at its own time.
+func entriesOf(list []Host) ([]digest.Entry, uint64) {
+	entries := make([]digest.Entry, len(list))
+	for i, h := range list {
+		key := h.Key()
+		entries[i] = digest.Entry{Key: key, Sum: mix(key ^ mix(h.Epoch*8+uint64(stateRank[h.State])))}
+	}
+	return entries, digest.Total(entries)
+}
+
+// Digest returns the sum over all rows that are not dead.
+func (l *List) Digest() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.total
+}
+
+// Sums returns the digest of each child of p.
+func (l *List) Sums(p digest.Prefix) []digest.Sum {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return digest.Sums(l.entries, p)
+}
+
+// Rows returns up to most rows below p, dead ones included, so that the other side learns of a death it missed.
+func (l *List) Rows(p digest.Prefix, most int) []Host {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []Host
+	if p.Holds(l.self.Key()) {
+		list = append(list, l.self)
+	}
+	for key, r := range l.byKey {
+		if len(list) >= most {
+			break
+		}
+		if p.Holds(key) {
+			list = append(list, r.Host)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/entry/internal/member/load.go
@@ -0,0 +1,91 @@
+package member
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Load marks change all the time, so they have their own bounds: each is sent a few times only, and the more hosts
+// share them, the rarer each host speaks. Without that, loads told each second in a fleet of 5,600 would take
+// 90 KB/s of every host. Above wholeFleet hosts a mark stays inside the zone, whose hosts callers are steered to first.
+const (
+	loadSends = 4
+	// marksPerSecond is how many new marks a host hears a second from all others together.
+	marksPerSecond = 10
+	wholeFleet     = 64
+	// loadStep is the least change of load that is worth telling.
+	loadStep = 0.02
+)
+
+// tellLoad must be called with l.mu held.
+func (l *List) tellLoad(now time.Time) {
+	if math.Abs(l.load-l.toldLoad) < loadStep || now.Sub(l.toldAt) < l.loadEvery() {
+		return
+	}
+	l.toldLoad, l.toldAt = l.load, now
+	l.self.Load = l.load
+	l.self.LoadSeq++
+	l.loads[l.self.Key()] = 0
+	l.staleLoad = true
+}
+
+func (l *List) loadEvery() time.Duration {
+	n := 0
+	for _, r := range l.rows {
+		if r.State != StateDead && l.sharesLoad(r.Host) {
+			n++
+		}
+	}
+	return max(time.Second, time.Duration(n)*time.Second/marksPerSecond)
+}
+
+func (l *List) sharesLoad(h Host) bool {
+	return len(l.rows) < wholeFleet || h.Zone == l.self.Zone && h.Region == l.self.Region
+}
+
+func (l *List) mergeLoad(m Load) {
+	r := l.byKey[m.Key]
+	if r == nil || m.Seq <= r.LoadSeq || m.Percent > 100 {
+		return
+	}
+	r.Load, r.LoadSeq = float64(m.Percent)/100, m.Seq
+	l.staleLoad = true
+	if l.sharesLoad(r.Host) {
+		l.loads[m.Key] = 0
+	}
+}
+
+func (l *List) takeLoads() []Load {
+	if len(l.loads) == 0 {
+		return nil
+	}
+	keys := make([]uint64, 0, len(l.loads))
+	for key := range l.loads {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b uint64) int { return cmp.Or(cmp.Compare(l.loads[a], l.loads[b]), cmp.Compare(a, b)) })
+	var out []Load
+	for _, key := range keys[:min(maxLoads, len(keys))] {
+		if h, ok := l.hostOf(key); ok {
+			out = append(out, Load{Key: key, Seq: h.LoadSeq, Percent: uint8(math.Round(h.Load * 100))})
+		}
+		l.loads[key]++
+		if l.loads[key] >= loadSends {
+			delete(l.loads, key)
+		}
+	}
+	return out
+}
+
+func (l *List) hostOf(key uint64) (Host, bool) {
+	if key == l.self.Key() {
+		return l.self, true
+	}
+	r := l.byKey[key]
+	if r == nil {
+		return Host{}, false
+	}
+	return r.Host, true
+}
--- /dev/null
+++ b/entry/internal/member/probe.go
@@ -0,0 +1,200 @@
+package member
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+	"time"
+)
+
+// Message is the membership part of every message between hosts.
+type Message struct {
+	// From and Epoch name the sender, To the incarnation that it means to reach; To is empty towards a seed.
+	From  string
+	Epoch uint64
+	To    string
+	Rows  []Host
+	Loads []Load
+}
+
+// Load is a host's load in as few bytes as possible; Key is Host.Key and Percent is 0 to 100.
+type Load struct {
+	Key     uint64
+	Seq     uint64
+	Percent uint8
+}
+
+// Next returns the neighbour to probe now; each gets its turn.
+func (l *List) Next() (Host, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for range l.around {
+		l.turn = (l.turn + 1) % len(l.around)
+		if r := l.rows[l.around[l.turn]]; r != nil && r.State != StateDead {
+			return r.Host, true
+		}
+	}
+	return Host{}, false
+}
+
+// Neighbours returns the hosts that this one probes.
+func (l *List) Neighbours() []Host {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []Host
+	for _, id := range l.around {
+		if r := l.rows[id]; r != nil && r.State != StateDead {
+			list = append(list, r.Host)
+		}
+	}
+	return list
+}
+
+// Helpers returns up to n random hosts that are alive and not target, to probe it from elsewhere.
+func (l *List) Helpers(target Host, n int) []Host {
+	hosts := l.Hosts()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []Host
+	// A bounded number of draws is enough: a helper less only makes the check less sure.
+	for range 4 * n {
+		h := hosts[l.opts.Rand.IntN(len(hosts))]
+		if len(list) == n {
+			break
+		}
+		known := slices.ContainsFunc(list, func(o Host) bool { return o.ID == h.ID })
+		if h.State == StateAlive && h.ID != target.ID && h.ID != l.self.ID && !known {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// Lost returns a random host that died without having announced a stop, to be sought again: it may have been cut off.
+func (l *List) Lost() (Host, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []Host
+	for _, r := range l.rows {
+		if r.State == StateDead && !r.left {
+			list = append(list, r.Host)
+		}
+	}
+	if len(list) == 0 {
+		return Host{}, false
+	}
+	slices.SortFunc(list, func(a, b Host) int { return cmp.Compare(a.ID, b.ID) })
+	return list[l.opts.Rand.IntN(len(list))], true
+}
+
+// Message returns a message for the host with ID to, filled with the changed rows that were sent least often.
+func (l *List) Message(to string) Message {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	msg := Message{From: l.self.ID, Epoch: l.self.Epoch, To: to}
+	msg.Rows = l.takeRows(to)
+	if r := l.rows[to]; r != nil && (r.State == StateSuspect || r.State == StateDead) {
+		// The accused hears of it in the very probe that reaches it, and refutes in the reply.
+		msg.Rows = append(msg.Rows, r.Host)
+	}
+	msg.Loads = l.takeLoads()
+	return msg
+}
+
+// Accuse returns the row of msg's sender if this host holds it for suspect or dead, so that the sender can refute.
+//
+// A host that was paused until after its death was told around would never hear of it otherwise: nobody probes the dead.
+func (l *List) Accuse(msg Message) []Host {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.rows[msg.From]
+	if r == nil || r.Epoch < msg.Epoch || r.State == StateAlive || r.State == StateLeaving {
+		return nil
+	}
+	return []Host{r.Host}
+}
+
+// Receive takes over a message, whether a request or a reply.
+func (l *List) Receive(now time.Time, msg Message) {
+	l.Merge(now, msg.Rows)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, m := range msg.Loads {
+		l.mergeLoad(m)
+	}
+}
+
+// Unreachable says that neither this host nor its helpers reached target with a probe sent at sent.
+func (l *List) Unreachable(now time.Time, target Host, sent time.Time) {
+	l.mu.Lock()
+	r := l.rows[target.ID]
+	if r == nil || r.Epoch != target.Epoch || sent.Before(l.resumed) || now.Sub(l.lastTick) > pauseAfter {
+		l.mu.Unlock()
+		return
+	}
+	h := r.Host
+	switch r.State {
+	case StateAlive:
+		h.State = StateSuspect
+		l.put(h, now)
+	case StateLeaving:
+		// It said that it would go, so there is nothing to wait for.
+		h.State = StateDead
+		l.put(h, now)
+	}
+	changes := l.takeChanges()
+	if l.stale {
+		l.rebuild()
+	}
+	l.mu.Unlock()
+	l.announce(changes)
+}
+
+// Replaced says that another incarnation answered at target's address, which proves that target has ended.
+func (l *List) Replaced(now time.Time, target Host) {
+	l.mu.Lock()
+	if r := l.rows[target.ID]; r != nil && r.State != StateDead {
+		h := r.Host
+		h.State = StateDead
+		l.put(h, now)
+		r.left = true
+	}
+	changes := l.takeChanges()
+	if l.stale {
+		l.rebuild()
+	}
+	l.mu.Unlock()
+	l.announce(changes)
+}
+
+// sends is how often a change is passed on: twice the logarithm of the fleet reaches all but a few hosts, and digests reach those.
+func (l *List) sends() int { return 2 * (bits.Len(uint(len(l.rows)+1)) + 1) }
+
+// takeRows picks the rows sent least often; ties are broken by ID so that a seeded run repeats.
+func (l *List) takeRows(to string) []Host {
+	ids := make([]string, 0, len(l.queue))
+	for id := range l.queue {
+		if id != to || id == l.self.ID {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(cmp.Compare(l.queue[a], l.queue[b]), cmp.Compare(a, b))
+	})
+	var rows []Host
+	for _, id := range ids[:min(maxRows, len(ids))] {
+		rows = append(rows, l.rowOf(id))
+		l.queue[id]++
+		if l.queue[id] >= l.sends() {
+			delete(l.queue, id)
+		}
+	}
+	return rows
+}
+
+func (l *List) rowOf(id string) Host {
+	if id == l.self.ID {
+		return l.self
+	}
+	return l.rows[id].Host
+}
--- /dev/null
+++ b/entry/internal/peers/conn.go
@@ -0,0 +1,46 @@
+package peers
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// idleLimit ends a connection on which nothing came for so long; a neighbour sends every few seconds, so only a forgotten or silent one is hit.
+const idleLimit = 2 * time.Minute
+
+// traffic counts the bytes of all connections to other hosts, without TCP and IP headers.
+type traffic struct {
+	in, out     atomic.Int64
+	reads       atomic.Int64
+	writes      atomic.Int64
+	connections atomic.Int64
+}
+
+// counted is a connection that counts its bytes and ends when it is idle too long.
+type counted struct {
+	net.Conn
+	t *traffic
+}
+
+// Read counts what arrives and moves the idle limit on.
+func (c *counted) Read(b []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(idleLimit)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(b)
+	c.t.in.Add(int64(n))
+	c.t.reads.Add(1)
+	return n, err
+}
+
+// Write counts what is sent; a peer that reads nothing must not hold the writer for ever.
+func (c *counted) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(callTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(b)
+	c.t.out.Add(int64(n))
+	c.t.writes.Add(1)
+	return n, err
+}
--- /dev/null
+++ b/entry/internal/peers/methods.go
@@ -0,0 +1,41 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+
+	"guavaspring.org/entry/internal/digest"
+)
+
+// Methods is what other hosts call; net/rpc needs it exported.
+type Methods struct{ p *Peers }
+
+// Probe takes over a packet and answers with one, which proves that this host is alive.
+func (m *Methods) Probe(args *Packet, reply *Packet) error {
+	m.p.receive(args)
+	*reply = m.p.packet(args.Member.From)
+	reply.Member.Rows = append(reply.Member.Rows, m.p.opts.List.Accuse(args.Member)...)
+	return nil
+}
+
+// Ask probes a host on behalf of another that can't reach it.
+func (m *Methods) Ask(args *AskArgs, reply *AskReply) error {
+	reply.Reached = m.p.probe(context.Background(), args.Target) == nil
+	return nil
+}
+
+// Sums answers with the digests below a prefix.
+func (m *Methods) Sums(args *SumsArgs, reply *SumsReply) error {
+	if !args.Prefix.Valid() {
+		return fmt.Errorf("prefix of depth %d: want 0 to %d", args.Prefix.Depth, digest.MaxDepth-1)
+	}
+	reply.Sums = m.p.sums(args.Table, args.Prefix)
+	return nil
+}
+
+// Rows takes over the rows below a prefix and answers with this host's.
+func (m *Methods) Rows(args *RowsArgs, reply *Rows) error {
+	*reply = m.p.rows(args.Table, args.Prefix)
+	m.p.take(args.Rows)
+	return nil
+}
--- /dev/null
+++ b/entry/internal/peers/peers.go
@@ -0,0 +1,250 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/entry/internal/member"
+)
+
+const (
+	tickEvery    = 200 * time.Millisecond
+	seekEvery    = 5 * time.Second
+	probeTimeout = 500 * time.Millisecond
+	askTimeout   = 1200 * time.Millisecond
+	helpers      = 3
+	// joinTries is the most unknown addresses tried at a time.
+	joinTries = 3
+)
+
+// Options configures Peers.
+type Options struct {
+	Clock clock.Clock
+	Log   logr.Logger
+	// Listener accepts the other hosts at the address in the list's own row; Run closes it.
+	Listener net.Listener
+	List     *member.List
+	// Contacts returns addresses of hosts that may be alive, from settings and the platform's directory.
+	Contacts func() []netip.AddrPort
+	Rand     *rand.Rand
+}
+
+// Peers exchanges probes and news with the other hosts.
+type Peers struct {
+	opts    Options
+	traffic traffic
+	pool    *pool
+	server  *server
+
+	mu       sync.Mutex
+	repaired map[Table]time.Time
+	asked    int
+}
+
+// New returns a Peers that does nothing until Run.
+func New(opts Options) (*Peers, error) {
+	p := &Peers{opts: opts, repaired: map[Table]time.Time{}}
+	p.pool = newPool(opts.Clock, &p.traffic)
+	srv, err := newServer(&Methods{p: p}, &p.traffic)
+	if err != nil {
+		return nil, err
+	}
+	p.server = srv
+	return p, nil
+}
+
+// Run serves and probes until ctx ends.
+func (p *Peers) Run(ctx context.Context) {
+	defer p.pool.close()
+	var duties sync.WaitGroup
+	duties.Go(func() { p.server.serve(ctx, p.opts.Listener) })
+	duties.Go(func() { p.every(ctx, tickEvery, func() { p.opts.List.Tick(p.opts.Clock.Now()) }) })
+	duties.Go(func() { p.probeAll(ctx) })
+	duties.Go(func() { p.seek(ctx) })
+	duties.Wait()
+}
+
+// Leave tells the neighbours at once that this host is stopping.
+func (p *Peers) Leave(ctx context.Context) {
+	p.opts.List.Leave()
+	p.tell(ctx)
+}
+
+// tell sends a packet to every neighbour at the same time.
+func (p *Peers) tell(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, h := range p.opts.List.Neighbours() {
+		wg.Go(func() {
+			// A neighbour that can't be told now hears it from the others.
+			_ = p.probe(ctx, h)
+		})
+	}
+	wg.Wait()
+}
+
+// probeAll probes one neighbour each ProbeEvery; a probe that hangs doesn't delay the next.
+func (p *Peers) probeAll(ctx context.Context) {
+	var running sync.WaitGroup
+	p.every(ctx, member.ProbeEvery, func() {
+		if target, ok := p.opts.List.Next(); ok {
+			running.Go(func() { p.check(ctx, target) })
+		}
+	})
+	running.Wait()
+}
+
+// check probes target, asks others to do so if that fails, and reports it unreachable if they fail too.
+func (p *Peers) check(ctx context.Context, target member.Host) {
+	sent := p.opts.Clock.Now()
+	err := p.probe(ctx, target)
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	if p.askOthers(ctx, target) || ctx.Err() != nil {
+		return
+	}
+	p.opts.List.Unreachable(p.opts.Clock.Now(), target, sent)
+}
+
+var errReplaced = errors.New("another incarnation answers at the address")
+
+func (p *Peers) probe(ctx context.Context, target member.Host) error {
+	args := p.packet(target.ID)
+	var reply Packet
+	if err := p.pool.call(ctx, target.Peer, probeTimeout, "Probe", &args, &reply); err != nil {
+		return err
+	}
+	p.receive(&reply)
+	if reply.Member.From != target.ID {
+		p.opts.List.Replaced(p.opts.Clock.Now(), target)
+		return fmt.Errorf("peer %s: %w", target.Peer, errReplaced)
+	}
+	p.compare(ctx, target.Peer, reply.Sums)
+	return nil
+}
+
+func (p *Peers) askOthers(ctx context.Context, target member.Host) bool {
+	list := p.opts.List.Helpers(target, helpers)
+	found := make(chan bool, len(list))
+	for _, h := range list {
+		go func() {
+			var reply AskReply
+			err := p.pool.call(ctx, h.Peer, askTimeout, "Ask", &AskArgs{Target: target}, &reply)
+			found <- err == nil && reply.Reached
+		}()
+	}
+	reached := false
+	for range list {
+		reached = <-found || reached
+	}
+	return reached
+}
+
+func (p *Peers) packet(to string) Packet {
+	return Packet{Member: p.opts.List.Message(to), Sums: Sums{Members: p.opts.List.Digest()}}
+}
+
+func (p *Peers) receive(pkt *Packet) {
+	p.opts.List.Receive(p.opts.Clock.Now(), pkt.Member)
+}
+
+// compare repairs each table whose sum differs from the other host's.
+func (p *Peers) compare(ctx context.Context, addr netip.AddrPort, sums Sums) {
+	if sums.Members != p.opts.List.Digest() && p.due(TableMembers) {
+		p.repair(ctx, addr, TableMembers, repairWalk)
+	}
+}
+
+func (p *Peers) due(table Table) bool {
+	now := p.opts.Clock.Now()
+	every := repairEvery + time.Duration(len(p.opts.List.Hosts()))*repairEveryHost
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.repaired[table]) < every {
+		return false
+	}
+	p.repaired[table] = now
+	return true
+}
+
+// seek joins the fleet, and later seeks hosts that were cut off: one contact that isn't known, and one that is lost, each seekEvery.
+func (p *Peers) seek(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.contact(ctx)
+		if lost, ok := p.opts.List.Lost(); ok {
+			p.greet(ctx, lost.Peer, lost.ID)
+		}
+		p.pause(ctx, p.seekPause())
+	}
+}
+
+// seekPause is short as long as the host is alone, since it serves nothing useful before it has joined.
+func (p *Peers) seekPause() time.Duration {
+	if len(p.opts.List.Hosts()) == 1 {
+		return tickEvery
+	}
+	return seekEvery
+}
+
+func (p *Peers) contact(ctx context.Context) {
+	known := map[netip.AddrPort]bool{p.opts.List.Self().Peer: true}
+	for _, h := range p.opts.List.Hosts() {
+		known[h.Peer] = true
+	}
+	var unknown []netip.AddrPort
+	for _, addr := range p.opts.Contacts() {
+		if !known[addr] {
+			unknown = append(unknown, addr)
+		}
+	}
+	for range min(joinTries, len(unknown)) {
+		p.mu.Lock()
+		p.asked++
+		addr := unknown[p.asked%len(unknown)]
+		p.mu.Unlock()
+		if p.greet(ctx, addr, "") {
+			return
+		}
+	}
+}
+
+// greet exchanges packets and tables with a host whose ID isn't known, or that was thought dead.
+func (p *Peers) greet(ctx context.Context, addr netip.AddrPort, id string) bool {
+	alone := len(p.opts.List.Hosts()) == 1
+	args := p.packet(id)
+	args.Member.Rows = append(args.Member.Rows, p.opts.List.Self())
+	var reply Packet
+	if err := p.pool.call(ctx, addr, probeTimeout, "Probe", &args, &reply); err != nil {
+		return false
+	}
+	p.receive(&reply)
+	if alone {
+		p.repair(ctx, addr, TableMembers, joinWalk)
+		return true
+	}
+	p.compare(ctx, addr, reply.Sums)
+	return true
+}
+
+func (p *Peers) every(ctx context.Context, d time.Duration, f func()) {
+	for ctx.Err() == nil {
+		f()
+		p.pause(ctx, d)
+	}
+}
+
+func (p *Peers) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-p.opts.Clock.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/entry/internal/peers/pool.go
@@ -0,0 +1,119 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"guavaspring.org/core/clock"
+)
+
+const (
+	// maxClients bounds the open connections to other hosts: neighbours, helpers and the sources of a repair.
+	maxClients  = 24
+	callTimeout = 2 * time.Second
+)
+
+// pool is a bounded cache of net/rpc clients; the one used longest ago gives way.
+type pool struct {
+	clock clock.Clock
+	t     *traffic
+
+	mu      sync.Mutex
+	clients map[netip.AddrPort]*client
+}
+
+type client struct {
+	rpc  *rpc.Client
+	used time.Time
+}
+
+func newPool(c clock.Clock, t *traffic) *pool {
+	return &pool{clock: c, t: t, clients: map[netip.AddrPort]*client{}}
+}
+
+// call runs one method at addr. A call that fails or is late closes its connection: the connection may have gone
+// silent for good while a new one would work, and a late reply is then never taken for a later one.
+func (p *pool) call(ctx context.Context, addr netip.AddrPort, timeout time.Duration, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c, err := p.get(ctx, addr)
+	if err != nil {
+		return err
+	}
+	call := c.Go("Peers."+method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		if call.Error != nil {
+			p.drop(addr, c)
+			return fmt.Errorf("peer %s: %s: %w", addr, method, call.Error)
+		}
+		return nil
+	case <-ctx.Done():
+		p.drop(addr, c)
+		return fmt.Errorf("peer %s: %s: %w", addr, method, ctx.Err())
+	}
+}
+
+func (p *pool) get(ctx context.Context, addr netip.AddrPort) (*rpc.Client, error) {
+	p.mu.Lock()
+	if c := p.clients[addr]; c != nil {
+		c.used = p.clock.Now()
+		p.mu.Unlock()
+		return c.rpc, nil
+	}
+	p.mu.Unlock()
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, fmt.Errorf("peer %s: %w", addr, err)
+	}
+	p.t.connections.Add(1)
+	fresh := &client{rpc: rpc.NewClient(&counted{Conn: conn, t: p.t}), used: p.clock.Now()}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.clients[addr]; c != nil {
+		// Another call dialled meanwhile.
+		_ = fresh.rpc.Close()
+		return c.rpc, nil
+	}
+	p.makeRoom()
+	p.clients[addr] = fresh
+	return fresh.rpc, nil
+}
+
+func (p *pool) makeRoom() {
+	if len(p.clients) < maxClients {
+		return
+	}
+	var oldest netip.AddrPort
+	for addr, c := range p.clients {
+		if !oldest.IsValid() || c.used.Before(p.clients[oldest].used) {
+			oldest = addr
+		}
+	}
+	_ = p.clients[oldest].rpc.Close()
+	delete(p.clients, oldest)
+}
+
+func (p *pool) drop(addr netip.AddrPort, c *rpc.Client) {
+	p.mu.Lock()
+	if have := p.clients[addr]; have != nil && have.rpc == c {
+		delete(p.clients, addr)
+	}
+	p.mu.Unlock()
+	_ = c.Close()
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, c := range p.clients {
+		_ = c.rpc.Close()
+		delete(p.clients, addr)
+	}
+}
