standin: Add faults on command, the truth, platform limits and index rollouts

Added: stragglers, cold start, shed, drain with refusal, lying and lagging load, crash on a marked request, silent connections, lost replies, resets before the effect, foreign replies, connection peak and refusals, a short queue before shedding; on the platform rate limits, old reads, outages that end waiting watches, and a host list that shows the old row until the change is no longer hidden (a changed row was absent for the lag before). Ruled out: a cluster simulator; each fault is a few lines at the interface. Tests: one for each fault that a client can see, platform tests in virtual time.

--- /dev/null
+++ b/standin/internal/fault/doc.go
@@ -0,0 +1,2 @@
+// Package fault describes what a replica stand-in does wrong on command.
+package fault
--- a/standin/internal/fleet/fleet.go
+++ b/standin/internal/fleet/fleet.go
@@ -16,18 +16,23 @@
 	"guavaspring.org/standin/internal/replica"
 )
 
+const registerTimeout = 2 * time.Second
+
 // Options describes the replicas of one service.
 type Options struct {
-	Service     string
-	Shards      int
-	Replicas    int
-	Base        netip.AddrPort
-	Zones       []string
-	Slots       int
-	Connections int
-	ConnectCost time.Duration
-	ServiceTime time.Duration
-	Platform    netip.AddrPort
+	Service  string
+	Shards   int
+	Replicas int
+	// Only is the ID of the one replica to run, empty for all.
+	Only string
+	// Base is the address of the first replica; the others count up.
+	Base  netip.AddrPort
+	Zones []string
+	// Version is the index version that every replica holds at first.
+	Version int64
+	// Replica is the template of each replica; ID, Holdings and State are filled in.
+	Replica  replica.Options
+	Platform netip.AddrPort
 }
 
 // Fleet is the replicas of one service.
@@ -39,46 +44,74 @@
 // Servers opens a port for each replica, counting up from Base, and returns their servers.
 func (f *Fleet) Servers() ([]transport.Server, error) {
 	var list []transport.Server
-	for i := range f.opts.Shards * f.opts.Replicas {
-		rep := replica.New(replica.Options{
-			ID: f.id(i), Slots: f.opts.Slots, Connections: f.opts.Connections,
-			ConnectCost: f.opts.ConnectCost, ServiceTime: f.opts.ServiceTime,
-			Holdings: []upstream.Holding{{Version: 1, Shard: i / f.opts.Replicas, Shards: f.opts.Shards}},
-		})
-		l, err := rep.Listen(f.addr(i))
+	for _, i := range f.mine() {
+		opts := f.opts.Replica
+		opts.ID = f.id(i)
+		opts.Holdings = []upstream.Holding{{Version: f.opts.Version, Shard: i / f.opts.Replicas, Shards: f.opts.Shards}}
+		opts.State = func(id string, state platform.ReplicaState, gone bool) {
+			ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
+			defer cancel()
+			// The list is only a hint and may miss a change, so a failure here is part of the play.
+			_ = f.tell(ctx, i, id, state, gone)
+		}
+		rep, err := replica.New(f.addr(i), opts)
 		if err != nil {
 			return nil, err
 		}
-		list = append(list, rep.HTTP(l))
+		list = append(list, rep.HTTP())
+	}
+	if len(list) == 0 {
+		return nil, fmt.Errorf("--only: %q is not a replica of %s; want %s to %s", f.opts.Only, f.opts.Service, f.id(0), f.id(f.opts.Shards*f.opts.Replicas-1))
 	}
 	return list, nil
 }
 
 // Register lists every replica on the platform stand-in.
 func (f *Fleet) Register(ctx context.Context) error {
-	for i := range f.opts.Shards * f.opts.Replicas {
-		row := platform.Replica{
-			Service: f.opts.Service, Addr: f.addr(i), State: platform.StateLive,
-			Zone: f.opts.Zones[i%f.opts.Replicas%len(f.opts.Zones)],
-		}
-		b, err := json.Marshal(row)
-		if err != nil {
-			return fmt.Errorf("encode row of %s: %w", f.id(i), err)
-		}
-		url := fmt.Sprintf("http://%s/control/hosts/%s", f.opts.Platform, f.id(i))
-		req, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(b))
-		if err != nil {
-			return fmt.Errorf("register %s: %w", f.id(i), err)
+	for _, i := range f.mine() {
+		if err := f.tell(ctx, i, f.id(i), platform.StateLive, false); err != nil {
+			return err
 		}
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			return fmt.Errorf("register %s: %w", f.id(i), err)
-		}
-		_ = resp.Body.Close()
 	}
 	return nil
 }
 
+func (f *Fleet) tell(ctx context.Context, i int, id string, state platform.ReplicaState, gone bool) error {
+	row := platform.Replica{
+		Service: f.opts.Service, Addr: f.addr(i), State: state,
+		Zone: f.opts.Zones[i%f.opts.Replicas%len(f.opts.Zones)],
+	}
+	b, err := json.Marshal(row)
+	if err != nil {
+		return fmt.Errorf("encode row of %s: %w", id, err)
+	}
+	method := http.MethodPut
+	if gone {
+		method = http.MethodDelete
+	}
+	url := fmt.Sprintf("http://%s/control/hosts/%s", f.opts.Platform, id)
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(b))
+	if err != nil {
+		return fmt.Errorf("register %s: %w", id, err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("register %s: %w", id, err)
+	}
+	return resp.Body.Close()
+}
+
+// mine returns the numbers of the replicas that this process runs.
+func (f *Fleet) mine() []int {
+	var list []int
+	for i := range f.opts.Shards * f.opts.Replicas {
+		if f.opts.Only == "" || f.opts.Only == f.id(i) {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
 func (f *Fleet) id(i int) string {
 	return fmt.Sprintf("%s-%d-%d", f.opts.Service, i/f.opts.Replicas, i%f.opts.Replicas)
 }
--- /dev/null
+++ b/standin/internal/objects/limits.go
@@ -0,0 +1,68 @@
+package objects
+
+import (
+	"net/http"
+	"time"
+)
+
+// window is the time over which calls are counted against a limit.
+const window = time.Second
+
+// meter counts calls in the current window; it must be used with the server's mutex held.
+type meter struct {
+	// Limit is the most calls in one window, zero for none.
+	Limit int `json:"limit"`
+	// Total, Peak and Limited count all calls, the most in one window, and those turned away.
+	Total   int `json:"total"`
+	Peak    int `json:"peak"`
+	Limited int `json:"limited"`
+
+	start time.Time
+	n     int
+}
+
+// take counts one call and reports whether it is within the limit.
+func (m *meter) take(now time.Time) bool {
+	if now.Sub(m.start) >= window {
+		m.start, m.n = now, 0
+	}
+	m.n++
+	m.Total++
+	m.Peak = max(m.Peak, m.n)
+	if m.Limit > 0 && m.n > m.Limit {
+		m.Limited++
+		return false
+	}
+	return true
+}
+
+// admit counts a call, lets the faults act on it, and reports whether it is to be served; refusals are already written.
+func (s *Server) admit(w http.ResponseWriter, r *http.Request, name string) bool {
+	s.mu.Lock()
+	now := time.Now()
+	s.calls[name+" "+r.Method]++
+	m := &s.reads
+	if r.Method == http.MethodPut {
+		m = &s.writes
+	}
+	within, slow := m.take(now), s.slowBy
+	s.mu.Unlock()
+	if slow > 0 {
+		time.Sleep(slow)
+	}
+	switch {
+	case s.down():
+		fail(w, http.StatusServiceUnavailable, "outage")
+		return false
+	case !within:
+		fail(w, http.StatusTooManyRequests, "rate limit")
+		return false
+	}
+	return true
+}
+
+func (s *Server) down() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.downUntil)
+}
--- a/standin/internal/objects/server.go
+++ b/standin/internal/objects/server.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -21,30 +22,47 @@
 // maxValue is the largest value the platform holds, in bytes.
 const maxValue = 1 << 20
 
+// Options configures a Server.
+type Options struct {
+	// HostLag is how long changes of the host list stay hidden.
+	HostLag time.Duration
+	// WritesPerSecond and ReadsPerSecond limit the calls, a watch counting as one read; zero means no limit.
+	WritesPerSecond int
+	ReadsPerSecond  int
+}
+
 // Server is the platform stand-in.
 type Server struct {
 	mu       sync.Mutex
 	objects  map[string]platform.Object
 	revision int64
 	changed  chan struct{}
-	hosts    map[string]hostRow
-	// HostLag is how long a change of the host list stays hidden.
-	hostLag time.Duration
-	// downUntil and slowBy are faults set on command.
-	downUntil time.Time
-	slowBy    time.Duration
-	calls     map[string]int
+	hosts    map[string][]hostRow
+	hostLag  time.Duration
+	// downUntil, slowBy and old are faults set on command; old is the copy that reads are served from until oldUntil.
+	downUntil   time.Time
+	slowBy      time.Duration
+	old         objectCopy
+	oldUntil    time.Time
+	calls       map[string]int
+	reads       meter
+	writes      meter
+	watching    int
+	watchingMax int
 }
 
-type hostRow struct {
-	row   platform.Replica
-	shown time.Time
-	gone  time.Time
+// objectCopy is what the platform held at one revision.
+type objectCopy struct {
+	objects  map[string]platform.Object
+	revision int64
 }
 
-// New returns a platform without objects whose host list lags by hostLag.
-func New(hostLag time.Duration) *Server {
-	return &Server{objects: map[string]platform.Object{}, changed: make(chan struct{}), hosts: map[string]hostRow{}, hostLag: hostLag, calls: map[string]int{}}
+// New returns a platform without objects.
+func New(opts Options) *Server {
+	return &Server{
+		objects: map[string]platform.Object{}, changed: make(chan struct{}), hosts: map[string][]hostRow{}, hostLag: opts.HostLag,
+		calls: map[string]int{}, reads: meter{Limit: opts.ReadsPerSecond}, writes: meter{Limit: opts.WritesPerSecond},
+	}
 }
 
 // HTTP returns the kratos server that serves the platform at listen.
@@ -63,21 +81,20 @@
 // api counts a call and lets the faults act on it before it is served.
 func (s *Server) api(name string, f http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		s.calls[name+" "+r.Method]++
-		down, slow := time.Now().Before(s.downUntil), s.slowBy
-		s.mu.Unlock()
-		if slow > 0 {
-			time.Sleep(slow)
-		}
-		if down {
-			fail(w, http.StatusServiceUnavailable, "outage")
-			return
+		if s.admit(w, r, name) {
+			f(w, r)
 		}
-		f(w, r)
 	}
 }
 
+// readable returns what reads see now: the truth, or an old copy. It must be called with s.mu held.
+func (s *Server) readable() objectCopy {
+	if time.Now().Before(s.oldUntil) {
+		return s.old
+	}
+	return objectCopy{objects: s.objects, revision: s.revision}
+}
+
 func (s *Server) object(w http.ResponseWriter, r *http.Request) {
 	key := mux.Vars(r)["kind"] + "/" + mux.Vars(r)["name"]
 	if r.Method == http.MethodPut {
@@ -85,7 +102,7 @@
 		return
 	}
 	s.mu.Lock()
-	obj, ok := s.objects[key]
+	obj, ok := s.readable().objects[key]
 	s.mu.Unlock()
 	if !ok {
 		fail(w, http.StatusNotFound, "not_found")
@@ -116,8 +133,7 @@
 	kind, name, _ := strings.Cut(key, "/")
 	obj := platform.Object{Kind: platform.Kind(kind), Name: name, Version: want + 1, Revision: s.revision, Body: body}
 	s.objects[key] = obj
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 	write(w, obj)
 }
 
@@ -128,8 +144,9 @@
 
 // since must be called with s.mu held.
 func (s *Server) since(kind string, after int64) objectList {
-	list := objectList{Revision: s.revision, Objects: []platform.Object{}}
-	for _, obj := range s.objects {
+	from := s.readable()
+	list := objectList{Revision: from.revision, Objects: []platform.Object{}}
+	for _, obj := range from.objects {
 		if string(obj.Kind) == kind && obj.Revision > after {
 			list.Objects = append(list.Objects, obj)
 		}
@@ -152,8 +169,14 @@
 		fail(w, http.StatusBadRequest, "after and wait_ms must be numbers")
 		return
 	}
+	s.watchers(1)
+	defer s.watchers(-1)
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for {
+		if s.down() {
+			fail(w, http.StatusServiceUnavailable, "outage")
+			return
+		}
 		s.mu.Lock()
 		list, changed := s.since(mux.Vars(r)["kind"], after), s.changed
 		s.mu.Unlock()
@@ -172,54 +195,32 @@
 	}
 }
 
-func (s *Server) hostList(w http.ResponseWriter, _ *http.Request) {
-	now := time.Now()
-	var reply struct {
-		Hosts []platform.Replica `json:"hosts"`
-	}
-	s.mu.Lock()
-	for _, h := range s.hosts {
-		if h.shown.Before(now) && (h.gone.IsZero() || now.Before(h.gone)) {
-			reply.Hosts = append(reply.Hosts, h.row)
-		}
-	}
-	s.mu.Unlock()
-	write(w, reply)
-}
-
-func (s *Server) controlHost(w http.ResponseWriter, r *http.Request) {
-	id := mux.Vars(r)["id"]
+// watchers counts the watches that wait now.
+func (s *Server) watchers(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r.Method == http.MethodDelete {
-		h := s.hosts[id]
-		h.gone = time.Now().Add(s.hostLag)
-		s.hosts[id] = h
-		write(w, h.row)
-		return
-	}
-	var row platform.Replica
-	if err := json.NewDecoder(r.Body).Decode(&row); err != nil {
-		fail(w, http.StatusBadRequest, err.Error())
-		return
-	}
-	row.ID = id
-	s.hosts[id] = hostRow{row: row, shown: time.Now().Add(s.hostLag)}
-	write(w, row)
+	s.watching += n
+	s.watchingMax = max(s.watchingMax, s.watching)
 }
 
 func (s *Server) controlFaults(w http.ResponseWriter, r *http.Request) {
 	var f struct {
 		DownMS int64 `json:"down_ms"`
 		SlowMS int64 `json:"slow_ms"`
+		// OldMS is for how long reads are served from a copy of now.
+		OldMS int64 `json:"old_ms"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
 		fail(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	now := time.Now()
 	s.mu.Lock()
-	s.downUntil = time.Now().Add(time.Duration(f.DownMS) * time.Millisecond)
+	s.downUntil = now.Add(time.Duration(f.DownMS) * time.Millisecond)
 	s.slowBy = time.Duration(f.SlowMS) * time.Millisecond
+	s.oldUntil = now.Add(time.Duration(f.OldMS) * time.Millisecond)
+	s.old = objectCopy{objects: maps.Clone(s.objects), revision: s.revision}
+	s.wake()
 	s.mu.Unlock()
 	write(w, f)
 }
@@ -227,7 +228,19 @@
 func (s *Server) controlCalls(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	write(w, s.calls)
+	write(w, struct {
+		Calls       map[string]int `json:"calls"`
+		Reads       meter          `json:"reads"`
+		Writes      meter          `json:"writes"`
+		Watching    int            `json:"watching"`
+		WatchingMax int            `json:"watching_max"`
+	}{s.calls, s.reads, s.writes, s.watching, s.watchingMax})
+}
+
+// wake lets every waiting watch look again; it must be called with s.mu held.
+func (s *Server) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 func write(w http.ResponseWriter, v any) {
--- /dev/null
+++ b/standin/internal/objects/server_test.go
@@ -0,0 +1,131 @@
+package objects_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/standin/internal/objects"
+)
+
+type caller struct{ h http.Handler }
+
+func newCaller(opts objects.Options) caller {
+	return caller{objects.New(opts).HTTP(netip.MustParseAddrPort("127.0.0.1:0")).Handler}
+}
+
+func (c caller) call(method, path, ifMatch, body string) (int, string) {
+	r := httptest.NewRequestWithContext(context.Background(), method, path, strings.NewReader(body))
+	if ifMatch != "" {
+		r.Header.Set("If-Match", ifMatch)
+	}
+	w := httptest.NewRecorder()
+	c.h.ServeHTTP(w, r)
+	return w.Code, w.Body.String()
+}
+
+func TestCallsOverTheLimitAreTurnedAway(t *testing.T) {
+	// A burst of writes meets the limit of two a second; a second later writes work again, and reads were never touched.
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		plat := newCaller(objects.Options{WritesPerSecond: 2, ReadsPerSecond: 100})
+		var got []int
+		for _, version := range []string{"0", "1", "2"} {
+			code, _ := plat.call(http.MethodPut, "/v1/objects/status/s", version, `{}`)
+			got = append(got, code)
+		}
+		c.Assert(got, qt.DeepEquals, []int{200, 200, 429})
+		code, _ := plat.call(http.MethodGet, "/v1/objects/status/s", "", "")
+		c.Assert(code, qt.Equals, 200)
+		time.Sleep(time.Second)
+		code, _ = plat.call(http.MethodPut, "/v1/objects/status/s", "2", `{}`)
+		c.Assert(code, qt.Equals, 200)
+	})
+}
+
+func TestReadsLagOnCommandAndConditionalUpdatesDoNot(t *testing.T) {
+	// A reader sees the copy of the time of the command for a second; an update still meets the newest version.
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		plat := newCaller(objects.Options{})
+		plat.call(http.MethodPut, "/v1/objects/document/s", "0", `1`)
+		plat.call(http.MethodPost, "/control/faults", "", `{"old_ms":1000}`)
+		code, _ := plat.call(http.MethodPut, "/v1/objects/document/s", "1", `2`)
+		c.Assert(code, qt.Equals, 200)
+		code, _ = plat.call(http.MethodPut, "/v1/objects/document/s", "1", `3`)
+		c.Assert(code, qt.Equals, 409)
+		c.Assert(version(c, plat), qt.Equals, int64(1))
+		time.Sleep(time.Second)
+		c.Assert(version(c, plat), qt.Equals, int64(2))
+	})
+}
+
+func version(c *qt.C, plat caller) int64 {
+	_, body := plat.call(http.MethodGet, "/v1/objects/document/s", "", "")
+	var obj struct {
+		Version int64 `json:"version"`
+	}
+	c.Assert(json.Unmarshal([]byte(body), &obj), qt.IsNil)
+	return obj.Version
+}
+
+func TestOutageEndsWaitingWatches(t *testing.T) {
+	// A watch waits while the platform goes down: it is answered with the outage at once, and so are new calls until the end.
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		plat := newCaller(objects.Options{})
+		got := make(chan int, 1)
+		go func() {
+			code, _ := plat.call(http.MethodGet, "/v1/watch/document?after=0&wait_ms=60000", "", "")
+			got <- code
+		}()
+		synctest.Wait()
+		plat.call(http.MethodPost, "/control/faults", "", `{"down_ms":1000}`)
+		c.Assert(<-got, qt.Equals, 503)
+		code, _ := plat.call(http.MethodGet, "/v1/hosts", "", "")
+		c.Assert(code, qt.Equals, 503)
+		time.Sleep(time.Second)
+		code, _ = plat.call(http.MethodGet, "/v1/hosts", "", "")
+		c.Assert(code, qt.Equals, 200)
+	})
+}
+
+func TestHostListShowsTheOldRowUntilTheChangeIsNoLongerHidden(t *testing.T) {
+	// A replica that begins to leave stays live in the list for the lag, and is at no time absent from it.
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		plat := newCaller(objects.Options{HostLag: time.Second})
+		plat.call(http.MethodPut, "/control/hosts/r-0", "", `{"service":"s","addr":"127.0.0.1:9","state":"live"}`)
+		c.Assert(state(c, plat), qt.Equals, "")
+		time.Sleep(time.Second)
+		plat.call(http.MethodPut, "/control/hosts/r-0", "", `{"service":"s","addr":"127.0.0.1:9","state":"leaving"}`)
+		c.Assert(state(c, plat), qt.Equals, "live")
+		time.Sleep(time.Second)
+		c.Assert(state(c, plat), qt.Equals, "leaving")
+		plat.call(http.MethodDelete, "/control/hosts/r-0", "", "")
+		time.Sleep(time.Second)
+		c.Assert(state(c, plat), qt.Equals, "")
+	})
+}
+
+func state(c *qt.C, plat caller) string {
+	_, body := plat.call(http.MethodGet, "/v1/hosts", "", "")
+	var list struct {
+		Hosts []struct {
+			State string `json:"state"`
+		} `json:"hosts"`
+	}
+	c.Assert(json.Unmarshal([]byte(body), &list), qt.IsNil)
+	if len(list.Hosts) == 0 {
+		return ""
+	}
+	return list.Hosts[0].State
+}
--- /dev/null
+++ b/standin/internal/replica/control.go
@@ -0,0 +1,100 @@
+package replica
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"guavaspring.org/core/platform"
+	"guavaspring.org/core/upstream"
+)
+
+// truth is what really happened at the replica, which no client can know.
+type truth struct {
+	Queries  int `json:"queries"`
+	Canceled int `json:"canceled"`
+	Shed     int `json:"shed"`
+	Foreign  int `json:"foreign"`
+	Lost     int `json:"lost"`
+	// Ran counts the effects of each write by its op_id.
+	Ran map[string]int `json:"ran"`
+	// Crashes names the request behind each crash.
+	Crashes []string `json:"crashes"`
+	// AfterDrainMS is how long after the drain began the last request arrived that was run.
+	AfterDrainMS int64 `json:"after_drain_ms"`
+	// AfterDrain counts the requests that arrived after the drain began and were run.
+	AfterDrain int `json:"after_drain"`
+}
+
+// afterDrain must be called with rep.mu held.
+func (rep *Replica) afterDrain(arrived time.Time) {
+	if !rep.faults.Draining || arrived.Before(rep.drained) {
+		return
+	}
+	rep.truth.AfterDrain++
+	rep.truth.AfterDrainMS = max(rep.truth.AfterDrainMS, arrived.Sub(rep.drained).Milliseconds())
+}
+
+func (rep *Replica) controlTruth(w http.ResponseWriter, _ *http.Request) {
+	rep.mu.Lock()
+	t := rep.truth
+	t.Ran, t.Crashes = maps.Clone(t.Ran), slices.Clone(t.Crashes)
+	id := rep.id
+	rep.mu.Unlock()
+	encode(w, struct {
+		ID string `json:"id"`
+		truth
+		Connections gateCounts `json:"connections"`
+	}{id, t, rep.gate.counts()})
+}
+
+func (rep *Replica) controlFaults(w http.ResponseWriter, r *http.Request) {
+	rep.mu.Lock()
+	f, err := rep.faults.Patch(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		rep.mu.Unlock()
+		rep.fail(w, r, http.StatusBadRequest, upstream.CodeBadRequest, err.Error(), true)
+		return
+	}
+	began, ended := f.Draining && !rep.faults.Draining, !f.Draining && rep.faults.Draining
+	if began {
+		rep.drained = time.Now()
+	}
+	if f.Cold {
+		rep.started = time.Now()
+	}
+	rep.faults = f
+	id := rep.id
+	rep.mu.Unlock()
+	if rep.opts.State != nil && (began || ended) {
+		state := platform.StateLive
+		if began {
+			state = platform.StateLeaving
+		}
+		go rep.opts.State(id, state, false)
+	}
+	encode(w, f)
+	if f.Silence {
+		// The reply to this command still has to get out on a connection that is about to fall silent.
+		time.AfterFunc(flushTime, rep.gate.silence)
+	}
+	if f.Crash {
+		time.AfterFunc(flushTime, func() { rep.crash("command") })
+	}
+}
+
+const flushTime = 20 * time.Millisecond
+
+func (rep *Replica) controlHoldings(w http.ResponseWriter, r *http.Request) {
+	var list []upstream.Holding
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&list); err != nil {
+		rep.fail(w, r, http.StatusBadRequest, upstream.CodeBadRequest, err.Error(), true)
+		return
+	}
+	rep.mu.Lock()
+	rep.holdings = list
+	rep.mu.Unlock()
+	encode(w, list)
+}
--- a/standin/internal/replica/replica.go
+++ b/standin/internal/replica/replica.go
@@ -1,19 +1,19 @@
 package replica
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
-	"net"
-	"net/http"
+	"math/rand/v2"
 	"net/netip"
-	"strconv"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
+	"guavaspring.org/core/platform"
 	"guavaspring.org/core/upstream"
+	"guavaspring.org/standin/internal/fault"
 )
 
 // Options configures a Replica.
@@ -22,182 +22,126 @@
 	Slots       int
 	Connections int
 	ConnectCost time.Duration
+	// ServiceTime is the mean time of a request; Jitter is the relative spread around it.
 	ServiceTime time.Duration
-	Holdings    []upstream.Holding
+	Jitter      float64
+	// Queue is how many requests wait for a slot, at most for QueueWait each, before more are shed.
+	Queue     int
+	QueueWait time.Duration
+	Holdings  []upstream.Holding
+	Faults    fault.Faults
+	// State is told when the replica leaves, ends or starts under a new ID; it may be nil.
+	State func(id string, state platform.ReplicaState, gone bool)
 }
 
 // Replica is one upstream replica.
 type Replica struct {
-	opts  Options
-	slots chan struct{}
+	opts    Options
+	slots   chan struct{}
+	waiting atomic.Int64
+	gate    *gate
 
 	mu       sync.Mutex
+	id       string
 	holdings []upstream.Holding
-	ran      map[string]int
-	queries  int
-	draining bool
-	slow     float64
+	faults   fault.Faults
+	started  time.Time
+	drained  time.Time
+	claimed  string
+	claimAt  time.Time
+	last     upstream.QueryReply
+	truth    truth
 }
 
-// New returns a replica with no faults.
-func New(opts Options) *Replica {
-	return &Replica{opts: opts, slots: make(chan struct{}, opts.Slots), holdings: opts.Holdings, ran: map[string]int{}, slow: 1}
-}
-
-// Listen returns a listener at addr that enforces the replica's connection limit and the cost of a connection.
-func (rep *Replica) Listen(addr netip.AddrPort) (net.Listener, error) {
-	var lc net.ListenConfig
-	l, err := lc.Listen(context.Background(), "tcp", addr.String())
+// New returns a replica that listens at addr once HTTP's server runs, with its connection limit already in force.
+func New(addr netip.AddrPort, opts Options) (*Replica, error) {
+	g, err := openGate(addr, opts.ConnectCost, opts.Connections)
 	if err != nil {
-		return nil, fmt.Errorf("replica %s: %w", rep.opts.ID, err)
+		return nil, fmt.Errorf("replica %s: %w", opts.ID, err)
+	}
+	rep := &Replica{
+		opts: opts, slots: make(chan struct{}, opts.Slots), gate: g, id: opts.ID, holdings: opts.Holdings,
+		faults: opts.Faults, started: time.Now(), truth: truth{Ran: map[string]int{}},
 	}
-	return &limitListener{Listener: l, left: make(chan struct{}, rep.opts.Connections), cost: rep.opts.ConnectCost}, nil
+	return rep, nil
+}
+
+// Addr returns the address that the replica listens at.
+func (rep *Replica) Addr() netip.AddrPort { return rep.gate.addr }
+
+// ID returns the replica's ID, which changes with each crash.
+func (rep *Replica) ID() string {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	return rep.id
 }
 
-// HTTP returns the kratos server of the replica on l.
-func (rep *Replica) HTTP(l net.Listener) *khttp.Server {
-	srv := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0))
+// HTTP returns the kratos server of the replica.
+func (rep *Replica) HTTP() *khttp.Server {
+	srv := khttp.NewServer(khttp.Listener(rep.gate), khttp.Timeout(0))
 	srv.HandleFunc("/v1/query", rep.query)
 	srv.HandleFunc("/v1/write", rep.write)
 	srv.HandleFunc("/v1/health", rep.health)
-	srv.HandleFunc("/control/truth", rep.truth)
-	srv.HandleFunc("/control/faults", rep.faults)
+	srv.HandleFunc("/control/truth", rep.controlTruth)
+	srv.HandleFunc("/control/faults", rep.controlFaults)
+	srv.HandleFunc("/control/holdings", rep.controlHoldings)
 	return srv
 }
 
-func (rep *Replica) query(w http.ResponseWriter, r *http.Request) {
-	var q upstream.Query
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
-		rep.fail(w, r, http.StatusBadRequest, upstream.CodeBadRequest, err.Error(), true)
-		return
-	}
-	version, _ := strconv.ParseInt(r.Header.Get(upstream.HeaderVersion), 10, 64)
-	shard, _ := strconv.Atoi(r.Header.Get(upstream.HeaderShard))
-	if !rep.holds(version, shard) {
-		rep.fail(w, r, http.StatusConflict, upstream.CodeVersionGone, fmt.Sprintf("version %d shard %d is not held", version, shard), true)
-		return
-	}
-	if !rep.work(w, r) {
-		return
-	}
+func (rep *Replica) holding(version int64, shard int) (upstream.Holding, bool) {
 	rep.mu.Lock()
-	rep.queries++
-	rep.mu.Unlock()
-	reply := upstream.QueryReply{RequestID: r.Header.Get(upstream.HeaderRequest), Version: version, Shard: shard}
-	for i := range min(q.Limit, 3) {
-		reply.Hits = append(reply.Hits, upstream.Hit{ID: fmt.Sprintf("v%d-s%d-%d", version, shard, i), Score: 1 / float64(i+shard+1)})
-	}
-	rep.ok(w, reply)
-}
-
-func (rep *Replica) write(w http.ResponseWriter, r *http.Request) {
-	var body upstream.Write
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
-		rep.fail(w, r, http.StatusBadRequest, upstream.CodeBadRequest, err.Error(), true)
-		return
-	}
-	if !rep.work(w, r) {
-		return
+	defer rep.mu.Unlock()
+	i := slices.IndexFunc(rep.holdings, func(h upstream.Holding) bool { return h.Version == version && h.Shard == shard })
+	if i < 0 {
+		return upstream.Holding{}, false
 	}
-	rep.mu.Lock()
-	rep.ran[body.OpID]++
-	rep.mu.Unlock()
-	rep.ok(w, upstream.WriteReply{RequestID: r.Header.Get(upstream.HeaderRequest)})
+	return rep.holdings[i], true
 }
 
-// work takes a slot for the service time, or refuses.
-func (rep *Replica) work(w http.ResponseWriter, r *http.Request) bool {
-	ctx := r.Context()
-	if ms, err := strconv.ParseInt(r.Header.Get(upstream.HeaderDeadline), 10, 64); err == nil {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
-		defer cancel()
-	}
-	select {
-	case rep.slots <- struct{}{}:
-		defer func() { <-rep.slots }()
-	default:
-		rep.fail(w, r, http.StatusServiceUnavailable, upstream.CodeShed, "every slot is taken", true)
-		return false
-	}
+// duration draws how long a request takes now.
+func (rep *Replica) duration() time.Duration {
 	rep.mu.Lock()
-	d := time.Duration(float64(rep.opts.ServiceTime) * rep.slow)
+	f, age := rep.faults, time.Since(rep.started)
 	rep.mu.Unlock()
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		rep.fail(w, r, http.StatusGatewayTimeout, upstream.CodeDeadline, "the deadline passed", false)
-		return false
+	d := float64(rep.opts.ServiceTime) * f.SlowBy()
+	d *= max(0.2, 1+rep.opts.Jitter*rand.NormFloat64())
+	if f.StragglerShare > 0 && rand.Float64() < f.StragglerShare {
+		d *= f.StragglerFactor
 	}
-}
-
-func (rep *Replica) holds(version int64, shard int) bool {
-	rep.mu.Lock()
-	defer rep.mu.Unlock()
-	for _, h := range rep.holdings {
-		if h.Version == version && h.Shard == shard {
-			return true
-		}
+	if coldFor := f.ColdFor.Std(); f.ColdFactor > 1 && age < coldFor {
+		d *= 1 + (f.ColdFactor-1)*(1-float64(age)/float64(coldFor))
 	}
-	return false
+	return time.Duration(d)
 }
 
-func (rep *Replica) health(w http.ResponseWriter, _ *http.Request) {
+// crash breaks every connection and comes back later, cold and under a new ID.
+func (rep *Replica) crash(by string) {
 	rep.mu.Lock()
-	h := upstream.Health{Draining: rep.draining, Running: len(rep.slots), Slots: rep.opts.Slots, Holdings: rep.holdings}
+	down := rep.faults.CrashDown.Std()
+	back := time.Now().Add(down)
+	old := rep.id
+	rep.truth.Crashes = append(rep.truth.Crashes, by)
+	rep.id = fmt.Sprintf("%s.%d", rep.opts.ID, len(rep.truth.Crashes))
+	rep.started = back
+	id := rep.id
 	rep.mu.Unlock()
-	rep.ok(w, h)
-}
-
-func (rep *Replica) truth(w http.ResponseWriter, _ *http.Request) {
-	rep.mu.Lock()
-	defer rep.mu.Unlock()
-	rep.encode(w, struct {
-		Queries int            `json:"queries"`
-		Ran     map[string]int `json:"ran"`
-	}{rep.queries, rep.ran})
-}
-
-func (rep *Replica) faults(w http.ResponseWriter, r *http.Request) {
-	f := struct {
-		Slow     float64 `json:"slow"`
-		Draining bool    `json:"draining"`
-	}{Slow: 1}
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		rep.fail(w, r, http.StatusBadRequest, upstream.CodeBadRequest, err.Error(), true)
-		return
+	rep.gate.crash(back)
+	if rep.opts.State != nil {
+		rep.opts.State(old, platform.StateLeaving, true)
+		time.AfterFunc(down, func() { rep.opts.State(id, platform.StateLive, false) })
 	}
-	rep.mu.Lock()
-	rep.slow, rep.draining = f.Slow, f.Draining
-	rep.mu.Unlock()
-	rep.encode(w, f)
 }
 
-func (rep *Replica) headers(w http.ResponseWriter) {
+// claim returns what the replica says of its load, which lags or misleads on command.
+func (rep *Replica) claim() string {
 	rep.mu.Lock()
 	defer rep.mu.Unlock()
-	h := w.Header()
-	h.Set("Content-Type", "application/json")
-	h.Set(upstream.HeaderVersions, upstream.FormatHoldings(rep.holdings))
-	h.Set(upstream.HeaderLoad, fmt.Sprintf("%d/%d", len(rep.slots), rep.opts.Slots))
-	if rep.draining {
-		h.Set(upstream.HeaderDraining, "1")
+	if rep.faults.ClaimLoad != "" {
+		return rep.faults.ClaimLoad
 	}
-}
-
-func (rep *Replica) ok(w http.ResponseWriter, v any) {
-	rep.headers(w)
-	rep.encode(w, v)
-}
-
-func (rep *Replica) encode(w http.ResponseWriter, v any) { _ = json.NewEncoder(w).Encode(v) }
-
-func (rep *Replica) fail(w http.ResponseWriter, r *http.Request, status int, code upstream.Code, reason string, notRun bool) {
-	rep.headers(w)
-	if notRun {
-		w.Header().Set(upstream.HeaderNotRun, "true")
+	if now := time.Now(); rep.claimed == "" || now.Sub(rep.claimAt) >= rep.faults.ClaimLag.Std() {
+		rep.claimAt = now
+		rep.claimed = fmt.Sprintf("%d/%d", len(rep.slots)+int(rep.waiting.Load()), rep.opts.Slots)
 	}
-	w.WriteHeader(status)
-	rep.encode(w, upstream.Problem{Code: code, Reason: reason, RequestID: r.Header.Get(upstream.HeaderRequest)})
+	return rep.claimed
 }
--- /dev/null
+++ b/standin/internal/rollout/rollout.go
@@ -0,0 +1,89 @@
+package rollout
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"guavaspring.org/core/upstream"
+)
+
+// Options describes a change from one version to the next.
+type Options struct {
+	// Base is the address of the first replica; the others count up.
+	Base     netip.AddrPort
+	Replicas int
+	// OldVersion and OldShards describe what the replicas hold, each shard on neighbouring replicas.
+	OldVersion int64
+	OldShards  int
+	// Version and Shards describe what they are to hold; another number of shards is a repartition.
+	Version int64
+	Shards  int
+	// Step is the time between two replicas.
+	Step time.Duration
+	// Overlap is how long the old version stays after the last replica has the new one.
+	Overlap time.Duration
+}
+
+// Run gives the new version to every replica in turn and then takes the old one away in turn.
+func Run(ctx context.Context, opts Options) error {
+	for i := range opts.Replicas {
+		if err := hold(ctx, opts, i, opts.older(i), opts.newer(i)); err != nil {
+			return err
+		}
+		if err := sleep(ctx, opts.Step); err != nil {
+			return err
+		}
+	}
+	if err := sleep(ctx, opts.Overlap); err != nil {
+		return err
+	}
+	for i := range opts.Replicas {
+		if err := hold(ctx, opts, i, opts.newer(i)); err != nil {
+			return err
+		}
+		if err := sleep(ctx, opts.Step); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (opts Options) older(i int) upstream.Holding {
+	return upstream.Holding{Version: opts.OldVersion, Shard: i * opts.OldShards / opts.Replicas, Shards: opts.OldShards}
+}
+
+func (opts Options) newer(i int) upstream.Holding {
+	return upstream.Holding{Version: opts.Version, Shard: i * opts.Shards / opts.Replicas, Shards: opts.Shards}
+}
+
+func hold(ctx context.Context, opts Options, i int, list ...upstream.Holding) error {
+	addr := netip.AddrPortFrom(opts.Base.Addr(), opts.Base.Port()+uint16(i))
+	b, err := json.Marshal(list)
+	if err != nil {
+		return fmt.Errorf("holdings of %s: %w", addr, err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr.String()+"/control/holdings", bytes.NewReader(b))
+	if err != nil {
+		return fmt.Errorf("holdings of %s: %w", addr, err)
+	}
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("holdings of %s: %w", addr, err)
+	}
+	return resp.Body.Close()
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("rollout stopped half way: %w", ctx.Err())
+	}
+}
