--- /dev/null
+++ b/load/internal/arrivals/doc.go
@@ -0,0 +1,2 @@
+// Package arrivals draws the times of open-loop arrivals.
+package arrivals
--- /dev/null
+++ b/load/internal/cpu/doc.go
@@ -0,0 +1,2 @@
+// Package cpu reads the processor time of other processes.
+package cpu
--- /dev/null
+++ b/load/internal/drive/doc.go
@@ -0,0 +1,2 @@
+// Package drive runs a scene against one set of hosts.
+package drive
--- /dev/null
+++ b/load/internal/hosts/doc.go
@@ -0,0 +1,2 @@
+// Package hosts acts as a caller towards the entry hosts: addresses, tickets, failover.
+package hosts
--- /dev/null
+++ b/load/internal/measure/doc.go
@@ -0,0 +1,2 @@
+// Package measure turns samples into the three measures.
+package measure
--- /dev/null
+++ b/load/internal/report/plot.go
@@ -0,0 +1,102 @@
+package report
+
+import (
+	"encoding/csv"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"guavaspring.org/core/caller"
+)
+
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+	plotPoints = 400
+)
+
+// Plot draws the latency of answers by quantile, one line for each policy, into DIR/SCENE/latency.png.
+func (t *Table) Plot(dir, sceneName string) error {
+	p := plot.New()
+	p.Title.Text = sceneName + ": latency of answers, all rounds"
+	p.X.Label.Text, p.Y.Label.Text = "quantile", "ms from the scheduled time"
+	var lines []any
+	for _, policy := range []string{PolicySystem, PolicyBaseline} {
+		took, err := t.took(dir, sceneName, policy)
+		if err != nil {
+			return err
+		}
+		if len(took) > 0 {
+			lines = append(lines, policy, curve(took))
+		}
+	}
+	if len(lines) == 0 {
+		return nil
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return fmt.Errorf("plot of %s: %w", sceneName, err)
+	}
+	p.Legend.Top, p.Legend.Left = true, true
+	if err := p.Save(plotWidth, plotHeight, filepath.Join(dir, sceneName, "latency.png")); err != nil {
+		return fmt.Errorf("plot of %s: %w", sceneName, err)
+	}
+	return nil
+}
+
+func curve(took []float64) plotter.XYs {
+	slices.Sort(took)
+	pts := make(plotter.XYs, plotPoints)
+	for i := range pts {
+		q := float64(i+1) / plotPoints
+		pts[i] = plotter.XY{X: q, Y: took[min(len(took)-1, int(q*float64(len(took))))]}
+	}
+	return pts
+}
+
+func (t *Table) took(dir, sceneName, policy string) ([]float64, error) {
+	var all []float64
+	for _, run := range t.of(sceneName, policy) {
+		list, err := ReadLatencies(fileOf(dir, run, "csv"))
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, list...)
+	}
+	return all, nil
+}
+
+// ReadLatencies returns the latency of every answer in a file of samples that is not a refusal, in milliseconds.
+func ReadLatencies(file string) ([]float64, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, fmt.Errorf("samples: %w", err)
+	}
+	defer func() { _ = f.Close() }()
+	rows, err := csv.NewReader(f).ReadAll()
+	if err != nil || len(rows) == 0 {
+		return nil, fmt.Errorf("samples %s: no rows: %w", file, err)
+	}
+	took, outcome := slices.Index(rows[0], "took_ms"), slices.Index(rows[0], "outcome")
+	if took < 0 || outcome < 0 {
+		return nil, fmt.Errorf("samples %s: no columns took_ms and outcome", file)
+	}
+	var list []float64
+	for _, row := range rows[1:] {
+		if row[outcome] == string(caller.OutcomeRefused) {
+			continue
+		}
+		v, err := strconv.ParseFloat(row[took], 64)
+		if err != nil {
+			return nil, fmt.Errorf("samples %s: %w", file, err)
+		}
+		list = append(list, v)
+	}
+	return list, nil
+}
--- /dev/null
+++ b/load/internal/report/table.go
@@ -0,0 +1,198 @@
+package report
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+
+	"guavaspring.org/load/internal/measure"
+	"guavaspring.org/load/internal/scene"
+)
+
+// The policies that are compared.
+const (
+	PolicySystem   = "guavaspring"
+	PolicyBaseline = "baseline"
+)
+
+// Spread is a figure over several rounds.
+type Spread struct {
+	Median, Least, Most float64
+	N                   int
+}
+
+// SpreadOf returns the spread of the values; it is zero where there are none.
+func SpreadOf(values []float64) Spread {
+	if len(values) == 0 {
+		return Spread{}
+	}
+	s := slices.Sorted(slices.Values(values))
+	mid := (s[(len(s)-1)/2] + s[len(s)/2]) / 2
+	return Spread{Median: mid, Least: s[0], Most: s[len(s)-1], N: len(s)}
+}
+
+// String gives the median with the least and the most.
+func (s Spread) String() string {
+	if s.N == 0 {
+		return "not run"
+	}
+	return fmt.Sprintf("%.4g [%.4g..%.4g]", s.Median, s.Least, s.Most)
+}
+
+// Apart reports whether two spreads have no value in common; a difference inside the spread is no difference.
+func (s Spread) Apart(other Spread) bool {
+	return s.N > 0 && other.N > 0 && (s.Most < other.Least || other.Most < s.Least)
+}
+
+// Table is every run that was stored.
+type Table struct{ runs []measure.Summary }
+
+// New returns a table of the runs.
+func New(runs []measure.Summary) *Table { return &Table{runs: runs} }
+
+// figure returns the value of f for each round of one scene and policy.
+func (t *Table) figure(sceneName, policy string, f func(measure.Summary) float64) Spread {
+	var values []float64
+	for _, r := range t.of(sceneName, policy) {
+		values = append(values, f(r))
+	}
+	return SpreadOf(values)
+}
+
+func (t *Table) of(sceneName, policy string) []measure.Summary {
+	var list []measure.Summary
+	for _, r := range t.runs {
+		if r.Scene == sceneName && r.Policy == policy {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b measure.Summary) int { return cmp.Compare(a.Round, b.Round) })
+	return list
+}
+
+// WriteMeasures writes the three measures of every scene and policy: median over the rounds, with least and most.
+func (t *Table) WriteMeasures(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "scene\tpolicy\tcomplete p50/p99/p99.9 ms\tall p50/p99/p99.9 ms\tp99 of all, spread\tcoverage mean/complete/worst\textra load\tgoodput/s\trefused\tfailed+errors\tlies")
+	for _, key := range t.keys() {
+		f := func(get func(measure.Summary) float64) Spread { return t.figure(key[0], key[1], get) }
+		fmt.Fprintf(tw, "%s\t%s\t%.1f/%.1f/%.1f\t%.1f/%.1f/%.1f\t%s\t%.3f/%.3f/%.2f\t%.1f%%\t%.0f\t%.0f\t%.0f\t%.0f\n", key[0], key[1],
+			f(func(s measure.Summary) float64 { return s.Complete.P50 }).Median, f(func(s measure.Summary) float64 { return s.Complete.P99 }).Median, f(func(s measure.Summary) float64 { return s.Complete.P999 }).Median,
+			f(func(s measure.Summary) float64 { return s.All.P50 }).Median, f(allP99).Median, f(func(s measure.Summary) float64 { return s.All.P999 }).Median, f(allP99),
+			f(func(s measure.Summary) float64 { return s.CoverageMean }).Median, f(func(s measure.Summary) float64 { return s.CompleteShare }).Median, f(func(s measure.Summary) float64 { return s.CoverageWorst }).Least,
+			f(func(s measure.Summary) float64 { return s.Extra }).Median*100,
+			f(func(s measure.Summary) float64 { return s.Goodput }).Median, f(func(s measure.Summary) float64 { return float64(s.Refused) }).Median,
+			f(func(s measure.Summary) float64 { return float64(s.Failed + s.Errors) }).Median, f(func(s measure.Summary) float64 { return float64(len(s.Lies)) }).Most)
+	}
+	return tw.Flush()
+}
+
+func allP99(s measure.Summary) float64 { return s.All.P99 }
+
+// keys returns scene and policy of every run, once and in order.
+func (t *Table) keys() [][2]string {
+	var keys [][2]string
+	for _, r := range t.runs {
+		if key := [2]string{r.Scene, r.Policy}; !slices.Contains(keys, key) {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(a, b [2]string) int { return cmp.Or(cmp.Compare(a[0], b[0]), cmp.Compare(b[1], a[1])) })
+	return keys
+}
+
+// Lies returns how many untruths the runs of a policy found.
+func (t *Table) Lies(policy string) int {
+	n := 0
+	for _, r := range t.runs {
+		if r.Policy == policy {
+			n += len(r.Lies)
+		}
+	}
+	return n
+}
+
+// WriteAims writes, for each aim of the scenes, what both policies reached and whether the aim is met.
+func (t *Table) WriteAims(w io.Writer, scenes []scene.Scene) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "scene\tmeasure\taim\tguavaspring\tbaseline\tverdict\tagainst the baseline")
+	for _, sc := range scenes {
+		for _, aim := range sc.Aims {
+			ours, err := t.measured(sc, aim.Measure, PolicySystem)
+			if err != nil {
+				return err
+			}
+			plain, err := t.measured(sc, aim.Measure, PolicyBaseline)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", sc.Name, aim.Measure, aim.Bounds(), ours, plain, verdict(aim, ours), against(ours, plain))
+		}
+	}
+	return tw.Flush()
+}
+
+func verdict(aim scene.Aim, s Spread) string {
+	switch {
+	case s.N == 0:
+		return "not run"
+	case aim.Met(s.Least) && aim.Met(s.Most):
+		return "met"
+	case !aim.Met(s.Least) && !aim.Met(s.Most):
+		return "missed"
+	default:
+		return "not settled: the rounds disagree"
+	}
+}
+
+func against(ours, plain Spread) string {
+	switch {
+	case ours.N == 0 || plain.N == 0:
+		return "not run"
+	case ours.N < 2 || plain.N < 2:
+		return "one round only"
+	case !ours.Apart(plain):
+		return "no difference outside the spread"
+	default:
+		return fmt.Sprintf("%.2fx", ours.Median/plain.Median)
+	}
+}
+
+// measured returns the measure of each round; ratios compare with the run of the scene's reference in the same round.
+func (t *Table) measured(sc scene.Scene, name, policy string) (Spread, error) {
+	get, ok := Measures[name]
+	if !ok {
+		return Spread{}, fmt.Errorf("scene %s: measure %q is not known", sc.Name, name)
+	}
+	refs := t.of(sc.Reference, policy)
+	var values []float64
+	for _, run := range t.of(sc.Name, policy) {
+		var ref measure.Summary
+		if i := slices.IndexFunc(refs, func(r measure.Summary) bool { return r.Round == run.Round }); i >= 0 {
+			ref = refs[i]
+		}
+		values = append(values, get(run, ref))
+	}
+	return SpreadOf(values), nil
+}
+
+// Measures holds the measures that an aim may name; each is computed from a run and the reference run of the same round.
+var Measures = map[string]func(run, ref measure.Summary) float64{
+	"p99_ratio":             func(run, ref measure.Summary) float64 { return run.All.P99 / ref.All.P99 },
+	"p99_ms":                func(run, _ measure.Summary) float64 { return run.All.P99 },
+	"others_p99_ratio":      func(run, ref measure.Summary) float64 { return run.Others.P99 / ref.Others.P99 },
+	"others_complete_share": func(run, _ measure.Summary) float64 { return run.OthersCompleteShare },
+	"extra_load":            func(run, _ measure.Summary) float64 { return run.Extra },
+	"goodput_ratio":         func(run, ref measure.Summary) float64 { return run.Goodput / ref.Goodput },
+	"refusals_p99_ms":       func(run, _ measure.Summary) float64 { return run.Refusals.P99 },
+	"coverage_mean":         func(run, _ measure.Summary) float64 { return run.CoverageMean },
+	"coverage_worst":        func(run, _ measure.Summary) float64 { return run.CoverageWorst },
+	"complete_share":        func(run, _ measure.Summary) float64 { return run.CompleteShare },
+	"late_share":            func(run, _ measure.Summary) float64 { return float64(run.Late) / float64(max(1, run.Offered)) },
+	"failed":                func(run, _ measure.Summary) float64 { return float64(run.Failed + run.Errors) },
+	"cpu_per_query_ms":      func(run, _ measure.Summary) float64 { return run.CPUPerQueryMS },
+	"lies":                  func(run, _ measure.Summary) float64 { return float64(len(run.Lies)) },
+	"refused_connections":   func(run, _ measure.Summary) float64 { return float64(run.RefusedConnections) },
+}
--- /dev/null
+++ b/load/internal/scene/doc.go
@@ -0,0 +1,2 @@
+// Package scene describes one experiment.
+package scene
--- /dev/null
+++ b/load/internal/scene/scene.go
@@ -0,0 +1,127 @@
+package scene
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"guavaspring.org/core/document"
+)
+
+// Scene is one experiment.
+type Scene struct {
+	// Name is also the name of its file, and About says in a sentence what happens.
+	Name  string `yaml:"name"`
+	About string `yaml:"about"`
+	// Service is queried at Rate a second by Callers callers for Duration; what was scheduled during Warmup is not counted.
+	Service  string            `yaml:"service"`
+	Rate     float64           `yaml:"rate"`
+	Callers  int               `yaml:"callers"`
+	Duration document.Duration `yaml:"duration"`
+	Warmup   document.Duration `yaml:"warmup"`
+	Deadline document.Duration `yaml:"deadline"`
+	Limit    int               `yaml:"limit"`
+	// HotShare of the queries come from one caller.
+	HotShare float64 `yaml:"hot_share"`
+	// Writes are sent beside the queries.
+	Writes Writes `yaml:"writes"`
+	// Faults are set in the course of the run.
+	Faults []Fault `yaml:"faults"`
+	// Reference is the scene whose run this one is compared with, such as the healthy one; it may be empty.
+	Reference string `yaml:"reference"`
+	// Aims are what the table compares the runs with.
+	Aims []Aim `yaml:"aims"`
+	// Action is what the script that starts the processes does in the course of the run, such as kill_host.
+	Action string `yaml:"action"`
+}
+
+// Aim bounds one measure of a scene; a bound that is not set does not apply.
+type Aim struct {
+	// Measure names the figure: see report.Measures.
+	Measure string   `yaml:"measure"`
+	AtMost  *float64 `yaml:"at_most"`
+	AtLeast *float64 `yaml:"at_least"`
+}
+
+// Met reports whether v is within the bounds.
+func (a Aim) Met(v float64) bool {
+	return (a.AtMost == nil || v <= *a.AtMost) && (a.AtLeast == nil || v >= *a.AtLeast)
+}
+
+// Bounds returns the bounds in words.
+func (a Aim) Bounds() string {
+	switch {
+	case a.AtMost != nil && a.AtLeast != nil:
+		return fmt.Sprintf("%v to %v", *a.AtLeast, *a.AtMost)
+	case a.AtMost != nil:
+		return fmt.Sprintf("at most %v", *a.AtMost)
+	case a.AtLeast != nil:
+		return fmt.Sprintf("at least %v", *a.AtLeast)
+	default:
+		return "none"
+	}
+}
+
+// Writes describes the writes of a scene.
+type Writes struct {
+	Service string  `yaml:"service"`
+	Rate    float64 `yaml:"rate"`
+}
+
+// Fault is set at a time of the run.
+type Fault struct {
+	At document.Duration `yaml:"at"`
+	// Service and Replicas say where; a fault without a service is the platform's.
+	Service  string `yaml:"service"`
+	Replicas []int  `yaml:"replicas"`
+	// Set is the body of the stand-in's /control/faults.
+	Set map[string]any `yaml:"set"`
+}
+
+// Body returns the fault as the stand-ins take it.
+func (f Fault) Body() (json.RawMessage, error) {
+	b, err := json.Marshal(f.Set)
+	if err != nil {
+		return nil, fmt.Errorf("fault at %s: %w", f.At.Std(), err)
+	}
+	return b, nil
+}
+
+// Read returns the scene in the file.
+func Read(file string) (Scene, error) {
+	s := Scene{
+		Service: "remnant-finder", Rate: 100, Callers: 24, Limit: 100,
+		Duration: document.Duration(8 * time.Second), Warmup: document.Duration(2 * time.Second), Deadline: document.Duration(400 * time.Millisecond),
+	}
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return s, fmt.Errorf("scene: %w", err)
+	}
+	if err := yaml.UnmarshalWithOptions(b, &s, yaml.Strict()); err != nil {
+		return s, fmt.Errorf("scene %s: %w", file, err)
+	}
+	if err := s.validate(); err != nil {
+		return s, fmt.Errorf("scene %s: %w", file, err)
+	}
+	return s, nil
+}
+
+func (s Scene) validate() error {
+	switch {
+	case s.Name == "":
+		return errors.New("name: want a name")
+	case s.Rate <= 0:
+		return fmt.Errorf("rate: %v: want queries a second", s.Rate)
+	case s.Callers < 1:
+		return fmt.Errorf("callers: %d: want at least 1", s.Callers)
+	case s.Duration <= s.Warmup:
+		return fmt.Errorf("duration: %s: want more than warmup, %s", s.Duration.Std(), s.Warmup.Std())
+	case s.HotShare < 0 || s.HotShare >= 1:
+		return fmt.Errorf("hot_share: %v: want 0 to 1", s.HotShare)
+	}
+	return nil
+}
--- /dev/null
+++ b/load/internal/truth/doc.go
@@ -0,0 +1,2 @@
+// Package truth reads from the stand-ins what really happened.
+package truth
--- /dev/null
+++ b/load/internal/truth/truth.go
@@ -0,0 +1,183 @@
+package truth
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	readTimeout = 2 * time.Second
+	readTries   = 3
+)
+
+// Replica is the truth of one replica.
+type Replica struct {
+	ID           string         `json:"id"`
+	Queries      int            `json:"queries"`
+	Canceled     int            `json:"canceled"`
+	Shed         int            `json:"shed"`
+	Ran          map[string]int `json:"ran"`
+	Crashes      []string       `json:"crashes"`
+	AfterDrain   int            `json:"after_drain"`
+	AfterDrainMS int64          `json:"after_drain_ms"`
+	Connections  struct {
+		Open    int `json:"open"`
+		Peak    int `json:"peak"`
+		Refused int `json:"refused"`
+		Opened  int `json:"opened"`
+	} `json:"connections"`
+}
+
+// Fleet reads the truth of the replicas of one service.
+type Fleet struct {
+	Service string
+	Base    netip.AddrPort
+	Count   int
+
+	mu   sync.Mutex
+	last []Replica
+	lost []bool
+}
+
+// Parse reads "SERVICE=IP:PORT+COUNT": the first replica's address and how many there are.
+func Parse(s string) (*Fleet, error) {
+	service, rest, ok1 := strings.Cut(s, "=")
+	base, count, ok2 := strings.Cut(rest, "+")
+	addr, err1 := netip.ParseAddrPort(base)
+	n, err2 := strconv.Atoi(count)
+	if !ok1 || !ok2 || err1 != nil || err2 != nil || n <= 0 {
+		return nil, fmt.Errorf("%q is not SERVICE=IP:PORT+COUNT, such as remnant-finder=127.0.0.1:9100+30", s)
+	}
+	return &Fleet{Service: service, Base: addr, Count: n, last: make([]Replica, n), lost: make([]bool, n)}, nil
+}
+
+// Read takes the truth of every replica; one that can't be read keeps what it said last and counts as lost.
+func (f *Fleet) Read(ctx context.Context) {
+	var wg sync.WaitGroup
+	for i := range f.Count {
+		wg.Go(func() {
+			got, err := f.readOne(ctx, i)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.lost[i] = err != nil
+			if err == nil {
+				f.last[i] = got
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Lost returns how many replicas could not be read the last time.
+func (f *Fleet) Lost() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, lost := range f.lost {
+		if lost {
+			n++
+		}
+	}
+	return n
+}
+
+// Requests returns how many requests have reached the replicas, whatever became of them.
+func (f *Fleet) Requests() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, r := range f.last {
+		n += r.Queries + r.Canceled + r.Shed
+	}
+	return n
+}
+
+// Peak returns the most connections that any one replica has had, and how many were refused in all.
+func (f *Fleet) Peak() (peak, refused int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.last {
+		peak = max(peak, r.Connections.Peak)
+		refused += r.Connections.Refused
+	}
+	return peak, refused
+}
+
+// Ran returns how often each write took effect at all replicas together.
+func (f *Fleet) Ran() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := map[string]int{}
+	for _, r := range f.last {
+		for op, n := range r.Ran {
+			all[op] += n
+		}
+	}
+	return all
+}
+
+// Command posts faults to replica i of the fleet.
+func (f *Fleet) Command(ctx context.Context, i int, faults json.RawMessage) error {
+	_, err := call(ctx, http.MethodPost, f.addr(i), "/control/faults", faults)
+	return err
+}
+
+func (f *Fleet) addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(f.Base.Addr(), f.Base.Port()+uint16(i))
+}
+
+func (f *Fleet) readOne(ctx context.Context, i int) (Replica, error) {
+	var last error
+	for range readTries {
+		b, err := call(ctx, http.MethodGet, f.addr(i), "/control/truth", nil)
+		if err != nil {
+			last = err
+			continue
+		}
+		var r Replica
+		if err := json.Unmarshal(b, &r); err != nil {
+			return r, fmt.Errorf("truth of %s: %w", f.addr(i), err)
+		}
+		return r, nil
+	}
+	return Replica{}, last
+}
+
+// Command posts faults to the platform stand-in at addr.
+func Command(ctx context.Context, addr netip.AddrPort, faults json.RawMessage) error {
+	_, err := call(ctx, http.MethodPost, addr, "/control/faults", faults)
+	return err
+}
+
+// call opens a connection of its own, which it gives back at once: the replicas have few.
+func call(ctx context.Context, method string, addr netip.AddrPort, path string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("control of %s: %w", addr, err)
+	}
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("control of %s: %w", addr, err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, fmt.Errorf("control of %s: %w", addr, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("control of %s: status %d: %s", addr, resp.StatusCode, b)
+	}
+	return b, nil
+}
--- a/load/main.go
+++ b/load/main.go
@@ -2,34 +2,56 @@
 package main
 
 import (
-	"context"
+	"errors"
 	"fmt"
 	"os"
-	"time"
 
-	"guavaspring.org/core/caller"
 	"guavaspring.org/core/settings"
 )
 
+// exitUntrue is the exit status of a run in which an answer lied, a write ran twice or an answer mixed snapshots.
+const exitUntrue = 3
+
+// command is one subcommand and what it runs.
+type command struct {
+	name string
+	run  func() error
+}
+
+// usageError is a mistake in the settings that only shows once the command runs.
+type usageError struct{ error }
+
+// untrueError ends the process with exitUntrue.
+type untrueError struct{ lies int }
+
+func (e untrueError) Error() string { return fmt.Sprintf("%d untruths were found", e.lies) }
+
 func main() {
 	app := settings.New("load", "Calls hosts as callers do and reports tail latency, coverage and extra load.")
-	one := app.Command("query", "Run one query and print what came back.")
-	host := settings.AddrPort(one.Flag("host", "IP:port of a host.").Required())
-	service := one.Flag("service", "Name of the service.").Required().String()
-	text := one.Arg("query", "The query.").Required().String()
-	if _, err := app.Parse(os.Args[1:]); err != nil {
+	commands := []command{queryCommand(app), runCommand(app), tableCommand(app), baselineCommand(app), portsCommand(app)}
+	chosen, err := app.Parse(os.Args[1:])
+	if err != nil {
 		settings.Fail(os.Stderr, "load", err)
 	}
-	c, err := caller.New("load", 1)
-	if err != nil {
+	for _, c := range commands {
+		if c.name == chosen {
+			exit(c.run())
+		}
+	}
+}
+
+func exit(err error) {
+	if err == nil {
+		os.Exit(0)
+	}
+	var usage usageError
+	if errors.As(err, &usage) {
 		settings.Fail(os.Stderr, "load", err)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
-	ans, err := c.Query(ctx, caller.Request{Host: *host, Service: *service}, caller.Query{Query: *text})
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "load: %v\n", err)
-		os.Exit(1)
+	fmt.Fprintf(os.Stderr, "load: %v\n", err)
+	var untrue untrueError
+	if errors.As(err, &untrue) {
+		os.Exit(exitUntrue)
 	}
-	fmt.Printf("%s: snapshot %d, %d of %d shards, %d hits\n", ans.Outcome, ans.Snapshot.Version, ans.Coverage.Answered, ans.Coverage.Shards, len(ans.Hits))
+	os.Exit(1)
 }
--- /dev/null
+++ b/load/ports.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+const portTries = 100
+
+func portsCommand(app *kingpin.Application) command {
+	cmd := app.Command("ports", "Print the first of so many free ports in a row on the loopback address, for scripts.")
+	n := cmd.Arg("count", "How many ports.").Required().Int()
+	return command{cmd.FullCommand(), func() error {
+		for range portTries {
+			if base, ok := freePorts(*n); ok {
+				fmt.Println(base)
+				return nil
+			}
+		}
+		return errors.New("no such row of free ports was found")
+	}}
+}
+
+// The ports tried lie under those that Linux gives to outgoing connections, which could take one at any time.
+const (
+	lowestPort  = 12000
+	highestPort = 32000
+)
+
+func freePorts(n int) (base int, ok bool) {
+	base = lowestPort + rand.IntN(highestPort-lowestPort-n)
+	var lc net.ListenConfig
+	for i := range n {
+		l, err := lc.Listen(context.Background(), "tcp", fmt.Sprintf("127.0.0.1:%d", base+i))
+		if err != nil {
+			return 0, false
+		}
+		defer l.Close()
+	}
+	return base, true
+}
--- a/standin/internal/fleet/fleet.go
+++ b/standin/internal/fleet/fleet.go
@@ -25,6 +25,8 @@
 	Replicas int
 	// Only is the ID of the one replica to run, empty for all.
 	Only string
+	// Except is the ID of a replica that another process runs, empty for none.
+	Except string
 	// Base is the address of the first replica; the others count up.
 	Base  netip.AddrPort
 	Zones []string
@@ -105,7 +107,7 @@
 func (f *Fleet) mine() []int {
 	var list []int
 	for i := range f.opts.Shards * f.opts.Replicas {
-		if f.opts.Only == "" || f.opts.Only == f.id(i) {
+		if f.id(i) != f.opts.Except && (f.opts.Only == "" || f.opts.Only == f.id(i)) {
 			list = append(list, i)
 		}
 	}
--- a/standin/main.go
+++ b/standin/main.go
@@ -34,6 +34,7 @@
 	up.Flag("service", "Name of the service.").Required().StringVar(&opts.Service)
 	base := settings.AddrPort(up.Flag("base", "IP:port of the first replica; the others count up.").Required())
 	up.Flag("only", "ID of the one replica to run, such as remnant-finder-3-1, at the port it would have among all.").StringVar(&opts.Only)
+	up.Flag("except", "ID of a replica to leave out, since another process runs it.").StringVar(&opts.Except)
 	up.Flag("shards", "Number of shards.").Default("10").IntVar(&opts.Shards)
 	up.Flag("replicas", "Replicas of each shard.").Default("3").IntVar(&opts.Replicas)
 	up.Flag("index-version", "Index version held at first.").Default("1").Int64Var(&opts.Version)
