--- a/entry/internal/service/admit.go
+++ b/entry/internal/service/admit.go
@@ -39,8 +39,6 @@
 // retryMS rounds up, since 0 on the wire means that no time is given.
 func retryMS(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
 
-func moved(name string, opts Options) func(from, to int) {
-	return func(from, to int) {
-		events.LimitMoved.Log(opts.Log, "service", name, "from", from, "to", to)
-	}
+func (s *Service) limitMoved(from, to int) {
+	events.LimitMoved.Log(s.opts.Log, "service", s.name, "from", from, "to", to)
 }
