callers: Say what is wrong with a request, and answer one that panics

Cause: unknown keys, a second JSON object, null and an empty body were taken in silence; bytes that are not UTF-8 were replaced, so another question was asked than the caller's; names over 128 bytes were cut, so two callers could become one; headers went up to a megabyte; a panic ended the connection without a word; a body could trickle in for ever. Ruled out: a recovery middleware of kratos (it sees errors of its own handlers only after routing, and the reply must be ours); http.Server.ReadTimeout (it cancels the context of requests that outlast it). Change: one function reads each part of a request and names key, value and what is wanted; readBody bounds the time of a body; adapt recovers, logs event 1351 with the stack and replies 500. Addresses takes an AddressRequest with caller and zone.

--- /dev/null
+++ b/entry/internal/callers/request.go
@@ -0,0 +1,178 @@
+package callers
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"guavaspring.org/core/caller"
+)
+
+// The limits of what callers may send.
+const (
+	maxBody       = 1 << 20
+	maxName       = 128
+	maxKey        = 256
+	maxTicket     = 1024
+	maxTickets    = 100
+	maxDeadline   = 24 * time.Hour
+	defaultLimit  = 20
+	maxLimit      = 1000
+	unknownCaller = "unnamed"
+)
+
+// readBody returns the whole body, and has answered the request where it reports false.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	// A caller that sends its body byte by byte would else take a goroutine and a connection for as long as it likes.
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	_ = rc.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		problem(w, http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("the body is over %d bytes", maxBody))
+		return nil, false
+	case err != nil:
+		problem(w, http.StatusBadRequest, "bad_request", "the body can't be read: "+err.Error())
+		return nil, false
+	}
+	return b, true
+}
+
+// DecodeQuery reads the body of a query and fills in its limit; the error says what is wrong in one line.
+func DecodeQuery(body []byte) (caller.Query, error) {
+	var q caller.Query
+	if err := decode(body, &q); err != nil {
+		return caller.Query{}, err
+	}
+	if q.Limit == 0 {
+		q.Limit = defaultLimit
+	}
+	if q.Limit < 0 || q.Limit > maxLimit {
+		return caller.Query{}, fmt.Errorf("limit: %d is out of range; want 1 to %d", q.Limit, maxLimit)
+	}
+	return q, shorter("key", q.Key, maxKey)
+}
+
+// DecodeWrite reads the body of a write; the error says what is wrong in one line.
+func DecodeWrite(body []byte) (caller.Write, error) {
+	var op caller.Write
+	if err := decode(body, &op); err != nil {
+		return caller.Write{}, err
+	}
+	return op, shorter("op_id", op.OpID, maxKey)
+}
+
+// decode takes exactly one JSON object without unknown keys: a key that is misspelt would else be ignored in silence.
+func decode(body []byte, v any) error {
+	switch trimmed := bytes.TrimSpace(body); {
+	case len(trimmed) == 0:
+		return errors.New("the body is empty; want a JSON object")
+	case bytes.Equal(trimmed, []byte("null")):
+		return errors.New("the body is null; want a JSON object")
+	case !utf8.Valid(body):
+		// The decoder would put replacement characters in place of what was asked.
+		return errors.New("the body is not UTF-8")
+	}
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return plain(err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("the body goes on after the JSON object")
+	}
+	return nil
+}
+
+// plain says in the caller's words what encoding/json says in Go's.
+func plain(err error) error {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) && wrongType.Field != "" {
+		return fmt.Errorf("%s: %s is the wrong type; want %s", wrongType.Field, wrongType.Value, wrongType.Type)
+	}
+	if key, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		return fmt.Errorf("%s is an unknown key", key)
+	}
+	return fmt.Errorf("the body is not the JSON wanted: %s", strings.TrimPrefix(err.Error(), "json: "))
+}
+
+func (h *handler) requestID(r *http.Request) (string, error) {
+	id, err := header(r, caller.HeaderRequest, maxName)
+	if id == "" && err == nil {
+		return h.opts.NewID(), nil
+	}
+	return id, err
+}
+
+func callerOf(r *http.Request) (string, error) {
+	name, err := header(r, caller.HeaderCaller, maxName)
+	if name == "" && err == nil {
+		return unknownCaller, nil
+	}
+	return name, err
+}
+
+// header returns a header that goes into replies, logs and other requests, and must be the same in all of them.
+func header(r *http.Request, name string, most int) (string, error) {
+	v := r.Header.Get(name)
+	if err := shorter(name, v, most); err != nil {
+		return "", err
+	}
+	for i := range len(v) {
+		if v[i] < ' ' || v[i] > '~' {
+			return "", fmt.Errorf("%s: %q holds other than printable ASCII", name, v)
+		}
+	}
+	return v, nil
+}
+
+func shorter(name, v string, most int) error {
+	if len(v) > most {
+		return fmt.Errorf("%s: %d bytes long; want at most %d", name, len(v), most)
+	}
+	return nil
+}
+
+func deadlineOf(r *http.Request, arrived time.Time, def, longest time.Duration) (time.Time, error) {
+	s := r.Header.Get(caller.HeaderDeadline)
+	if s == "" {
+		return arrived.Add(def), nil
+	}
+	ms, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
+		return time.Time{}, fmt.Errorf("%s: %q is not a whole number of milliseconds from 1 to %d", caller.HeaderDeadline, s, maxDeadline.Milliseconds())
+	}
+	return arrived.Add(min(time.Duration(ms)*time.Millisecond, longest)), nil
+}
+
+func addressRequest(r *http.Request) (AddressRequest, error) {
+	q := r.URL.Query()
+	req := AddressRequest{Service: q.Get("service"), Zone: q.Get("zone")}
+	if req.Service == "" {
+		return req, errors.New("service: missing; want the name of a service")
+	}
+	if err := shorter("zone", req.Zone, maxName); err != nil {
+		return req, err
+	}
+	var err error
+	if req.Caller, err = callerOf(r); err != nil {
+		return req, err
+	}
+	if s := q.Get("tickets"); s != "" {
+		n, err := strconv.Atoi(s)
+		if err != nil || n < 0 || n > maxTickets {
+			return req, fmt.Errorf("tickets: %q is not a number from 0 to %d", s, maxTickets)
+		}
+		req.Tickets = n
+	}
+	return req, nil
+}
--- a/entry/internal/callers/server.go
+++ b/entry/internal/callers/server.go
@@ -3,36 +3,38 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"strconv"
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/go-logr/logr"
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"guavaspring.org/core/caller"
 	"guavaspring.org/core/clock"
+	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/explain"
 	"guavaspring.org/entry/internal/service"
 )
 
+// The limits of a connection: headers hold a name, two ids, a deadline and a ticket; a body of maxBody comes within bodyTimeout over a slow line.
 const (
-	maxBody       = 1 << 20
-	maxIDLen      = 128
-	defaultLimit  = 20
-	maxLimit      = 1000
-	unknownCaller = "unnamed"
+	maxHeaders    = 16 << 10
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
 )
 
 // Options configures a Server.
 type Options struct {
 	Clock   clock.Clock
+	Log     logr.Logger
 	Listen  netip.AddrPort
 	NewID   func() string
 	Explain *explain.Store
@@ -42,11 +44,21 @@
 	// Ready reports whether the host can serve, and why not.
 	Ready func() error
 	// Addresses answers which hosts a caller should use.
-	Addresses func(service string, tickets int) (caller.Addresses, error)
+	Addresses func(req AddressRequest) (caller.Addresses, error)
 	// Write runs a write.
 	Write func(ctx context.Context, req WriteRequest) caller.WriteAnswer
 }
 
+// AddressRequest is one address request as it arrived at the host.
+type AddressRequest struct {
+	Service string
+	Caller  string
+	// Zone is the availability zone that the caller names as its own; it may be empty.
+	Zone string
+	// Tickets is how many write tickets are wanted for each address, 0 to 100.
+	Tickets int
+}
+
 // WriteRequest is one write as it arrived at the host.
 type WriteRequest struct {
 	ID       string
@@ -63,105 +75,131 @@
 	h := &handler{opts: opts}
 	srv := khttp.NewServer(khttp.Address(opts.Listen.String()), khttp.Timeout(0),
 		khttp.NotFoundHandler(http.HandlerFunc(notFound)), khttp.MethodNotAllowedHandler(http.HandlerFunc(wrongMethod)))
-	srv.ReadHeaderTimeout = 5 * time.Second
-	srv.IdleTimeout = 2 * time.Minute
+	srv.ReadHeaderTimeout, srv.IdleTimeout, srv.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeaders
 	r := srv.Route("/")
-	r.GET("/v1/addresses", adapt(h.addresses))
-	r.POST("/v1/services/{service}/query", adapt(h.query))
-	r.POST("/v1/services/{service}/write", adapt(h.write))
-	r.GET("/v1/explanations/{id}", adapt(h.explanation))
-	r.GET("/healthz", adapt(h.health))
-	r.GET("/readyz", adapt(h.ready))
+	r.GET("/v1/addresses", h.adapt(h.addresses))
+	r.POST("/v1/services/{service}/query", h.adapt(h.query))
+	r.POST("/v1/services/{service}/write", h.adapt(h.write))
+	r.GET("/v1/explanations/{id}", h.adapt(h.explanation))
+	r.GET("/healthz", h.adapt(h.health))
+	r.GET("/readyz", h.adapt(h.ready))
 	srv.Handle("/metrics", promhttp.HandlerFor(opts.Metrics, promhttp.HandlerOpts{}))
 	return srv
 }
 
 type handler struct{ opts Options }
 
-func adapt(f func(w http.ResponseWriter, r *http.Request)) khttp.HandlerFunc {
+func (h *handler) adapt(f func(w http.ResponseWriter, r *http.Request)) khttp.HandlerFunc {
 	return func(ctx khttp.Context) error {
-		f(ctx.Response(), ctx.Request())
+		w, r := ctx.Response(), ctx.Request()
+		defer h.recover(w, r)
+		f(w, r)
 		return nil
 	}
 }
 
-func (h *handler) query(w http.ResponseWriter, r *http.Request) {
-	arrived := h.opts.Clock.Now()
-	svc := h.opts.Service(mux.Vars(r)["service"])
-	if svc == nil {
-		problem(w, http.StatusNotFound, "unknown_service", fmt.Sprintf("no service %q is configured here", mux.Vars(r)["service"]))
-		return
-	}
-	var q caller.Query
-	if !h.decode(w, r, &q) {
+// recover answers a request whose handler met a broken invariant.
+//
+// Left to net/http, the connection would end without a word: the caller could not tell it from a host that
+// died, and requests of others on the same connection would be lost with it.
+func (h *handler) recover(w http.ResponseWriter, r *http.Request) {
+	v := recover()
+	if v == nil {
 		return
 	}
-	if err := checkQuery(&q); err != nil {
-		problem(w, http.StatusBadRequest, "bad_request", err.Error())
+	events.Panicked.Log(h.opts.Log, "path", r.URL.Path, "panic", fmt.Sprint(v), "stack", string(debug.Stack()))
+	problem(w, http.StatusInternalServerError, "internal", "the host met an error of its own; whether the request ran is not known")
+}
+
+func (h *handler) query(w http.ResponseWriter, r *http.Request) {
+	call, ok := h.begin(w, r)
+	if !ok {
 		return
 	}
-	doc := svc.Generation().Document
-	deadline, err := deadlineOf(r, arrived, doc.Deadline.Default.Std(), doc.Deadline.Max.Std())
-	if err != nil {
-		problem(w, http.StatusBadRequest, "bad_deadline", err.Error())
+	body, ok := readBody(w, r)
+	if !ok {
 		return
 	}
-	id, err := h.requestID(r)
+	q, err := DecodeQuery(body)
 	if err != nil {
-		problem(w, http.StatusBadRequest, "bad_request_id", err.Error())
+		problem(w, http.StatusBadRequest, "bad_request", err.Error())
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
 	defer cancel()
-	ans := svc.Query(ctx, service.QueryRequest{ID: id, Caller: callerOf(r), Arrived: arrived, Deadline: deadline, Query: q})
+	ans := call.service.Query(ctx, service.QueryRequest{ID: call.id, Caller: call.caller, Arrived: call.arrived, Deadline: call.deadline, Query: q})
 	retryAfter(w, ans.RetryAfterMS)
 	reply(w, queryStatus(ans.Outcome), ans)
 }
 
 func (h *handler) write(w http.ResponseWriter, r *http.Request) {
-	arrived := h.opts.Clock.Now()
-	name := mux.Vars(r)["service"]
-	svc := h.opts.Service(name)
-	if svc == nil {
-		problem(w, http.StatusNotFound, "unknown_service", fmt.Sprintf("no service %q is configured here", name))
+	call, ok := h.begin(w, r)
+	if !ok {
 		return
 	}
-	var body caller.Write
-	if !h.decode(w, r, &body) {
+	ticket, err := header(r, caller.HeaderTicket, maxTicket)
+	if err != nil {
+		problem(w, http.StatusBadRequest, "bad_ticket", err.Error())
 		return
 	}
-	doc := svc.Generation().Document
-	deadline, err := deadlineOf(r, arrived, doc.Deadline.Default.Std(), doc.Deadline.Max.Std())
-	if err != nil {
-		problem(w, http.StatusBadRequest, "bad_deadline", err.Error())
+	body, ok := readBody(w, r)
+	if !ok {
 		return
 	}
-	id, err := h.requestID(r)
+	op, err := DecodeWrite(body)
 	if err != nil {
-		problem(w, http.StatusBadRequest, "bad_request_id", err.Error())
+		problem(w, http.StatusBadRequest, "bad_request", err.Error())
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
 	defer cancel()
 	ans := h.opts.Write(ctx, WriteRequest{
-		ID: id, Service: name, Caller: callerOf(r), Ticket: r.Header.Get(caller.HeaderTicket),
-		Arrived: arrived, Deadline: deadline, Write: body,
+		ID: call.id, Service: mux.Vars(r)["service"], Caller: call.caller, Ticket: ticket,
+		Arrived: call.arrived, Deadline: call.deadline, Write: op,
 	})
 	retryAfter(w, ans.RetryAfterMS)
 	reply(w, http.StatusOK, ans)
 }
 
+// call is what a query and a write have in common.
+type call struct {
+	service           *service.Service
+	id, caller        string
+	arrived, deadline time.Time
+}
+
+// begin reads everything but the body, and has answered the request where it reports false.
+func (h *handler) begin(w http.ResponseWriter, r *http.Request) (call, bool) {
+	c := call{arrived: h.opts.Clock.Now()}
+	name := mux.Vars(r)["service"]
+	if c.service = h.opts.Service(name); c.service == nil {
+		problem(w, http.StatusNotFound, "unknown_service", fmt.Sprintf("no service %q is configured here", name))
+		return c, false
+	}
+	doc := c.service.Generation().Document
+	var err error
+	if c.deadline, err = deadlineOf(r, c.arrived, doc.Deadline.Default.Std(), doc.Deadline.Max.Std()); err != nil {
+		problem(w, http.StatusBadRequest, "bad_deadline", err.Error())
+		return c, false
+	}
+	if c.id, err = h.requestID(r); err != nil {
+		problem(w, http.StatusBadRequest, "bad_request_id", err.Error())
+		return c, false
+	}
+	if c.caller, err = callerOf(r); err != nil {
+		problem(w, http.StatusBadRequest, "bad_caller", err.Error())
+		return c, false
+	}
+	return c, true
+}
+
 func (h *handler) addresses(w http.ResponseWriter, r *http.Request) {
-	n := 0
-	if s := r.URL.Query().Get("tickets"); s != "" {
-		v, err := strconv.Atoi(s)
-		if err != nil || v < 0 || v > 100 {
-			problem(w, http.StatusBadRequest, "bad_request", fmt.Sprintf("tickets: %q is not a number from 0 to 100", s))
-			return
-		}
-		n = v
+	req, err := addressRequest(r)
+	if err != nil {
+		problem(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
 	}
-	ans, err := h.opts.Addresses(r.URL.Query().Get("service"), n)
+	ans, err := h.opts.Addresses(req)
 	if err != nil {
 		problem(w, http.StatusNotFound, "unknown_service", err.Error())
 		return
@@ -194,65 +232,6 @@
 	}{"ready"})
 }
 
-func (h *handler) decode(w http.ResponseWriter, r *http.Request, v any) bool {
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		problem(w, http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("the body is over %d bytes", maxBody))
-		return false
-	case err != nil:
-		problem(w, http.StatusBadRequest, "bad_request", "the body can't be read: "+err.Error())
-		return false
-	}
-	if err := json.Unmarshal(b, v); err != nil {
-		problem(w, http.StatusBadRequest, "bad_request", "the body is not the JSON wanted: "+err.Error())
-		return false
-	}
-	return true
-}
-
-func (h *handler) requestID(r *http.Request) (string, error) {
-	id := r.Header.Get(caller.HeaderRequest)
-	if id == "" {
-		return h.opts.NewID(), nil
-	}
-	if len(id) > maxIDLen {
-		return "", fmt.Errorf("%s: %d bytes long; want at most %d", caller.HeaderRequest, len(id), maxIDLen)
-	}
-	return id, nil
-}
-
-func callerOf(r *http.Request) string {
-	name := r.Header.Get(caller.HeaderCaller)
-	if name == "" {
-		return unknownCaller
-	}
-	return name[:min(len(name), maxIDLen)]
-}
-
-func checkQuery(q *caller.Query) error {
-	if q.Limit == 0 {
-		q.Limit = defaultLimit
-	}
-	if q.Limit < 0 || q.Limit > maxLimit {
-		return fmt.Errorf("limit: %d is out of range; want 1 to %d", q.Limit, maxLimit)
-	}
-	return nil
-}
-
-func deadlineOf(r *http.Request, arrived time.Time, def, longest time.Duration) (time.Time, error) {
-	s := r.Header.Get(caller.HeaderDeadline)
-	if s == "" {
-		return arrived.Add(def), nil
-	}
-	ms, err := strconv.ParseInt(s, 10, 64)
-	if err != nil || ms <= 0 || ms > int64(24*time.Hour/time.Millisecond) {
-		return time.Time{}, fmt.Errorf("%s: %q is not a number of milliseconds above 0", caller.HeaderDeadline, s)
-	}
-	return arrived.Add(min(time.Duration(ms)*time.Millisecond, longest)), nil
-}
-
 func queryStatus(o caller.Outcome) int {
 	switch o {
 	case caller.OutcomeRefused:
--- a/entry/internal/events/requests.go
+++ b/entry/internal/events/requests.go
@@ -2,7 +2,8 @@
 
 import "guavaspring.org/core/event"
 
-// Events of admission, from 1350 on.
+// Events of admission and of the callers' API, from 1350 on.
 var (
+	Panicked   = event.New(1351, "request_panicked", "A request met a broken invariant: it was answered with status 500 and the host goes on; the line holds the stack.")
 	LimitMoved = event.New(1350, "admission_limit_moved", "The number of queries of a service that run at once on this host followed the upstream's replies.")
 )
--- a/entry/internal/host/host.go
+++ b/entry/internal/host/host.go
@@ -68,7 +68,7 @@
 // Run serves until ctx ends or the process is told to stop, and then finishes what is in flight.
 func (h *Host) Run(ctx context.Context) error {
 	srv := callers.New(callers.Options{
-		Clock: h.opts.Clock, Listen: h.opts.Listen, NewID: rand.Text, Explain: h.explain,
+		Clock: h.opts.Clock, Log: h.opts.Log, Listen: h.opts.Listen, NewID: rand.Text, Explain: h.explain,
 		Metrics: prometheus.NewRegistry(), Service: h.service, Ready: h.ready, Addresses: h.addresses, Write: h.write,
 	})
 	ctx, cancel := context.WithCancel(ctx)
@@ -138,18 +138,6 @@
 	return nil
 }
 
-func (h *Host) addresses(name string, _ int) (caller.Addresses, error) {
-	s := h.service(name)
-	if s == nil {
-		return caller.Addresses{}, fmt.Errorf("no service %q is configured here", name)
-	}
-	gen := s.Generation()
-	return caller.Addresses{
-		Service: name, Generation: gen.Number, KeepMS: gen.Document.Addresses.Keep.Std().Milliseconds(),
-		Addresses: []caller.Address{{Address: h.opts.Listen, Zone: h.opts.Zone, Weight: 1}},
-	}, nil
-}
-
 func (h *Host) write(_ context.Context, req callers.WriteRequest) caller.WriteAnswer {
 	return caller.WriteAnswer{RequestID: req.ID, Service: req.Service, Outcome: caller.WriteNotRun, Reason: "writes are not served yet"}
 }
