document: Name key, value, reason and what is wanted for everything that is wrong

Cause: the decoder's errors named Go's types over several lines, stopped at the first, and named no key for a duration; 1.5 slots became 1; a second document in the file and a key without a value were ignored; aliases could stand for more values than memory holds. Two spellings of one holding were taken. Ruled out: rewriting the decoder's messages (they don't hold the key), a schema library (one more way to read the document that can differ from ours). Change: the file is checked against the type before it is decoded, all errors at once, each a FieldError; anchors, aliases and tags are errors. ParseHoldings takes one spelling only.

--- a/core/document/document.go
+++ b/core/document/document.go
@@ -1,9 +1,7 @@
 package document
 
 import (
-	"cmp"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"regexp"
 	"time"
@@ -154,13 +152,18 @@
 var validName = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
 
 // Parse reads a document in YAML or JSON, fills in defaults and validates it; unknown keys are errors.
+//
+// The error joins a *FieldError for everything that is wrong, so that operators see all of it at once.
 func Parse(b []byte) (Document, error) {
-	doc := Default()
 	if len(b) > MaxBytes {
 		return Document{}, &FieldError{"document", fmt.Sprintf("%d bytes", len(b)), "too large", fmt.Sprintf("at most %d bytes", MaxBytes)}
 	}
+	if err := checkShape(b); err != nil {
+		return Document{}, err
+	}
+	doc := Default()
 	if err := yaml.UnmarshalWithOptions(b, &doc, yaml.Strict()); err != nil {
-		return Document{}, fmt.Errorf("document: %w", err)
+		return Document{}, syntaxError(err)
 	}
 	if err := doc.Validate(); err != nil {
 		return Document{}, err
@@ -168,58 +171,6 @@
 	return doc, nil
 }
 
-// Validate reports every field that is wrong, joined; each is a *FieldError.
-func (doc Document) Validate() error {
-	c := &checker{}
-	c.check(validName.MatchString(doc.Service), "service", fmt.Sprintf("%q", doc.Service), "not a service name", "lower-case letters, digits and hyphens, starting with a letter, at most 63")
-	c.check(doc.Prefer == PreferLatency || doc.Prefer == PreferCoverage, "prefer", fmt.Sprintf("%q", doc.Prefer), "unknown preference", `"latency" or "coverage"`)
-	c.upstream(doc.Upstream)
-	c.deadline(doc.Deadline)
-	c.tries(doc.Hedge, doc.Retry)
-	c.admission(doc.Admission)
-	life, keep := doc.Writes.TicketLife.Std(), doc.Addresses.Keep.Std()
-	c.check(between(life, time.Second, 10*time.Minute), "writes.ticket_life", life, "out of range", "1s to 10m")
-	c.check(between(keep, 100*time.Millisecond, time.Hour), "addresses.keep", keep, "out of range", "100ms to 1h")
-	c.check(between(doc.Addresses.Count, 1, 64), "addresses.count", doc.Addresses.Count, "out of range", "1 to 64")
-	return errors.Join(c.errs...)
-}
-
-// checker collects what is wrong, so that operators see all of it at once.
-type checker struct{ errs []error }
-
-func (c *checker) check(ok bool, key string, value any, reason, want string) {
-	if !ok {
-		c.errs = append(c.errs, &FieldError{Key: key, Value: fmt.Sprint(value), Reason: reason, Want: want})
-	}
-}
-
-func (c *checker) upstream(up Upstream) {
-	c.check(between(up.Slots, 1, 10000), "upstream.slots", up.Slots, "out of range", "1 to 10000")
-	c.check(between(up.Connections, 1, 100000), "upstream.connections", up.Connections, "out of range", "1 to 100000")
-	c.check(between(up.EntryHosts, 1, up.Connections), "upstream.entry_hosts", up.EntryHosts, "every host needs at least one connection to a replica", "1 to upstream.connections")
-}
-
-func (c *checker) deadline(dl Deadline) {
-	c.check(between(dl.Max, 1, Duration(time.Minute)), "deadline.max", dl.Max.Std(), "out of range", "above 0 and at most 1m")
-	c.check(between(dl.Default, 1, dl.Max), "deadline.default", dl.Default.Std(), "out of range", "above 0 and at most deadline.max")
-	c.check(between(dl.Soft, 1, dl.Default), "deadline.soft", dl.Soft.Std(), "out of range", "above 0 and at most deadline.default")
-}
-
-func (c *checker) tries(hedge Hedge, retry Retry) {
-	c.check(between(hedge.BudgetPercent, 0, 50), "hedge.budget_percent", hedge.BudgetPercent, "out of range", "0 to 50")
-	c.check(between(hedge.Quantile, 0.5, 0.999), "hedge.quantile", hedge.Quantile, "out of range", "0.5 to 0.999")
-	c.check(between(retry.BudgetPercent, 0, 100), "retry.budget_percent", retry.BudgetPercent, "out of range", "0 to 100")
-}
-
-func (c *checker) admission(ad Admission) {
-	c.check(between(ad.Concurrency, 1, 100000), "admission.concurrency", ad.Concurrency, "out of range", "1 to 100000")
-	c.check(between(ad.Queue, 0, 100000), "admission.queue", ad.Queue, "out of range", "0 to 100000")
-	c.check(ad.CallerShare > 0 && ad.CallerShare <= 1, "admission.caller_share", ad.CallerShare, "out of range", "above 0 and at most 1")
-}
-
-// between is false for a NaN, which JSON can't carry but YAML can.
-func between[T cmp.Ordered](v, least, most T) bool { return v >= least && v <= most }
-
 // Encode returns the document with every default written out, as JSON.
 func (doc Document) Encode() []byte {
 	b, err := json.Marshal(doc)
--- /dev/null
+++ b/core/document/document_test.go
@@ -0,0 +1,102 @@
+package document_test
+
+import (
+	"errors"
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/document"
+)
+
+var update = flag.Bool("update", false, "write docs/document.schema.json anew")
+
+// An operator's edit is wrong. The message must name the key, what was written, why it is wrong and what
+// would be right, each on one line, rather than Go's types or nothing at all.
+func TestParseSaysWhatIsWrong(t *testing.T) {
+	for _, test := range []struct{ name, doc, want string }{
+		{"empty", "", `document: 0 documents: not one document; want one mapping of keys to values`},
+		{"two documents", "service: a\n---\nservice: b\n", `document: 2 documents: not one document; want one mapping of keys to values`},
+		{"a list", "- a", `document: a list: wrong type; want a mapping of service, upstream, deadline, prefer, hedge, retry, admission, writes, addresses`},
+		{"broken", "service: [a\n", `document: line 1, column 10: sequence end token ']' not found; want YAML or JSON`},
+		{"a key twice", "service: a\nservice: b\n", `document: line 2, column 1: mapping key "service" already defined at [1:1]; want YAML or JSON`},
+		{"unknown key", "service: a\nprefr: latency\n", `prefr: "latency": unknown key; want one of service, upstream, deadline, prefer, hedge, retry, admission, writes, addresses`},
+		{"unknown key inside", "service: a\nhedge: {budget: 3}\n", `hedge.budget: 3: unknown key; want one of budget_percent, quantile`},
+		{"duration without unit", "service: a\ndeadline:\n  default: 60\n", `deadline.default: 60: not a duration with a unit; want a number with its unit, such as 60ms or 2s`},
+		{"duration in JSON", `{"service":"a","deadline":{"default":"60"}}`, `deadline.default: "60": not a duration with a unit; want a number with its unit, such as 60ms or 2s`},
+		{"words for a number", "service: a\nupstream:\n  slots: many\n", `upstream.slots: "many": wrong type; want a whole number`},
+		{"part of a slot", "service: a\nupstream:\n  slots: 1.5\n", `upstream.slots: 1.5: wrong type; want a whole number`},
+		{"more than any number", "service: a\nupstream:\n  slots: 18446744073709551615\n", `upstream.slots: 18446744073709551615: wrong type; want a whole number`},
+		{"out of range", "service: a\nupstream:\n  slots: 0\n", `upstream.slots: 0: out of range; want 1 to 10000`},
+		{"no number at all", "service: a\nhedge:\n  quantile: .nan\n", `hedge.quantile: NaN: out of range; want 0.5 to 0.999`},
+		{"no value", "service: a\ndeadline: ~\n", `deadline: no value: wrong type; want a mapping of default, max, soft`},
+		{"number for a mapping", "service: a\nupstream: 3\n", `upstream: 3: wrong type; want a mapping of slots, connections, entry_hosts`},
+		{"list for a word", "service: a\nprefer: [x]\n", `prefer: a list: wrong type; want a string`},
+		{"yes for true", "service: a\nwrites:\n  enabled: yes\n", `writes.enabled: "yes": wrong type; want true or false`},
+		{"alias", "service: a\nupstream: &x {slots: 5}\nhedge: *x\n", `document: line 2, column 11: anchors, aliases and tags can't be used; want plain values`},
+		{"tag", "service: !!binary zz\n", `document: line 1, column 10: anchors, aliases and tags can't be used; want plain values`},
+		{"bad name", "service: Remnant Finder\n", `service: "Remnant Finder": not a service name; want lower-case letters, digits and hyphens, starting with a letter, at most 63`},
+		{"soft over default", "service: a\ndeadline: {soft: 2s}\n", `deadline.soft: 2s: out of range; want above 0 and at most deadline.default`},
+		{"two at once", "service: a\nupstream: {slots: x}\nprefr: y\n", "prefr: \"y\": unknown key; want one of service, upstream, deadline, prefer, hedge, retry, admission, writes, addresses\nupstream.slots: \"x\": wrong type; want a whole number"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			_, err := document.Parse([]byte(test.doc))
+			c.Assert(err, qt.IsNotNil)
+			c.Check(err.Error(), qt.Equals, test.want)
+			var wrong *document.FieldError
+			c.Check(errors.As(err, &wrong), qt.IsTrue)
+		})
+	}
+}
+
+// The schema that editors and other programs check documents with must be the one that hosts apply.
+func TestSchemaIsPublished(t *testing.T) {
+	const path = "../../docs/document.schema.json"
+	if *update {
+		qt.Assert(t, os.WriteFile(path, document.Schema(), 0o644), qt.IsNil)
+	}
+	b, err := os.ReadFile(path)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(b), qt.Equals, string(document.Schema()), qt.Commentf("run: go test ./document -run TestSchemaIsPublished -update"))
+}
+
+// What a host stores and hands on must be read back as the same document, or hosts would differ in what is
+// in force.
+func TestEncodeIsReadBack(t *testing.T) {
+	c := qt.New(t)
+	doc, err := document.Parse([]byte("service: a\ndeadline: {default: 1500ms, soft: 1s}\n"))
+	c.Assert(err, qt.IsNil)
+	again, err := document.Parse(doc.Encode())
+	c.Assert(err, qt.IsNil)
+	c.Check(again, qt.Equals, doc)
+}
+
+// FuzzParse looks for a document that ends the process, is wrong without a reason on each line, or is taken
+// and not read back the same.
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{
+		"service: remnant-finder\nupstream: {slots: 5, connections: 40}\nprefer: latency\n",
+		`{"service":"a","deadline":{"default":"60ms"}}`, "service: a\nhedge: {quantile: .nan}", "a: &a [*a]", "- ", "service: |\n  a\n", "? a\n: b", "service: a\n<<: {prefer: latency}",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		doc, err := document.Parse(b)
+		if err != nil {
+			for line := range strings.SplitSeq(err.Error(), "\n") {
+				if !strings.Contains(line, "; want ") {
+					t.Fatalf("%q: %q does not say what would be right", b, line)
+				}
+			}
+			return
+		}
+		again, err := document.Parse(doc.Encode())
+		if err != nil || again != doc {
+			t.Fatalf("%q: read as %+v, and again as %+v: %v", b, doc, again, err)
+		}
+	})
+}
--- /dev/null
+++ b/core/document/shape.go
@@ -0,0 +1,217 @@
+package document
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// checkShape reports unknown keys, values of the wrong type and what YAML allows but a document does not.
+//
+// The decoder alone names Go's types rather than the document's keys, stops at the first error, cuts 1.5 to
+// the whole number 1, and ignores a second document in the same file.
+func checkShape(b []byte) error {
+	file, err := parser.ParseBytes(b, 0)
+	if err != nil {
+		return syntaxError(err)
+	}
+	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
+		return &FieldError{"document", fmt.Sprintf("%d documents", countBodies(file)), "not one document", "one mapping of keys to values"}
+	}
+	p := &plainOnly{}
+	ast.Walk(p, file.Docs[0].Body)
+	if p.err != nil {
+		return p.err
+	}
+	var v any
+	if err := yaml.Unmarshal(b, &v); err != nil {
+		return syntaxError(err)
+	}
+	c := &checker{}
+	c.shape("", v, reflect.TypeFor[Document]())
+	return errors.Join(c.errs...)
+}
+
+func countBodies(file *ast.File) int {
+	n := 0
+	for _, doc := range file.Docs {
+		if doc.Body != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// syntaxError says on one line where a file is neither YAML nor JSON.
+func syntaxError(err error) error {
+	var y yaml.Error
+	if !errors.As(err, &y) {
+		return &FieldError{"document", "the file", err.Error(), "YAML or JSON"}
+	}
+	at := "the file"
+	if t := y.GetToken(); t != nil && t.Position != nil {
+		at = fmt.Sprintf("line %d, column %d", t.Position.Line, t.Position.Column)
+	}
+	return &FieldError{"document", at, y.GetMessage(), "YAML or JSON"}
+}
+
+// plainOnly finds anchors, aliases and tags: a few lines of aliases can stand for more values than memory holds.
+type plainOnly struct{ err error }
+
+// Visit implements ast.Visitor.
+func (p *plainOnly) Visit(node ast.Node) ast.Visitor {
+	switch node.(type) {
+	case *ast.AnchorNode, *ast.AliasNode, *ast.TagNode, *ast.MergeKeyNode:
+		at := node.GetToken().Position
+		p.err = &FieldError{"document", fmt.Sprintf("line %d, column %d", at.Line, at.Column), "anchors, aliases and tags can't be used", "plain values"}
+	}
+	if p.err != nil {
+		return nil
+	}
+	return p
+}
+
+// shape checks a value that was read against the type that it is for.
+func (c *checker) shape(key string, v any, t reflect.Type) {
+	want := wantOf(t)
+	switch {
+	case t == reflect.TypeFor[Duration]():
+		s, ok := v.(string)
+		if !ok {
+			c.check(false, key, show(v), "not a duration with a unit", want)
+			return
+		}
+		_, err := time.ParseDuration(s)
+		c.check(err == nil, key, show(v), "not a duration with a unit", want)
+	case t.Kind() == reflect.Struct:
+		m, ok := v.(map[string]any)
+		if !ok {
+			c.check(false, orDocument(key), show(v), "wrong type", want)
+			return
+		}
+		c.keys(key, m, t)
+	default:
+		c.check(fits(v, t.Kind()), key, show(v), "wrong type", want)
+	}
+}
+
+func (c *checker) keys(prefix string, m map[string]any, t reflect.Type) {
+	fields := fieldsOf(t)
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		key := join(prefix, name)
+		i := slices.IndexFunc(fields, func(f field) bool { return f.name == name })
+		if i < 0 {
+			c.check(false, key, show(m[name]), "unknown key", "one of "+listOf(fields))
+			continue
+		}
+		c.shape(key, m[name], fields[i].typ)
+	}
+}
+
+// field is one key of a document.
+type field struct {
+	name string
+	typ  reflect.Type
+}
+
+func fieldsOf(t reflect.Type) []field {
+	list := make([]field, t.NumField())
+	for i := range list {
+		list[i] = field{name: t.Field(i).Tag.Get("yaml"), typ: t.Field(i).Type}
+	}
+	return list
+}
+
+func listOf(fields []field) string {
+	names := make([]string, len(fields))
+	for i, f := range fields {
+		names[i] = f.name
+	}
+	return strings.Join(names, ", ")
+}
+
+func wantOf(t reflect.Type) string {
+	switch {
+	case t == reflect.TypeFor[Duration]():
+		return "a number with its unit, such as 60ms or 2s"
+	case t.Kind() == reflect.Struct:
+		return "a mapping of " + listOf(fieldsOf(t))
+	}
+	switch t.Kind() {
+	case reflect.Int:
+		return "a whole number"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Bool:
+		return "true or false"
+	default:
+		return "a string"
+	}
+}
+
+func fits(v any, kind reflect.Kind) bool {
+	switch v := v.(type) {
+	case string:
+		return kind == reflect.String
+	case bool:
+		return kind == reflect.Bool
+	case float64:
+		return kind == reflect.Float64
+	case int64:
+		return kind == reflect.Int || kind == reflect.Float64
+	case uint64:
+		return kind == reflect.Float64 || kind == reflect.Int && v <= 1<<62
+	default:
+		return false
+	}
+}
+
+const maxShown = 40
+
+// show writes a value as an operator wrote it, on one line and cut where it is long.
+func show(v any) string {
+	s := ""
+	switch v := v.(type) {
+	case nil:
+		return "no value"
+	case string:
+		s = strconv.Quote(v)
+	case map[string]any:
+		return "a mapping"
+	case []any:
+		return "a list"
+	default:
+		s = fmt.Sprint(v)
+	}
+	if len(s) > maxShown {
+		s = s[:maxShown] + "..."
+	}
+	return s
+}
+
+func join(prefix, name string) string {
+	if prefix == "" {
+		return name
+	}
+	return prefix + "." + name
+}
+
+func orDocument(key string) string {
+	if key == "" {
+		return "document"
+	}
+	return key
+}
--- a/core/upstream/messages.go
+++ b/core/upstream/messages.go
@@ -135,5 +135,10 @@
 	if !ok1 || !ok2 || err1 != nil || err2 != nil || err3 != nil || v <= 0 || n < 0 || n >= of || of > 100000 {
 		return Holding{}, fmt.Errorf("%s: %q is not version=shard/shards", HeaderVersions, s)
 	}
-	return Holding{Version: v, Shard: n, Shards: of}, nil
+	h := Holding{Version: v, Shard: n, Shards: of}
+	// The numbers are also read with signs and leading zeros, in which one holding would have many spellings.
+	if FormatHoldings([]Holding{h}) != s {
+		return Holding{}, fmt.Errorf("%s: %q is not version=shard/shards", HeaderVersions, s)
+	}
+	return h, nil
 }
