--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -52,20 +54,21 @@
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("PATH", binDir+string(os.PathListSeparator)+env.Getenv("PATH"))
-			env.Setenv("GORACE", "halt_on_error=1")
+			env.Setenv("GORACE", "halt_on_error=1 atexit_sleep_ms=0")
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"ports":  ports,
 			"post":   post,
 			"until":  until,
+			"grab":   grab,
 			"golden": golden,
 		},
 		RequireExplicitExec: true,
 	})
 }
 
-// ports N NAME finds N ports in a row that are free and sets NAME to the first address.
+// ports N NAME finds N ports in a row that are free and sets NAME to the first address, NAME_1 to the second and so on.
 func ports(ts *testscript.TestScript, _ bool, args []string) {
 	if len(args) != 2 {
 		ts.Fatalf("usage: ports N NAME")
@@ -73,53 +76,68 @@
 	n, err := strconv.Atoi(args[0])
 	ts.Check(err)
 	for range 100 {
-		if addr, ok := freeBlock(n); ok {
-			ts.Setenv(args[1], addr)
-			return
+		addr, ok := freeBlock(n)
+		if !ok {
+			continue
+		}
+		ts.Setenv(args[1], addr.String())
+		for i := 1; i < n; i++ {
+			ts.Setenv(fmt.Sprintf("%s_%d", args[1], i), netip.AddrPortFrom(addr.Addr(), addr.Port()+uint16(i)).String())
 		}
+		return
 	}
 	ts.Fatalf("found no %d free ports in a row", n)
 }
 
+// Ports below the range that the system gives to outgoing connections, so that none of those takes a port between the search and its use.
+const (
+	lowestPort  = 10000
+	highestPort = 32000
+)
+
 // freeBlock holds all the ports open while it looks, so that no other session is given one of them.
-func freeBlock(n int) (string, bool) {
+func freeBlock(n int) (netip.AddrPort, bool) {
 	var lc net.ListenConfig
-	first, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", false
-	}
-	defer first.Close()
-	base := first.Addr().(*net.TCPAddr).Port
-	for i := 1; i < n; i++ {
+	base := lowestPort + rand.IntN(highestPort-lowestPort-n)
+	for i := range n {
 		l, err := lc.Listen(context.Background(), "tcp", fmt.Sprintf("127.0.0.1:%d", base+i))
 		if err != nil {
-			return "", false
+			return netip.AddrPort{}, false
 		}
 		defer l.Close()
 	}
-	return first.Addr().String(), true
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(base)), true
 }
 
-// post URL BODY [HEADER] sends a request and keeps the status and the reply as standard output of the script.
+// post URL BODY [HEADER:VALUE]... sends a request and prints the status and the reply.
 func post(ts *testscript.TestScript, neg bool, args []string) {
 	if len(args) < 2 {
 		ts.Fatalf("usage: post URL BODY [HEADER:VALUE]...")
 	}
-	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+args[0], strings.NewReader(args[1]))
+	status, reply, err := send(http.MethodPost, args[0], args[1], args[2:])
 	ts.Check(err)
-	for _, h := range args[2:] {
+	if (status != http.StatusOK) != neg {
+		ts.Fatalf("status %d: %s", status, reply)
+	}
+	fmt.Fprintf(ts.Stdout(), "status %d\n%s\n", status, reply)
+}
+
+func send(method, url, body string, headers []string) (status int, reply string, err error) {
+	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+url, strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	for _, h := range headers {
 		k, v, _ := strings.Cut(h, ":")
 		req.Header.Set(k, v)
 	}
 	resp, err := http.DefaultClient.Do(req)
-	ts.Check(err)
+	if err != nil {
+		return 0, "", err
+	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
-	ts.Check(err)
-	if (resp.StatusCode != http.StatusOK) != neg {
-		ts.Fatalf("status %d: %s", resp.StatusCode, b)
-	}
-	fmt.Fprintf(ts.Stdout(), "status %d\n%s\n", resp.StatusCode, b)
+	return resp.StatusCode, string(b), err
 }
 
 const (
@@ -127,7 +145,7 @@
 	untilPause = 20 * time.Millisecond
 )
 
-// until PATTERN PROGRAM ARGS... runs a program again and again until what it prints matches.
+// until PATTERN PROGRAM ARGS... runs a program again and again until what it prints matches; the program "get" reads a URL.
 func until(ts *testscript.TestScript, _ bool, args []string) {
 	if len(args) < 2 {
 		ts.Fatalf("usage: until PATTERN PROGRAM ARGS...")
@@ -135,8 +153,7 @@
 	want := regexp.MustCompile(args[0])
 	var last string
 	for end := time.Now().Add(untilLimit); time.Now().Before(end); time.Sleep(untilPause) {
-		_ = ts.Exec(args[1], args[2:]...)
-		last = ts.ReadFile("stdout") + ts.ReadFile("stderr")
+		last = output(ts, args[1], args[2:])
 		if want.MatchString(last) {
 			return
 		}
@@ -144,6 +161,29 @@
 	ts.Fatalf("%s did not print %q in %v; last was:\n%s", args[1], args[0], untilLimit, last)
 }
 
+func output(ts *testscript.TestScript, program string, args []string) string {
+	if program == "get" {
+		_, reply, err := send(http.MethodGet, args[0], "", nil)
+		return fmt.Sprint(reply, err)
+	}
+	// A failure is what is being waited out; what was printed decides.
+	_ = ts.Exec(program, args...)
+	return ts.ReadFile("stdout") + ts.ReadFile("stderr")
+}
+
+// grab NAME PATTERN sets NAME to what the pattern's group matched in what was printed last.
+func grab(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: grab NAME PATTERN")
+	}
+	out := ts.ReadFile("stdout")
+	m := regexp.MustCompile(args[1]).FindStringSubmatch(out)
+	if len(m) != 2 {
+		ts.Fatalf("%q is not found in:\n%s", args[1], out)
+	}
+	ts.Setenv(args[0], m[1])
+}
+
 var varying = []struct {
 	pattern *regexp.Regexp
 	name    string
