load: Add make bench: scenes against the plain baseline in one run, interleaved

Cause: no figure could be put against a plain policy, nor told from noise. A difference inside the spread is called none. The documents are applied from a copy, since gsctl notes the version in the file, and a second run then started from a version that a fresh platform does not have (make bench failed so).

--- a/Makefile
+++ b/Makefile
@@ -35,5 +35,9 @@
 demo: build
 	scripts/demo.sh
 
+# bench prints the figures of every scene against the plain baseline; SCENE=name runs one, ROUNDS=n more often.
+bench: build
+	SCENE="$(SCENE)" ROUNDS="$(or $(ROUNDS),2)" scripts/bench.sh
+
 clean:
 	rm -rf $(BIN) .out
--- a/load/internal/drive/drive.go
+++ b/load/internal/drive/drive.go
@@ -87,6 +87,7 @@
 		wg.Go(func() { d.fault(ctx, f) })
 	}
 	wg.Wait()
+	d.mend()
 	time.Sleep(settle)
 	cpuUsed := d.cpuTime() - cpuBefore
 	cancel()
@@ -240,6 +241,29 @@
 	}
 }
 
+// mended ends every fault that lasts, so that the next run starts from healthy upstreams.
+const mended = `{"slow":1,"straggler_share":0,"shed_share":0,"draining":false,"claim_load":"","claim_lag":"0s","crash_marker":"","lose_replies":0,"reset_before":0,"foreign":0}`
+
+// mend ends the faults of the run; a replica that is down can't be told, and comes back without them by itself.
+func (d *Driver) mend() {
+	ctx, cancel := context.WithTimeout(context.Background(), writeDeadline)
+	defer cancel()
+	for _, f := range d.opts.Scene.Faults {
+		if f.Service == "" {
+			_ = truth.Command(ctx, d.opts.Platform, json.RawMessage(`{}`))
+			continue
+		}
+		for _, fleet := range d.opts.Fleets {
+			if fleet.Service != f.Service {
+				continue
+			}
+			for _, i := range f.Replicas {
+				_ = fleet.Command(ctx, i, json.RawMessage(mended))
+			}
+		}
+	}
+}
+
 // fail notes a fault that could not be set as an untruth of the run itself, so that the run does not count as one with the fault.
 func (d *Driver) fail(err error) {
 	if err == nil {
--- a/load/internal/report/table.go
+++ b/load/internal/report/table.go
@@ -17,6 +17,9 @@
 	PolicyBaseline = "baseline"
 )
 
+// ReferenceSuffix ends the name of the runs that a scene's ratios are taken against.
+const ReferenceSuffix = ".reference"
+
 // Spread is a figure over several rounds.
 type Spread struct {
 	Median, Least, Most float64
@@ -155,6 +158,8 @@
 		return "one round only"
 	case !ours.Apart(plain):
 		return "no difference outside the spread"
+	case plain.Median == 0:
+		return fmt.Sprintf("%+.4g", ours.Median)
 	default:
 		return fmt.Sprintf("%.2fx", ours.Median/plain.Median)
 	}
@@ -166,7 +171,7 @@
 	if !ok {
 		return Spread{}, fmt.Errorf("scene %s: measure %q is not known", sc.Name, name)
 	}
-	refs := t.of(sc.Reference, policy)
+	refs := t.of(sc.Name+ReferenceSuffix, policy)
 	var values []float64
 	for _, run := range t.of(sc.Name, policy) {
 		var ref measure.Summary
--- a/load/internal/scene/scene.go
+++ b/load/internal/scene/scene.go
@@ -31,14 +31,31 @@
 	Writes Writes `yaml:"writes"`
 	// Faults are set in the course of the run.
 	Faults []Fault `yaml:"faults"`
-	// Reference is the scene whose run this one is compared with, such as the healthy one; it may be empty.
-	Reference string `yaml:"reference"`
+	// Reference changes the scene into the one that its ratios are taken against, such as the same without the fault; nil for none.
+	Reference *Reference `yaml:"reference"`
 	// Aims are what the table compares the runs with.
 	Aims []Aim `yaml:"aims"`
 	// Action is what the script that starts the processes does in the course of the run, such as kill_host.
 	Action string `yaml:"action"`
 }
 
+// Reference is a run without the scene's faults and action, at a rate of its own and without a hot caller.
+type Reference struct {
+	Rate float64 `yaml:"rate"`
+}
+
+// AsReference returns the scene that the ratios of s are taken against.
+func (s Scene) AsReference() (Scene, error) {
+	if s.Reference == nil {
+		return s, fmt.Errorf("scene %s has no reference", s.Name)
+	}
+	s.Faults, s.Action, s.HotShare = nil, "", 0
+	if s.Reference.Rate > 0 {
+		s.Rate = s.Reference.Rate
+	}
+	return s, nil
+}
+
 // Aim bounds one measure of a scene; a bound that is not set does not apply.
 type Aim struct {
 	// Measure names the figure: see report.Measures.
--- a/load/run.go
+++ b/load/run.go
@@ -19,6 +19,7 @@
 func runCommand(app *kingpin.Application) command {
 	cmd := app.Command("run", "Run one scene once against one set of hosts, compare the answers with the truth and print the measures.")
 	file := cmd.Flag("scene", "File of the scene.").Required().String()
+	reference := cmd.Flag("reference", "Run what the scene's ratios are taken against, instead of the scene.").Bool()
 	policy := cmd.Flag("policy", "Name of what the hosts run, for the table.").Default(report.PolicySystem).String()
 	round := cmd.Flag("round", "Number of the round.").Default("1").Int()
 	seed := cmd.Flag("seed", "Seed of the arrivals.").Default("1").Uint64()
@@ -33,6 +34,12 @@
 		if err != nil {
 			return usageError{err}
 		}
+		if *reference {
+			if sc, err = sc.AsReference(); err != nil {
+				return usageError{err}
+			}
+			sc.Name += report.ReferenceSuffix
+		}
 		opts := drive.Options{
 			Scene: sc, Seed: *seed, Run: fmt.Sprintf("%s-%s-%d", sc.Name, *policy, *round),
 			Hosts: *hostList, Platform: *plat, PIDs: *pids,
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -21,8 +21,8 @@
 
 echo "platform on $PLATFORM, remnant-finder ($SHARDS shards x 3 replicas), donor-desk (6 replicas), 3 entry hosts from port $ENTRY_BASE"
 start platform "$BIN/standin" platform --listen="$PLATFORM"
-until_ok "the platform answers" "$BIN/gsctl" --platform="$PLATFORM" apply examples/remnant-finder.yaml
-"$BIN/gsctl" --platform="$PLATFORM" apply examples/donor-desk.yaml
+until_ok "the platform answers" apply examples/remnant-finder.yaml
+apply examples/donor-desk.yaml
 FINDER_FLAGS=(--shards="$SHARDS" --replicas=3 --zones="$ZONES" --slots=5 --connections=40 --connect-cost=6ms --service-time=10ms)
 upstream remnant-finder "$FINDER" "${FINDER_FLAGS[@]}" --except="$VICTIM"
 SUFFIX=-victim upstream remnant-finder "$FINDER" "${FINDER_FLAGS[@]}" --only="$VICTIM"
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -73,3 +73,9 @@
   kill -KILL "$1"
   wait "$1" 2>/dev/null || true
 }
+
+# apply FILE proposes a copy of a document, since gsctl notes in the file which version it was applied as.
+apply() {
+  cp "$1" "$LOGS/$(basename "$1")"
+  "$BIN/gsctl" --platform="$PLATFORM" apply "$LOGS/$(basename "$1")"
+}
