--- a/load/internal/drive/drive.go
+++ b/load/internal/drive/drive.go
@@ -75,7 +75,7 @@
 // Run sends the scene's requests, waits for all of them, and compares them with the truth.
 func (d *Driver) Run(ctx context.Context) measure.Summary {
 	d.readTruths(ctx)
-	before, cpuBefore := d.requests(), d.cpuTime()
+	before, cpuBefore := d.counts(), d.cpuTime()
 	d.start = time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -83,6 +83,7 @@
 	watch.Go(func() { d.watchTruths(ctx) })
 	wg.Go(func() { d.sendQueries(ctx) })
 	wg.Go(func() { d.sendWrites(ctx) })
+	wg.Go(func() { d.sendPoison(ctx) })
 	for _, f := range d.opts.Scene.Faults {
 		wg.Go(func() { d.fault(ctx, f) })
 	}
@@ -182,6 +183,25 @@
 	}
 }
 
+// sendPoison plays a caller that sends a query again and again, each time as a new request, though it crashes what runs it.
+func (d *Driver) sendPoison(ctx context.Context) {
+	p := d.opts.Scene.Poison
+	for n := range p.Times {
+		at := p.At.Std() + time.Duration(n)*p.Every.Std()
+		if !sleepUntil(ctx, d.start.Add(at)) {
+			return
+		}
+		deadline := time.Now().Add(d.opts.Scene.Deadline.Std())
+		askCtx, cancel := context.WithDeadline(ctx, deadline.Add(grace))
+		// What it gets does not matter; what it does to the others does.
+		_ = d.callers[n%len(d.callers)].Query(askCtx, hosts.QueryRequest{
+			Service: d.opts.Scene.Service, ID: fmt.Sprintf("%s-poison%d", d.opts.Run, n), Deadline: deadline,
+			Query: caller.Query{Query: p.Text, Limit: d.opts.Scene.Limit},
+		})
+		cancel()
+	}
+}
+
 func (d *Driver) sendWrites(ctx context.Context) {
 	w := d.opts.Scene.Writes
 	if w.Rate <= 0 {
@@ -288,14 +308,18 @@
 	}
 }
 
-func (d *Driver) requests() int {
-	n := 0
+// counts is what the replicas have counted since they started.
+type counts struct{ requests, crashes int }
+
+func (d *Driver) counts() counts {
+	var c counts
 	for _, f := range d.opts.Fleets {
 		if f.Service == d.opts.Scene.Service {
-			n += f.Requests()
+			c.requests += f.Requests()
+			c.crashes += f.Crashes()
 		}
 	}
-	return n
+	return c
 }
 
 func (d *Driver) cpuTime() time.Duration {
@@ -310,13 +334,14 @@
 	return sum
 }
 
-func (d *Driver) summary(before int, cpuUsed time.Duration) measure.Summary {
+func (d *Driver) summary(before counts, cpuUsed time.Duration) measure.Summary {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	sc := d.opts.Scene
 	sum := measure.Summarize(d.samples, sc.Warmup.Std(), sc.Duration.Std())
 	sum.Scene, sum.Writes = sc.Name, d.told
-	sum.Sent, sum.Needed = d.requests()-before, d.needed
+	after := d.counts()
+	sum.Sent, sum.Needed, sum.Crashes = after.requests-before.requests, d.needed, after.crashes-before.crashes
 	if sum.Needed > 0 {
 		sum.Extra = float64(sum.Sent)/float64(sum.Needed) - 1
 	}
@@ -326,6 +351,7 @@
 	ran := map[string]int{}
 	for _, f := range d.opts.Fleets {
 		sum.LostTruths += f.Lost()
+		sum.AfterDrainMS = max(sum.AfterDrainMS, f.AfterDrain())
 		peak, refused := f.Peak()
 		sum.PeakConnections = max(sum.PeakConnections, peak)
 		sum.RefusedConnections += refused
--- a/load/internal/measure/measure.go
+++ b/load/internal/measure/measure.go
@@ -84,6 +84,11 @@
 	// LostTruths counts replicas whose truth could not be read at the end; Sent leaves out their last second.
 	LostTruths int `json:"lost_truths"`
 
+	// Crashes counts the crashes of replicas that a request caused.
+	Crashes int `json:"crashes"`
+	// AfterDrainMS is how long after the start of its drain a replica still took work.
+	AfterDrainMS int64 `json:"after_drain_ms"`
+
 	Writes map[string]int `json:"writes,omitempty"`
 	Lies   []string       `json:"lies,omitempty"`
 }
--- a/load/internal/report/plot.go
+++ b/load/internal/report/plot.go
@@ -1,19 +1,14 @@
 package report
 
 import (
-	"encoding/csv"
 	"fmt"
-	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
-
-	"guavaspring.org/core/caller"
 )
 
 const (
@@ -63,40 +58,13 @@
 func (t *Table) took(dir, sceneName, policy string) ([]float64, error) {
 	var all []float64
 	for _, run := range t.of(sceneName, policy) {
-		list, err := ReadLatencies(fileOf(dir, run, "csv"))
+		list, err := ReadSamples(fileOf(dir, run, "csv"))
 		if err != nil {
 			return nil, err
 		}
-		all = append(all, list...)
-	}
-	return all, nil
-}
-
-// ReadLatencies returns the latency of every answer in a file of samples that is not a refusal, in milliseconds.
-func ReadLatencies(file string) ([]float64, error) {
-	f, err := os.Open(file)
-	if err != nil {
-		return nil, fmt.Errorf("samples: %w", err)
-	}
-	defer func() { _ = f.Close() }()
-	rows, err := csv.NewReader(f).ReadAll()
-	if err != nil || len(rows) == 0 {
-		return nil, fmt.Errorf("samples %s: no rows: %w", file, err)
-	}
-	took, outcome := slices.Index(rows[0], "took_ms"), slices.Index(rows[0], "outcome")
-	if took < 0 || outcome < 0 {
-		return nil, fmt.Errorf("samples %s: no columns took_ms and outcome", file)
-	}
-	var list []float64
-	for _, row := range rows[1:] {
-		if row[outcome] == string(caller.OutcomeRefused) {
-			continue
+		for _, s := range list {
+			all = append(all, s.Took.Seconds()*1000)
 		}
-		v, err := strconv.ParseFloat(row[took], 64)
-		if err != nil {
-			return nil, fmt.Errorf("samples %s: %w", file, err)
-		}
-		list = append(list, v)
 	}
-	return list, nil
+	return all, nil
 }
--- a/load/internal/report/table.go
+++ b/load/internal/report/table.go
@@ -199,5 +199,17 @@
 	"failed":                func(run, _ measure.Summary) float64 { return float64(run.Failed + run.Errors) },
 	"cpu_per_query_ms":      func(run, _ measure.Summary) float64 { return run.CPUPerQueryMS },
 	"lies":                  func(run, _ measure.Summary) float64 { return float64(len(run.Lies)) },
+	"crashes":               func(run, _ measure.Summary) float64 { return float64(run.Crashes) },
+	"after_drain_ms":        func(run, _ measure.Summary) float64 { return float64(run.AfterDrainMS) },
+	"writes_done_share":     func(run, _ measure.Summary) float64 { return writesShare(run, "done") },
+	"writes_unknown_share":  func(run, _ measure.Summary) float64 { return writesShare(run, "unknown") },
 	"refused_connections":   func(run, _ measure.Summary) float64 { return float64(run.RefusedConnections) },
 }
+
+func writesShare(run measure.Summary, outcome string) float64 {
+	n := 0
+	for _, v := range run.Writes {
+		n += v
+	}
+	return float64(run.Writes[outcome]) / float64(max(1, n))
+}
--- a/load/internal/scene/scene.go
+++ b/load/internal/scene/scene.go
@@ -29,6 +29,10 @@
 	HotShare float64 `yaml:"hot_share"`
 	// Writes are sent beside the queries.
 	Writes Writes `yaml:"writes"`
+	// Poison is a query that crashes each replica that runs it, sent again and again.
+	Poison Poison `yaml:"poison"`
+	// Policies names the policies that the scene is run for, all where it is empty.
+	Policies []string `yaml:"policies"`
 	// Faults are set in the course of the run.
 	Faults []Fault `yaml:"faults"`
 	// Reference changes the scene into the one that its ratios are taken against, such as the same without the fault; nil for none.
@@ -89,6 +93,14 @@
 	Rate    float64 `yaml:"rate"`
 }
 
+// Poison is a marked query that its caller keeps sending, to one host after another; its answers are not counted.
+type Poison struct {
+	Text  string            `yaml:"text"`
+	At    document.Duration `yaml:"at"`
+	Every document.Duration `yaml:"every"`
+	Times int               `yaml:"times"`
+}
+
 // Fault is set at a time of the run.
 type Fault struct {
 	At document.Duration `yaml:"at"`
--- a/load/internal/truth/truth.go
+++ b/load/internal/truth/truth.go
@@ -17,6 +17,8 @@
 const (
 	readTimeout = 2 * time.Second
 	readTries   = 3
+	// crashCommand is what a replica notes as the cause of a crash on command.
+	crashCommand = "command"
 )
 
 // Replica is the truth of one replica.
@@ -112,6 +114,32 @@
 	return peak, refused
 }
 
+// Crashes returns how often the replicas have crashed on a request, not on command.
+func (f *Fleet) Crashes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, r := range f.last {
+		for _, by := range r.Crashes {
+			if by != crashCommand {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// AfterDrain returns how long after the start of its drain any replica still took work, in milliseconds.
+func (f *Fleet) AfterDrain() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var most int64
+	for _, r := range f.last {
+		most = max(most, r.AfterDrainMS)
+	}
+	return most
+}
+
 // Ran returns how often each write took effect at all replicas together.
 func (f *Fleet) Ran() map[string]int {
 	f.mu.Lock()
--- a/load/run.go
+++ b/load/run.go
@@ -90,6 +90,12 @@
 	if len(s.Writes) > 0 {
 		fmt.Fprintf(w, "  writes                       done %d  not_run %d  unknown %d  not sent %d\n", s.Writes["done"], s.Writes["not_run"], s.Writes["unknown"], s.Writes["not_sent"])
 	}
+	if s.Crashes > 0 {
+		fmt.Fprintf(w, "  crashes by a request         %d\n", s.Crashes)
+	}
+	if s.AfterDrainMS > 0 {
+		fmt.Fprintf(w, "  work after a drain began     for %d ms\n", s.AfterDrainMS)
+	}
 	fmt.Fprintf(w, "  untruths                     %d\n", len(s.Lies))
 	for _, l := range s.Lies {
 		fmt.Fprintf(w, "    %s\n", l)
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -6,7 +6,7 @@
 OUT="${OUT:-$PWD/.out/bench}"
 LOGS="$OUT/logs"
 ROUNDS="${ROUNDS:-2}"
-ALL="healthy slow_replica shard_gone overload hot_caller cold_restart host_killed platform_down cost"
+ALL="healthy slow_replica shard_gone overload hot_caller cold_restart host_killed platform_down cost repartition silent drain crash_request lost_replies"
 SCENES="${SCENE:-$ALL}"
 SETTLE=1
 mkdir -p "$LOGS"
@@ -44,11 +44,17 @@
   PEER_BASE=$((first + 6))
   BASE_PORT=$((first + 11))
   FINDER="127.0.0.1:$((first + 20))"
+  DESK="127.0.0.1:$((first + 52))"
   declare -gA HOST_PID=()
   start platform "$BIN/standin" platform --listen="$PLATFORM"
+  INDEX_VERSION=1
+  INDEX_SHARDS="$SHARDS"
   until_ok "the platform answers" apply examples/remnant-finder.yaml
   upstream remnant-finder "$FINDER" --shards="$SHARDS" --replicas="$REPLICAS" --slots=5 --connections=40 \
     --connect-cost=6ms --service-time=40ms --jitter=0.1 --zones=osborne-hall,picton-shed,webberton-room
+  apply examples/donor-desk.yaml >/dev/null
+  upstream donor-desk "$DESK" --shards=1 --replicas=6 --slots=6 --connections=100 --connect-cost=1ms --service-time=10ms \
+    --zones=osborne-hall,picton-shed,webberton-room
   for policy in guavaspring baseline; do
     for n in $(seq 0 $((HOSTS - 1))); do one_host "$policy" "$n"; done
   done
@@ -69,6 +75,15 @@
     sleep 3.5
     kill_hard "${HOST_PID["$2-2"]}"
     ;;
+  repartition)
+    local shards=15
+    if [ "$INDEX_SHARDS" = 15 ]; then shards=10; fi
+    sleep 2.5
+    "$BIN/standin" index --base="$FINDER" --replicas=$((SHARDS * REPLICAS)) --old-version="$INDEX_VERSION" --old-shards="$INDEX_SHARDS" \
+      --index-version=$((INDEX_VERSION + 1)) --shards="$shards" --step=50ms --overlap=1s
+    INDEX_VERSION=$((INDEX_VERSION + 1))
+    INDEX_SHARDS="$shards"
+    ;;
   replace_hosts)
     for n in $(seq 0 $((HOSTS - 1))); do
       sleep 2.5
@@ -89,7 +104,7 @@
     pids+=(--pid="${HOST_PID["$policy-$n"]}")
   done
   "$BIN/load" run --scene="load/scenes/$scene.yaml" --policy="$policy" --round="$round" --seed="$round" --out="$OUT" \
-    --hosts="$hosts" --fleet="remnant-finder=$FINDER+$((SHARDS * REPLICAS))" --platform="$PLATFORM" "${pids[@]}" "$@" \
+    --hosts="$hosts" --fleet="remnant-finder=$FINDER+$((SHARDS * REPLICAS))" --fleet="donor-desk=$DESK+6" --platform="$PLATFORM" "${pids[@]}" "$@" \
     >>"$LOGS/$scene-$policy.txt" 2>&1 &
   LOAD=$!
   PIDS+=("$LOAD")
@@ -106,14 +121,15 @@
 }
 
 bench_scene() {
-  local scene="$1" action
+  local scene="$1" action policies="guavaspring baseline"
+  if grep -q '^policies: \[guavaspring\]' "load/scenes/$scene.yaml"; then policies=guavaspring; fi
   action="$(sed -n 's/^action: //p' "load/scenes/$scene.yaml")"
   echo "$scene: $(sed -n 's/^about: //p' "load/scenes/$scene.yaml")"
   rm -rf "${OUT:?}/$scene" "$OUT/$scene.reference"
   start_all
   all_answer
   for round in $(seq "$ROUNDS"); do
-    for policy in guavaspring baseline; do
+    for policy in $policies; do
       if grep -q '^reference:' "load/scenes/$scene.yaml"; then
         run "$policy" "$round" "$scene" --reference
         finish "$scene"
