--- a/load/run.go
+++ b/load/run.go
@@ -19,6 +19,7 @@
 func runCommand(app *kingpin.Application) command {
 	cmd := app.Command("run", "Run one scene once against one set of hosts, compare the answers with the truth and print the measures.")
 	file := cmd.Flag("scene", "File of the scene.").Required().String()
+	reference := cmd.Flag("reference", "Run what the scene's ratios are taken against, instead of the scene.").Bool()
 	policy := cmd.Flag("policy", "Name of what the hosts run, for the table.").Default(report.PolicySystem).String()
 	round := cmd.Flag("round", "Number of the round.").Default("1").Int()
 	seed := cmd.Flag("seed", "Seed of the arrivals.").Default("1").Uint64()
@@ -33,6 +34,12 @@
 		if err != nil {
 			return usageError{err}
 		}
+		if *reference {
+			if sc, err = sc.AsReference(); err != nil {
+				return usageError{err}
+			}
+			sc.Name += report.ReferenceSuffix
+		}
 		opts := drive.Options{
 			Scene: sc, Seed: *seed, Run: fmt.Sprintf("%s-%s-%d", sc.Name, *policy, *round),
 			Hosts: *hostList, Platform: *plat, PIDs: *pids,
@@ -83,6 +90,12 @@
 	if len(s.Writes) > 0 {
 		fmt.Fprintf(w, "  writes                       done %d  not_run %d  unknown %d  not sent %d\n", s.Writes["done"], s.Writes["not_run"], s.Writes["unknown"], s.Writes["not_sent"])
 	}
+	if s.Crashes > 0 {
+		fmt.Fprintf(w, "  crashes by a request         %d\n", s.Crashes)
+	}
+	if s.AfterDrainMS > 0 {
+		fmt.Fprintf(w, "  work after a drain began     for %d ms\n", s.AfterDrainMS)
+	}
 	fmt.Fprintf(w, "  untruths                     %d\n", len(s.Lies))
 	for _, l := range s.Lies {
 		fmt.Fprintf(w, "    %s\n", l)
