settings: Name the setting that is wrong, and take names and addresses that can be used

Cause: kingpin hands on the error of a value without the flag's name, so 'entry: "foo" is not an IP number with a port' left the operator to guess which of four; an empty zone and 0.0.0.0, which others are told to connect to, were taken. Change: each parser names flag and variable; Name checks zones and regions; addresses without host or port are errors.

--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/netip"
 	"os"
+	"regexp"
 	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -34,12 +35,15 @@
 
 // AddrPort registers a parser on clause for an "IP:port" setting; host names are errors, since processes talk by IP number.
 func AddrPort(clause *kingpin.FlagClause) *netip.AddrPort {
-	v := &addrPort{}
+	v := &addrPort{clause: clause}
 	clause.SetValue(v)
 	return &v.ap
 }
 
-type addrPort struct{ ap netip.AddrPort }
+type addrPort struct {
+	clause *kingpin.FlagClause
+	ap     netip.AddrPort
+}
 
 func (v *addrPort) String() string {
 	if !v.ap.IsValid() {
@@ -50,8 +54,13 @@
 
 func (v *addrPort) Set(s string) error {
 	ap, err := netip.ParseAddrPort(s)
-	if err != nil {
-		return fmt.Errorf("%q is not an IP number with a port, such as 127.0.0.1:7000", s)
+	switch {
+	case err != nil:
+		return wrong(v.clause, s, "is not an IP number with a port, such as 127.0.0.1:7000")
+	case ap.Addr().IsUnspecified():
+		return wrong(v.clause, s, "names no host; others are told to connect to this address")
+	case ap.Port() == 0:
+		return wrong(v.clause, s, "names no port; others are told to connect to this address")
 	}
 	v.ap = ap
 	return nil
@@ -59,12 +68,15 @@
 
 // AddrPorts registers a parser on clause for a comma-separated list of "IP:port" settings.
 func AddrPorts(clause *kingpin.FlagClause) *[]netip.AddrPort {
-	v := &addrPorts{}
+	v := &addrPorts{clause: clause}
 	clause.SetValue(v)
 	return &v.list
 }
 
-type addrPorts struct{ list []netip.AddrPort }
+type addrPorts struct {
+	clause *kingpin.FlagClause
+	list   []netip.AddrPort
+}
 
 func (v *addrPorts) String() string {
 	parts := make([]string, len(v.list))
@@ -76,7 +88,7 @@
 
 func (v *addrPorts) Set(s string) error {
 	for part := range strings.SplitSeq(s, ",") {
-		one := addrPort{}
+		one := addrPort{clause: v.clause}
 		if err := one.Set(strings.TrimSpace(part)); err != nil {
 			return err
 		}
@@ -84,3 +96,33 @@
 	}
 	return nil
 }
+
+var validName = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+
+// Name registers a parser on clause for a name, such as that of an availability zone.
+func Name(clause *kingpin.FlagClause) *string {
+	v := &name{clause: clause}
+	clause.SetValue(v)
+	return &v.s
+}
+
+type name struct {
+	clause *kingpin.FlagClause
+	s      string
+}
+
+func (v *name) String() string { return v.s }
+
+func (v *name) Set(s string) error {
+	if !validName.MatchString(s) {
+		return wrong(v.clause, s, "is not a name; want lower-case letters, digits and hyphens, starting with a letter, at most 63")
+	}
+	v.s = s
+	return nil
+}
+
+// wrong names the setting, which kingpin leaves out of the error of a value.
+func wrong(clause *kingpin.FlagClause, value, why string) error {
+	model := clause.Model()
+	return fmt.Errorf("--%s (or %s): %q %s", model.Name, model.Envar, value, why)
+}
--- a/entry/main.go
+++ b/entry/main.go
@@ -20,8 +20,8 @@
 	peer := settings.AddrPort(app.Flag("peer", "IP:port for the other hosts.").Required())
 	seeds := settings.AddrPorts(app.Flag("seeds", "IP:port,... of other hosts to join; more are found through the platform."))
 	plat := settings.AddrPort(app.Flag("platform", "IP:port of the platform's object API.").Required())
-	zone := app.Flag("zone", "Availability zone of this host.").Required().String()
-	region := app.Flag("region", "Region of this host.").Default("local").String()
+	zone := settings.Name(app.Flag("zone", "Availability zone of this host.").Required())
+	region := settings.Name(app.Flag("region", "Region of this host.").Default("local"))
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		settings.Fail(os.Stderr, "entry", err)
 	}
