--- a/core/caller/messages.go
+++ b/core/caller/messages.go
@@ -39,8 +39,13 @@
 	HeaderDeadline = "X-Deadline-Ms"
 	HeaderRequest  = "X-Request-Id"
 	HeaderTicket   = "X-Ticket"
+	// HeaderUseAddresses is UseRefresh on a reply of a host that serves and should not be used for what comes next.
+	HeaderUseAddresses = "X-Use-Addresses"
 )
 
+// UseRefresh tells a caller to ask for addresses again, though its answer may still be kept.
+const UseRefresh = "refresh"
+
 // Query is the body of a query.
 type Query struct {
 	// Query is passed on to every shard as it is.
--- a/entry/internal/callers/server.go
+++ b/entry/internal/callers/server.go
@@ -45,6 +45,10 @@
 	Ready func() error
 	// Addresses answers which hosts a caller should use.
 	Addresses func(req AddressRequest) (caller.Addresses, error)
+	// Refresh reports whether callers of a service should ask for addresses again; nil means never.
+	Refresh func(service string) bool
+	// Filter stands before every request; it may be nil.
+	Filter func(next http.Handler) http.Handler
 	// Write runs a write.
 	Write func(ctx context.Context, req WriteRequest) caller.WriteAnswer
 }
@@ -72,8 +76,14 @@
 
 // New returns the kratos HTTP server of a host; it listens once it is started.
 func New(opts Options) *khttp.Server {
+	if opts.Refresh == nil {
+		opts.Refresh = func(string) bool { return false }
+	}
+	if opts.Filter == nil {
+		opts.Filter = func(next http.Handler) http.Handler { return next }
+	}
 	h := &handler{opts: opts}
-	srv := khttp.NewServer(khttp.Address(opts.Listen.String()), khttp.Timeout(0),
+	srv := khttp.NewServer(khttp.Address(opts.Listen.String()), khttp.Timeout(0), khttp.Filter(opts.Filter),
 		khttp.NotFoundHandler(http.HandlerFunc(notFound)), khttp.MethodNotAllowedHandler(http.HandlerFunc(wrongMethod)))
 	srv.ReadHeaderTimeout, srv.IdleTimeout, srv.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeaders
 	r := srv.Route("/")
@@ -176,6 +186,9 @@
 		problem(w, http.StatusNotFound, "unknown_service", fmt.Sprintf("no service %q is configured here", name))
 		return c, false
 	}
+	if h.opts.Refresh(name) {
+		w.Header().Set(caller.HeaderUseAddresses, caller.UseRefresh)
+	}
 	doc := c.service.Generation().Document
 	var err error
 	if c.deadline, err = deadlineOf(r, c.arrived, doc.Deadline.Default.Std(), doc.Deadline.Max.Std()); err != nil {
--- /dev/null
+++ b/entry/internal/drainer/drainer_test.go
@@ -0,0 +1,155 @@
+package drainer_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/caller"
+	"guavaspring.org/entry/internal/drainer"
+)
+
+// steps is a clock whose time moves when the test says so.
+type steps struct {
+	now  chan time.Time
+	tick chan time.Time
+}
+
+func (s steps) Now() time.Time {
+	now := <-s.now
+	s.now <- now
+	return now
+}
+func (s steps) After(time.Duration) <-chan time.Time               { return s.tick }
+func (s steps) AfterFunc(time.Duration, func()) (stop func() bool) { panic("not used") }
+
+// host is a server on a port of its own that is run and stopped as a host is.
+type host struct {
+	addr      string
+	app       *kratos.App
+	ended     chan error
+	announced chan struct{}
+	// begun receives once a request to /slow runs, which ends when release is closed.
+	begun, release chan struct{}
+	clock          steps
+}
+
+func start(c *qt.C) *host {
+	var lc net.ListenConfig
+	l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	h := &host{
+		addr: l.Addr().String(), ended: make(chan error, 1), announced: make(chan struct{}),
+		begun: make(chan struct{}), release: make(chan struct{}),
+		clock: steps{now: make(chan time.Time, 1), tick: make(chan time.Time)},
+	}
+	h.clock.now <- time.Unix(0, 0)
+	d := drainer.New(drainer.Options{
+		Clock: h.clock, Grace: func() time.Duration { return time.Minute }, Announce: func(context.Context) { close(h.announced) },
+	})
+	srv := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0), khttp.Filter(d.Filter))
+	srv.HandleFunc("/slow", func(w http.ResponseWriter, _ *http.Request) {
+		h.begun <- struct{}{}
+		<-h.release
+		w.WriteHeader(http.StatusOK)
+	})
+	srv.HandleFunc("/quick", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	h.app = kratos.New(kratos.Server(srv), kratos.BeforeStop(d.Leave), kratos.StopTimeout(time.Minute))
+	go func() { h.ended <- h.app.Run() }()
+	return h
+}
+
+func (h *host) get(c *qt.C, client *http.Client, path string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+h.addr+path, nil)
+	c.Assert(err, qt.IsNil)
+	resp, err := client.Do(req)
+	if err == nil {
+		resp.Body.Close()
+	}
+	return resp, err
+}
+
+// An operator stops a host while a family waits for a colour match, and while other callers still hold the
+// host's address. The match must be answered; those that come must be served, and be told to go elsewhere;
+// a connection that lay idle must serve too. Only then may the port close.
+func TestPlannedStopCutsOffNothing(t *testing.T) {
+	c := qt.New(t)
+	h := start(c)
+	idle := &http.Client{Transport: &http.Transport{}}
+	resp, err := h.get(c, idle, "/quick")
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.Close, qt.IsFalse)
+
+	answered := make(chan error, 1)
+	go func() {
+		_, err := h.get(c, &http.Client{Transport: &http.Transport{}}, "/slow")
+		answered <- err
+	}()
+	<-h.begun
+	go func() { _ = h.app.Stop() }()
+	<-h.announced
+
+	for _, client := range []*http.Client{idle, {Transport: &http.Transport{}}} {
+		resp, err := h.get(c, client, "/quick")
+		c.Assert(err, qt.IsNil)
+		c.Check(resp.StatusCode, qt.Equals, http.StatusOK)
+		c.Check(resp.Close, qt.IsTrue)
+		c.Check(resp.Header.Get(caller.HeaderUseAddresses), qt.Equals, caller.UseRefresh)
+	}
+
+	<-h.clock.now
+	h.clock.now <- time.Unix(120, 0)
+	h.clock.tick <- time.Unix(120, 0)
+	for {
+		// The port closes once the grace is over; until then connections are still taken.
+		var d net.Dialer
+		conn, err := d.DialContext(context.Background(), "tcp", h.addr)
+		if err != nil {
+			break
+		}
+		conn.Close()
+	}
+	select {
+	case err := <-answered:
+		c.Fatalf("the request in flight ended before it was answered: %v", err)
+	default:
+	}
+	close(h.release)
+	c.Check(<-answered, qt.IsNil)
+	c.Check(<-h.ended, qt.IsNil)
+}
+
+// The last host of a site is stopped. There is nobody to leave the callers to, so it must not keep the
+// operator waiting.
+func TestGraceEndsWhereNoOtherHostServes(t *testing.T) {
+	c := qt.New(t)
+	others := 3
+	d := drainer.New(drainer.Options{
+		Clock: still{}, Grace: func() time.Duration { return time.Minute }, Announce: func(context.Context) {},
+		Alone: func() bool {
+			others--
+			return others == 0
+		},
+	})
+	c.Check(d.Leave(context.Background()), qt.IsNil)
+	c.Check(others, qt.Equals, 0)
+	c.Check(d.Leaving(), qt.IsTrue)
+}
+
+// still is a clock that does not move, and whose waits end at once.
+type still struct{}
+
+func (still) Now() time.Time { return time.Unix(0, 0) }
+func (still) After(time.Duration) <-chan time.Time {
+	ch := make(chan time.Time, 1)
+	ch <- time.Unix(0, 0)
+	return ch
+}
+func (still) AfterFunc(time.Duration, func()) (stop func() bool) { panic("not used") }
--- /dev/null
+++ b/entry/internal/steer/doc.go
@@ -0,0 +1,2 @@
+// Package steer decides which hosts a caller is told to use for a service.
+package steer
