standin: Wait for a platform that starts at the same time

The upstream stand-in lists its replicas once, after its start; when the platform stand-in was not listening yet, it ended with "connection refused" and no replica was ever listed.

Change: listing is tried again every 50 ms for at most 10 s.

--- a/standin/internal/fleet/fleet.go
+++ b/standin/internal/fleet/fleet.go
@@ -68,16 +68,38 @@
 	return list, nil
 }
 
-// Register lists every replica on the platform stand-in.
+// How long and how often a replica is listed again while the platform does not answer.
+const (
+	registerFor   = 10 * time.Second
+	registerEvery = 50 * time.Millisecond
+)
+
+// Register lists every replica on the platform stand-in, and waits for a platform that starts at the same time.
 func (f *Fleet) Register(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, registerFor)
+	defer cancel()
 	for _, i := range f.mine() {
-		if err := f.tell(ctx, i, f.id(i), platform.StateLive, false); err != nil {
+		if err := f.register(ctx, i); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+func (f *Fleet) register(ctx context.Context, i int) error {
+	for {
+		err := f.tell(ctx, i, f.id(i), platform.StateLive, false)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(registerEvery):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
 func (f *Fleet) tell(ctx context.Context, i int, id string, state platform.ReplicaState, gone bool) error {
 	row := platform.Replica{
 		Service: f.opts.Service, Addr: f.addr(i), State: state,
