core/upstream: Say not_sent only where no byte left, and send nothing twice

Cause: every failed try was broken or canceled, also where the dial was refused, so a write could never be called not_run truly. Redirects were followed: a POST became a GET at the address that a reply named, and an empty 307 was sent twice. A refusal was believed without a look at its id. A reply over the bound was cut.

Ruled out: error texts (they don't tell bytes), WroteRequest (may fire after Do returned), a bare byte count (net/http's writing goroutine may write after Do returned from a cancel).

Change: the connection counts its bytes and is fenced under the lock of Write when a try fails; the deadline is read again at the first byte; Location is hidden; refusals must name the try; a refusal of another kind that says not run is KindRefused.

--- a/core/upstream/client.go
+++ b/core/upstream/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -39,11 +40,12 @@
 		opts.Clock = clock.System{}
 	}
 	tr := &http.Transport{
+		DialContext:         dial,
 		MaxConnsPerHost:     opts.Seats,
 		MaxIdleConnsPerHost: opts.Seats,
 		DisableCompression:  true,
 	}
-	hc, err := khttp.NewClient(context.Background(), khttp.WithTransport(tr), khttp.WithTimeout(0),
+	hc, err := khttp.NewClient(context.Background(), khttp.WithTransport(noRedirect{tr}), khttp.WithTimeout(0),
 		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }))
 	if err != nil {
 		return nil, fmt.Errorf("upstream client: %w", err)
@@ -51,6 +53,15 @@
 	return &Client{clock: opts.Clock, http: hc, tr: tr}, nil
 }
 
+func dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", addr, err)
+	}
+	return &conn{Conn: c}, nil
+}
+
 // Close drops the idle connections.
 func (c *Client) Close() { c.tr.CloseIdleConnections() }
 
@@ -145,14 +156,15 @@
 
 func (c *Client) do(ctx context.Context, req *http.Request) (Result, []byte) {
 	start := c.clock.Now()
-	resp, err := c.http.Do(req)
+	at := &attempt{clock: c.clock}
+	resp, err := c.http.Do(at.trace(req))
 	if err != nil {
-		return c.transportFailure(ctx, start, err), nil
+		return c.transportFailure(ctx, at, start, err), nil
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
 	if err != nil {
-		return c.transportFailure(ctx, start, err), nil
+		return c.transportFailure(ctx, at, start, err), nil
 	}
 	res := Result{
 		Kind:     KindOK,
@@ -161,36 +173,53 @@
 		Draining: resp.Header.Get(HeaderDraining) == "1",
 		Claimed:  resp.Header.Get(HeaderLoad),
 	}
+	// A reply that is cut at the bound may still parse, and would pass for a whole one.
+	if len(body) > maxReply {
+		return failed(res, KindError, fmt.Sprintf("the reply is over %d bytes", maxReply)), nil
+	}
 	if resp.StatusCode != http.StatusOK {
-		return refusal(res, resp, body), nil
+		return refusal(res, resp, req.Header.Get(HeaderRequest), body), nil
 	}
 	return res, body
 }
 
-func (c *Client) transportFailure(ctx context.Context, start time.Time, err error) Result {
+func (c *Client) transportFailure(ctx context.Context, at *attempt, start time.Time, err error) Result {
 	kind := KindBroken
-	if ctx.Err() != nil {
+	switch sent := at.giveUp(); {
+	case !sent:
+		kind = KindNotSent
+	case ctx.Err() != nil:
 		kind = KindCanceled
 	}
 	return Result{Kind: kind, Detail: err.Error(), Took: c.clock.Now().Sub(start)}
 }
 
-func refusal(res Result, resp *http.Response, body []byte) Result {
+func refusal(res Result, resp *http.Response, id string, body []byte) Result {
 	var p Problem
 	if err := json.Unmarshal(body, &p); err != nil {
 		return failed(res, KindError, fmt.Sprintf("status %d", resp.StatusCode))
 	}
-	notRun := resp.Header.Get(HeaderNotRun) == "true"
-	kind := KindError
+	detail := string(p.Code) + ": " + p.Reason
+	// A refusal that answers an earlier request on the connection says nothing about this one.
+	if p.RequestID != "" && p.RequestID != id {
+		return failed(res, KindForeign, fmt.Sprintf("refusal belongs to request %q", p.RequestID))
+	}
+	return failed(res, refusalKind(p.Code, p.RequestID == id && resp.Header.Get(HeaderNotRun) == "true"), detail)
+}
+
+func refusalKind(code Code, notRun bool) Kind {
 	switch {
-	case p.Code == CodeVersionGone:
-		kind = KindVersionGone
-	case p.Code == CodeShed && notRun:
-		kind = KindShed
-	case p.Code == CodeDraining && notRun:
-		kind = KindDraining
-	}
-	return failed(res, kind, string(p.Code)+": "+p.Reason)
+	case code == CodeVersionGone:
+		return KindVersionGone
+	case !notRun:
+		return KindError
+	case code == CodeShed:
+		return KindShed
+	case code == CodeDraining:
+		return KindDraining
+	default:
+		return KindRefused
+	}
 }
 
 func failed(res Result, kind Kind, detail string) Result {
--- /dev/null
+++ b/core/upstream/once_test.go
@@ -0,0 +1,279 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/clock"
+)
+
+// peer is a fake replica on a real socket: it keeps the id of every request whose first bytes reached it.
+type peer struct {
+	l net.Listener
+	// serve answers one request and reports whether the connection goes on.
+	serve func(c net.Conn, id string, nth int) bool
+
+	mu    sync.Mutex
+	seen  map[string]int
+	conns sync.WaitGroup
+}
+
+func newPeer(t *testing.T, serve func(c net.Conn, id string, nth int) bool) *peer {
+	l := listen(t)
+	p := &peer{l: l, serve: serve, seen: map[string]int{}}
+	p.conns.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.conns.Go(func() { p.talk(c) })
+		}
+	})
+	t.Cleanup(func() { l.Close() })
+	return p
+}
+
+func listen(t *testing.T) net.Listener {
+	var lc net.ListenConfig
+	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	return l
+}
+
+func (p *peer) addr() netip.AddrPort { return netip.MustParseAddrPort(p.l.Addr().String()) }
+
+func (p *peer) talk(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for nth := 1; ; nth++ {
+		if _, err := br.Peek(1); err != nil {
+			return
+		}
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			p.note("cut")
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		id := r.Header.Get(HeaderRequest)
+		p.note(id)
+		if !p.serve(c, id, nth) {
+			return
+		}
+	}
+}
+
+func (p *peer) note(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seen[id]++
+}
+
+func (p *peer) count(id string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.seen[id]
+}
+
+func done(c net.Conn, id string) bool {
+	return answer(c, 200, "", fmt.Sprintf(`{"request_id":%q}`, id))
+}
+
+func answer(c net.Conn, status int, headers, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\nContent-Length: %d\r\n%s\r\n%s", status, len(body), headers, body)
+	return err == nil
+}
+
+func newTestClient(t *testing.T, opts Options) *Client {
+	if opts.Seats == 0 {
+		opts.Seats = 2
+	}
+	c, err := New(opts)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(c.Close)
+	return c
+}
+
+// A donor drop-off is sent on a connection that was used before. The replica reads it, books it and dies before it
+// replies. net/http resends a request that it deems replayable on a new connection, and the drop-off is booked twice.
+func TestWriteIsNotResentOnReusedConnection(t *testing.T) {
+	for _, body := range []string{`{"op_id":"a"}`, ""} {
+		p := newPeer(t, func(c net.Conn, id string, nth int) bool { return nth == 1 && done(c, id) })
+		c := newTestClient(t, Options{Seats: 1})
+		qt.Assert(t, c.Write(t.Context(), p.addr(), "first", []byte(body)).Kind, qt.Equals, KindOK)
+		res := c.Write(t.Context(), p.addr(), "second", []byte(body))
+		qt.Assert(t, res.Kind, qt.Equals, KindBroken, qt.Commentf("%s", res.Detail))
+		qt.Assert(t, p.count("second"), qt.Equals, 1)
+	}
+}
+
+// A replica answers a write with a redirect. The HTTP client follows it by itself and the write, or a GET made of it,
+// reaches an address that this host never chose.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	for _, status := range []int{301, 302, 303, 307, 308} {
+		for _, body := range []string{`{"op_id":"a"}`, ""} {
+			other := newPeer(t, func(c net.Conn, id string, _ int) bool { return done(c, id) })
+			p := newPeer(t, func(c net.Conn, _ string, _ int) bool {
+				return answer(c, status, fmt.Sprintf("Location: http://%s/v1/write\r\n", other.addr()), "{}")
+			})
+			c := newTestClient(t, Options{})
+			res := c.Write(t.Context(), p.addr(), "w", []byte(body))
+			qt.Assert(t, res.Kind, qt.Equals, KindError, qt.Commentf("status %d, body %q: %s", status, body, res.Detail))
+			qt.Assert(t, p.count("w"), qt.Equals, 1)
+			qt.Assert(t, other.count("w"), qt.Equals, 0, qt.Commentf("status %d, body %q", status, body))
+		}
+	}
+}
+
+// A replica closes a connection that lay idle just as a booking goes out on it. If the host calls it not sent although
+// the replica read it, the caller books again and the member has two appointments.
+func TestNotSentIsTrueWhenIdleConnectionCloses(t *testing.T) {
+	p := newPeer(t, func(c net.Conn, id string, _ int) bool {
+		done(c, id)
+		return false
+	})
+	c := newTestClient(t, Options{Seats: 1})
+	for i := range 200 {
+		id := fmt.Sprintf("w%d", i)
+		res := c.Write(t.Context(), p.addr(), id, []byte("{}"))
+		if res.Kind == KindNotSent {
+			qt.Assert(t, p.count(id), qt.Equals, 0, qt.Commentf("%s", res.Detail))
+		}
+		qt.Assert(t, p.count(id) <= 1, qt.IsTrue)
+	}
+}
+
+// A caller gives up at the very moment its write goes out. net/http returns at once while its writing goroutine still
+// holds the request; a count taken then says that no byte left, and the write runs after the caller was told not_run.
+func TestNotSentIsTrueWhenCancelled(t *testing.T) {
+	p := newPeer(t, func(c net.Conn, id string, _ int) bool { return done(c, id) })
+	c := newTestClient(t, Options{Seats: 8})
+	kinds := make([]Kind, 400)
+	var wg sync.WaitGroup
+	for w := range 8 {
+		wg.Go(func() {
+			for i := w; i < len(kinds); i += 8 {
+				ctx, cancel := context.WithCancel(t.Context())
+				wg.Go(cancel)
+				kinds[i] = c.Write(ctx, p.addr(), fmt.Sprintf("w%d", i), []byte("{}")).Kind
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+	c.Close()
+	p.l.Close()
+	p.conns.Wait()
+	for i, kind := range kinds {
+		n := p.count(fmt.Sprintf("w%d", i))
+		qt.Assert(t, n <= 1, qt.IsTrue)
+		if kind == KindNotSent {
+			qt.Assert(t, n, qt.Equals, 0, qt.Commentf("write %d was called not sent", i))
+		}
+	}
+}
+
+// The same moment, step by step: the try is given up first and the writing goroutine comes second.
+func TestFencedConnectionSendsNothing(t *testing.T) {
+	a, b := net.Pipe()
+	b.Close()
+	c := &conn{Conn: a}
+	start := c.begin(nil)
+	qt.Assert(t, c.fence(start), qt.IsFalse)
+	_, err := c.Write([]byte("x"))
+	qt.Assert(t, errors.Is(err, errFenced), qt.IsTrue)
+}
+
+// jumpClock is a clock that jumps ahead after its first readings, as it looks to a process that was paused.
+type jumpClock struct {
+	clock.System
+	mu    sync.Mutex
+	calls int
+	after int
+	by    time.Duration
+}
+
+func (c *jumpClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+	if c.calls > c.after {
+		return time.Now().Add(c.by)
+	}
+	return time.Now()
+}
+
+// A host is paused after it decided to send a write and wakes up past the deadline. The caller was told long ago that
+// nobody knows; a write that starts now surprises everyone. The right to send is read again at the first byte.
+func TestPausedHostDoesNotSendLate(t *testing.T) {
+	p := newPeer(t, func(c net.Conn, id string, _ int) bool { return done(c, id) })
+	c := newTestClient(t, Options{Clock: &jumpClock{after: 2, by: 2 * time.Hour}})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+	defer cancel()
+	res := c.Write(ctx, p.addr(), "w", []byte("{}"))
+	qt.Assert(t, res.Kind, qt.Equals, KindNotSent, qt.Commentf("%s", res.Detail))
+	qt.Assert(t, p.count("w"), qt.Equals, 0)
+}
+
+// Nothing listens at the replica's address, or every seat to it is taken until the caller's deadline. Nothing was sent,
+// and a host that calls this broken would tell the caller unknown for a write that can safely be tried elsewhere.
+func TestNotSentWithoutConnection(t *testing.T) {
+	c := newTestClient(t, Options{Seats: 1})
+	l := listen(t)
+	gone := netip.MustParseAddrPort(l.Addr().String())
+	l.Close()
+	qt.Assert(t, c.Write(t.Context(), gone, "w", []byte("{}")).Kind, qt.Equals, KindNotSent)
+
+	begun, hold := make(chan struct{}), make(chan struct{})
+	p := newPeer(t, func(c net.Conn, id string, _ int) bool {
+		close(begun)
+		<-hold
+		return done(c, id)
+	})
+	var wg sync.WaitGroup
+	wg.Go(func() { c.Write(t.Context(), p.addr(), "first", []byte("{}")) })
+	<-begun
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	qt.Assert(t, c.Write(ctx, p.addr(), "second", []byte("{}")).Kind, qt.Equals, KindNotSent)
+	close(hold)
+	wg.Wait()
+}
+
+// A refusal left over from an earlier request says "shed, not run". Taken for this write's, the host sends the write
+// to another replica while the first still runs it.
+func TestRefusalOfAnotherRequestProvesNothing(t *testing.T) {
+	for _, test := range []struct {
+		id   string
+		want Kind
+	}{{"w", KindShed}, {"other", KindForeign}, {"", KindError}} {
+		p := newPeer(t, func(c net.Conn, _ string, _ int) bool {
+			return answer(c, 503, HeaderNotRun+": true\r\n", fmt.Sprintf(`{"code":"shed","request_id":%q}`, test.id))
+		})
+		c := newTestClient(t, Options{})
+		qt.Assert(t, c.Write(t.Context(), p.addr(), "w", []byte("{}")).Kind, qt.Equals, test.want)
+	}
+}
+
+// A shard sends a page larger than the bound. Cut at the bound it may still be valid JSON, and the quilter sees a part
+// of the remnants as if it were all of them.
+func TestOversizedReplyIsAnError(t *testing.T) {
+	p := newPeer(t, func(c net.Conn, id string, _ int) bool {
+		return answer(c, 200, "", fmt.Sprintf(`{"request_id":%q}`, id)+strings.Repeat(" ", maxReply))
+	})
+	c := newTestClient(t, Options{})
+	qt.Assert(t, c.Write(t.Context(), p.addr(), "w", []byte("{}")).Kind, qt.Equals, KindError)
+}
--- a/core/upstream/result.go
+++ b/core/upstream/result.go
@@ -18,6 +18,8 @@
 	KindShed Kind = "shed"
 	// KindDraining means that the replica is leaving and says that it did not run the request.
 	KindDraining Kind = "draining"
+	// KindRefused means that the replica refused the request for another reason and says that it did not run it.
+	KindRefused Kind = "refused"
 	// KindNotSent means that no byte of the request left this host.
 	KindNotSent Kind = "not_sent"
 	// KindCanceled means that this side gave up waiting; the request may have run.
@@ -32,7 +34,7 @@
 
 // NotRun reports whether the kind proves that the request did not run.
 func (k Kind) NotRun() bool {
-	return k == KindShed || k == KindDraining || k == KindNotSent
+	return k == KindShed || k == KindDraining || k == KindRefused || k == KindNotSent
 }
 
 // Result is the outcome of one try, a value rather than an error since callers decide on each kind.
