--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := core entry gsctl standin load
+MODULES := core entry gsctl standin load sessions
 BIN := $(CURDIR)/.bin
 LINT := $(BIN)/golangci-lint
 LINT_VERSION := v2.12.2
@@ -28,10 +28,16 @@
 	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 
 unit:
-	@for m in $(MODULES); do (cd $$m && go test -race ./...) || exit 1; done
+	@for m in $(filter-out sessions,$(MODULES)); do (cd $$m && go test -race ./...) || exit 1; done
+	@# The sessions build and run programs of other modules, which the test cache does not see.
+	cd sessions && go test -race -count=1 ./...
 
 demo: build
 	scripts/demo.sh
 
+# bench prints the figures of every scene against the plain baseline; SCENE=name runs one, ROUNDS=n more often.
+bench: build
+	SCENE="$(SCENE)" ROUNDS="$(or $(ROUNDS),2)" scripts/bench.sh
+
 clean:
 	rm -rf $(BIN) .out
--- /dev/null
+++ b/sessions/sessions_test.go
@@ -0,0 +1,210 @@
+package sessions
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// programs are built once with the race detector, which ends a process that races with exit status 66.
+var programs = []string{"entry", "gsctl", "standin", "load"}
+
+var binDir string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "sessions")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binDir = dir
+	for _, p := range programs {
+		cmd := exec.CommandContext(context.Background(), "go", "build", "-race", "-o", dir+string(os.PathSeparator), ".")
+		cmd.Dir = filepath.Join("..", p)
+		if out, err := cmd.CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "build %s: %v\n%s", p, err, out)
+			return 1
+		}
+	}
+	return m.Run()
+}
+
+func TestSessions(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("PATH", binDir+string(os.PathListSeparator)+env.Getenv("PATH"))
+			env.Setenv("GORACE", "halt_on_error=1 atexit_sleep_ms=0")
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"ports":  ports,
+			"post":   post,
+			"until":  until,
+			"grab":   grab,
+			"golden": golden,
+		},
+		RequireExplicitExec: true,
+	})
+}
+
+// ports N NAME finds N ports in a row that are free and sets NAME to the first address, NAME_1 to the second and so on.
+func ports(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: ports N NAME")
+	}
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	for range 100 {
+		addr, ok := freeBlock(n)
+		if !ok {
+			continue
+		}
+		ts.Setenv(args[1], addr.String())
+		for i := 1; i < n; i++ {
+			ts.Setenv(fmt.Sprintf("%s_%d", args[1], i), netip.AddrPortFrom(addr.Addr(), addr.Port()+uint16(i)).String())
+		}
+		return
+	}
+	ts.Fatalf("found no %d free ports in a row", n)
+}
+
+// Ports below the range that the system gives to outgoing connections, so that none of those takes a port between the search and its use.
+const (
+	lowestPort  = 10000
+	highestPort = 32000
+)
+
+// freeBlock holds all the ports open while it looks, so that no other session is given one of them.
+func freeBlock(n int) (netip.AddrPort, bool) {
+	var lc net.ListenConfig
+	base := lowestPort + rand.IntN(highestPort-lowestPort-n)
+	for i := range n {
+		l, err := lc.Listen(context.Background(), "tcp", fmt.Sprintf("127.0.0.1:%d", base+i))
+		if err != nil {
+			return netip.AddrPort{}, false
+		}
+		defer l.Close()
+	}
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(base)), true
+}
+
+// post URL BODY [HEADER:VALUE]... sends a request and prints the status and the reply.
+func post(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: post URL BODY [HEADER:VALUE]...")
+	}
+	status, reply, err := send(http.MethodPost, args[0], args[1], args[2:])
+	ts.Check(err)
+	if (status != http.StatusOK) != neg {
+		ts.Fatalf("status %d: %s", status, reply)
+	}
+	fmt.Fprintf(ts.Stdout(), "status %d\n%s\n", status, reply)
+}
+
+func send(method, url, body string, headers []string) (status int, reply string, err error) {
+	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+url, strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	for _, h := range headers {
+		k, v, _ := strings.Cut(h, ":")
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b), err
+}
+
+const (
+	untilLimit = 30 * time.Second
+	untilPause = 20 * time.Millisecond
+)
+
+// until PATTERN PROGRAM ARGS... runs a program again and again until what it prints matches; the program "get" reads a URL.
+func until(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: until PATTERN PROGRAM ARGS...")
+	}
+	want := regexp.MustCompile(args[0])
+	var last string
+	for end := time.Now().Add(untilLimit); time.Now().Before(end); time.Sleep(untilPause) {
+		last = output(ts, args[1], args[2:])
+		if want.MatchString(last) {
+			return
+		}
+	}
+	ts.Fatalf("%s did not print %q in %v; last was:\n%s", args[1], args[0], untilLimit, last)
+}
+
+func output(ts *testscript.TestScript, program string, args []string) string {
+	if program == "get" {
+		_, reply, err := send(http.MethodGet, args[0], "", nil)
+		return fmt.Sprint(reply, err)
+	}
+	// A failure is what is being waited out; what was printed decides.
+	_ = ts.Exec(program, args...)
+	return ts.ReadFile("stdout") + ts.ReadFile("stderr")
+}
+
+// grab NAME PATTERN sets NAME to what the pattern's group matched in what was printed last.
+func grab(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: grab NAME PATTERN")
+	}
+	out := ts.ReadFile("stdout")
+	m := regexp.MustCompile(args[1]).FindStringSubmatch(out)
+	if len(m) != 2 {
+		ts.Fatalf("%q is not found in:\n%s", args[1], out)
+	}
+	ts.Setenv(args[0], m[1])
+}
+
+var varying = []struct {
+	pattern *regexp.Regexp
+	name    string
+}{
+	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDR"},
+	{regexp.MustCompile(`\b[A-Z2-7]{8,}-[A-Z2-7]{26}\b`), "EXPLANATION"},
+	{regexp.MustCompile(`\b[A-Z2-7]{26}\b`), "ID"},
+	{regexp.MustCompile(` *\d+\.\d+ ms`), " TIME"},
+}
+
+// golden FILE compares what was printed last with FILE, with addresses, identifiers and times put into words.
+func golden(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 1 {
+		ts.Fatalf("usage: golden FILE")
+	}
+	got := ts.ReadFile("stdout")
+	for _, v := range varying {
+		got = v.pattern.ReplaceAllString(got, v.name)
+	}
+	want := ts.ReadFile(args[0])
+	if !bytes.Equal([]byte(got), []byte(want)) {
+		ts.Fatalf("printed:\n%s\nwant, as in %s:\n%s", got, args[0], want)
+	}
+}
