--- /dev/null
+++ b/entry/internal/member/list_test.go
@@ -0,0 +1,101 @@
+package member
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func hostRow(id string, port uint16) Host {
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), port)
+	return Host{ID: id, Peer: addr, Caller: addr, Zone: "z", Region: "r", Epoch: 1, State: StateAlive}
+}
+
+func newList(id string) *List {
+	return New(Options{Self: hostRow(id, 1), Rand: rand.New(rand.NewPCG(1, 1))})
+}
+
+func stateOf(l *List, id string) State {
+	for _, h := range l.Hosts() {
+		if h.ID == id {
+			return h.State
+		}
+	}
+	return StateDead
+}
+
+// Story: a host's process is stopped while it waits for its helpers, and while it suspects another host. It wakes
+// up with every deadline overdue; the answers that would clear the others lie unread in its sockets. If it acted on
+// the deadlines it would tell everybody that healthy hosts are gone.
+func TestNothingIsDecidedOnDeadlinesThatRanOutDuringAPause(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		wake func(l *List, now time.Time)
+	}{
+		{"probe fails before the first tick", func(l *List, now time.Time) {
+			l.Unreachable(now, hostRow("b", 2), now.Add(-30*time.Second))
+			l.Tick(now)
+		}},
+		{"probe fails after the first tick", func(l *List, now time.Time) {
+			l.Tick(now)
+			l.Unreachable(now, hostRow("b", 2), now.Add(-30*time.Second))
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1_700_000_000, 0)
+			l := newList("a")
+			l.Merge(now, []Host{hostRow("b", 2), hostRow("d", 3)})
+			l.Tick(now)
+			l.Unreachable(now, hostRow("d", 3), now)
+			c.Assert(stateOf(l, "d"), qt.Equals, StateSuspect)
+			test.wake(l, now.Add(30*time.Second))
+			c.Assert(stateOf(l, "b"), qt.Equals, StateAlive)
+			c.Assert(stateOf(l, "d"), qt.Equals, StateSuspect)
+		})
+	}
+}
+
+// Story: rows come from other processes, which may be of another version or broken. A row that makes no sense must
+// neither end the host nor be passed on.
+func TestRowsThatMakeNoSenseAreIgnored(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		row  Host
+	}{
+		{"empty", Host{}},
+		{"unknown state", Host{ID: "b", Peer: hostRow("b", 2).Peer, Epoch: 9, State: "asleep"}},
+		{"no address", Host{ID: "b", Epoch: 9, State: StateAlive}},
+		{"long id", func() Host { h := hostRow("b", 2); h.ID = string(make([]byte, 1000)); return h }()},
+		{"dead and unknown", func() Host { h := hostRow("b", 2); h.State = StateDead; return h }()},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			l := newList("a")
+			l.Receive(time.Unix(1_700_000_000, 0), Message{Rows: []Host{test.row}, Loads: []Load{{Key: 1, Seq: 1, Percent: 200}}})
+			c.Assert(l.Hosts(), qt.HasLen, 1)
+			c.Assert(l.Message("x").Rows, qt.HasLen, 1)
+		})
+	}
+}
+
+// Story: the load of hosts changes all the time. If it were told with the state, each change would travel as far as
+// a death does; it must reach the others, and must not make their tables differ.
+func TestLoadIsToldWithoutChangingTheDigest(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	a, b := newList("a"), newList("b")
+	b.Merge(now, []Host{a.Self()})
+	a.Merge(now, []Host{b.Self()})
+	before := b.Digest()
+	a.SetLoad(0.37)
+	a.Tick(now)
+	b.Receive(now, a.Message("b"))
+	b.Tick(now)
+	c.Assert(b.Digest(), qt.Equals, before)
+	c.Assert(a.Digest(), qt.Equals, before)
+	c.Assert(b.Hosts()[0].Load, qt.Equals, 0.37)
+}
--- a/entry/internal/member/neighbours.go
+++ b/entry/internal/member/neighbours.go
@@ -19,7 +19,8 @@
 func neighbours(self Host, list []Host) []string {
 	others := make([]ranked, 0, len(list))
 	own := self.Key()
-	for _, h := range list {
+	for i := range list {
+		h := &list[i]
 		if h.ID != self.ID {
 			key := h.Key()
 			// The distance wraps around, which makes the keys a ring.
@@ -50,7 +51,7 @@
 }
 
 type ranked struct {
-	host Host
+	host *Host
 	rank uint64
 	pair uint64
 }
@@ -59,7 +60,8 @@
 func Ranked(hosts []Host, purpose string) []Host {
 	seed := hashOf(purpose)
 	list := make([]ranked, 0, len(hosts))
-	for _, h := range hosts {
+	for i := range hosts {
+		h := &hosts[i]
 		if h.State == StateAlive || h.State == StateSuspect {
 			list = append(list, ranked{host: h, pair: mix(seed ^ h.Key())})
 		}
@@ -67,7 +69,7 @@
 	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.pair, b.pair) })
 	out := make([]Host, len(list))
 	for i, r := range list {
-		out[i] = r.host
+		out[i] = *r.host
 	}
 	return out
 }
--- /dev/null
+++ b/entry/internal/member/network_test.go
@@ -0,0 +1,258 @@
+package member
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"guavaspring.org/entry/internal/digest"
+)
+
+// network carries messages between lists in virtual time, losing, doubling, delaying and cutting them off as told.
+type network struct {
+	rnd    *rand.Rand
+	now    time.Time
+	events eventHeap
+	seq    int
+	nodes  []*node
+	loss   float64
+	double float64
+	cut    bool
+	// noDirectory leaves joined hosts nobody to ask but those they know.
+	noDirectory bool
+	starts      int
+	moves       int
+	sent        int
+	rows        int
+	// check is called with a node after each message it received.
+	check func(n *node)
+}
+
+type node struct {
+	list   *List
+	addr   netip.AddrPort
+	side   int
+	up     bool
+	paused time.Time
+	epochs map[string]uint64
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].seq < h[j].seq
+	}
+	return h[i].at.Before(h[j].at)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push appends an event.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop removes the last event.
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+func newNetwork(seed uint64, hosts int) *network {
+	n := &network{rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0)}
+	for i := range hosts {
+		n.nodes = append(n.nodes, &node{addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1), side: i % 3})
+	}
+	for _, nd := range n.nodes {
+		n.start(nd)
+	}
+	return n
+}
+
+// move gives the node an address that was never used.
+func (n *network) move(nd *node) {
+	n.moves++
+	nd.addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n.moves >> 8), byte(n.moves)}), 1)
+}
+
+// start runs a new incarnation on the node, which joins through the directory.
+func (n *network) start(nd *node) {
+	n.starts++
+	self := Host{ID: fmt.Sprintf("host-%d", n.starts), Peer: nd.addr, Caller: nd.addr, Zone: fmt.Sprint("zone-", nd.side), Region: "r"}
+	nd.list = New(Options{Self: self, Rand: rand.New(rand.NewPCG(n.rnd.Uint64(), 2))})
+	nd.up, nd.paused, nd.epochs = true, time.Time{}, map[string]uint64{}
+	mine := nd.list
+	n.repeat(nd, mine, 500*time.Millisecond, func() { mine.Tick(n.now) })
+	n.repeat(nd, mine, ProbeEvery, func() {
+		if target, ok := mine.Next(); ok {
+			n.probe(nd, target)
+		}
+	})
+	n.repeat(nd, mine, 5*time.Second, func() { n.seek(nd) })
+}
+
+// seek greets those of the first two nodes, which stand for the platform's directory, that aren't known, and one lost host.
+func (n *network) seek(nd *node) {
+	known := map[netip.AddrPort]bool{}
+	for _, h := range nd.list.Hosts() {
+		known[h.Peer] = true
+	}
+	for _, listed := range n.nodes[:min(2, len(n.nodes))] {
+		if !known[listed.addr] && !n.noDirectory {
+			n.call(nd, listed.addr, "", func(Message) {}, func() {})
+		}
+	}
+	if lost, ok := nd.list.Lost(); ok {
+		n.call(nd, lost.Peer, lost.ID, func(Message) {}, func() {})
+	}
+}
+
+func (n *network) at(d time.Duration, f func()) {
+	n.seq++
+	heap.Push(&n.events, event{at: n.now.Add(d), seq: n.seq, run: f})
+}
+
+// later runs f once d has passed, or at the end of the pause that it falls into, unless the incarnation has ended.
+func (n *network) later(nd *node, d time.Duration, f func()) {
+	l := nd.list
+	var due func()
+	due = func() {
+		switch {
+		case nd.list != l || !nd.up:
+		case n.now.Before(nd.paused):
+			n.at(nd.paused.Sub(n.now), due)
+		default:
+			f()
+		}
+	}
+	n.at(d, due)
+}
+
+// repeat runs f each d as long as this incarnation runs.
+func (n *network) repeat(nd *node, l *List, d time.Duration, f func()) {
+	var again func()
+	again = func() {
+		if nd.list == l {
+			f()
+			n.later(nd, d, again)
+		}
+	}
+	n.later(nd, time.Duration(n.rnd.Int64N(int64(d))), again)
+}
+
+func (n *network) run(d time.Duration) {
+	end := n.now.Add(d)
+	for len(n.events) > 0 && !n.events[0].at.After(end) {
+		e := heap.Pop(&n.events).(event)
+		n.now = e.at
+		e.run()
+	}
+	n.now = end
+}
+
+func (n *network) find(addr netip.AddrPort) *node {
+	for _, nd := range n.nodes {
+		if nd.addr == addr {
+			return nd
+		}
+	}
+	return nil
+}
+
+// deliver runs f at the receiver after a random delay, perhaps twice, unless it is lost; a paused receiver runs it at its end.
+func (n *network) deliver(from, to *node, f func()) {
+	if to == nil || n.rnd.Float64() < n.loss || n.cut && from.side != to.side {
+		return
+	}
+	n.later(to, time.Duration(n.rnd.IntN(80))*time.Millisecond, f)
+	if n.rnd.Float64() < n.double {
+		n.later(to, time.Duration(n.rnd.IntN(2000))*time.Millisecond, f)
+	}
+}
+
+func (n *network) call(from *node, addr netip.AddrPort, id string, ok func(Message), late func()) {
+	to := n.find(addr)
+	msg := from.list.Message(id)
+	if id == "" {
+		msg.Rows = append(msg.Rows, from.list.Self())
+	}
+	n.sent++
+	n.rows += len(msg.Rows)
+	answered := false
+	n.deliver(from, to, func() {
+		to.list.Receive(n.now, msg)
+		reply := to.list.Message(msg.From)
+		reply.Rows = append(reply.Rows, to.list.Accuse(msg)...)
+		n.rows += len(reply.Rows)
+		n.checked(to)
+		n.deliver(to, from, func() {
+			answered = true
+			from.list.Receive(n.now, reply)
+			n.repair(from, to)
+			n.checked(from)
+			ok(reply)
+		})
+	})
+	n.later(from, 500*time.Millisecond, func() {
+		if !answered {
+			late()
+		}
+	})
+}
+
+func (n *network) checked(nd *node) {
+	if n.check != nil {
+		n.check(nd)
+	}
+}
+
+func (n *network) probe(from *node, target Host) {
+	sent := n.now
+	ok := func(reply Message) {
+		if reply.From != target.ID {
+			from.list.Replaced(n.now, target)
+		}
+	}
+	n.call(from, target.Peer, target.ID, ok, func() { n.ask(from, target, sent) })
+}
+
+func (n *network) ask(from *node, target Host, sent time.Time) {
+	reached := false
+	for _, h := range from.list.Helpers(target, 3) {
+		helper := n.find(h.Peer)
+		n.deliver(from, helper, func() {
+			n.call(helper, target.Peer, target.ID, func(reply Message) {
+				if reply.From == target.ID {
+					n.deliver(helper, from, func() { reached = true })
+				}
+			}, func() {})
+		})
+	}
+	n.later(from, 1200*time.Millisecond, func() {
+		if !reached {
+			from.list.Unreachable(n.now, target, sent)
+		}
+	})
+}
+
+// repair exchanges the rows below the first prefixes that differ, as the walk over the network does in more steps.
+func (n *network) repair(a, b *node) {
+	if a.list.Digest() == b.list.Digest() || n.rnd.Float64() < n.loss {
+		return
+	}
+	root := digest.Prefix{}
+	for _, i := range digest.Differing(a.list.Sums(root), b.list.Sums(root)) {
+		rows := a.list.Rows(root.Child(i), 64)
+		a.list.Merge(n.now, b.list.Rows(root.Child(i), 64))
+		b.list.Merge(n.now, rows)
+	}
+}
--- /dev/null
+++ b/entry/internal/member/spread_test.go
@@ -0,0 +1,61 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Story: the fleet grows from 32 to 256 hosts. A failure detector whose traffic grows with the fleet would fill the
+// links of small hosts; one whose news stops half way would leave callers on an address that is gone. One host is
+// killed in each fleet: every other must know within a bounded time, at the same number of messages a host and second.
+func TestADeathSpreadsAtConstantMessagesAHost(t *testing.T) {
+	for _, hosts := range []int{32, 128, 256} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			c := qt.New(t)
+			n := full(hosts)
+			n.run(30 * time.Second)
+			victim := n.nodes[hosts/2]
+			victim.up = false
+			n.sent, n.rows = 0, 0
+			const window = 40 * time.Second
+			known := time.Duration(0)
+			for known < window && !forgotten(n, victim) {
+				n.run(time.Second)
+				known += time.Second
+			}
+			sent, rows := float64(n.sent)/float64(hosts)/known.Seconds(), float64(n.rows)/float64(hosts)/known.Seconds()
+			t.Logf("%d hosts: known everywhere after %s; %.2f probes and %.2f rows a host and second", hosts, known, sent, rows)
+			c.Assert(known <= 25*time.Second, qt.IsTrue, qt.Commentf("not known everywhere after %s", known))
+			c.Assert(sent < 1.2, qt.IsTrue, qt.Commentf("%.2f probes a host and second", sent))
+			c.Assert(rows < 4, qt.IsTrue, qt.Commentf("%.2f rows a host and second", rows))
+		})
+	}
+}
+
+// full returns a network whose hosts all know each other and have nothing left to tell.
+func full(hosts int) *network {
+	n := newNetwork(5, hosts)
+	n.noDirectory = true
+	rows := make([]Host, hosts)
+	for i, nd := range n.nodes {
+		rows[i] = nd.list.Self()
+	}
+	for _, nd := range n.nodes {
+		nd.list.Merge(n.now, rows)
+		clear(nd.list.queue)
+	}
+	return n
+}
+
+func forgotten(n *network, victim *node) bool {
+	id := victim.list.Self().ID
+	for _, nd := range n.nodes {
+		if nd != victim && stateOf(nd.list, id) != StateDead {
+			return false
+		}
+	}
+	return true
+}
