load: Count every request that reached a replica, and come back when a refusal says so

Change: a replica counts each request when it is read; a caller may send a refused query once more, not earlier than retry_after_ms and only inside its deadline (scene field retry_refused; the overload scene keeps its offered load).

--- a/load/internal/drive/drive.go
+++ b/load/internal/drive/drive.go
@@ -144,13 +144,12 @@
 	due := d.start.Add(at)
 	ctx, cancel := context.WithDeadline(ctx, due.Add(sc.Deadline.Std()+grace))
 	defer cancel()
-	sent := time.Now()
 	res := from.Query(ctx, hosts.QueryRequest{
 		Service: sc.Service, ID: asked.RequestID, Deadline: due.Add(sc.Deadline.Std()),
-		Query: caller.Query{Query: asked.Query, Limit: sc.Limit},
+		Query: caller.Query{Query: asked.Query, Limit: sc.Limit}, Retry: sc.RetryRefused,
 	})
 	now := time.Now()
-	s := measure.Sample{At: at, Took: now.Sub(due), Answer: now.Sub(sent), Hot: hot, Outcome: measure.OutcomeError}
+	s := measure.Sample{At: at, Took: now.Sub(due), Refusal: res.Refusal, Hot: hot, Outcome: measure.OutcomeError}
 	s.Late = s.Took > sc.Deadline.Std()+lateness
 	if res.Err == nil {
 		s.Outcome, s.Share, s.Shards = res.Answer.Outcome, res.Answer.Coverage.Share, res.Answer.Snapshot.Shards
--- a/load/internal/hosts/caller.go
+++ b/load/internal/hosts/caller.go
@@ -58,6 +58,8 @@
 	Err error
 	// Sends counts the hosts that the query was sent to.
 	Sends int
+	// Refusal is how long the first refusal took to arrive, zero where there was none.
+	Refusal time.Duration
 }
 
 // QueryRequest is one query; Deadline is when its answer is wanted, and the context may wait a little longer for one that was cut off then.
@@ -66,10 +68,35 @@
 	ID       string
 	Deadline time.Time
 	Query    caller.Query
+	// Retry asks to send a refused query once more, after the time that the refusal names, where the deadline leaves it.
+	Retry bool
 }
 
-// Query sends a query to an address of the kept answer, and to another one when a connection fails.
+// Query runs a query; one that is refused is sent again at the time that the refusal names, and never earlier.
 func (c *Caller) Query(ctx context.Context, req QueryRequest) QueryResult {
+	start := time.Now()
+	res := c.query(ctx, req)
+	if res.Err != nil || res.Answer.Outcome != caller.OutcomeRefused {
+		return res
+	}
+	refusal := time.Since(start)
+	res.Refusal = refusal
+	wait := time.Duration(res.Answer.RetryAfterMS) * time.Millisecond
+	if !req.Retry || wait <= 0 || time.Now().Add(wait).After(req.Deadline) {
+		return res
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return res
+	}
+	again := c.query(ctx, req)
+	again.Sends, again.Refusal = again.Sends+res.Sends, refusal
+	return again
+}
+
+// query sends a query to an address of the kept answer, and to another one when a connection fails.
+func (c *Caller) query(ctx context.Context, req QueryRequest) QueryResult {
 	var res QueryResult
 	var failed []netip.AddrPort
 	for res.Sends < maxSends {
--- a/load/internal/measure/measure.go
+++ b/load/internal/measure/measure.go
@@ -21,8 +21,8 @@
 	At time.Duration
 	// Took counts from the scheduled time, so that a stall of the tool or of a connection is not hidden.
 	Took time.Duration
-	// Answer is how long the host took by its caller's clock, from sending.
-	Answer time.Duration
+	// Refusal is how long the first refusal took by its caller's clock, from sending.
+	Refusal time.Duration
 	// Hot is set on the queries of the caller that sends the most.
 	Hot     bool
 	Outcome caller.Outcome
@@ -130,7 +130,7 @@
 	}
 	if s.Outcome == caller.OutcomeRefused {
 		b.sum.Refused++
-		record(b.refusals, s.Answer)
+		record(b.refusals, s.Refusal)
 		return
 	}
 	b.answers++
--- a/load/internal/measure/measure_test.go
+++ b/load/internal/measure/measure_test.go
@@ -21,7 +21,7 @@
 		{At: at, Took: 500 * ms, Outcome: caller.OutcomeComplete, Share: 1, Late: true, Hot: true},
 		{At: at, Took: 20 * ms, Outcome: caller.OutcomePartial, Share: 0.9},
 		{At: at, Took: 30 * ms, Outcome: measure.OutcomeError},
-		{At: at, Took: 40 * ms, Answer: 2 * ms, Outcome: caller.OutcomeRefused},
+		{At: at, Took: 40 * ms, Refusal: 2 * ms, Outcome: caller.OutcomeRefused},
 	}, 2*time.Second, 4*time.Second)
 
 	c.Assert([]int{sum.Offered, sum.Refused, sum.Errors, sum.Late}, qt.DeepEquals, []int{5, 1, 1, 1})
--- a/load/internal/report/files.go
+++ b/load/internal/report/files.go
@@ -28,10 +28,10 @@
 	if err := os.WriteFile(fileOf(dir, sum, "json"), b, 0o644); err != nil {
 		return fmt.Errorf("report: %w", err)
 	}
-	rows := [][]string{{"at_ms", "took_ms", "answer_ms", "hot", "outcome", "share", "late"}}
+	rows := [][]string{{"at_ms", "took_ms", "refusal_ms", "hot", "outcome", "share", "late"}}
 	for _, s := range samples {
 		rows = append(rows, []string{
-			millis(s.At.Seconds()), millis(s.Took.Seconds()), millis(s.Answer.Seconds()), strconv.FormatBool(s.Hot),
+			millis(s.At.Seconds()), millis(s.Took.Seconds()), millis(s.Refusal.Seconds()), strconv.FormatBool(s.Hot),
 			string(s.Outcome), strconv.FormatFloat(s.Share, 'f', 4, 64), strconv.FormatBool(s.Late),
 		})
 	}
--- a/load/internal/scene/scene.go
+++ b/load/internal/scene/scene.go
@@ -27,6 +27,8 @@
 	Limit    int               `yaml:"limit"`
 	// HotShare of the queries come from one caller.
 	HotShare float64 `yaml:"hot_share"`
+	// RetryRefused lets callers send a refused query once more when the refusal says so.
+	RetryRefused bool `yaml:"retry_refused"`
 	// Writes are sent beside the queries.
 	Writes Writes `yaml:"writes"`
 	// Poison is a query that crashes each replica that runs it, sent again and again.
--- a/load/internal/truth/truth.go
+++ b/load/internal/truth/truth.go
@@ -24,6 +24,7 @@
 // Replica is the truth of one replica.
 type Replica struct {
 	ID           string         `json:"id"`
+	Requests     int            `json:"requests"`
 	Queries      int            `json:"queries"`
 	Canceled     int            `json:"canceled"`
 	Shed         int            `json:"shed"`
@@ -98,7 +99,7 @@
 	defer f.mu.Unlock()
 	n := 0
 	for _, r := range f.last {
-		n += r.Queries + r.Canceled + r.Shed
+		n += r.Requests
 	}
 	return n
 }
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,13 +1,16 @@
 #!/usr/bin/env bash
 # Runs scenes against guavaspring and against a plain baseline, interleaved in one run, and prints one table.
-# SCENE names one scene, ROUNDS how often each is run. What it starts it stops, by pid.
+# SCENE names one scene or several, or "faults" for those that are not in the usual table; ROUNDS is how often each is
+# run. What it starts it stops, by pid.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 OUT="${OUT:-$PWD/.out/bench}"
 LOGS="$OUT/logs"
 ROUNDS="${ROUNDS:-2}"
-ALL="healthy slow_replica shard_gone overload hot_caller cold_restart host_killed platform_down cost repartition silent drain crash_request lost_replies"
+ALL="healthy slow_replica shard_gone overload hot_caller cold_restart host_killed platform_down cost"
+FAULTS="repartition silent drain crash_request lost_replies"
 SCENES="${SCENE:-$ALL}"
+if [ "$SCENES" = faults ]; then SCENES="$FAULTS"; fi
 SETTLE=1
 mkdir -p "$LOGS"
 . scripts/lib.sh
@@ -149,7 +152,7 @@
 FILES=()
 for scene in $SCENES; do
   if [ ! -f "load/scenes/$scene.yaml" ]; then
-    echo "no scene $scene; there are: $ALL" >&2
+    echo "no scene $scene; there are: $ALL $FAULTS" >&2
     exit 2
   fi
   bench_scene "$scene"
--- a/standin/internal/replica/control.go
+++ b/standin/internal/replica/control.go
@@ -13,6 +13,8 @@
 
 // truth is what really happened at the replica, which no client can know.
 type truth struct {
+	// Requests counts every query and write that was read, whatever became of it.
+	Requests int `json:"requests"`
 	Queries  int `json:"queries"`
 	Canceled int `json:"canceled"`
 	Shed     int `json:"shed"`
--- a/standin/internal/replica/work.go
+++ b/standin/internal/replica/work.go
@@ -129,6 +129,7 @@
 		return false
 	}
 	rep.mu.Lock()
+	rep.truth.Requests++
 	f := rep.faults
 	reset := f.ResetBefore > 0
 	if reset {
