host: Steer callers by zone, load and placement, and stop without cutting off a request

Cause: the address answer named only the host that was asked, for a fixed time; a stop closed the port at once, so callers that still held the address were refused and a request on an idle connection could be lost; the end of Run's context cancelled the requests in flight; nothing was counted. Change: package steer places a service on a few hosts and gives each caller some of these by rendezvous hashing; package drainer announces, serves on as long as addresses are kept, and then lets the port close; package metrics counts. Tickets come from Host.mint once it is set. The load told to other hosts is the gates'.

--- a/core/caller/messages.go
+++ b/core/caller/messages.go
@@ -92,6 +92,8 @@
 	ExplanationID string   `json:"explanation_id"`
 	// Generation is the configuration generation that the query ran under.
 	Generation int64 `json:"generation"`
+	// RefreshAddresses tells the caller to ask for addresses again: this host should not be used for what comes next.
+	RefreshAddresses bool `json:"refresh_addresses,omitempty"`
 }
 
 // Write is the body of a write.
@@ -111,6 +113,8 @@
 	Result        json.RawMessage `json:"result,omitempty"`
 	RetryAfterMS  int64           `json:"retry_after_ms,omitempty"`
 	ExplanationID string          `json:"explanation_id"`
+	// RefreshAddresses tells the caller to ask for addresses again: this host should not be used for what comes next.
+	RefreshAddresses bool `json:"refresh_addresses,omitempty"`
 }
 
 // Address is one host that a caller may connect to.
--- a/entry/internal/admission/gate.go
+++ b/entry/internal/admission/gate.go
@@ -41,6 +41,9 @@
 	// waiting maps each waiter to the channel its goroutine listens on.
 	waiting map[*queue.Waiter]chan struct{}
 	refused map[queue.Reason]uint64
+	// waits counts the requests that waited and then ran, waitTotal the time that they waited.
+	waits     uint64
+	waitTotal time.Duration
 }
 
 // New returns a gate with nothing running.
@@ -103,11 +106,20 @@
 	}
 	// The waiter was decided before the channel was closed, and is not touched again.
 	if w.Verdict == queue.VerdictRun {
-		return Place{gate: g, grant: w.Grant, Waited: g.clock.Now().Sub(arrived)}, nil
+		return g.waited(w, arrived), nil
 	}
 	return Place{}, &w.Refusal
 }
 
+func (g *Gate) waited(w *queue.Waiter, arrived time.Time) Place {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d := g.clock.Now().Sub(arrived)
+	g.waits++
+	g.waitTotal += d
+	return Place{gate: g, grant: w.Grant, Waited: d}
+}
+
 // giveUp ends a wait; a place that was granted at the same moment goes to the next in line, or it would be lost for good.
 func (g *Gate) giveUp(w *queue.Waiter, reason queue.Reason) (Place, *Refusal) {
 	g.mu.Lock()
@@ -189,13 +201,19 @@
 	Running, Waiting, Limit int
 	// Refused counts refusals since the start, by reason.
 	Refused map[queue.Reason]uint64
+	// Waits counts the requests that waited and then ran since the start, WaitTotal the time that they waited.
+	Waits     uint64
+	WaitTotal time.Duration
 }
 
 // Stats returns what the gate holds now.
 func (g *Gate) Stats() Stats {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s := Stats{Running: g.queue.Running(), Waiting: g.queue.Waiting(), Limit: g.limit.Current(), Refused: make(map[queue.Reason]uint64, len(g.refused))}
+	s := Stats{
+		Running: g.queue.Running(), Waiting: g.queue.Waiting(), Limit: g.limit.Current(),
+		Refused: make(map[queue.Reason]uint64, len(g.refused)), Waits: g.waits, WaitTotal: g.waitTotal,
+	}
 	for reason, n := range g.refused {
 		s.Refused[reason] = n
 	}
--- a/entry/internal/callers/server.go
+++ b/entry/internal/callers/server.go
@@ -39,6 +39,8 @@
 	NewID   func() string
 	Explain *explain.Store
 	Metrics *prometheus.Registry
+	// Answered is told of each query and write that was answered; it may be nil.
+	Answered func(service, kind, outcome string, took time.Duration)
 	// Service returns a service by name, or nil.
 	Service func(name string) *service.Service
 	// Ready reports whether the host can serve, and why not.
@@ -79,6 +81,9 @@
 	if opts.Refresh == nil {
 		opts.Refresh = func(string) bool { return false }
 	}
+	if opts.Answered == nil {
+		opts.Answered = func(string, string, string, time.Duration) {}
+	}
 	if opts.Filter == nil {
 		opts.Filter = func(next http.Handler) http.Handler { return next }
 	}
@@ -138,6 +143,8 @@
 	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
 	defer cancel()
 	ans := call.service.Query(ctx, service.QueryRequest{ID: call.id, Caller: call.caller, Arrived: call.arrived, Deadline: call.deadline, Query: q})
+	ans.RefreshAddresses = refresh(w)
+	h.opts.Answered(ans.Service, "query", string(ans.Outcome), h.opts.Clock.Now().Sub(call.arrived))
 	retryAfter(w, ans.RetryAfterMS)
 	reply(w, queryStatus(ans.Outcome), ans)
 }
@@ -167,6 +174,8 @@
 		ID: call.id, Service: mux.Vars(r)["service"], Caller: call.caller, Ticket: ticket,
 		Arrived: call.arrived, Deadline: call.deadline, Write: op,
 	})
+	ans.RefreshAddresses = refresh(w)
+	h.opts.Answered(mux.Vars(r)["service"], "write", string(ans.Outcome), h.opts.Clock.Now().Sub(call.arrived))
 	retryAfter(w, ans.RetryAfterMS)
 	reply(w, http.StatusOK, ans)
 }
@@ -245,6 +254,9 @@
 	}{"ready"})
 }
 
+// refresh repeats in the body what the header says, for callers that see only the body.
+func refresh(w http.ResponseWriter) bool { return w.Header().Get(caller.HeaderUseAddresses) != "" }
+
 func queryStatus(o caller.Outcome) int {
 	switch o {
 	case caller.OutcomeRefused:
--- a/entry/internal/drainer/drainer.go
+++ b/entry/internal/drainer/drainer.go
@@ -34,6 +34,8 @@
 type Drainer struct {
 	opts    Options
 	leaving atomic.Bool
+	// left is closed once the grace is over.
+	left    chan struct{}
 	running atomic.Int64
 }
 
@@ -45,7 +47,7 @@
 	if opts.Alone == nil {
 		opts.Alone = func() bool { return false }
 	}
-	return &Drainer{opts: opts}
+	return &Drainer{opts: opts, left: make(chan struct{})}
 }
 
 // Leaving reports whether Leave was called.
@@ -57,8 +59,14 @@
 // Leave announces the stop and returns when the port may be closed, or ctx ends; the server then has to finish what is in flight.
 func (d *Drainer) Leave(ctx context.Context) error {
 	if d.leaving.Swap(true) {
+		// A second order to stop must not shorten the grace of the first.
+		select {
+		case <-d.left:
+		case <-ctx.Done():
+		}
 		return nil
 	}
+	defer close(d.left)
 	end := d.opts.Clock.Now().Add(d.opts.Grace())
 	d.opts.Announce(ctx)
 	for d.opts.Clock.Now().Before(end) && !d.opts.Alone() {
--- a/entry/internal/drainer/drainer_test.go
+++ b/entry/internal/drainer/drainer_test.go
@@ -66,14 +66,22 @@
 	return h
 }
 
-func (h *host) get(c *qt.C, client *http.Client, path string) (*http.Response, error) {
+// got is what a caller sees of a reply.
+type got struct {
+	status int
+	closes bool
+	use    string
+}
+
+func (h *host) get(c *qt.C, client *http.Client, path string) (got, error) {
 	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+h.addr+path, nil)
 	c.Assert(err, qt.IsNil)
 	resp, err := client.Do(req)
-	if err == nil {
-		resp.Body.Close()
+	if err != nil {
+		return got{}, err
 	}
-	return resp, err
+	defer resp.Body.Close()
+	return got{resp.StatusCode, resp.Close, resp.Header.Get(caller.HeaderUseAddresses)}, nil
 }
 
 // An operator stops a host while a family waits for a colour match, and while other callers still hold the
@@ -85,7 +93,7 @@
 	idle := &http.Client{Transport: &http.Transport{}}
 	resp, err := h.get(c, idle, "/quick")
 	c.Assert(err, qt.IsNil)
-	c.Check(resp.Close, qt.IsFalse)
+	c.Check(resp, qt.Equals, got{status: http.StatusOK})
 
 	answered := make(chan error, 1)
 	go func() {
@@ -93,15 +101,16 @@
 		answered <- err
 	}()
 	<-h.begun
-	go func() { _ = h.app.Stop() }()
+	// The order to stop is given twice, as by a signal and a supervisor.
+	for range 2 {
+		go func() { _ = h.app.Stop() }()
+	}
 	<-h.announced
 
 	for _, client := range []*http.Client{idle, {Transport: &http.Transport{}}} {
 		resp, err := h.get(c, client, "/quick")
 		c.Assert(err, qt.IsNil)
-		c.Check(resp.StatusCode, qt.Equals, http.StatusOK)
-		c.Check(resp.Close, qt.IsTrue)
-		c.Check(resp.Header.Get(caller.HeaderUseAddresses), qt.Equals, caller.UseRefresh)
+		c.Check(resp, qt.Equals, got{http.StatusOK, true, caller.UseRefresh})
 	}
 
 	<-h.clock.now
--- a/entry/internal/events/requests.go
+++ b/entry/internal/events/requests.go
@@ -7,3 +7,8 @@
 	Panicked   = event.New(1351, "request_panicked", "A request met a broken invariant: it was answered with status 500 and the host goes on; the line holds the stack.")
 	LimitMoved = event.New(1350, "admission_limit_moved", "The number of queries of a service that run at once on this host followed the upstream's replies.")
 )
+
+// Events of steering, 1600 to 1699.
+var (
+	Steered = event.New(1600, "caller_steered", "A caller was told which hosts to use for a service.")
+)
--- a/entry/internal/host/host.go
+++ b/entry/internal/host/host.go
@@ -3,24 +3,25 @@
 import (
 	"context"
 	"crypto/rand"
-	"errors"
 	"fmt"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/go-kratos/kratos/v2"
 	"github.com/go-logr/logr"
-	"github.com/prometheus/client_golang/prometheus"
 
 	"guavaspring.org/core/caller"
 	"guavaspring.org/core/clock"
 	"guavaspring.org/core/platform"
 	"guavaspring.org/entry/internal/accepted"
 	"guavaspring.org/entry/internal/callers"
+	"guavaspring.org/entry/internal/drainer"
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/explain"
 	"guavaspring.org/entry/internal/follow"
 	"guavaspring.org/entry/internal/service"
+	"guavaspring.org/entry/internal/steer"
 )
 
 const explanations = 4096
@@ -44,6 +45,10 @@
 	explain  *explain.Store
 	follower *follow.Follower
 	joined   *joined
+	steerer  *steer.Steerer
+	drain    *drainer.Drainer
+	// mint makes a write ticket for one incarnation of a host; nil means that none are handed out.
+	mint func(incarnation, service string, now time.Time, life time.Duration) string
 
 	mu       sync.RWMutex
 	services map[string]*service.Service
@@ -55,7 +60,8 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &Host{opts: opts, explain: explain.New(explanations), services: map[string]*service.Service{}}
+	h := &Host{opts: opts, explain: explain.New(explanations), services: map[string]*service.Service{}, steerer: steer.New(steer.Options{})}
+	h.drain = h.newDrainer()
 	h.store = accepted.New(h.inForce)
 	h.follower = h.follow(client)
 	h.joined, err = join(opts, h.store, h.follower.Replicas)
@@ -67,15 +73,22 @@
 
 // Run serves until ctx ends or the process is told to stop, and then finishes what is in flight.
 func (h *Host) Run(ctx context.Context) error {
+	counts := h.newMetrics()
 	srv := callers.New(callers.Options{
 		Clock: h.opts.Clock, Log: h.opts.Log, Listen: h.opts.Listen, NewID: rand.Text, Explain: h.explain,
-		Metrics: prometheus.NewRegistry(), Service: h.service, Ready: h.ready, Addresses: h.addresses, Write: h.write,
+		Metrics: counts.Registry(), Answered: counts.Answered, Service: h.service, Ready: h.ready,
+		Addresses: h.addresses, Refresh: h.refresh, Filter: h.drain.Filter, Write: h.write,
 	})
-	ctx, cancel := context.WithCancel(ctx)
+	// The end of ctx is a planned stop: if it reached the requests in flight, it would cut them off.
+	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var duties sync.WaitGroup
-	duties.Go(func() { h.runPeers(ctx) })
-	app := kratos.New(kratos.Context(ctx), kratos.Name("entry"), kratos.Server(srv), kratos.BeforeStop(h.joined.leave))
+	duties.Go(func() { h.runPeers(own) })
+	duties.Go(func() { h.reportLoad(own) })
+	app := kratos.New(kratos.Context(own), kratos.Name("entry"), kratos.Server(srv),
+		kratos.BeforeStop(h.drain.Leave), kratos.StopTimeout(stopTimeout))
+	stop := context.AfterFunc(ctx, func() { _ = app.Stop() })
+	defer stop()
 	events.Started.Log(h.opts.Log, "listen", h.opts.Listen.String(), "zone", h.opts.Zone)
 	err := app.Run()
 	cancel()
@@ -117,26 +130,13 @@
 	for _, r := range list {
 		byService[r.Service] = append(byService[r.Service], r)
 	}
-	h.mu.RLock()
-	services := make(map[string]*service.Service, len(h.services))
-	for name, s := range h.services {
-		services[name] = s
-	}
-	h.mu.RUnlock()
 	var wg sync.WaitGroup
-	for name, s := range services {
+	for name, s := range h.all() {
 		wg.Go(func() { s.Update(ctx, byService[name]) })
 	}
 	wg.Wait()
 }
 
-func (h *Host) ready() error {
-	if len(h.store.All()) == 0 {
-		return errors.New("no accepted document is known yet")
-	}
-	return nil
-}
-
 func (h *Host) write(_ context.Context, req callers.WriteRequest) caller.WriteAnswer {
 	return caller.WriteAnswer{RequestID: req.ID, Service: req.Service, Outcome: caller.WriteNotRun, Reason: "writes are not served yet"}
 }
--- a/entry/internal/host/peers.go
+++ b/entry/internal/host/peers.go
@@ -80,10 +80,7 @@
 func (h *Host) Subscribe(kind rumor.Kind, f func(rumor.Rumor)) { h.joined.rumors.Subscribe(kind, f) }
 
 // leave tells the other hosts that this one is stopping.
-func (j *joined) leave(ctx context.Context) error {
-	j.peers.Leave(ctx)
-	return nil
-}
+func (j *joined) leave(ctx context.Context) { j.peers.Leave(ctx) }
 
 // newRand needs no secrecy: it only spreads probes and repairs.
 func newRand() *mathrand.Rand {
--- a/entry/internal/host/steer.go
+++ b/entry/internal/host/steer.go
@@ -1,20 +1,111 @@
 package host
 
 import (
+	"context"
 	"fmt"
+	"time"
 
 	"guavaspring.org/core/caller"
+	"guavaspring.org/entry/internal/admission"
 	"guavaspring.org/entry/internal/callers"
+	"guavaspring.org/entry/internal/events"
+	"guavaspring.org/entry/internal/metrics"
+	"guavaspring.org/entry/internal/service"
+	"guavaspring.org/entry/internal/steer"
 )
 
+// loadEvery is how often the other hosts may hear a new load of this one.
+const loadEvery = time.Second
+
+// addresses answers which hosts a caller should use.
 func (h *Host) addresses(req callers.AddressRequest) (caller.Addresses, error) {
 	s := h.service(req.Service)
 	if s == nil {
 		return caller.Addresses{}, fmt.Errorf("no service %q is configured here", req.Service)
 	}
 	gen := s.Generation()
-	return caller.Addresses{
-		Service: req.Service, Generation: gen.Number, KeepMS: gen.Document.Addresses.Keep.Std().Milliseconds(),
-		Addresses: []caller.Address{{Address: h.opts.Listen, Zone: h.opts.Zone, Weight: 1}},
-	}, nil
+	doc := gen.Document
+	picked := h.steerer.Pick(h.Hosts(), h.Self(), steer.Request{
+		Service: req.Service, Caller: req.Caller, Zone: req.Zone,
+		Count: doc.Addresses.Count, Hosts: doc.Upstream.EntryHosts, Keep: doc.Addresses.Keep.Std(),
+	})
+	ans := caller.Addresses{Service: req.Service, Generation: gen.Number, KeepMS: picked.Keep.Milliseconds()}
+	var ids []string
+	for _, c := range picked.Choices {
+		addr := caller.Address{Address: c.Host.Caller, Zone: c.Host.Zone, Weight: c.Weight}
+		if doc.Writes.Enabled {
+			addr.Tickets = h.tickets(c.Host.ID, req.Service, req.Tickets, doc.Writes.TicketLife.Std())
+		}
+		ans.Addresses = append(ans.Addresses, addr)
+		ids = append(ids, c.Host.Caller.String())
+	}
+	events.Steered.Log(h.opts.Log, "service", req.Service, "caller", req.Caller, "zone", req.Zone, "hosts", ids, "keep_ms", ans.KeepMS, "tickets", req.Tickets)
+	return ans, nil
+}
+
+// tickets mints n rights to a write at one incarnation of a host.
+func (h *Host) tickets(incarnation, service string, n int, life time.Duration) []string {
+	if h.mint == nil {
+		return nil
+	}
+	list := make([]string, n)
+	for i := range list {
+		list[i] = h.mint(incarnation, service, h.opts.Clock.Now(), life)
+	}
+	return list
+}
+
+// refresh reports whether callers of a service that came here should ask for addresses again.
+func (h *Host) refresh(service string) bool {
+	s := h.service(service)
+	if s == nil {
+		return false
+	}
+	return !steer.Serves(h.Hosts(), h.Self(), service, s.Generation().Document.Upstream.EntryHosts)
+}
+
+// reportLoad tells the list of hosts this one's load until ctx ends.
+func (h *Host) reportLoad(ctx context.Context) {
+	for {
+		select {
+		case <-h.opts.Clock.After(loadEvery):
+			load := 0.0
+			for _, s := range h.all() {
+				load = max(load, s.Admission().Load())
+			}
+			h.joined.list.SetLoad(load)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *Host) all() map[string]*service.Service {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	services := make(map[string]*service.Service, len(h.services))
+	for name, s := range h.services {
+		services[name] = s
+	}
+	return services
+}
+
+func (h *Host) newMetrics() *metrics.Metrics {
+	return metrics.New(metrics.Options{
+		Running: h.drain.Running,
+		Gates: func() map[string]admission.Stats {
+			stats := map[string]admission.Stats{}
+			for name, s := range h.all() {
+				stats[name] = s.Admission().Stats()
+			}
+			return stats
+		},
+		Hosts: func() map[string]int {
+			counts := map[string]int{}
+			for _, other := range h.Hosts() {
+				counts[string(other.State)]++
+			}
+			return counts
+		},
+	})
 }
--- /dev/null
+++ b/entry/internal/metrics/doc.go
@@ -0,0 +1,2 @@
+// Package metrics publishes what a host does in the Prometheus format.
+package metrics
