--- a/entry/internal/host/host.go
+++ b/entry/internal/host/host.go
@@ -20,6 +20,7 @@
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/explain"
 	"guavaspring.org/entry/internal/follow"
+	"guavaspring.org/entry/internal/metrics"
 	"guavaspring.org/entry/internal/service"
 	"guavaspring.org/entry/internal/steer"
 )
@@ -48,7 +49,9 @@
 	steerer  *steer.Steerer
 	drain    *drainer.Drainer
 	// mint makes a write ticket for one incarnation of a host; nil means that none are handed out.
-	mint func(incarnation, service string, now time.Time, life time.Duration) string
+	mint    func(incarnation, service string, now time.Time, life time.Duration) string
+	counts  *metrics.Metrics
+	routing *service.Metrics
 
 	mu       sync.RWMutex
 	services map[string]*service.Service
@@ -62,6 +65,8 @@
 	}
 	h := &Host{opts: opts, explain: explain.New(explanations), services: map[string]*service.Service{}, steerer: steer.New(steer.Options{})}
 	h.drain = h.newDrainer()
+	h.counts = h.newMetrics()
+	h.routing = service.NewMetrics(h.counts.Registry())
 	h.store = accepted.New(h.inForce)
 	h.follower = h.follow(client)
 	h.joined, err = join(opts, h.store, h.follower.Replicas)
@@ -73,10 +78,9 @@
 
 // Run serves until ctx ends or the process is told to stop, and then finishes what is in flight.
 func (h *Host) Run(ctx context.Context) error {
-	counts := h.newMetrics()
 	srv := callers.New(callers.Options{
 		Clock: h.opts.Clock, Log: h.opts.Log, Listen: h.opts.Listen, NewID: rand.Text, Explain: h.explain,
-		Metrics: counts.Registry(), Answered: counts.Answered, Service: h.service, Ready: h.ready,
+		Metrics: h.counts.Registry(), Answered: h.counts.Answered, Service: h.service, Ready: h.ready,
 		Addresses: h.addresses, Refresh: h.refresh, Filter: h.drain.Filter, Write: h.write,
 	})
 	// The end of ctx is a planned stop: if it reached the requests in flight, it would cut them off.
@@ -109,7 +113,7 @@
 		s.SetGeneration(gen)
 		return
 	}
-	s, err := service.New(gen, service.Options{Clock: h.opts.Clock, Log: h.opts.Log, Explain: h.explain, NewID: h.explanationID, Draining: h.noteDraining})
+	s, err := service.New(gen, h.serviceOptions())
 	if err != nil {
 		panic(fmt.Sprintf("host: a client without an endpoint can't be made: %v", err))
 	}
