directory: Let hosts without seeds find each other through the platform

Cause: a host whose seeds were all replaced found nobody. Change: the first host of each zone, by rendezvous hash, keeps eight addresses of the zone in one object, written at most each 30 s and only when they changed; a host that is alone adds itself and never overwrites those listed. Ruled out: an entry for each host (560 writes a second at 5,600 hosts). Seen red on scratch copies: a host alone that never writes, one that overwrites, one that trusts its own last write, no rate.

--- /dev/null
+++ b/entry/internal/directory/directory_test.go
@@ -0,0 +1,193 @@
+package directory
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/platform"
+	"guavaspring.org/entry/internal/member"
+)
+
+// store is a platform that holds directory objects and can be down.
+type store struct {
+	mu   sync.Mutex
+	objs map[string]platform.Object
+	down bool
+	puts int
+}
+
+func (s *store) list(context.Context, platform.Kind) ([]platform.Object, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, platform.ErrUnavailable
+	}
+	var list []platform.Object
+	for _, obj := range s.objs {
+		list = append(list, obj)
+	}
+	return list, 0, nil
+}
+
+func (s *store) get(_ context.Context, _ platform.Kind, name string) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	obj, ok := s.objs[name]
+	switch {
+	case s.down:
+		return obj, platform.ErrUnavailable
+	case !ok:
+		return obj, platform.ErrNotFound
+	}
+	return obj, nil
+}
+
+func (s *store) put(_ context.Context, _ platform.Kind, name string, version int64, b []byte) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.down:
+		return platform.Object{}, platform.ErrUnavailable
+	case s.objs[name].Version != version:
+		return platform.Object{}, platform.ErrConflict
+	}
+	s.puts++
+	s.objs[name] = platform.Object{Name: name, Version: version + 1, Body: b}
+	return s.objs[name], nil
+}
+
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *store) written() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.puts
+}
+
+func host(i int) member.Host {
+	addr := netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7000", i))
+	return member.Host{ID: fmt.Sprint("host-", i), Peer: addr, Zone: "leeds-hall", Region: "north", State: member.StateAlive}
+}
+
+func hosts(n int) []member.Host {
+	var list []member.Host
+	for i := range n {
+		list = append(list, host(i))
+	}
+	return list
+}
+
+func newDirectory(s *store, self member.Host, known func() []member.Host) *Directory {
+	return New(Options{
+		Clock: clock.System{}, Log: logr.Discard(), List: s.list, Get: s.get, Put: s.put,
+		Self: func() member.Host { return self }, Hosts: known,
+	})
+}
+
+// Story: the platform is down for an hour, and every host is replaced meanwhile. A host that starts after it must find
+// a running one, though nobody could write down the new addresses while they came.
+func TestDirectoryListsRunningHostsAgainAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &store{objs: map[string]platform.Object{}}
+		known := hosts(3)
+		ctx, cancel := context.WithCancel(t.Context())
+		first := newDirectory(s, member.Ranked(known, "directory")[0], func() []member.Host { return known })
+		go first.Run(ctx)
+		time.Sleep(time.Minute)
+		c.Assert(s.written(), qt.Equals, 1)
+		cancel()
+
+		s.setDown(true)
+		replaced := []member.Host{host(7), host(8), host(9)}
+		ctx, cancel = context.WithCancel(t.Context())
+		go newDirectory(s, member.Ranked(replaced, "directory")[0], func() []member.Host { return replaced }).Run(ctx)
+		time.Sleep(time.Hour)
+		s.setDown(false)
+		time.Sleep(time.Minute)
+
+		fresh := newDirectory(s, host(20), func() []member.Host { return []member.Host{host(20)} })
+		fresh.tick(t.Context())
+		c.Assert(fresh.Contacts(), qt.HasLen, 3)
+		c.Assert(fresh.Contacts()[0], qt.Equals, host(7).Peer)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Story: a large fleet is restarted, host by host, all day long. If every host wrote its own address the platform would
+// have to take hundreds of writes a second; only the first of the zone writes, and at a bounded rate.
+func TestOnlyTheFirstOfTheZoneWritesAtABoundedRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &store{objs: map[string]platform.Object{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		known := hosts(200)
+		// The hosts after the first come and go, which changes the eight that are listed.
+		order := member.Ranked(known, "directory")
+		changing := func() []member.Host { return append([]member.Host{order[0]}, order[1+time.Now().Second()%50:]...) }
+		for _, h := range order[:20] {
+			go newDirectory(s, h, changing).Run(ctx)
+		}
+		time.Sleep(10 * time.Minute)
+		c.Assert(s.written() <= 21, qt.IsTrue, qt.Commentf("%d writes in ten minutes", s.written()))
+		c.Assert(s.written() >= 10, qt.IsTrue, qt.Commentf("%d writes in ten minutes", s.written()))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Story: the very first hosts start without seeds, on an empty platform. Each is alone and could wait for ever for
+// another one to be listed; the first must list itself, and a host that is cut off must not stay listed alone.
+func TestHostsWithoutSeedsFindEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &store{objs: map[string]platform.Object{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		go newDirectory(s, host(1), func() []member.Host { return []member.Host{host(1)} }).Run(ctx)
+		time.Sleep(10 * time.Second)
+		second := newDirectory(s, host(2), func() []member.Host { return []member.Host{host(2)} })
+		second.tick(t.Context())
+		c.Assert(second.Contacts(), qt.HasLen, 1)
+		c.Assert(second.Contacts()[0], qt.Equals, host(1).Peer)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Story: a host can't reach the others but reaches the platform, and so takes itself for the only one. If it wrote its
+// zone's object alone, every host that starts would find just that one, until the others write again.
+func TestHostThatIsCutOffLeavesTheOthersListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &store{objs: map[string]platform.Object{}}
+		known := hosts(5)
+		ctx, cancel := context.WithCancel(t.Context())
+		writer := newDirectory(s, member.Ranked(known, "directory")[0], func() []member.Host { return known })
+		writer.tick(ctx)
+		go newDirectory(s, host(7), func() []member.Host { return []member.Host{host(7)} }).Run(ctx)
+		time.Sleep(time.Minute)
+		fresh := newDirectory(s, host(8), nil)
+		fresh.readAll(ctx, time.Now())
+		c.Assert(fresh.Contacts(), qt.HasLen, 6)
+
+		writer.tick(ctx)
+		fresh.readAll(ctx, time.Now())
+		c.Assert(fresh.Contacts(), qt.HasLen, 5)
+		cancel()
+		synctest.Wait()
+	})
+}
