--- /dev/null
+++ b/entry/internal/peers/fleet_test.go
@@ -0,0 +1,170 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/platform"
+	"guavaspring.org/entry/internal/accepted"
+	"guavaspring.org/entry/internal/member"
+	"guavaspring.org/entry/internal/rumor"
+)
+
+// fleet is a few hosts joined by pipes, so that a test runs in virtual time.
+type fleet struct {
+	t     *testing.T
+	mu    sync.Mutex
+	hosts map[netip.AddrPort]*testHost
+	// silent connections swallow what is written, as a middlebox that has lost track of them.
+	silent map[net.Conn]bool
+	open   []*pipeEnd
+	// newsLost keeps hosts from telling their neighbours what is in force.
+	newsLost bool
+	dials    int
+}
+
+type testHost struct {
+	addr   netip.AddrPort
+	peers  *Peers
+	list   *member.List
+	store  *accepted.Store
+	rumors *rumor.Store
+	accept chan net.Conn
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// pipeEnd is one end of a connection that can go silent.
+type pipeEnd struct {
+	net.Conn
+	f *fleet
+}
+
+// Write pretends to have written once the connection is silent.
+func (e *pipeEnd) Write(b []byte) (int, error) {
+	e.f.mu.Lock()
+	quiet := e.f.silent[e]
+	e.f.mu.Unlock()
+	if quiet {
+		return len(b), nil
+	}
+	return e.Conn.Write(b)
+}
+
+// listener accepts the pipes that others dial.
+type listener struct {
+	h    *testHost
+	once sync.Once
+	stop chan struct{}
+}
+
+// Accept waits for the next pipe.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.h.accept:
+		return c, nil
+	case <-l.stop:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends Accept.
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.stop) })
+	return nil
+}
+
+// Addr returns the host's address.
+func (l *listener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.h.addr) }
+
+func (f *fleet) dial(_ context.Context, addr netip.AddrPort) (net.Conn, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := f.hosts[addr]
+	if h == nil {
+		return nil, fmt.Errorf("connection to %s refused", addr)
+	}
+	f.dials++
+	a, b := net.Pipe()
+	near, far := &pipeEnd{Conn: a, f: f}, &pipeEnd{Conn: b, f: f}
+	f.open = append(f.open, near, far)
+	h.accept <- far
+	return near, nil
+}
+
+// silence makes every open connection silent; new ones work.
+func (f *fleet) silence() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.open {
+		f.silent[e] = true
+	}
+}
+
+func addrOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
+}
+
+// start runs host i, which knows only host 1.
+func (f *fleet) start(i int) *testHost {
+	h := &testHost{addr: addrOf(i), accept: make(chan net.Conn, 64), done: make(chan struct{})}
+	self := member.Host{ID: fmt.Sprint("host-", i), Peer: h.addr, Caller: h.addr, Zone: fmt.Sprint("zone-", i%3), Region: "r"}
+	h.list = member.New(member.Options{Self: self, Rand: rand.New(rand.NewPCG(uint64(i), 1))})
+	h.rumors = rumor.New(clock.System{}, func() int { return len(h.list.Hosts()) })
+	h.store = accepted.New(func(gen accepted.Generation) {
+		if !f.newsLost {
+			h.peers.InForce(gen)
+		}
+	})
+	p, err := New(Options{
+		Clock: clock.System{}, Log: logr.Discard(), Listener: &listener{h: h, stop: make(chan struct{})},
+		List: h.list, Store: h.store, Rumors: h.rumors, Rand: rand.New(rand.NewPCG(uint64(i), 2)), Dial: f.dial,
+		Contacts: func() []netip.AddrPort { return []netip.AddrPort{addrOf(1)} },
+		Replicas: func() []platform.Replica { return []platform.Replica{{ID: "r-1", Service: "donor-desk"}} },
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	h.peers = p
+	ctx, cancel := context.WithCancel(f.t.Context())
+	h.cancel = cancel
+	f.mu.Lock()
+	f.hosts[h.addr] = h
+	f.mu.Unlock()
+	go func() {
+		defer close(h.done)
+		p.Run(ctx)
+	}()
+	return h
+}
+
+// play runs a test over a fleet of n hosts that know each other, in virtual time.
+func play(t *testing.T, n int, f func(f *fleet, hosts []*testHost)) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := &fleet{t: t, hosts: map[netip.AddrPort]*testHost{}, silent: map[net.Conn]bool{}}
+		var hosts []*testHost
+		for i := range n {
+			hosts = append(hosts, fl.start(i+1))
+		}
+		time.Sleep(10 * time.Second)
+		f(fl, hosts)
+		for _, h := range fl.hosts {
+			h.cancel()
+		}
+		for _, h := range fl.hosts {
+			<-h.done
+		}
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+	})
+}
--- a/entry/internal/peers/messages.go
+++ b/entry/internal/peers/messages.go
@@ -66,6 +66,9 @@
 // GenerationReply holds the accepted object as it was recorded.
 type GenerationReply struct{ Raw []byte }
 
+// NumberReply says which generation is in force.
+type NumberReply struct{ Number int64 }
+
 // ReplicasArgs asks for the replica list that was read last.
 type ReplicasArgs struct{}
 
--- a/entry/internal/peers/methods.go
+++ b/entry/internal/peers/methods.go
@@ -57,6 +57,13 @@
 	return err
 }
 
+// Number answers which generation of a service is in force here; zero means none.
+func (m *Methods) Number(args *GenerationArgs, reply *NumberReply) error {
+	gen, _ := m.p.opts.Store.Get(args.Service)
+	reply.Number = gen.Number
+	return nil
+}
+
 // Replicas answers with the replica list that this host read last.
 func (m *Methods) Replicas(_ *ReplicasArgs, reply *ReplicasReply) error {
 	reply.List = m.p.opts.Replicas()
--- a/entry/internal/peers/peers.go
+++ b/entry/internal/peers/peers.go
@@ -44,6 +44,8 @@
 	// Contacts returns addresses of hosts that may be alive, from settings and the platform's directory.
 	Contacts func() []netip.AddrPort
 	Rand     *rand.Rand
+	// Dial opens a connection to another host; New takes TCP where it is nil.
+	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 }
 
 // Peers exchanges probes and news with the other hosts.
@@ -69,7 +71,7 @@
 func New(opts Options) (*Peers, error) {
 	p := &Peers{opts: opts, news: ring.New[item](newsQueue), repaired: map[Table]time.Time{}, fetching: map[accepted.Mark]bool{}}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	p.pool = newPool(opts.Clock, &p.traffic)
+	p.pool = newPool(opts.Clock, &p.traffic, opts.Dial)
 	srv, err := newServer(&Methods{p: p}, &p.traffic)
 	if err != nil {
 		return nil, err
@@ -275,6 +277,17 @@
 	return true
 }
 
+// Number asks a host, which may be this one, which generation of a service it has in force.
+func (p *Peers) Number(ctx context.Context, h member.Host, service string) (int64, error) {
+	var reply NumberReply
+	if h.ID == p.opts.List.Self().ID {
+		gen, _ := p.opts.Store.Get(service)
+		return gen.Number, nil
+	}
+	err := p.pool.call(ctx, h.Peer, callTimeout, "Number", &GenerationArgs{Service: service}, &reply)
+	return reply.Number, err
+}
+
 // AskReplicas returns the replica list that a neighbour read last.
 func (p *Peers) AskReplicas(ctx context.Context) ([]platform.Replica, error) {
 	var reply ReplicasReply
--- a/entry/internal/peers/pool.go
+++ b/entry/internal/peers/pool.go
@@ -22,6 +22,7 @@
 type pool struct {
 	clock clock.Clock
 	t     *traffic
+	dial  func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 
 	mu      sync.Mutex
 	clients map[netip.AddrPort]*client
@@ -32,8 +33,16 @@
 	used time.Time
 }
 
-func newPool(c clock.Clock, t *traffic) *pool {
-	return &pool{clock: c, t: t, clients: map[netip.AddrPort]*client{}}
+func newPool(c clock.Clock, t *traffic, dial func(context.Context, netip.AddrPort) (net.Conn, error)) *pool {
+	if dial == nil {
+		dial = dialTCP
+	}
+	return &pool{clock: c, t: t, dial: dial, clients: map[netip.AddrPort]*client{}}
+}
+
+func dialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr.String())
 }
 
 // call runs one method at addr. A call that fails or is late closes its connection: the connection may have gone
@@ -67,8 +76,7 @@
 		return c.rpc, nil
 	}
 	p.mu.Unlock()
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", addr.String())
+	conn, err := p.dial(ctx, addr)
 	if err != nil {
 		return nil, fmt.Errorf("peer %s: %w", addr, err)
 	}
