status: Write each service's status from one host at a bounded rate

Change: the first watcher of a service writes generation, proposal, refusal, hosts, replicas and versions on change, at most each 5 s; it asks up to 32 hosts which generation they have in force, and again until all of them have it.

--- a/entry/internal/events/membership.go
+++ b/entry/internal/events/membership.go
@@ -20,3 +20,15 @@
 	RumorHeard = event.New(1550, "rumor_heard", "A fact that another host told all others, such as a replica that is leaving, was taken over.")
 	RumorFull  = event.New(1551, "rumor_dropped", "A rumor was dropped because the bounded store is full of rumors that live longer.")
 )
+
+// Events of the hosts' directory on the platform, 1570 to 1589.
+var (
+	DirectoryWritten    = event.New(1570, "directory_written", "This host, the first of its zone, wrote the zone's object by which starting hosts find the others.")
+	DirectoryUnreadable = event.New(1571, "directory_unreadable", "The object of a zone in the directory could not be read and was left out.")
+)
+
+// Events of status, 1900 to 1999.
+var (
+	StatusWritten = event.New(1900, "status_written", "This host wrote the status of a service, whose first watcher it is.")
+	StatusFailed  = event.New(1901, "status_failed", "The status of a service could not be written; it is tried again.")
+)
--- a/entry/internal/follow/follow.go
+++ b/entry/internal/follow/follow.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -184,6 +186,13 @@
 	return number, refused
 }
 
+// Services returns the name of every service that was proposed here.
+func (f *Follower) Services() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Keys(f.proposals))
+}
+
 func (f *Follower) note(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		// The host is stopping, and so its calls end.
--- a/entry/internal/host/host.go
+++ b/entry/internal/host/host.go
@@ -58,10 +58,11 @@
 	h := &Host{opts: opts, explain: explain.New(explanations), services: map[string]*service.Service{}}
 	h.store = accepted.New(h.inForce)
 	h.follower = h.follow(client)
-	h.joined, err = join(opts, h.store, h.follower.Replicas)
+	h.joined, err = join(opts, client, h.store, h.follower.Replicas)
 	if err != nil {
 		return nil, err
 	}
+	h.joined.status = h.status(client)
 	return h, nil
 }
 
--- a/entry/internal/host/peers.go
+++ b/entry/internal/host/peers.go
@@ -7,6 +7,7 @@
 	mathrand "math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 
 	"github.com/go-logr/logr"
@@ -15,11 +16,13 @@
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/ring"
 	"guavaspring.org/entry/internal/accepted"
+	"guavaspring.org/entry/internal/directory"
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/follow"
 	"guavaspring.org/entry/internal/member"
 	"guavaspring.org/entry/internal/peers"
 	"guavaspring.org/entry/internal/rumor"
+	"guavaspring.org/entry/internal/status"
 )
 
 // joined is what makes this host one of many: the list of hosts and the traffic with them.
@@ -28,12 +31,15 @@
 	list   *member.List
 	rumors *rumor.Store
 	peers  *peers.Peers
+	status *status.Writer
+	// directory finds hosts that aren't in the settings.
+	directory *directory.Directory
 	// drained joins the services' tables to the duty that tells the other hosts.
 	drained *ring.Ring[drained]
 }
 
 // join opens the port for other hosts; the host joins once run is called.
-func join(opts Options, store *accepted.Store, replicas func() []platform.Replica) (*joined, error) {
+func join(opts Options, client *platform.Client, store *accepted.Store, replicas func() []platform.Replica) (*joined, error) {
 	var cfg net.ListenConfig
 	l, err := cfg.Listen(context.Background(), "tcp", opts.Peer.String())
 	if err != nil {
@@ -42,10 +48,13 @@
 	j := &joined{opts: opts, drained: ring.New[drained](drainedQueue)}
 	self := member.Host{ID: rand.Text(), Caller: opts.Listen, Peer: opts.Peer, Zone: opts.Zone, Region: opts.Region}
 	j.list = member.New(member.Options{Self: self, Rand: newRand(), Changed: func(old, now member.Host) { logMember(opts.Log, old, now) }})
+	j.directory = directory.New(directory.Options{
+		Clock: opts.Clock, Log: opts.Log, List: client.List, Get: client.Get, Put: client.Put, Self: j.list.Self, Hosts: j.list.Hosts,
+	})
 	j.rumors = rumor.New(opts.Clock, func() int { return len(j.list.Hosts()) })
 	j.peers, err = peers.New(peers.Options{
 		Clock: opts.Clock, Log: opts.Log, Listener: l, List: j.list, Store: store, Rumors: j.rumors, Replicas: replicas, Rand: newRand(),
-		Contacts: func() []netip.AddrPort { return opts.Seeds },
+		Contacts: func() []netip.AddrPort { return append(j.directory.Contacts(), opts.Seeds...) },
 	})
 	return j, err
 }
@@ -65,6 +74,8 @@
 	var duties sync.WaitGroup
 	duties.Go(func() { h.tellDraining(ctx) })
 	duties.Go(func() { h.joined.peers.Run(ctx) })
+	duties.Go(func() { h.joined.directory.Run(ctx) })
+	duties.Go(func() { h.joined.status.Run(ctx) })
 	duties.Go(func() { h.follower.ReadAccepted(ctx) })
 	duties.Go(func() { h.follower.WatchAccepted(ctx) })
 	duties.Go(func() { h.follower.WatchDocuments(ctx) })
@@ -73,6 +84,34 @@
 	duties.Wait()
 }
 
+// status returns the writer of the services' statuses.
+func (h *Host) status(client *platform.Client) *status.Writer {
+	return status.New(status.Options{
+		Clock: h.opts.Clock, Log: h.opts.Log, Get: client.Get, Put: client.Put, Self: h.Self, Hosts: h.Hosts,
+		Services: h.serviceNames, Report: h.report, Number: h.joined.peers.Number,
+	})
+}
+
+// serviceNames returns every service that is configured here or proposed on the platform, ordered.
+func (h *Host) serviceNames() []string {
+	names := h.follower.Services()
+	for _, gen := range h.store.All() {
+		names = append(names, gen.Service)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+func (h *Host) report(name string) platform.Status {
+	gen, _ := h.store.Get(name)
+	proposed, refusal := h.follower.Proposed(name)
+	st := platform.Status{Service: name, Generation: gen.Number, Proposed: max(proposed, gen.Number), Refused: refusal.Reason, Versions: []platform.StatusVersion{}}
+	if s := h.service(name); s != nil {
+		st.Replicas, st.Versions = s.Status()
+	}
+	return st
+}
+
 // Publish tells a small fact to all hosts.
 func (h *Host) Publish(r rumor.Rumor) error { return h.joined.peers.Publish(r) }
 
--- /dev/null
+++ b/entry/internal/status/writer.go
@@ -0,0 +1,183 @@
+package status
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/platform"
+	"guavaspring.org/entry/internal/events"
+	"guavaspring.org/entry/internal/follow"
+	"guavaspring.org/entry/internal/member"
+)
+
+const (
+	// writeEvery is the least time between two writes of one service's status, so that a replica that comes and goes
+	// costs the platform at most one write each five seconds.
+	writeEvery  = 5 * time.Second
+	tickEvery   = 500 * time.Millisecond
+	callTimeout = 2 * time.Second
+	// sample is the most hosts asked for their generation; a share of 32 shows within a few per cent who lags.
+	sample = 32
+)
+
+// Options configures a Writer.
+type Options struct {
+	Clock clock.Clock
+	Log   logr.Logger
+	// Get and Put are the platform's calls.
+	Get func(ctx context.Context, kind platform.Kind, name string) (platform.Object, error)
+	Put func(ctx context.Context, kind platform.Kind, name string, version int64, body []byte) (platform.Object, error)
+	// Self and Hosts return this host's row and every host that is not dead.
+	Self  func() member.Host
+	Hosts func() []member.Host
+	// Services returns the names of all services that are configured or proposed.
+	Services func() []string
+	// Report returns the part of the status that this host knows by itself.
+	Report func(service string) platform.Status
+	// Number asks a host which generation of a service it has in force.
+	Number func(ctx context.Context, h member.Host, service string) (int64, error)
+}
+
+// Writer writes the status of each service whose first watcher this host is: a watcher, since others don't see proposals.
+//
+// Hosts that disagree on who is a member may both be first for a while; the conditional update keeps the object whole,
+// and both write the same but for what only one of them sees.
+type Writer struct {
+	opts  Options
+	state map[string]*state
+}
+
+type state struct {
+	last  platform.Status
+	wrote time.Time
+	// failed says that the last write failed, which is logged once.
+	failed bool
+}
+
+// New returns a writer that does nothing until Run.
+func New(opts Options) *Writer { return &Writer{opts: opts, state: map[string]*state{}} }
+
+// Run writes changed statuses until ctx ends; during an outage of the platform it goes on trying at the same rate.
+func (w *Writer) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.tick(ctx)
+		select {
+		case <-w.opts.Clock.After(tickEvery):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (w *Writer) tick(ctx context.Context) {
+	hosts, self := w.opts.Hosts(), w.opts.Self()
+	for _, name := range w.opts.Services() {
+		if !follow.FirstFor(hosts, self, "status "+name) {
+			// Whoever is first again later must compare with what the others wrote meanwhile.
+			delete(w.state, name)
+			continue
+		}
+		w.service(ctx, name, hosts)
+	}
+}
+
+func (w *Writer) service(ctx context.Context, name string, hosts []member.Host) {
+	st := w.state[name]
+	if st == nil {
+		st = &state{}
+		w.state[name] = st
+	}
+	now := w.opts.Clock.Now()
+	if !st.wrote.IsZero() && now.Sub(st.wrote) < writeEvery {
+		return
+	}
+	report := w.opts.Report(name)
+	report.WrittenBy = w.opts.Self().Caller.String()
+	report.Hosts = count(hosts)
+	if w.unchanged(st.last, report) {
+		return
+	}
+	report.Hosts.Asked, report.Hosts.InForce = w.ask(ctx, name, report.Generation, hosts)
+	st.wrote = now
+	if err := w.write(ctx, name, report); err != nil {
+		if !st.failed && ctx.Err() == nil {
+			events.StatusFailed.Log(w.opts.Log, "service", name, "error", err.Error())
+		}
+		st.failed = true
+		return
+	}
+	st.last, st.failed = report, false
+	events.StatusWritten.Log(w.opts.Log, "service", name, "generation", report.Generation, "proposed", report.Proposed,
+		"refused", report.Refused, "asked", report.Hosts.Asked, "in_force", report.Hosts.InForce)
+}
+
+// unchanged reports whether there is nothing new to write: hosts are only asked again after a change, or until all have it.
+func (w *Writer) unchanged(last, now platform.Status) bool {
+	if last.Hosts.InForce < last.Hosts.Asked {
+		return false
+	}
+	now.Hosts.Asked, now.Hosts.InForce = last.Hosts.Asked, last.Hosts.InForce
+	return reflect.DeepEqual(last, now)
+}
+
+func count(hosts []member.Host) platform.StatusHosts {
+	var c platform.StatusHosts
+	for _, h := range hosts {
+		switch h.State {
+		case member.StateAlive:
+			c.Alive++
+		case member.StateSuspect:
+			c.Suspect++
+		case member.StateLeaving:
+			c.Leaving++
+		}
+	}
+	return c
+}
+
+// ask asks a few hosts, or all of a small fleet, which generation they have in force.
+func (w *Writer) ask(ctx context.Context, name string, number int64, hosts []member.Host) (asked, inForce int) {
+	now := w.opts.Clock.Now()
+	// Ranking by a purpose that changes draws another sample each time.
+	list := member.Ranked(hosts, fmt.Sprint("sample ", name, now.Unix()))
+	list = slices.DeleteFunc(list, func(h member.Host) bool { return h.State != member.StateAlive })
+	list = list[:min(sample, len(list))]
+	found := make(chan bool, len(list))
+	for _, h := range list {
+		go func() {
+			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			n, err := w.opts.Number(callCtx, h, name)
+			found <- err == nil && n >= number
+		}()
+	}
+	for range list {
+		if <-found {
+			inForce++
+		}
+	}
+	return len(list), inForce
+}
+
+// write reads the version first, since another host may have written while it was first.
+func (w *Writer) write(ctx context.Context, name string, report platform.Status) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	old, err := w.opts.Get(ctx, platform.KindStatus, name)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	b, err := json.Marshal(report)
+	if err != nil {
+		return fmt.Errorf("encode status of %s: %w", name, err)
+	}
+	_, err = w.opts.Put(ctx, platform.KindStatus, name, old.Version, b)
+	return err
+}
--- /dev/null
+++ b/entry/internal/status/writer_test.go
@@ -0,0 +1,160 @@
+package status
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/platform"
+	"guavaspring.org/entry/internal/member"
+)
+
+// scene is a fleet whose facts a test changes while the writers of all its hosts run.
+type scene struct {
+	mu      sync.Mutex
+	object  platform.Object
+	puts    int
+	down    bool
+	report  platform.Status
+	lagging map[string]bool
+	hosts   []member.Host
+}
+
+func (s *scene) get(context.Context, platform.Kind, string) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return s.object, nil
+}
+
+func (s *scene) put(_ context.Context, _ platform.Kind, _ string, version int64, b []byte) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.down:
+		return platform.Object{}, platform.ErrUnavailable
+	case s.object.Version != version:
+		return platform.Object{}, platform.ErrConflict
+	}
+	s.puts++
+	s.object = platform.Object{Version: version + 1, Body: b}
+	return s.object, nil
+}
+
+func (s *scene) number(_ context.Context, h member.Host, _ string) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lagging[h.ID] {
+		return s.report.Generation - 1, nil
+	}
+	return s.report.Generation, nil
+}
+
+func (s *scene) set(f func(s *scene)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
+}
+
+// written returns the status on the platform and how often it was written.
+func (s *scene) written(c *qt.C) (platform.Status, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var st platform.Status
+	c.Assert(json.Unmarshal(s.object.Body, &st), qt.IsNil)
+	return st, s.puts
+}
+
+func playStatus(t *testing.T, f func(c *qt.C, s *scene)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scene{lagging: map[string]bool{}, report: platform.Status{Service: "board-feed", Generation: 1, Proposed: 1}}
+		for i := range 7 {
+			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)
+			s.hosts = append(s.hosts, member.Host{ID: fmt.Sprint("host-", i), Caller: addr, Peer: addr, Zone: fmt.Sprint(i % 3), State: member.StateAlive})
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, self := range s.hosts {
+			go New(Options{
+				Clock: clock.System{}, Log: logr.Discard(), Get: s.get, Put: s.put, Number: s.number,
+				Self: func() member.Host { return self }, Hosts: func() []member.Host { return s.hosts },
+				Services: func() []string { return []string{"board-feed"} },
+				Report: func(string) platform.Status {
+					s.mu.Lock()
+					defer s.mu.Unlock()
+					return s.report
+				},
+			}).Run(ctx)
+		}
+		time.Sleep(10 * time.Second)
+		f(qt.New(t), s)
+		cancel()
+		time.Sleep(time.Second)
+		synctest.Wait()
+	})
+}
+
+// Story: a replica comes and goes all the time, on a platform that takes a few hundred writes a second for everybody.
+// One host writes, when something changed, and at most once in five seconds.
+func TestOneHostWritesChangesAtABoundedRate(t *testing.T) {
+	playStatus(t, func(c *qt.C, s *scene) {
+		_, before := s.written(c)
+		c.Assert(before, qt.Equals, 1)
+		for i := range 120 {
+			s.set(func(s *scene) { s.report.Replicas.Known = 30 + i%2 })
+			time.Sleep(500 * time.Millisecond)
+		}
+		_, after := s.written(c)
+		c.Assert(after-before <= 13, qt.IsTrue, qt.Commentf("%d writes in a minute", after-before))
+		time.Sleep(10 * time.Minute)
+		_, quiet := s.written(c)
+		c.Assert(quiet-after <= 1, qt.IsTrue, qt.Commentf("%d writes while nothing changed", quiet-after))
+	})
+}
+
+// Story: a team applies a document with an error. The last one stays in force, and unless the status says which
+// proposal was refused and why, the team believes that its change is live.
+func TestStatusSaysWhatWasRefusedAndWhoLags(t *testing.T) {
+	playStatus(t, func(c *qt.C, s *scene) {
+		s.set(func(s *scene) { s.report.Proposed, s.report.Refused = 2, "hedge.budget_percent: -1: out of range" })
+		time.Sleep(10 * time.Second)
+		st, _ := s.written(c)
+		c.Assert(st.Generation, qt.Equals, int64(1))
+		c.Assert(st.Proposed, qt.Equals, int64(2))
+		c.Assert(st.Refused, qt.Contains, "hedge.budget_percent")
+
+		s.set(func(s *scene) {
+			s.report.Proposed, s.report.Refused, s.report.Generation = 3, "", 3
+			s.lagging["host-4"] = true
+		})
+		time.Sleep(10 * time.Second)
+		st, _ = s.written(c)
+		c.Assert(st.Hosts, qt.Equals, platform.StatusHosts{Alive: 7, Asked: 7, InForce: 6})
+		s.set(func(s *scene) { s.lagging = nil })
+		time.Sleep(10 * time.Second)
+		st, _ = s.written(c)
+		c.Assert(st.Hosts.InForce, qt.Equals, 7)
+	})
+}
+
+// Story: the platform is down for an hour while things change. After it the status must be true again by itself.
+func TestStatusIsTrueAgainAfterAnOutage(t *testing.T) {
+	playStatus(t, func(c *qt.C, s *scene) {
+		s.set(func(s *scene) { s.down, s.report.Replicas.Known = true, 29 })
+		time.Sleep(time.Hour)
+		s.set(func(s *scene) { s.down = false })
+		time.Sleep(10 * time.Second)
+		st, _ := s.written(c)
+		c.Assert(st.Replicas.Known, qt.Equals, 29)
+	})
+}
