--- a/entry/internal/host/host.go
+++ b/entry/internal/host/host.go
@@ -69,10 +69,11 @@
 	h.routing = service.NewMetrics(h.counts.Registry())
 	h.store = accepted.New(h.inForce)
 	h.follower = h.follow(client)
-	h.joined, err = join(opts, h.store, h.follower.Replicas)
+	h.joined, err = join(opts, client, h.store, h.follower.Replicas)
 	if err != nil {
 		return nil, err
 	}
+	h.joined.status = h.status(client)
 	return h, nil
 }
 
