scripts: Go on with the next scene where one can't start, and say so

Cause: one host that never learned of a document ended the whole bench after five minutes, without a table. Change: the scene is cut short, its logs are kept, the table says what was not run, and the bench fails at the end.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -66,7 +66,7 @@
 all_answer() {
   for policy in guavaspring baseline; do
     for n in $(seq 0 $((HOSTS - 1))); do
-      until_ok "host $n of $policy answers over all shards" answers_whole "127.0.0.1:$(port_of "$policy" "$n")" remnant-finder
+      until_ok "host $n of $policy answers over all shards" answers_whole "127.0.0.1:$(port_of "$policy" "$n")" remnant-finder || return 1
     done
   done
 }
@@ -129,8 +129,8 @@
   action="$(sed -n 's/^action: //p' "load/scenes/$scene.yaml")"
   echo "$scene: $(sed -n 's/^about: //p' "load/scenes/$scene.yaml")"
   rm -rf "${OUT:?}/$scene" "$OUT/$scene.reference"
-  start_all
-  all_answer
+  start_all || return 1
+  all_answer || return 1
   for round in $(seq "$ROUNDS"); do
     for policy in $policies; do
       if grep -q '^reference:' "load/scenes/$scene.yaml"; then
@@ -142,7 +142,7 @@
       finish "$scene"
       if [ "$action" = kill_host ]; then one_host "$policy" 2; fi
       sleep "$SETTLE"
-      all_answer
+      all_answer || return 1
     done
   done
   stop_all
@@ -155,7 +155,14 @@
     echo "no scene $scene; there are: $ALL $FAULTS" >&2
     exit 2
   fi
-  bench_scene "$scene"
+  # A scene whose hosts don't come up stands in the table with the rounds that were run, and fails the bench.
+  if ! bench_scene "$scene"; then
+    echo "scene $scene was cut short: its hosts did not come up" >&2
+    FAILED=1
+    mkdir -p "$LOGS/$scene"
+    cp "$LOGS"/*.log "$LOGS/$scene"
+    stop_all
+  fi
   FILES+=("load/scenes/$scene.yaml")
 done
 echo
