load: Explain an answer of a host that still lives, and say why writes were not done

Cause: the demonstration kills a host, and the worst answer was often that host's, whose explanations die with it. Change: the ten worst answers are kept and explained in turn; reasons of writes that are not done are counted.

--- a/load/internal/drive/drive.go
+++ b/load/internal/drive/drive.go
@@ -1,11 +1,14 @@
 package drive
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +29,8 @@
 	settle = 500 * time.Millisecond
 	// maxLies bounds how many untruths are kept in words; all are counted.
 	maxLies = 20
+	// keptWorst is how many answers are kept to be explained.
+	keptWorst = 10
 )
 
 // Options says what to run and where.
@@ -54,14 +59,20 @@
 	told    map[string]int
 	lies    []check.Lie
 	needed  int
-	// worst is the explanation of the answer that covers least or took longest.
-	worst      caller.Answer
-	worstScore float64
+	// worst holds the answers that cover least or took longest, the worst first.
+	worst   []scored
+	reasons map[string]int
+}
+
+// scored is an answer and how much it calls for an explanation.
+type scored struct {
+	answer caller.Answer
+	score  float64
 }
 
 // New returns a driver with its callers, the first of which is the one that sends the most.
 func New(opts Options) (*Driver, error) {
-	d := &Driver{opts: opts, told: map[string]int{}}
+	d := &Driver{opts: opts, told: map[string]int{}, reasons: map[string]int{}}
 	for i := range opts.Scene.Callers {
 		c, err := hosts.New(fmt.Sprintf("caller-%d", i), opts.Hosts)
 		if err != nil {
@@ -100,12 +111,15 @@
 // Samples returns every query of the run.
 func (d *Driver) Samples() []measure.Sample { return d.samples }
 
-// Explain reads the explanation of the answer that covered least, or took longest, into reply and returns that answer.
+// Explain reads the explanation of the answer that covered least, or took longest, into reply and returns that answer; the next worst stands in for one whose host is gone.
 func (d *Driver) Explain(ctx context.Context, reply any) (caller.Answer, error) {
-	if d.worst.ExplanationID == "" {
-		return caller.Answer{}, fmt.Errorf("no answer to explain")
+	err := errors.New("no answer to explain")
+	for _, w := range d.worst {
+		if err = d.callers[0].Explain(ctx, w.answer.ExplanationID, reply); err == nil {
+			return w.answer, nil
+		}
 	}
-	return d.worst, d.callers[0].Explain(ctx, d.worst.ExplanationID, reply)
+	return caller.Answer{}, err
 }
 
 func (d *Driver) sendQueries(ctx context.Context) {
@@ -177,9 +191,9 @@
 		return
 	}
 	d.needed += s.Shards
-	if score := (1-s.Share)*1000 + s.Took.Seconds(); score > d.worstScore {
-		d.worstScore, d.worst = score, res.Answer
-	}
+	d.worst = append(d.worst, scored{answer: res.Answer, score: (1-s.Share)*1000 + s.Took.Seconds()})
+	slices.SortFunc(d.worst, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	d.worst = d.worst[:min(len(d.worst), keptWorst)]
 }
 
 // sendPoison plays a caller that sends a query again and again, each time as a new request, though it crashes what runs it.
@@ -228,10 +242,14 @@
 	defer d.mu.Unlock()
 	if err != nil {
 		d.told["not_sent"]++
+		d.reasons["not_sent: "+err.Error()]++
 		return
 	}
 	d.writes = append(d.writes, check.Write{OpID: op, Told: res.Told})
 	d.told[string(final(res.Told))]++
+	if outcome := final(res.Told); outcome != caller.WriteDone {
+		d.reasons[string(outcome)+": "+res.Reason]++
+	}
 }
 
 // final is what the caller knows in the end: an unknown outcome is settled by a later certain one.
@@ -338,7 +356,7 @@
 	defer d.mu.Unlock()
 	sc := d.opts.Scene
 	sum := measure.Summarize(d.samples, sc.Warmup.Std(), sc.Duration.Std())
-	sum.Scene, sum.Writes = sc.Name, d.told
+	sum.Scene, sum.Writes, sum.WriteReasons = sc.Name, d.told, d.reasons
 	after := d.counts()
 	sum.Sent, sum.Needed, sum.Crashes = after.requests-before.requests, d.needed, after.crashes-before.crashes
 	if sum.Needed > 0 {
--- a/load/internal/measure/measure.go
+++ b/load/internal/measure/measure.go
@@ -89,8 +89,10 @@
 	// AfterDrainMS is how long after the start of its drain a replica still took work.
 	AfterDrainMS int64 `json:"after_drain_ms"`
 
-	Writes map[string]int `json:"writes,omitempty"`
-	Lies   []string       `json:"lies,omitempty"`
+	// Writes counts the writes by their final outcome, WriteReasons those that are not done by outcome and reason.
+	Writes       map[string]int `json:"writes,omitempty"`
+	WriteReasons map[string]int `json:"write_reasons,omitempty"`
+	Lies         []string       `json:"lies,omitempty"`
 }
 
 // Summarize computes what follows from the samples scheduled from warmup on, out of a run of the given length.
--- a/load/run.go
+++ b/load/run.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -90,6 +92,9 @@
 	if len(s.Writes) > 0 {
 		fmt.Fprintf(w, "  writes                       done %d  not_run %d  unknown %d  not sent %d\n", s.Writes["done"], s.Writes["not_run"], s.Writes["unknown"], s.Writes["not_sent"])
 	}
+	for _, reason := range slices.Sorted(maps.Keys(s.WriteReasons)) {
+		fmt.Fprintf(w, "    %4d x %s\n", s.WriteReasons[reason], reason)
+	}
 	if s.Crashes > 0 {
 		fmt.Fprintf(w, "  crashes by a request         %d\n", s.Crashes)
 	}
