gsctl: Show and watch the status of services

Cause: an operator could apply a document and had no way to see whether it was in force, on how many hosts, or why it was refused.

The session status plays a wrong document written past gsctl: refused with its key, the last accepted one stays in force, the mended one comes into force on both hosts.

--- a/gsctl/internal/operator/operator.go
+++ b/gsctl/internal/operator/operator.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -107,27 +106,7 @@
 	return nil
 }
 
-// Accepted waits until the system has accepted or refused version number of a service's document.
-func (o *Operator) Accepted(ctx context.Context, service string, number int64) error {
-	after := int64(0)
-	for {
-		objs, rev, err := o.opts.Platform.Watch(ctx, platform.KindAccepted, after, watchWait)
-		if err != nil {
-			return fmt.Errorf("wait for version %d of %s: %w", number, service, err)
-		}
-		after = rev
-		for _, obj := range objs {
-			var gen struct {
-				Number int64 `json:"number"`
-			}
-			if obj.Name == service && json.Unmarshal(obj.Body, &gen) == nil && gen.Number >= number {
-				fmt.Fprintf(o.opts.Out, "%s: version %d accepted\n", service, gen.Number)
-				return nil
-			}
-		}
-	}
-}
-
+// watchWait is how long one watch of the platform may wait; it counts as one call.
 const watchWait = 10 * time.Second
 
 // Explain prints why an answer came out as it did, as told by the host that gave it.
--- /dev/null
+++ b/gsctl/internal/operator/status.go
@@ -0,0 +1,72 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"guavaspring.org/core/platform"
+)
+
+// Status prints what the system reports of one service, or of all where service is empty.
+func (o *Operator) Status(ctx context.Context, service string) error {
+	objs, _, err := o.opts.Platform.List(ctx, platform.KindStatus)
+	if err != nil {
+		return fmt.Errorf("read the status: %w", err)
+	}
+	shown, err := o.show(objs, service)
+	if err != nil {
+		return err
+	}
+	if !shown && service != "" {
+		return fmt.Errorf("nothing is reported of %q yet", service)
+	}
+	return nil
+}
+
+// Watch prints the status of one service, or of all, and then every change until ctx ends.
+func (o *Operator) Watch(ctx context.Context, service string) error {
+	after := int64(0)
+	for {
+		objs, rev, err := o.opts.Platform.Watch(ctx, platform.KindStatus, after, watchWait)
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("watch the status: %w", err)
+		}
+		after = rev
+		if _, err := o.show(objs, service); err != nil {
+			return err
+		}
+	}
+}
+
+func (o *Operator) show(objs []platform.Object, service string) (shown bool, err error) {
+	for _, obj := range objs {
+		if service != "" && obj.Name != service {
+			continue
+		}
+		var st platform.Status
+		if err := json.Unmarshal(obj.Body, &st); err != nil {
+			return shown, fmt.Errorf("status of %s: %w", obj.Name, err)
+		}
+		printStatus(o.opts.Out, st)
+		shown = true
+	}
+	return shown, nil
+}
+
+func printStatus(w io.Writer, st platform.Status) {
+	fmt.Fprintf(w, "%s: generation %d in force on %d of %d hosts asked\n", st.Service, st.Generation, st.Hosts.InForce, st.Hosts.Asked)
+	if st.Refused != "" {
+		fmt.Fprintf(w, "  version %d refused: %s\n", st.Proposed, st.Refused)
+	}
+	fmt.Fprintf(w, "  hosts: %d alive, %d suspect, %d leaving\n", st.Hosts.Alive, st.Hosts.Suspect, st.Hosts.Leaving)
+	fmt.Fprintf(w, "  replicas: %d known, %d draining\n", st.Replicas.Known, st.Replicas.Draining)
+	for _, v := range st.Versions {
+		fmt.Fprintf(w, "  index version %d: %d of %d shards held, %d replicas of the thinnest\n", v.Version, v.Held, v.Shards, v.Least)
+	}
+}
--- a/gsctl/main.go
+++ b/gsctl/main.go
@@ -28,6 +28,9 @@
 	getService := get.Arg("service", "Name of the service.").Required().String()
 	apply := app.Command("apply", "Propose a document, if nobody has changed it since it was taken.")
 	applyFile := apply.Arg("file", "The document.").Required().String()
+	status := app.Command("status", "Print what the system reports of a service, or of all.")
+	statusService := status.Arg("service", "Name of the service.").String()
+	statusWatch := status.Flag("watch", "Go on printing every change until interrupted.").Bool()
 	explain := app.Command("explain", "Print why an answer came out as it did.")
 	explainID := explain.Arg("id", "The answer's explanation_id.").Required().String()
 	cmd, err := app.Parse(os.Args[1:])
@@ -51,6 +54,12 @@
 		err = o.Get(limited, *getService)
 	case apply.FullCommand():
 		err = o.Apply(limited, *applyFile)
+	case status.FullCommand():
+		if *statusWatch {
+			err = o.Watch(ctx, *statusService)
+			break
+		}
+		err = o.Status(limited, *statusService)
 	case explain.FullCommand():
 		err = o.Explain(limited, *explainID)
 	}
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -59,7 +59,8 @@
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"ports":  ports,
-			"post":   post,
+			"post":   sender(http.MethodPost),
+			"put":    sender(http.MethodPut),
 			"until":  until,
 			"grab":   grab,
 			"golden": golden,
@@ -109,17 +110,19 @@
 	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(base)), true
 }
 
-// post URL BODY [HEADER:VALUE]... sends a request and prints the status and the reply.
-func post(ts *testscript.TestScript, neg bool, args []string) {
-	if len(args) < 2 {
-		ts.Fatalf("usage: post URL BODY [HEADER:VALUE]...")
-	}
-	status, reply, err := send(http.MethodPost, args[0], args[1], args[2:])
-	ts.Check(err)
-	if (status != http.StatusOK) != neg {
-		ts.Fatalf("status %d: %s", status, reply)
+// sender returns the command that sends URL BODY [HEADER:VALUE]... and prints the status and the reply.
+func sender(method string) func(ts *testscript.TestScript, neg bool, args []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		if len(args) < 2 {
+			ts.Fatalf("usage: post or put URL BODY [HEADER:VALUE]...")
+		}
+		status, reply, err := send(method, args[0], args[1], args[2:])
+		ts.Check(err)
+		if (status != http.StatusOK) != neg {
+			ts.Fatalf("status %d: %s", status, reply)
+		}
+		fmt.Fprintf(ts.Stdout(), "status %d\n%s\n", status, reply)
 	}
-	fmt.Fprintf(ts.Stdout(), "status %d\n%s\n", status, reply)
 }
 
 func send(method, url, body string, headers []string) (status int, reply string, err error) {
