entry: Run writes at most once by tickets

Cause: writes were refused with 'not served yet'.

Ruled out (docs/design/writes.md): a record in the platform before each run, ownership by hash, and duplicates dropped upstream.

Change: a ticket names one host incarnation; only that one runs it, once, with its memory as the record. The address answer of a host hands out tickets for itself. A full record refuses, and makes the refusal final by voiding all unrecorded tickets issued so far. Writes pass the gate of queries.

--- a/entry/internal/host/host.go
+++ b/entry/internal/host/host.go
@@ -21,6 +21,7 @@
 	"guavaspring.org/entry/internal/explain"
 	"guavaspring.org/entry/internal/follow"
 	"guavaspring.org/entry/internal/service"
+	"guavaspring.org/entry/internal/writes"
 )
 
 const explanations = 4096
@@ -44,6 +45,7 @@
 	explain  *explain.Store
 	follower *follow.Follower
 	joined   *joined
+	writer   *writes.Writer
 
 	mu       sync.RWMutex
 	services map[string]*service.Service
@@ -62,6 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
+	h.writer = h.newWriter()
 	return h, nil
 }
 
@@ -78,6 +81,7 @@
 	app := kratos.New(kratos.Context(ctx), kratos.Name("entry"), kratos.Server(srv), kratos.BeforeStop(h.joined.leave))
 	events.Started.Log(h.opts.Log, "listen", h.opts.Listen.String(), "zone", h.opts.Zone)
 	err := app.Run()
+	h.writer.Wait()
 	cancel()
 	duties.Wait()
 	events.Stopped.Log(h.opts.Log)
@@ -137,7 +141,7 @@
 	return nil
 }
 
-func (h *Host) addresses(name string, _ int) (caller.Addresses, error) {
+func (h *Host) addresses(name string, n int) (caller.Addresses, error) {
 	s := h.service(name)
 	if s == nil {
 		return caller.Addresses{}, fmt.Errorf("no service %q is configured here", name)
@@ -145,10 +149,6 @@
 	gen := s.Generation()
 	return caller.Addresses{
 		Service: name, Generation: gen.Number, KeepMS: gen.Document.Addresses.Keep.Std().Milliseconds(),
-		Addresses: []caller.Address{{Address: h.opts.Listen, Zone: h.opts.Zone, Weight: 1}},
+		Addresses: []caller.Address{{Address: h.opts.Listen, Zone: h.opts.Zone, Weight: 1, Tickets: h.tickets(h.Self().ID, gen, n)}},
 	}, nil
 }
-
-func (h *Host) write(_ context.Context, req callers.WriteRequest) caller.WriteAnswer {
-	return caller.WriteAnswer{RequestID: req.ID, Service: req.Service, Outcome: caller.WriteNotRun, Reason: "writes are not served yet"}
-}
--- /dev/null
+++ b/entry/internal/service/writes.go
@@ -0,0 +1,39 @@
+package service
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"guavaspring.org/core/caller"
+	"guavaspring.org/core/upstream"
+	"guavaspring.org/entry/internal/admission"
+	"guavaspring.org/entry/internal/choice"
+	"guavaspring.org/entry/internal/replica"
+	"guavaspring.org/entry/internal/ticket"
+	"guavaspring.org/entry/internal/writes"
+)
+
+// Writes returns what the writer needs of the service.
+func (s *Service) Writes() writes.Upstream {
+	return writes.Upstream{
+		Enabled: s.Generation().Document.Writes.Enabled,
+		Enter:   s.enterWrite,
+		Pick: func(tried []*replica.Replica) *replica.Replica {
+			return choice.Pick(rand.IntN, s.table.View().Replicas, tried)
+		},
+		Send: func(ctx context.Context, r *replica.Replica, id string, body []byte) upstream.Result {
+			res := s.client.Write(ctx, r.Addr, id, body)
+			s.heard(r, 0, res)
+			return res
+		},
+	}
+}
+
+// enterWrite lets a write in by the same gate as queries, since both take the same slots upstream.
+func (s *Service) enterWrite(ctx context.Context, req writes.Request) (func(done bool), ticket.Outcome) {
+	place, refusal := s.gate.Enter(ctx, admission.Request{Caller: req.Caller, Deadline: req.Deadline})
+	if refusal != nil {
+		return nil, ticket.Outcome{Outcome: caller.WriteNotRun, Reason: string(refusal.Reason), RetryAfter: refusal.RetryAfter}
+	}
+	return place.Leave, ticket.Outcome{}
+}
--- /dev/null
+++ b/entry/internal/ticket/book.go
@@ -0,0 +1,204 @@
+package ticket
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"guavaspring.org/core/caller"
+)
+
+const (
+	// retain is how long a record outlives its ticket, so that a late resend still gets its outcome.
+	retain = 2 * time.Minute
+	// skew is how far ahead of this host's clock a ticket's issue time may lie.
+	skew = 5 * time.Second
+	// maxResult and maxResults bound the replies that are kept for resends, in bytes: each, and in all.
+	maxResult  = 4 << 10
+	maxResults = 8 << 20
+	// DefaultRecords is the most writes that a host remembers: at 462 bytes a record (BenchmarkClaim) 15 MB, and with
+	// tickets of 30 s enough for 218 writes a second on one host.
+	DefaultRecords = 32768
+	// fullRetry is when to come back to a host whose book is full: records leave it all the time.
+	fullRetry = time.Second
+)
+
+// Outcome is what became of a write, and what its caller is told.
+type Outcome struct {
+	Outcome    caller.WriteOutcome
+	Reason     string
+	Result     json.RawMessage
+	RetryAfter time.Duration
+}
+
+// Entry is the record of one ticket that was used.
+type Entry struct {
+	digest  uint64
+	drop    int64
+	key     string
+	settled bool
+	done    chan struct{}
+	outcome Outcome
+}
+
+// Done is closed once the write has its outcome.
+func (e *Entry) Done() <-chan struct{} { return e.done }
+
+// Outcome returns the outcome; it may be called only once Done is closed.
+func (e *Entry) Outcome() Outcome { return e.outcome }
+
+// Action says what a host does with a write that was presented.
+type Action string
+
+// The actions.
+const (
+	// ActionRun means that the caller of Claim runs the write, now, and calls Settle.
+	ActionRun Action = "run"
+	// ActionWait means that the ticket was used before: its outcome is that of the Entry.
+	ActionWait Action = "wait"
+	// ActionAnswer means that the outcome is settled by the ticket alone.
+	ActionAnswer Action = "answer"
+	// ActionElsewhere means that only another incarnation can know.
+	ActionElsewhere Action = "elsewhere"
+)
+
+// Claim is the decision on one presented ticket.
+type Claim struct {
+	Action Action
+	Ticket Ticket
+	// Entry is set for ActionRun and ActionWait.
+	Entry *Entry
+	// Outcome is set for ActionAnswer.
+	Outcome Outcome
+}
+
+// Book remembers every ticket that was used at this incarnation, for as long as it could be presented.
+//
+// It answers callers that resend: to a lost reply, out of order, long after. Without it a resend runs the write again.
+// Its memory is bounded, and a full book never forgets a record early: it refuses instead. A refusal must be final, yet
+// can't be recorded in a full book, so the book voids every unrecorded ticket issued up to then by one time, the fence.
+// Time in the book never goes back: a ticket once found expired stays so when the wall clock is set back.
+type Book struct {
+	self string
+	most int
+
+	mu      sync.Mutex
+	entries map[string]*Entry
+	byDrop  dropHeap
+	latest  int64
+	fence   int64
+	results int
+}
+
+// NewBook returns the empty book of an incarnation that keeps at most records entries.
+func NewBook(self string, records int) *Book {
+	return &Book{self: self, most: records, entries: map[string]*Entry{}}
+}
+
+// Claim decides on a presented ticket; digest stands for the body, so that a ticket can't be used for two writes.
+func (b *Book) Claim(raw, service string, digest uint64, now time.Time) Claim {
+	t, err := Parse(raw)
+	if err != nil {
+		return notRun(t, err.Error(), 0)
+	}
+	if t.Service != service {
+		return notRun(t, fmt.Sprintf("the ticket is for service %q", t.Service), 0)
+	}
+	if t.Incarnation != b.self {
+		return Claim{Action: ActionElsewhere, Ticket: t}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	if e := b.entries[raw]; e != nil {
+		return resent(t, e, digest)
+	}
+	return b.first(t, raw, digest)
+}
+
+// Settle records the outcome of a write that Claim let run.
+func (b *Book) Settle(e *Entry, out Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(out.Result) > maxResult || b.results+len(out.Result) > maxResults {
+		// The one who waits gets the result from the run itself; a later resend gets the outcome alone.
+		out.Result = nil
+	}
+	b.results += len(out.Result)
+	e.outcome, e.settled = out, true
+	close(e.done)
+}
+
+// Len returns how many records the book holds.
+func (b *Book) Len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.entries)
+}
+
+func (b *Book) first(t Ticket, raw string, digest uint64) Claim {
+	switch {
+	case b.latest >= t.Expires.Add(retain).UnixMilli():
+		return answer(t, caller.WriteUnknown, "the ticket expired so long ago that this host would have forgotten its use", 0)
+	case b.latest >= t.Expires.UnixMilli():
+		return notRun(t, "the ticket expired before it was used", 0)
+	case t.Issued.UnixMilli() <= b.fence:
+		return notRun(t, "the ticket was voided while this host's record of writes was full; ask for a new one", fullRetry)
+	case t.Issued.UnixMilli() > b.latest+skew.Milliseconds():
+		ahead := time.Duration(t.Issued.UnixMilli()-b.latest) * time.Millisecond
+		return answer(t, caller.WriteUnknown, "the ticket's issue time is ahead of this host's clock; it may run here later", ahead)
+	case len(b.entries) >= b.most:
+		b.fence = t.Issued.UnixMilli()
+		return notRun(t, "this host's record of writes is full; ask for a new ticket", fullRetry)
+	}
+	e := &Entry{digest: digest, drop: t.Expires.Add(retain).UnixMilli(), key: raw, done: make(chan struct{})}
+	b.entries[raw] = e
+	heap.Push(&b.byDrop, e)
+	return Claim{Action: ActionRun, Ticket: t, Entry: e}
+}
+
+// advance moves the book's time on and drops the records of tickets that no longer tell anything.
+func (b *Book) advance(now time.Time) {
+	b.latest = max(b.latest, now.UnixMilli())
+	for len(b.byDrop) > 0 && b.byDrop[0].settled && b.byDrop[0].drop <= b.latest {
+		e := heap.Pop(&b.byDrop).(*Entry)
+		b.results -= len(e.outcome.Result)
+		delete(b.entries, e.key)
+	}
+}
+
+func resent(t Ticket, e *Entry, digest uint64) Claim {
+	if e.digest != digest {
+		return notRun(t, "the ticket was used for another write", 0)
+	}
+	return Claim{Action: ActionWait, Ticket: t, Entry: e}
+}
+
+func notRun(t Ticket, reason string, retry time.Duration) Claim {
+	return answer(t, caller.WriteNotRun, reason, retry)
+}
+
+func answer(t Ticket, o caller.WriteOutcome, reason string, retry time.Duration) Claim {
+	return Claim{Action: ActionAnswer, Ticket: t, Outcome: Outcome{Outcome: o, Reason: reason, RetryAfter: retry}}
+}
+
+// dropHeap orders records by the time they may be dropped.
+type dropHeap []*Entry
+
+func (h dropHeap) Len() int           { return len(h) }
+func (h dropHeap) Less(i, j int) bool { return h[i].drop < h[j].drop }
+func (h dropHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push appends x for container/heap.
+func (h *dropHeap) Push(x any) { *h = append(*h, x.(*Entry)) }
+
+// Pop removes the last element for container/heap.
+func (h *dropHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return e
+}
--- /dev/null
+++ b/entry/internal/writes/model_test.go
@@ -0,0 +1,306 @@
+package writes
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+	"pgregory.net/rapid"
+
+	"guavaspring.org/core/caller"
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/upstream"
+	"guavaspring.org/entry/internal/explain"
+	"guavaspring.org/entry/internal/replica"
+	"guavaspring.org/entry/internal/ticket"
+)
+
+const (
+	modelHosts = 3
+	modelSeeds = "1500"
+	modelSeed  = "20261202"
+	operations = 8
+	// records is the size of a host's book, small enough to be full now and then.
+	records = 2
+	// longest is how long the record of a short ticket is kept.
+	longest = 2*time.Minute + 2*time.Second
+)
+
+// lives are those of the tickets: a long one outlives the records of short ones.
+var lives = []time.Duration{2 * time.Second, 2 * time.Second, 5 * time.Minute}
+
+// offsetClock is a host's wall clock: off from the others', and set forth and back while the host runs.
+type offsetClock struct {
+	clock.System
+	mu  sync.Mutex
+	off time.Duration
+}
+
+func (c *offsetClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Add(c.off)
+}
+
+func (c *offsetClock) set(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.off = d
+}
+
+// step is one thing that happens in the model, after a delay.
+type step struct {
+	after time.Duration
+	what  string
+	host  int
+	op    int
+	// late is the time the request spends on its way; lost drops the reply; twice duplicates the request.
+	late  time.Duration
+	lost  bool
+	twice bool
+	// sends says how the tries of this request end at the replicas, in turn; pause holds the host before the first byte.
+	sends []string
+	pause time.Duration
+	off   time.Duration
+}
+
+func drawPlan(rt *rapid.T) []step {
+	ms := func(most int) *rapid.Generator[time.Duration] {
+		return rapid.Map(rapid.IntRange(0, most), func(n int) time.Duration { return time.Duration(n) * time.Millisecond })
+	}
+	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
+		return step{
+			after: rapid.OneOf(ms(50), ms(50), ms(300), ms(300), ms(4000), rapid.Just(longest)).Draw(rt, "after"),
+			what:  rapid.SampledFrom([]string{"mint", "send", "send", "send", "send", "send", "send", "restart", "set_clock"}).Draw(rt, "what"),
+			host:  rapid.IntRange(0, modelHosts-1).Draw(rt, "host"),
+			op:    rapid.IntRange(0, operations-1).Draw(rt, "op"),
+			late:  rapid.OneOf(rapid.Just(time.Duration(0)), ms(300), ms(3000)).Draw(rt, "late"),
+			lost:  rapid.Bool().Draw(rt, "lost"),
+			twice: rapid.Bool().Draw(rt, "twice"),
+			sends: rapid.SliceOfN(rapid.SampledFrom([]string{"ok", "ok", "shed", "draining", "not_sent", "refused", "crash", "lost", "late", "error"}), 3, 3).Draw(rt, "sends"),
+			pause: rapid.OneOf(rapid.Just(time.Duration(0)), ms(500)).Draw(rt, "pause"),
+			off:   rapid.OneOf(ms(1000), ms(3000), rapid.Just(-3*time.Second), rapid.Just(-time.Minute)).Draw(rt, "off"),
+		}
+	}), 10, 60).Draw(rt, "plan")
+}
+
+// world is three hosts, three replicas with the upstream's own record, and callers that resend.
+type world struct {
+	mu      sync.Mutex
+	hosts   [modelHosts]*modelHost
+	tickets map[int]string
+	home    map[int]int
+	ran     map[string]int
+	told    map[string][]caller.WriteOutcome
+	serial  int
+	tasks   sync.WaitGroup
+	// all holds every incarnation there ever was.
+	all []*modelHost
+}
+
+type modelHost struct {
+	id     string
+	clock  *offsetClock
+	writer *Writer
+	gone   context.Context
+	kill   context.CancelFunc
+}
+
+type planKey struct{}
+
+// plan is how the tries of one request end.
+type plan struct {
+	sends []string
+	pause time.Duration
+}
+
+func (w *world) boot(i int, off time.Duration) {
+	w.serial++
+	h := &modelHost{id: fmt.Sprintf("H%d", w.serial), clock: &offsetClock{off: off}}
+	h.gone, h.kill = context.WithCancel(context.Background())
+	h.writer = New(Options{
+		Clock: h.clock, Log: logr.Discard(), Explain: explain.New(4), NewID: func() string { return "x" },
+		Book: ticket.NewBook(h.id, records),
+		Upstream: func(string) (Upstream, bool) {
+			return Upstream{Enabled: true, Enter: enter, Pick: pick, Send: func(ctx context.Context, _ *replica.Replica, id string, body []byte) upstream.Result {
+				return w.send(ctx, h, id, string(body))
+			}}, true
+		},
+	})
+	w.hosts[i] = h
+	w.all = append(w.all, h)
+}
+
+func enter(context.Context, Request) (func(bool), ticket.Outcome) {
+	return func(bool) {}, ticket.Outcome{}
+}
+
+func pick(tried []*replica.Replica) *replica.Replica {
+	if len(tried) >= modelHosts {
+		return nil
+	}
+	return &replica.Replica{ID: fmt.Sprint(len(tried)), Addr: netip.MustParseAddrPort("127.0.0.1:1")}
+}
+
+// send keeps the contract of upstream.Client: after a pause the deadline is read again, and not_sent means no byte.
+func (w *world) send(ctx context.Context, h *modelHost, id, body string) upstream.Result {
+	p := ctx.Value(planKey{}).(plan)
+	time.Sleep(p.pause)
+	if ctx.Err() != nil || h.gone.Err() != nil {
+		return upstream.Result{Kind: upstream.KindNotSent}
+	}
+	switch what := p.sends[int(id[len(id)-1]-'1')]; what {
+	case "shed", "draining", "not_sent", "refused":
+		return upstream.Result{Kind: upstream.Kind(what)}
+	case "crash":
+		w.effect(body)
+		return upstream.Result{Kind: upstream.KindBroken}
+	case "lost":
+		w.effect(body)
+		<-ctx.Done()
+		return upstream.Result{Kind: upstream.KindCanceled}
+	case "late":
+		w.tasks.Go(func() {
+			time.Sleep(5 * time.Second)
+			w.effect(body)
+		})
+		return upstream.Result{Kind: upstream.KindBroken}
+	case "error":
+		return upstream.Result{Kind: upstream.KindError}
+	default:
+		time.Sleep(20 * time.Millisecond)
+		w.effect(body)
+		return upstream.Result{Kind: upstream.KindOK}
+	}
+}
+
+func (w *world) effect(body string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ran[body]++
+}
+
+func (w *world) play(s step) {
+	time.Sleep(s.after)
+	h := w.hosts[s.host]
+	if w.tickets[s.op] == "" && (s.what == "mint" || s.what == "send") {
+		// Any host may mint for any other; its clock is its own.
+		by := w.hosts[(s.host+1)%modelHosts]
+		w.tickets[s.op] = ticket.Mint(h.id, "donor-desk", by.clock.Now(), lives[s.op%len(lives)])
+		w.home[s.op] = s.host
+	}
+	raw, home := w.tickets[s.op], w.home[s.op]
+	switch s.what {
+	case "restart":
+		h.kill()
+		w.boot(s.host, time.Until(h.clock.Now()))
+	case "set_clock":
+		h.clock.set(s.off)
+	case "send":
+		// Most requests go to the host that the ticket names; the rest go astray.
+		if s.op%4 != 0 {
+			h = w.hosts[home]
+		}
+		for range map[bool]int{false: 1, true: 2}[s.twice] {
+			w.tasks.Go(func() { w.request(h, s, raw) })
+		}
+	}
+}
+
+func (w *world) request(h *modelHost, s step, raw string) {
+	time.Sleep(s.late)
+	if h.gone.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithValue(h.gone, planKey{}, plan{s.sends, s.pause}), 200*time.Millisecond)
+	defer cancel()
+	now := h.clock.Now()
+	op := fmt.Sprintf("op%d", s.op)
+	ans := h.writer.Write(ctx, Request{
+		ID: "r", Service: "donor-desk", Ticket: raw, Arrived: now, Deadline: now.Add(200 * time.Millisecond),
+		Write: caller.Write{OpID: op},
+	})
+	if s.lost || h.gone.Err() != nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.told[op] = append(w.told[op], ans.Outcome)
+}
+
+// settle waits for every request and for every effect that a replica still holds back.
+func (w *world) settle() {
+	w.tasks.Wait()
+	for _, h := range w.all {
+		h.kill()
+		h.writer.Wait()
+	}
+	w.tasks.Wait()
+}
+
+func (w *world) violation() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for op := range operations {
+		name := fmt.Sprintf("op%d", op)
+		ran := w.ran[string(encode(caller.Write{OpID: name}))]
+		if ran > 1 {
+			return fmt.Sprintf("%s ran %d times", name, ran)
+		}
+		for _, told := range w.told[name] {
+			if told == caller.WriteDone && ran != 1 {
+				return fmt.Sprintf("%s: told done, ran %d times", name, ran)
+			}
+			if told == caller.WriteNotRun && ran != 0 {
+				return fmt.Sprintf("%s: told not_run, ran %d times", name, ran)
+			}
+		}
+	}
+	return ""
+}
+
+// A coordinator's booking is sent, its reply is lost, and she sends it again: to the same host, to another one, twice,
+// out of order, late. Meanwhile hosts are paused, restarted and have their clocks set, replicas refuse, crash after the
+// booking took effect or run it late. She must never be booked twice, and never be told not_run of a booking that runs.
+func TestWritesRunAtMostOnce(t *testing.T) {
+	qt.Assert(t, flag.Set("rapid.checks", modelSeeds), qt.IsNil)
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		qt.Assert(t, flag.Set("rapid.seed", modelSeed), qt.IsNil)
+	}
+	qt.Assert(t, flag.Set("rapid.nofailfile", "true"), qt.IsNil)
+	seen := map[caller.WriteOutcome]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := drawPlan(rt)
+		var wrong string
+		synctest.Test(t, func(*testing.T) {
+			w := &world{tickets: map[int]string{}, home: map[int]int{}, ran: map[string]int{}, told: map[string][]caller.WriteOutcome{}}
+			for i := range w.hosts {
+				w.boot(i, time.Duration(i-1)*time.Second)
+			}
+			for _, s := range steps {
+				w.play(s)
+			}
+			w.settle()
+			wrong = w.violation()
+			for _, told := range w.told {
+				for _, o := range told {
+					seen[o]++
+				}
+			}
+		})
+		if wrong != "" {
+			rt.Fatalf("%s", wrong)
+		}
+	})
+	t.Logf("outcomes told: %v", seen)
+	for _, o := range []caller.WriteOutcome{caller.WriteDone, caller.WriteNotRun, caller.WriteUnknown} {
+		qt.Assert(t, seen[o] > 100, qt.IsTrue, qt.Commentf("%s was told %d times only", o, seen[o]))
+	}
+}
