--- a/core/caller/messages.go
+++ b/core/caller/messages.go
@@ -39,8 +39,13 @@
 	HeaderDeadline = "X-Deadline-Ms"
 	HeaderRequest  = "X-Request-Id"
 	HeaderTicket   = "X-Ticket"
+	// HeaderUseAddresses is UseRefresh on a reply of a host that serves and should not be used for what comes next.
+	HeaderUseAddresses = "X-Use-Addresses"
 )
 
+// UseRefresh tells a caller to ask for addresses again, though its answer may still be kept.
+const UseRefresh = "refresh"
+
 // Query is the body of a query.
 type Query struct {
 	// Query is passed on to every shard as it is.
@@ -87,6 +92,8 @@
 	ExplanationID string   `json:"explanation_id"`
 	// Generation is the configuration generation that the query ran under.
 	Generation int64 `json:"generation"`
+	// RefreshAddresses tells the caller to ask for addresses again: this host should not be used for what comes next.
+	RefreshAddresses bool `json:"refresh_addresses,omitempty"`
 }
 
 // Write is the body of a write.
@@ -106,6 +113,8 @@
 	Result        json.RawMessage `json:"result,omitempty"`
 	RetryAfterMS  int64           `json:"retry_after_ms,omitempty"`
 	ExplanationID string          `json:"explanation_id"`
+	// RefreshAddresses tells the caller to ask for addresses again: this host should not be used for what comes next.
+	RefreshAddresses bool `json:"refresh_addresses,omitempty"`
 }
 
 // Address is one host that a caller may connect to.
--- a/entry/internal/host/writes.go
+++ b/entry/internal/host/writes.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"guavaspring.org/core/caller"
-	"guavaspring.org/entry/internal/accepted"
 	"guavaspring.org/entry/internal/callers"
 	"guavaspring.org/entry/internal/member"
 	"guavaspring.org/entry/internal/ticket"
@@ -36,18 +35,6 @@
 	return "", false
 }
 
-// tickets mints n tickets for the writes of a service at the host with the incarnation; it needs no word with that host.
-func (h *Host) tickets(incarnation string, gen accepted.Generation, n int) []string {
-	if !gen.Document.Writes.Enabled {
-		return nil
-	}
-	list := make([]string, n)
-	for i := range list {
-		list[i] = ticket.Mint(incarnation, gen.Service, h.opts.Clock.Now(), gen.Document.Writes.TicketLife.Std())
-	}
-	return list
-}
-
 func (h *Host) write(ctx context.Context, req callers.WriteRequest) caller.WriteAnswer {
 	return h.writer.Write(ctx, writes.Request(req))
 }
