--- a/entry/internal/host/host.go
+++ b/entry/internal/host/host.go
@@ -23,6 +23,8 @@
 	"guavaspring.org/entry/internal/metrics"
 	"guavaspring.org/entry/internal/service"
 	"guavaspring.org/entry/internal/steer"
+	"guavaspring.org/entry/internal/ticket"
+	"guavaspring.org/entry/internal/writes"
 )
 
 const explanations = 4096
@@ -46,6 +48,7 @@
 	explain  *explain.Store
 	follower *follow.Follower
 	joined   *joined
+	writer   *writes.Writer
 	steerer  *steer.Steerer
 	drain    *drainer.Drainer
 	// mint makes a write ticket for one incarnation of a host; nil means that none are handed out.
@@ -74,6 +77,8 @@
 		return nil, err
 	}
 	h.joined.status = h.status(client)
+	h.writer = h.newWriter()
+	h.mint = ticket.Mint
 	return h, nil
 }
 
@@ -96,6 +101,7 @@
 	defer stop()
 	events.Started.Log(h.opts.Log, "listen", h.opts.Listen.String(), "zone", h.opts.Zone)
 	err := app.Run()
+	h.writer.Wait()
 	cancel()
 	duties.Wait()
 	events.Stopped.Log(h.opts.Log)
@@ -141,7 +147,3 @@
 	}
 	wg.Wait()
 }
-
-func (h *Host) write(_ context.Context, req callers.WriteRequest) caller.WriteAnswer {
-	return caller.WriteAnswer{RequestID: req.ID, Service: req.Service, Outcome: caller.WriteNotRun, Reason: "writes are not served yet"}
-}
