--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -59,6 +59,7 @@
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"ports":  ports,
+			"get":    get,
 			"post":   sender(http.MethodPost),
 			"put":    sender(http.MethodPut),
 			"until":  until,
@@ -125,6 +126,19 @@
 	}
 }
 
+// get URL prints the reply to a GET request.
+func get(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) != 1 {
+		ts.Fatalf("usage: get URL")
+	}
+	status, reply, err := send(http.MethodGet, args[0], "", nil)
+	ts.Check(err)
+	if (status != http.StatusOK) != neg {
+		ts.Fatalf("status %d: %s", status, reply)
+	}
+	fmt.Fprintln(ts.Stdout(), reply)
+}
+
 func send(method, url, body string, headers []string) (status int, reply string, err error) {
 	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+url, strings.NewReader(body))
 	if err != nil {
