--- a/entry/internal/admission/queue/queue.go
+++ b/entry/internal/admission/queue/queue.go
@@ -167,7 +167,7 @@
 		f := q.longestFlow()
 		wait := q.all.held * time.Duration(min(q.waiting, f.waiting*len(q.active))) / time.Duration(q.limits.Running)
 		w := q.newest(f)
-		if !now.Add(max(wait, f.pace*time.Duration(f.waiting))/doubt).After(w.LatestStart) {
+		if !now.Add(max(wait, f.pace*time.Duration(f.waiting)) / doubt).After(w.LatestStart) {
 			return
 		}
 		q.refuse(now, w, ReasonLate)
