admission: Count the wait for a free replica as pressure, and tolerate a quarter

Cause: queries now wait inside the fan-out for a free replica, and that wait was no part of the time of a try. Ruled out: the time of whole queries (a dead shard lengthens all of them). Change: fanout tells the time of each shard from the start of the run; tolerance 1.25 rather than 1.5.

--- a/entry/internal/admission/adapt/limit.go
+++ b/entry/internal/admission/adapt/limit.go
@@ -22,7 +22,7 @@
 )
 
 // tolerance is how far the median reply time may rise over its base before the limit falls.
-const tolerance = 1.5
+const tolerance = 1.25
 
 // down is the share of the limit that is left after a window in which the upstream was pressed.
 const down = 0.95
--- a/entry/internal/fanout/fanout.go
+++ b/entry/internal/fanout/fanout.go
@@ -45,6 +45,8 @@
 	Send func(ctx context.Context, r *replica.Replica, try upstream.QueryTry) upstream.Result
 	// Heard is told what the result of a try at a version said of its replica, before the next decision; it may be nil.
 	Heard func(r *replica.Replica, version int64, res upstream.Result)
+	// Answered is told how long a shard took to answer from the start of the run, the wait for a free replica included; it may be nil.
+	Answered func(took time.Duration)
 	// Judged is told when a replica was taken out or brought back, and why; it may be nil.
 	Judged func(r *replica.Replica, out bool, why string)
 	// IntN draws the candidates for each try and must be safe for concurrent use; nil means rand.IntN.
@@ -67,6 +69,9 @@
 	if opts.Heard == nil {
 		opts.Heard = func(*replica.Replica, int64, upstream.Result) {}
 	}
+	if opts.Answered == nil {
+		opts.Answered = func(time.Duration) {}
+	}
 	if opts.Judged == nil {
 		opts.Judged = func(*replica.Replica, bool, string) {}
 	}
--- a/entry/internal/fanout/plan.go
+++ b/entry/internal/fanout/plan.go
@@ -34,6 +34,7 @@
 	id      string
 	ctx     context.Context
 	cancel  context.CancelFunc
+	began   time.Time
 	shards  []shard
 	results chan result
 	// open counts the shards that may still answer, answered those that have, waiting those that look for a free replica.
@@ -91,7 +92,7 @@
 func newPlan(q *query, vm replica.VersionMap, suffix string) *plan {
 	n := len(vm.Holders)
 	p := &plan{
-		query: q, vm: vm, id: q.req.ID + suffix, shards: make([]shard, n), results: make(chan result, n*(maxTries+1)), open: n,
+		query: q, vm: vm, id: q.req.ID + suffix, began: q.now, shards: make([]shard, n), results: make(chan result, n*(maxTries+1)), open: n,
 		holds: strconv.FormatInt(vm.Version, 10) + "=", split: "/" + strconv.Itoa(n),
 	}
 	p.ctx, p.cancel = context.WithCancel(q.ctx)
@@ -325,6 +326,7 @@
 		s.answered, s.hits = true, res.Query.Hits
 		p.answered++
 		p.took += got.took
+		p.run.opts.Answered(p.now.Sub(p.began))
 		p.close(got.shard)
 		return
 	}
--- a/entry/internal/service/admit.go
+++ b/entry/internal/service/admit.go
@@ -12,10 +12,10 @@
 // Admission returns the gate of the service, for its metrics and for the load that other hosts are told.
 func (s *Service) Admission() *admission.Gate { return s.gate }
 
-// learnLimit tells the gate how tries ended that say something of how pressed the upstream is.
+// learnLimit tells the gate of tries that did not answer and say something of how pressed the upstream is; those that did are told by shard, with the wait for a free replica.
 func (s *Service) learnLimit(res upstream.Result) {
 	switch res.Kind {
-	case upstream.KindOK, upstream.KindCanceled:
+	case upstream.KindCanceled:
 		s.gate.Replied(res.Took)
 	case upstream.KindShed:
 		s.gate.Shed()
--- a/entry/internal/service/service.go
+++ b/entry/internal/service/service.go
@@ -80,7 +80,7 @@
 	s.gen.Store(&gen)
 	s.table = replica.New(replica.Options{Clock: opts.Clock, Zone: opts.Zone, Draining: s.draining})
 	s.picker = snapshot.New(snapshot.Options{Moved: s.moved})
-	s.runner = fanout.New(fanout.Options{Clock: opts.Clock, Send: opts.Send, Heard: s.heard, Judged: s.judged, IntN: opts.IntN})
+	s.runner = fanout.New(fanout.Options{Clock: opts.Clock, Send: opts.Send, Heard: s.heard, Answered: s.gate.Replied, Judged: s.judged, IntN: opts.IntN})
 	return s, nil
 }
 
