replica: Doubt a list that omits most replicas or names one address twice

Cause: an empty list, as a platform gives after an outage, took every replica out of use while all served. A list that named the old and the new process at one address made the new one unknown again at every reading.

Ruled out: to keep whatever the list omits while it answers; a few omissions may be the only sign that a replica is leaving.

Seen red: TestShortListIsDoubted (0 replicas instead of 4) and TestTwoProcessesListedAtOneAddress (added again at each reading) with the guards taken out of a scratch copy.

--- a/entry/internal/events/routing.go
+++ b/entry/internal/events/routing.go
@@ -12,4 +12,5 @@
 	ReplicaRestored = event.New(1705, "replica_restored", "A replica that got single tries only is used again.")
 	ReplicaTried    = event.New(1706, "replica_tried", "A replica that is out got a single try beside an ordinary one.")
 	ShardWaited     = event.New(1707, "shard_waited", "A shard of a query waited, since each of its replicas ran as many tries of this host as it may.")
+	ListDoubted     = event.New(1708, "replica_list_doubted", "The platform's list omitted more than half of a service's live replicas; those that still answer are kept.")
 )
--- a/entry/internal/replica/replica.go
+++ b/entry/internal/replica/replica.go
@@ -35,7 +35,9 @@
 	ended    atomic.Int64
 	draining atomic.Bool
 	claimed  atomic.Bool
+	// heard is when the last reply named its holdings, answered when the replica last answered anything, in nanoseconds since 1970.
 	heard    atomic.Int64
+	answered atomic.Int64
 	raw      atomic.Pointer[string]
 
 	// The table's lock guards what follows.
--- a/entry/internal/replica/table.go
+++ b/entry/internal/replica/table.go
@@ -59,6 +59,8 @@
 	Zone string
 	// Draining is told once of each replica that is found to be leaving, and by which sign; it may be nil and must not call the table.
 	Draining func(r *Replica, sign string)
+	// Doubted is told when a list omitted so many of the live replicas that those which still answer were kept; it may be nil.
+	Doubted func(omitted, live int)
 }
 
 // Table holds the replicas of one service; readers take a View without locking.
@@ -77,6 +79,9 @@
 	if opts.Draining == nil {
 		opts.Draining = func(*Replica, string) {}
 	}
+	if opts.Doubted == nil {
+		opts.Doubted = func(int, int) {}
+	}
 	t := &Table{opts: opts, all: map[netip.AddrPort]*Replica{}}
 	t.view.Store(&View{})
 	return t
@@ -100,19 +105,21 @@
 }
 
 // recent reports whether a reply's own headers are fresh enough to outrank a claim.
-func (t *Table) recent(r *Replica) bool {
-	return t.opts.Clock.Now().Sub(time.Unix(0, r.heard.Load())) < claimsYield
+func (t *Table) recent(r *Replica) bool { return t.since(&r.heard) < claimsYield }
+
+func (t *Table) since(at *atomic.Int64) time.Duration {
+	return t.opts.Clock.Now().Sub(time.Unix(0, at.Load()))
 }
 
 // Update takes over the platform's list of the service's replicas and returns those added and removed.
 func (t *Table) Update(list []platform.Replica) (added, removed []*Replica) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	seen := map[netip.AddrPort]bool{}
+	rows := t.rowsOf(list)
 	now, first := t.opts.Clock.Now(), len(t.all) == 0
-	for _, row := range list {
-		seen[row.Addr] = true
-		r, ok := t.all[row.Addr]
+	removed = t.dropOmitted(rows)
+	for addr, row := range rows {
+		r, ok := t.all[addr]
 		if !ok || r.ID != row.ID {
 			if ok {
 				removed = append(removed, r)
@@ -123,21 +130,79 @@
 				// It has just started, and its caches are cold; at the host's own start nothing is known of any replica, and all are used.
 				r.Eject.Hold(now)
 			}
-			t.all[row.Addr] = r
+			t.all[addr] = r
 			added = append(added, r)
 		}
 		if row.State == platform.StateLeaving {
 			t.drain(r, "the platform's list")
 		}
 	}
+	t.rebuild()
+	slices.SortFunc(added, compareAddr)
+	return added, removed
+}
+
+// rowsOf returns one row for each address. A list that lags names both the process that left an address and
+// the one that came; taking each in turn would forget, at every reading of the list, all that was learned of
+// the second. A live row goes before a leaving one, and of two live ones the one that is in use.
+func (t *Table) rowsOf(list []platform.Replica) map[netip.AddrPort]platform.Replica {
+	rows := make(map[netip.AddrPort]platform.Replica, len(list))
+	for _, row := range list {
+		other, twice := rows[row.Addr]
+		if !twice || t.prefer(row, other) {
+			rows[row.Addr] = row
+		}
+	}
+	return rows
+}
+
+func (t *Table) prefer(row, other platform.Replica) bool {
+	if row.State != other.State {
+		return other.State == platform.StateLeaving
+	}
+	r := t.all[row.Addr]
+	if r == nil {
+		return false
+	}
+	inUse := row.ID
+	if r.draining.Load() {
+		inUse = other.ID
+	}
+	return r.ID == inUse
+}
+
+// dropOmitted removes the replicas that the list no longer names.
+//
+// It answers a list that is suddenly short or empty, as after an outage of the platform. Believed, it would
+// leave the service without replicas while all of them serve. Where a list omits more than half at once,
+// those that still answer are kept; a replica that has truly gone doesn't answer, and goes then. A few
+// omissions are believed at once, since they may be the only sign that a replica is leaving.
+func (t *Table) dropOmitted(rows map[netip.AddrPort]platform.Replica) []*Replica {
+	var omitted []*Replica
+	live := 0
+	for addr, r := range t.all {
+		if r.draining.Load() {
+			continue
+		}
+		live++
+		if _, ok := rows[addr]; !ok {
+			omitted = append(omitted, r)
+		}
+	}
+	doubtful := 2*len(omitted) > live
+	var removed []*Replica
 	for addr, r := range t.all {
-		if !seen[addr] {
-			delete(t.all, addr)
-			removed = append(removed, r)
+		_, named := rows[addr]
+		if named || (doubtful && !r.draining.Load() && t.since(&r.answered) < claimsYield) {
+			continue
 		}
+		delete(t.all, addr)
+		removed = append(removed, r)
 	}
-	t.rebuild()
-	return added, removed
+	if doubtful && len(removed) < len(omitted) {
+		t.opts.Doubted(len(omitted), live)
+	}
+	return removed
 }
 
 // MarkDraining takes over that the replica with the id is leaving, and reports whether it is known here.
@@ -158,7 +223,9 @@
 // Heard takes over what a reply said of its replica: the raw version header, and whether it is leaving.
 func (t *Table) Heard(r *Replica, holdings string, draining bool) {
 	if holdings != "" {
-		r.heard.Store(t.opts.Clock.Now().UnixNano())
+		now := t.opts.Clock.Now().UnixNano()
+		r.heard.Store(now)
+		r.answered.Store(now)
 	}
 	old := r.raw.Load()
 	same := holdings == "" || (old != nil && *old == holdings)
@@ -181,6 +248,7 @@
 // The endpoint lags or misleads: it names versions that the replica refuses, and replicas that serve as
 // leaving. A claim to be leaving is therefore kept only as long as the endpoint repeats it.
 func (t *Table) Claimed(r *Replica, holdings string, draining bool) {
+	r.answered.Store(t.opts.Clock.Now().UnixNano())
 	if t.recent(r) {
 		return
 	}
--- a/entry/internal/replica/table_test.go
+++ b/entry/internal/replica/table_test.go
@@ -125,6 +125,57 @@
 	})
 }
 
+// The platform comes back from an outage with an empty list, for a minute. Every replica serves all the time;
+// if the list were believed, every page in that minute would be refused. Replicas that have truly gone don't
+// answer, and are dropped; and one or two that a list omits are leaving.
+func TestShortListIsDoubted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		doubts := 0
+		table := replica.New(replica.Options{Doubted: func(int, int) { doubts++ }})
+		added, _ := table.Update(rows(6))
+		answer := func(n int) {
+			for _, r := range added[:n] {
+				table.Heard(r, "7=0/1", false)
+			}
+		}
+		answer(6)
+		for range 60 {
+			time.Sleep(time.Second)
+			table.Update(nil)
+			answer(4)
+		}
+		qt.Assert(t, table.View().Replicas, qt.HasLen, 4)
+		qt.Assert(t, doubts > 50, qt.IsTrue)
+		table.Update(rows(3))
+		qt.Assert(t, table.View().Replicas, qt.HasLen, 3)
+		time.Sleep(6 * time.Second)
+		table.Update(nil)
+		qt.Assert(t, table.View().Replicas, qt.HasLen, 0)
+	})
+}
+
+// A replica was replaced by a new process at its address, and the list names both for a while. If each row
+// were taken in turn, the new one would be unknown again at every reading, its shard thin for good.
+func TestTwoProcessesListedAtOneAddress(t *testing.T) {
+	table := replica.New(replica.Options{})
+	table.Update(rows(1))
+	for _, state := range []platform.ReplicaState{platform.StateLeaving, platform.StateLive} {
+		for _, turn := range []int{0, 1} {
+			both := append(rows(1), rows(1)...)
+			both[turn].ID, both[1-turn].State = "new", state
+			added, _ := table.Update(both)
+			for _, r := range added {
+				table.Heard(r, "7=0/1", false)
+			}
+			table.Update(both)
+			added, _ = table.Update(both)
+			qt.Assert(t, added, qt.HasLen, 0)
+			qt.Assert(t, table.View().Versions, qt.HasLen, 1)
+			qt.Assert(t, table.View().Replicas[0].ID, qt.Equals, "new")
+		}
+	}
+}
+
 func versionsOf(table *replica.Table) []int64 {
 	var list []int64
 	for _, vm := range table.View().Versions {
--- a/entry/internal/service/log.go
+++ b/entry/internal/service/log.go
@@ -80,3 +80,7 @@
 		s.opts.Draining(s.name, r, sign)
 	}
 }
+
+func (s *Service) doubted(omitted, live int) {
+	events.ListDoubted.Log(s.opts.Log, "service", s.name, "omitted", omitted, "live", live)
+}
--- a/entry/internal/service/service.go
+++ b/entry/internal/service/service.go
@@ -78,7 +78,7 @@
 	s := &Service{opts: opts, name: gen.Service, client: client}
 	s.gate = admission.New(admission.Options{Clock: opts.Clock, Limits: limits(gen.Document), Moved: s.limitMoved})
 	s.gen.Store(&gen)
-	s.table = replica.New(replica.Options{Clock: opts.Clock, Zone: opts.Zone, Draining: s.draining})
+	s.table = replica.New(replica.Options{Clock: opts.Clock, Zone: opts.Zone, Draining: s.draining, Doubted: s.doubted})
 	s.picker = snapshot.New(snapshot.Options{Moved: s.moved})
 	s.runner = fanout.New(fanout.Options{Clock: opts.Clock, Send: opts.Send, Heard: s.heard, Judged: s.judged, IntN: opts.IntN})
 	return s, nil
