fanout: Ask replicas that shed once more; choice: Let equals share the load

Five slots at 60 % refuse one try in nine by chance alone. And the least difference in smoothed latency gave one replica two thirds of a shard's tries from a host, another none.

Change: refusals don't draw on the retry budget; a shard that all holders shed asks them again after a wait that doubles, while a reply can still be in time; costs within a quarter count as equal, and then the nearer zone decides.

--- a/entry/internal/choice/choice.go
+++ b/entry/internal/choice/choice.go
@@ -9,9 +9,10 @@
 const (
 	// unknownLatency stands for a replica that has not answered yet, so that it is tried but not flooded.
 	unknownLatency = 5 * time.Millisecond
-	// farPart is what another availability zone adds to the expected time, as one part in farPart: it decides
-	// between equals and no more, since the time that zones are apart is in the measured latency already.
-	farPart = 8
+	// distinct is the least difference in cost that counts, as one part in distinct: more than the smoothed mean
+	// of like replicas differs by chance, less than what one more running try makes. The availability zone
+	// decides only below it, since the time that zones are apart is in the measured latency already.
+	distinct = 4
 	// window is how many holders are looked at; a shard with more is looked at from a random start.
 	window = 8
 )
@@ -54,10 +55,7 @@
 	if j >= i {
 		j++
 	}
-	if cost(list[j], now) < cost(list[i], now) {
-		return list[j], Found
-	}
-	return list[i], Found
+	return better(list[i], list[j], now), Found
 }
 
 // Trial returns a holder that is out and due for a single try, or nil.
@@ -99,14 +97,28 @@
 	return n, busy
 }
 
+// better returns a unless b is distinctly cheaper, or about as cheap and nearer. The candidates come in random
+// order, so equals share the load. Were the least difference decisive, the replica with the luckiest last
+// answers would get two thirds of a shard's tries from this host, and none would go to the unluckiest.
+func better(a, b *replica.Replica, now time.Time) *replica.Replica {
+	ca, cb := cost(a, now), cost(b, now)
+	switch {
+	case ca-ca/distinct > cb:
+		return b
+	case cb-cb/distinct > ca:
+		return a
+	case b.Near && !a.Near:
+		return b
+	default:
+		return a
+	}
+}
+
 func cost(r *replica.Replica, now time.Time) time.Duration {
 	est, running := r.Estimate(now)
 	if est == 0 {
 		est = unknownLatency
 	}
-	if !r.Near {
-		est += est / farPart
-	}
 	return est * time.Duration(running+1)
 }
 
--- a/entry/internal/fanout/plan.go
+++ b/entry/internal/fanout/plan.go
@@ -20,8 +20,10 @@
 	maxTries = 3
 	// lostShare is the share of shards lost with their version above which a query that prefers latency is started again; one that prefers coverage is at the first.
 	lostShare = 0.1
-	// lookAgain is how often a shard whose replicas are all at their limit looks for a free one, as one part of the usual reply time; a slot is free for that long at most.
+	// lookAgain is how soon a shard whose replicas are all at their limit looks for a free one, as one part of the usual reply time. Where all of them have shed it, each further look comes after twice the time.
 	lookAgain = 4
+	// mostRounds bounds the doubling.
+	mostRounds = 5
 	// shortestLook and longestLook bound that time.
 	shortestLook = 250 * time.Microsecond
 	longestLook  = 5 * time.Millisecond
@@ -63,16 +65,21 @@
 	ended    [maxTries]bool
 	n        int
 	inflight int
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// sent counts the tries ever sent, which n doesn't once replicas that shed are asked again.
+	sent int
+	// rounds counts how often all replicas left have shed the shard, and next is when it looks again.
+	rounds int
+	next   time.Time
+	ctx    context.Context
+	cancel context.CancelFunc
 	// wait is the decision that waits for a free replica, empty where none does, and why its reason.
 	wait, why string
 	hedged    bool
 	closed    bool
 	answered  bool
-	// gone says that a replica refused the version.
-	gone bool
-	hits []upstream.Hit
+	// gone says that a replica refused the version, shed that one was full, refused that the last failure was a refusal.
+	gone, shed, refused bool
+	hits                []upstream.Hit
 }
 
 func (s *shard) tried() []*replica.Replica { return s.tries[:s.n] }
@@ -110,6 +117,8 @@
 	s := &p.shards[i]
 	r, verdict := choice.Pick(p.run.opts.IntN, p.now, p.vm.Holders[i], s.tried())
 	switch {
+	case verdict == choice.None && s.inflight == 0 && s.shed:
+		p.again(i, why)
 	case verdict == choice.None && s.inflight == 0:
 		p.miss(i, nil, join(why, "no replica is left to try"))
 	case verdict == choice.Busy && s.inflight == 0:
@@ -123,9 +132,27 @@
 	}
 }
 
-// mayRetry takes from the retry budget. A refusal of a version or of a replica that leaves costs the upstream nothing and can't come again from that replica, so it is free.
+// mayRetry takes from the retry budget. Refusals are free: a replica that refused did no work. One that
+// leaves, or has lost the version, can't refuse again; and one that sheds sets the pace itself by the limit.
 func (p *plan) mayRetry(s *shard) bool {
-	return s.gone || p.run.retries.Take()
+	return s.refused || p.run.retries.Take()
+}
+
+// again lets a shard that every replica has shed ask them once more, later.
+//
+// It answers slots that many hosts share. Five slots that are used at sixty percent refuse one try in nine by
+// chance alone, and one host sees too little of the load to know which. A shard given up for that is a hole in
+// a page that a wait of a few milliseconds would have filled.
+func (p *plan) again(i int, why string) {
+	s := &p.shards[i]
+	s.n, s.hedged, s.shed = 0, false, false
+	s.next = p.now.Add(p.pause() << min(s.rounds, mostRounds))
+	s.rounds++
+	p.hold(i, WhatRetry, why)
+}
+
+func (p *plan) pause() time.Duration {
+	return min(max(p.run.policy.Median()/lookAgain, shortestLook), longestLook)
 }
 
 // hold makes a shard wait for a free replica while an answer can still come in time.
@@ -145,9 +172,11 @@
 		p.waiting++
 		p.decide(WhatWait, i, nil, join(why, "every replica is at its limit"))
 	}
-	if p.lookAt.IsZero() {
-		p.lookAt = p.now.Add(min(max(p.run.policy.Median()/lookAgain, shortestLook), longestLook))
+	next := s.next
+	if !next.After(p.now) {
+		next = p.now.Add(p.pause())
 	}
+	p.lookAt = earliest(p.lookAt, next)
 }
 
 func (p *plan) release(s *shard) {
@@ -171,9 +200,10 @@
 	k := s.n
 	s.tries[k], s.began[k] = r, p.now
 	s.n++
+	s.sent++
 	s.inflight++
 	p.decide(what, i, r, why)
-	p.start(s.ctx, i, k, r)
+	p.start(s.ctx, i, k, s.sent, r)
 }
 
 // trial sends a single try to a replica that is out, beside the ordinary one and outliving the query, so that no page waits for it.
@@ -186,13 +216,14 @@
 		return
 	}
 	p.decide(WhatTrial, i, r, "a single try to see whether it can be used")
-	p.start(context.WithoutCancel(p.ctx), i, trial, r)
+	p.start(context.WithoutCancel(p.ctx), i, trial, 0, r)
 }
 
-func (p *plan) start(ctx context.Context, i, k int, r *replica.Replica) {
+// start sends try k of shard i, the nth ever sent.
+func (p *plan) start(ctx context.Context, i, k, nth int, r *replica.Replica) {
 	p.sent++
 	try := upstream.QueryTry{
-		ID:      p.id + "-" + strconv.Itoa(i) + "-" + strconv.Itoa(k+1),
+		ID:      p.id + "-" + strconv.Itoa(i) + "-" + strconv.Itoa(nth),
 		Version: p.vm.Version, Shard: i, Body: p.body,
 	}
 	began := p.now
@@ -279,7 +310,12 @@
 		return
 	}
 	for i := range p.shards {
-		if s := &p.shards[i]; s.wait != "" && !s.closed {
+		s := &p.shards[i]
+		switch {
+		case s.wait == "" || s.closed:
+		case s.next.After(p.now):
+			p.hold(i, s.wait, s.why)
+		default:
 			p.try(i, s.wait, s.why)
 		}
 	}
@@ -350,12 +386,16 @@
 func (p *plan) failed(i int, r *replica.Replica, res upstream.Result) {
 	s := &p.shards[i]
 	s.gone = s.gone || res.Kind == upstream.KindVersionGone
+	s.shed = s.shed || res.Kind == upstream.KindShed
+	s.refused = res.Kind == upstream.KindVersionGone || res.Kind == upstream.KindShed || res.Kind == upstream.KindDraining
 	why := join(string(res.Kind), res.Detail)
 	switch {
 	case s.inflight > 0 && s.n > 1:
 		// A second try is on its way already.
+	case s.n >= maxTries && s.inflight > 0:
+	case s.n >= maxTries && s.shed:
+		p.again(i, why)
 	case s.n >= maxTries:
-		p.busy = p.busy || res.Kind == upstream.KindShed
 		p.miss(i, r, join(why, "three tries failed"))
 	case p.req.Suspect && !res.Kind.NotRun():
 		p.miss(i, r, join(why, "the request may be the cause, and isn't sent again"))
--- a/entry/internal/service/farm_test.go
+++ b/entry/internal/service/farm_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -52,6 +53,8 @@
 	workers []*worker
 	// long is the factor for the service time of queries whose text begins with "long".
 	long float64
+	// services counts the hosts, so that their tries have ids of their own.
+	services int
 }
 
 func newFarm(seed uint64, shards, copies int) *farm {
@@ -176,14 +179,15 @@
 
 func (f *farm) service(doc document.Document, reg prometheus.Registerer) *service.Service {
 	var mu sync.Mutex
-	ids := 0
+	f.services++
+	ids, host := 0, f.services
 	s, err := service.New(accepted.Generation{Service: doc.Service, Number: 1, Document: doc}, service.Options{
-		Clock: clock.System{}, Log: logr.Discard(), Metrics: service.NewMetrics(reg), Explain: explain.New(64), Send: f.send, Health: f.health, IntN: seeded(f.seed),
+		Clock: clock.System{}, Log: logr.Discard(), Metrics: service.NewMetrics(reg), Explain: explain.New(64), Send: f.send, Health: f.health, IntN: seeded(f.seed + uint64(f.services)),
 		NewID: func() string {
 			mu.Lock()
 			defer mu.Unlock()
 			ids++
-			return fmt.Sprintf("x%d", ids)
+			return fmt.Sprintf("x%d-%d", host, ids)
 		},
 	})
 	if err != nil {
@@ -192,10 +196,23 @@
 	return s
 }
 
+// spread returns an asker that sends each query to the next of n hosts, which know nothing of each other.
+func spread(n int, host func() asker) asker {
+	list := make([]asker, n)
+	for i := range list {
+		list[i] = host()
+	}
+	var next atomic.Int64
+	return func(ctx context.Context, req service.QueryRequest) caller.Answer {
+		return list[int(next.Add(1))%n](ctx, req)
+	}
+}
+
 // plain is the baseline: a random replica for each shard, up to two more after failures, no second tries, and admission that learns nothing from its tries.
 func (f *farm) plain(doc document.Document) asker {
 	var mu sync.Mutex
-	ids, intN := 0, seeded(f.seed)
+	f.services++
+	ids, host, intN := 0, f.services, seeded(f.seed+uint64(f.services))
 	gate := admission.New(admission.Options{Limits: admission.Limits{Running: doc.Admission.Concurrency, Waiting: doc.Admission.Queue, CallerShare: doc.Admission.CallerShare}})
 	return func(ctx context.Context, req service.QueryRequest) caller.Answer {
 		place, refusal := gate.Enter(ctx, admission.Request{Caller: req.Caller, Deadline: req.Deadline})
@@ -215,7 +232,7 @@
 				first := intN(copies)
 				for k := range copies {
 					r := &replica.Replica{Addr: f.addr(i + f.shards*((first+k)%copies))}
-					try := upstream.QueryTry{ID: fmt.Sprintf("p%d-%d-%d", id, i, k), Body: []byte(`{"query":"` + req.Query.Query + `"}     `)}
+					try := upstream.QueryTry{ID: fmt.Sprintf("p%d-%d-%d-%d", host, id, i, k), Body: []byte(`{"query":"` + req.Query.Query + `"}     `)}
 					if f.send(ctx, r, try).Kind == upstream.KindOK {
 						ok[i] = true
 						return
--- a/entry/internal/service/scenes_test.go
+++ b/entry/internal/service/scenes_test.go
@@ -26,6 +26,8 @@
 	rate  float64
 	lasts time.Duration
 	text  func(i int) string
+	// hosts is how many hosts share the replicas and the load; zero means one.
+	hosts int
 	// warm is how long the load runs before the fault and before anything is counted.
 	warm time.Duration
 	// fault is called after warm, and every 50 ms from then on with the time since.
@@ -47,8 +49,15 @@
 		s := f.service(doc, reg)
 		s.Update(t.Context(), f.list())
 		ask := asker(s.Query)
-		if usePlain {
-			ask = f.plain(doc)
+		switch {
+		case usePlain:
+			ask = spread(max(1, sc.hosts), func() asker { return f.plain(doc) })
+		case sc.hosts > 1:
+			ask = spread(sc.hosts, func() asker {
+				host := f.service(doc, nil)
+				host.Update(t.Context(), f.list())
+				return host.Query
+			})
 		}
 		out = sc.load(t, f, s, ask)
 		out.ejected = ejected(reg)
@@ -235,6 +244,19 @@
 	qt.Assert(t, ours.refused, qt.Equals, 0)
 }
 
+// Seven hosts share the five slots of each replica, at sixty percent of what the replicas can run. No host
+// knows of the others; what one sends is another's refusal. Pages should be whole and hardly a try refused.
+func TestSevenHostsShareReplicas(t *testing.T) {
+	t.Parallel()
+	sc := scene{seed: 10, rate: 1800, warm: 500 * time.Millisecond, lasts: 700 * time.Millisecond, hosts: 7}
+	ours, plain := sc.play(t, false), sc.play(t, true)
+	t.Logf("shared: %v", ours)
+	t.Logf("plain:  %v", plain)
+	qt.Assert(t, ours.coverage > 0.999, qt.IsTrue)
+	qt.Assert(t, ours.shed < plain.shed, qt.IsTrue)
+	qt.Assert(t, ours.extra < 0.03, qt.IsTrue)
+}
+
 // One query in ten is long, eight times the others' work. Its replicas are not slow, and must not be taken
 // out or get second tries for it: the short ones keep their time and the load stays what it is.
 func TestLongAmongShort(t *testing.T) {
