eject: Count a lost race, doubt after two, and look at once

Each of its tries lost the race against a second one and was cancelled at about twice the usual time, so it was never called slow (four times), never ejected, and got its share for good.

Ruled out: a lower factor for slow tries (the tail of a healthy replica reaches it); ejection after one lost race (about one try in a hundred loses one).

Change: a second try that was quicker though sent later counts against the first replica. Two strikes in a row make a replica doubtful: no ordinary tries, and a single try at once beside an ordinary one; only if that fails too is it ejected, and reported.

TestSlowReplicaIsOutUntilAGoodTry follows the new rule: out after two instead of three, with a look at once.

--- a/entry/internal/eject/eject.go
+++ b/entry/internal/eject/eject.go
@@ -7,9 +7,13 @@
 )
 
 const (
-	// strikes is how many slow or failed tries in a row take a replica out: one or two happen to every replica on an ordinary day.
-	strikes = 3
-	// firstTrial is how long after it was taken out a replica gets its first single try.
+	// doubt is how many slow or failed tries in a row make a replica doubtful: one happens to every replica on
+	// an ordinary day. With second tries after the 98.5th percentile, two in a row happen to one try in some
+	// thousand; a single try that follows at once clears those.
+	doubt = 2
+	// verdict is how many make it ejected; the single try after a doubt is the third.
+	verdict = 3
+	// firstTrial is how long after a failed single try a replica gets its next.
 	firstTrial = time.Second
 	// longestTrial bounds the time between single tries, which doubles from firstTrial.
 	longestTrial = 16 * time.Second
@@ -24,13 +28,15 @@
 // It answers a replica that is much slower than the others or fails every try. Without it the replica gets
 // its turn again and again, and each turn is a late or missing shard on somebody's page. It also answers a
 // replica that has just appeared, whose caches are cold. A replica that is out gets single tries, sent
-// beside an ordinary one, so that no page waits for what they find; the first good one brings it back.
+// beside an ordinary one, so that no page waits for what they find; the first good one brings it back. The
+// first comes at once, so that a doubt costs a healthy replica nothing.
 type State struct {
 	// trialAt is when the next single try is due, in nanoseconds since 1970; zero means that the replica is in.
 	trialAt atomic.Int64
 
 	mu      sync.Mutex
 	strikes int
+	ejected bool
 	wait    time.Duration
 }
 
@@ -66,23 +72,31 @@
 	return true
 }
 
-// Strike counts a slow or failed try and reports whether it took the replica out.
+// Strike counts a slow or failed try and reports whether the replica is ejected by it, rather than doubtful.
 func (s *State) Strike(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.strikes++
-	if s.strikes < strikes || s.trialAt.Load() != 0 {
+	if s.strikes < doubt {
 		return false
 	}
-	s.wait = 2 * firstTrial
-	s.trialAt.Store(now.Add(firstTrial).UnixNano())
+	if s.trialAt.Load() == 0 {
+		s.wait = firstTrial
+		s.trialAt.Store(now.UnixNano())
+	}
+	if s.strikes < verdict || s.ejected {
+		return false
+	}
+	s.ejected = true
 	return true
 }
 
-// Good counts a good try and reports whether it brought the replica back.
+// Good counts a good try and reports whether it brought an ejected replica back.
 func (s *State) Good() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.strikes = 0
-	return s.trialAt.Swap(0) != 0
+	was := s.ejected
+	s.strikes, s.ejected = 0, false
+	s.trialAt.Store(0)
+	return was
 }
--- a/entry/internal/eject/eject_test.go
+++ b/entry/internal/eject/eject_test.go
@@ -18,8 +18,19 @@
 	qt.Assert(t, s.Strike(now), qt.IsFalse)
 	qt.Assert(t, s.Good(), qt.IsFalse)
 	qt.Assert(t, s.Strike(now), qt.IsFalse)
+	qt.Assert(t, s.In(), qt.IsTrue)
 	qt.Assert(t, s.Strike(now), qt.IsFalse)
+	qt.Assert(t, s.In(), qt.IsFalse)
+
+	// The doubt is cleared by a single try that comes at once, and nobody is told.
+	qt.Assert(t, s.Trial(now), qt.IsTrue)
+	qt.Assert(t, s.Trial(now), qt.IsFalse)
+	qt.Assert(t, s.Good(), qt.IsFalse)
 	qt.Assert(t, s.In(), qt.IsTrue)
+
+	s.Strike(now)
+	s.Strike(now)
+	qt.Assert(t, s.Trial(now), qt.IsTrue)
 	qt.Assert(t, s.Strike(now), qt.IsTrue)
 	qt.Assert(t, s.In(), qt.IsFalse)
 
--- a/entry/internal/fanout/learn.go
+++ b/entry/internal/fanout/learn.go
@@ -15,8 +15,7 @@
 	now := run.opts.Clock.Now()
 	took := now.Sub(began)
 	running := r.Running()
-	// A try that was given up later than its replica usually answers is a sample too: at least that slow.
-	r.End(began, took, res.Kind == upstream.KindOK || res.Kind == upstream.KindCanceled && took > r.Latency())
+	r.End(began, took, res.Kind == upstream.KindOK)
 	switch res.Kind {
 	case upstream.KindOK:
 		run.policy.Observe(now, took)
@@ -58,12 +57,17 @@
 
 // judgeTrial brings a replica back whose single try was answered in the service's usual time. What was learned of it before is forgotten, and it starts with one try at once.
 func (run *Runner) judgeTrial(r *replica.Replica, res upstream.Result, took time.Duration) {
-	if res.Kind != upstream.KindOK || (run.policy.Median() > 0 && took > trialFactor*run.policy.Median()+trialFloor) {
-		return
+	usual := run.policy.Median()
+	switch {
+	case res.Kind.NotRun() && res.Kind != upstream.KindNotSent, res.Kind == upstream.KindVersionGone:
+		// A refusal says nothing of its speed.
+	case res.Kind == upstream.KindOK && (usual == 0 || took <= trialFactor*usual+trialFloor):
+		r.SetLatency(took)
+		r.Limit.Reset()
+		run.good(r, "a single try was answered in "+took.String())
+	default:
+		run.strike(r, run.opts.Clock.Now(), "a single try was "+string(res.Kind)+" after "+took.String()+"; usual is "+usual.String())
 	}
-	r.SetLatency(took)
-	r.Limit.Reset()
-	run.good(r, "a single try was answered in "+took.String())
 }
 
 const (
--- a/entry/internal/fanout/plan.go
+++ b/entry/internal/fanout/plan.go
@@ -374,6 +374,7 @@
 		s.answered, s.hits = true, res.Query.Hits
 		p.answered++
 		p.took += got.took
+		p.beaten(got)
 		p.close(got.shard)
 		return
 	}
@@ -465,6 +466,19 @@
 	s.cancel()
 }
 
+// beaten counts a strike against each replica that a later try was quicker than. Its own try is given up long
+// before it could be called slow by its age, so without this a slow replica would lose one race after another
+// and stay in use, each time at the cost of somebody's wait.
+func (p *plan) beaten(got *result) {
+	s := &p.shards[got.shard]
+	for k := range got.k {
+		if !s.ended[k] {
+			s.ended[k] = true
+			p.run.strike(s.tries[k], p.now, "a second try was quicker, though sent later")
+		}
+	}
+}
+
 // judgeRunning holds the age of the shard's running tries against their replicas.
 func (p *plan) judgeRunning(i int) {
 	s := &p.shards[i]
