core/upstream: Dial ahead within the seats, and count a seat until the replica has closed too

Cause: each cancel closed a connection and a later request paid the dial; net/http frees the place before the replica has wound up the cancelled request, so the replica's limit was passed.

Ruled out: MaxConnsPerHost alone (peak 5 of 4), a fixed pause, not cancelling.

Change: DialContext hands out connections dialled ahead in the background; closing ends the sending side, waits for the replica's end for 1 s at most, then frees the seat; refusals back off; idle connections live for 30 s.

--- a/core/upstream/client.go
+++ b/core/upstream/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync"
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
@@ -25,6 +26,8 @@
 	Clock clock.Clock
 	// Seats is the most connections held to each replica.
 	Seats int
+
+	cold bool
 }
 
 // Client sends tries to the replicas of one service; it never sends one twice.
@@ -32,6 +35,11 @@
 	clock clock.Clock
 	http  *khttp.Client
 	tr    *http.Transport
+	most  int
+	cold  bool
+
+	mu    sync.Mutex
+	seats map[string]*seats
 }
 
 // New returns a client without any connection yet.
@@ -39,31 +47,79 @@
 	if opts.Clock == nil {
 		opts.Clock = clock.System{}
 	}
-	tr := &http.Transport{
-		DialContext:         dial,
+	c := &Client{clock: opts.Clock, most: opts.Seats, cold: opts.cold, seats: map[string]*seats{}}
+	c.tr = &http.Transport{
+		DialContext:         c.dial,
 		MaxConnsPerHost:     opts.Seats,
 		MaxIdleConnsPerHost: opts.Seats,
+		IdleConnTimeout:     idleLimit,
 		DisableCompression:  true,
 	}
-	hc, err := khttp.NewClient(context.Background(), khttp.WithTransport(noRedirect{tr}), khttp.WithTimeout(0),
+	hc, err := khttp.NewClient(context.Background(), khttp.WithTransport(noRedirect{c.tr}), khttp.WithTimeout(0),
 		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }))
 	if err != nil {
 		return nil, fmt.Errorf("upstream client: %w", err)
 	}
-	return &Client{clock: opts.Clock, http: hc, tr: tr}, nil
+	c.http = hc
+	return c, nil
 }
 
-func dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	var d net.Dialer
-	c, err := d.DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, fmt.Errorf("dial %s: %w", addr, err)
+// seat returns the connections held to the replica at addr.
+func (c *Client) seat(addr string) *seats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.seats[addr]
+	if s == nil {
+		s = newSeats(addr, c.most, c.clock, c.cold)
+		c.seats[addr] = s
+		c.clock.AfterFunc(idleLimit/2, func() { c.renew(s) })
 	}
-	return &conn{Conn: c}, nil
+	return s
 }
 
-// Close drops the idle connections.
-func (c *Client) Close() { c.tr.CloseIdleConnections() }
+func (c *Client) dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	return c.seat(addr).take(ctx)
+}
+
+// renew looks after the seats at one replica twice in idleLimit, until the replica is no longer used.
+func (c *Client) renew(s *seats) {
+	if s.renew() {
+		c.mu.Lock()
+		delete(c.seats, s.addr)
+		c.mu.Unlock()
+		s.close()
+		return
+	}
+	s.fill()
+	c.clock.AfterFunc(idleLimit/2, func() { c.renew(s) })
+}
+
+// Stats returns the sums over all replicas; Peak is the highest of any one.
+func (c *Client) Stats() SeatStats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var sum SeatStats
+	for _, s := range c.seats {
+		s.mu.Lock()
+		sum.Ready += s.stats.Ready
+		sum.Dialled += s.stats.Dialled
+		sum.Refused += s.stats.Refused
+		sum.Open += s.open
+		sum.Peak = max(sum.Peak, s.stats.Peak)
+		s.mu.Unlock()
+	}
+	return sum
+}
+
+// Close drops the connections that no request uses.
+func (c *Client) Close() {
+	c.mu.Lock()
+	for _, s := range c.seats {
+		s.close()
+	}
+	c.mu.Unlock()
+	c.tr.CloseIdleConnections()
+}
 
 // QueryTry is one try of a query at one replica.
 type QueryTry struct {
@@ -156,6 +212,7 @@
 
 func (c *Client) do(ctx context.Context, req *http.Request) (Result, []byte) {
 	start := c.clock.Now()
+	c.seat(req.URL.Host).touch()
 	at := &attempt{clock: c.clock}
 	resp, err := c.http.Do(at.trace(req))
 	if err != nil {
--- a/core/upstream/conn.go
+++ b/core/upstream/conn.go
@@ -4,8 +4,13 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
+// linger is how long a closed connection waits for the replica to close its side.
+const linger = time.Second
+
 var errFenced = errors.New("the request was given up before it was sent")
 
 // conn counts the bytes that leave on one connection, so that a try can tell truly whether any of its own did.
@@ -15,6 +20,12 @@
 // that gap: it decides under the lock of Write, and no write begins after it.
 type conn struct {
 	net.Conn
+	seats  *seats
+	opened time.Time
+
+	// received is set once a byte came back, ended once the other side closed, closing once this side did.
+	received, ended, closing atomic.Bool
+	closeOnce                sync.Once
 
 	mu      sync.Mutex
 	sent    uint64
@@ -69,3 +80,52 @@
 	c.writing = true
 	return nil
 }
+
+// Read reads from the connection; once it is closing, what still arrives belongs to nobody.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.closing.Load() {
+		return 0, net.ErrClosed
+	}
+	if n > 0 && !c.received.Swap(true) && c.seats != nil {
+		c.seats.answered()
+	}
+	if err != nil {
+		c.ended.Store(true)
+	}
+	return n, err
+}
+
+// Close ends the sending side at once, which is how a replica learns of a cancel, and gives the seat back once the replica
+// has closed its side too: until then it counts the connection against its limit.
+func (c *conn) Close() error {
+	c.closeOnce.Do(func() {
+		c.closing.Store(true)
+		c.fence(0)
+		// net/http may wait for its reading and writing goroutines, which a plain close would have woken.
+		_ = c.SetDeadline(time.Unix(1, 0))
+		go c.windUp()
+	})
+	return nil
+}
+
+func (c *conn) windUp() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && !c.ended.Load() && tcp.CloseWrite() == nil {
+		_ = c.SetReadDeadline(time.Now().Add(linger))
+		drain(c.Conn)
+	}
+	_ = c.Conn.Close()
+	if c.seats != nil {
+		c.seats.release(c.ended.Load() && !c.received.Load())
+	}
+}
+
+// drain reads until the other side closes or the deadline of the connection passes.
+func drain(c net.Conn) {
+	buf := make([]byte, 4<<10)
+	for {
+		if _, err := c.Read(buf); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/core/upstream/seats_test.go
@@ -0,0 +1,180 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// limited is a replica that closes each connection over its limit, counts a connection until it has closed it itself,
+// and winds up a cancelled request before it does.
+type limited struct {
+	l    net.Listener
+	most int
+	cost time.Duration
+	work func(id string)
+
+	mu      sync.Mutex
+	open    int
+	peak    int
+	refused int
+}
+
+func newLimited(tb testing.TB, most int, cost time.Duration, work func(id string)) *limited {
+	var lc net.ListenConfig
+	l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	qt.Assert(tb, err, qt.IsNil)
+	p := &limited{l: l, most: most, cost: cost, work: work}
+	tb.Cleanup(func() { l.Close() })
+	go p.accept()
+	return p
+}
+
+func (p *limited) addr() netip.AddrPort { return netip.MustParseAddrPort(p.l.Addr().String()) }
+
+func (p *limited) accept() {
+	for {
+		c, err := p.l.Accept()
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		p.open++
+		p.peak = max(p.peak, p.open)
+		over := p.open > p.most
+		if over {
+			p.refused++
+		}
+		p.mu.Unlock()
+		go p.talk(c, over)
+	}
+}
+
+func (p *limited) talk(c net.Conn, over bool) {
+	defer c.Close()
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.open--
+	}()
+	if over {
+		return
+	}
+	time.Sleep(p.cost)
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		id := r.Header.Get(HeaderRequest)
+		p.work(id)
+		if !done(c, id) {
+			return
+		}
+	}
+}
+
+func (p *limited) counts() (peak, refused int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.peak, p.refused
+}
+
+// storm sends n writes from the given number of callers and cancels the tries that cancel picks; it returns how many got through.
+func storm(ctx context.Context, c *Client, addr netip.AddrPort, callers, n int, cancelAfter func(i int) time.Duration) int {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	ok, next := 0, 0
+	take := func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		next++
+		return next
+	}
+	for range callers {
+		wg.Go(func() {
+			for i := take(); i <= n; i = take() {
+				ctx, cancel := context.WithCancel(ctx)
+				if d := cancelAfter(i); d >= 0 {
+					time.AfterFunc(d, cancel)
+				}
+				res := c.Write(ctx, addr, fmt.Sprint(i), []byte("{}"))
+				cancel()
+				mu.Lock()
+				if res.Kind == KindOK {
+					ok++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return ok
+}
+
+// Hedged tries are cancelled all the time, and each cancel closes a connection. The replica still winds up the request
+// and counts the connection while the host dials the next one: over the limit, the replica closes new connections at
+// once, and the queries of other hosts on this replica fail too.
+func TestSeatsStayUnderTheLimitThroughCancels(t *testing.T) {
+	const most = 4
+	p := newLimited(t, most, 0, func(string) { time.Sleep(2 * time.Millisecond) })
+	c := newTestClient(t, Options{Seats: most})
+	ok := storm(t.Context(), c, p.addr(), 16, 600, func(i int) time.Duration {
+		if i%2 == 0 {
+			return time.Duration(i%5) * 500 * time.Microsecond
+		}
+		return -1
+	})
+	peak, refused := p.counts()
+	qt.Assert(t, refused, qt.Equals, 0, qt.Commentf("peak %d of %d", peak, most))
+	qt.Assert(t, c.Stats().Peak <= most, qt.IsTrue)
+	qt.Assert(t, ok >= 300, qt.IsTrue, qt.Commentf("%d of the 300 that nobody cancelled got through", ok))
+}
+
+// A replica is over its limit and closes every connection as soon as it accepts it. A host that dials again at once, in
+// a loop, takes the seats that others need and burns the replica's time.
+func TestRefusedConnectionsAreNotDialledInALoop(t *testing.T) {
+	p := newLimited(t, 0, 0, func(string) {})
+	c := newTestClient(t, Options{Seats: 4})
+	for i := range 500 {
+		res := c.Write(t.Context(), p.addr(), fmt.Sprint(i), []byte("{}"))
+		qt.Assert(t, res.Kind == KindNotSent || res.Kind == KindBroken, qt.IsTrue)
+	}
+	_, refused := p.counts()
+	qt.Assert(t, refused <= 100, qt.IsTrue, qt.Commentf("%d connections were refused", refused))
+}
+
+// BenchmarkDialAhead plays hedging: 5 seats, 6 ms a new connection, one in ten tries cancelled. It reports the share of
+// connections taken that the request had to wait for, against a client that dials on demand.
+func BenchmarkDialAhead(b *testing.B) {
+	for _, cold := range []bool{true, false} {
+		b.Run(fmt.Sprintf("cold=%t", cold), func(b *testing.B) {
+			p := newLimited(b, 5, 6*time.Millisecond, func(string) { time.Sleep(5 * time.Millisecond) })
+			c, err := New(Options{Seats: 5, cold: cold})
+			qt.Assert(b, err, qt.IsNil)
+			defer c.Close()
+			storm(b.Context(), c, p.addr(), 4, b.N, func(i int) time.Duration {
+				if i%10 == 0 {
+					return 3 * time.Millisecond
+				}
+				return -1
+			})
+			st := c.Stats()
+			_, refused := p.counts()
+			b.ReportMetric(100*float64(st.Dialled)/float64(b.N), "%dialled")
+			b.ReportMetric(100*float64(st.Ready)/float64(b.N), "%ready")
+			b.ReportMetric(float64(refused), "refused")
+		})
+	}
+}
