--- a/entry/internal/service/writes.go
+++ b/entry/internal/service/writes.go
@@ -19,7 +19,9 @@
 		Enabled: s.Generation().Document.Writes.Enabled,
 		Enter:   s.enterWrite,
 		Pick: func(tried []*replica.Replica) *replica.Replica {
-			return choice.Pick(rand.IntN, s.table.View().Replicas, tried)
+			// Where every replica is at its limit the write is not sent, and its caller hears so at once.
+			r, _ := choice.Pick(rand.IntN, s.opts.Clock.Now(), s.table.View().Replicas, tried)
+			return r
 		},
 		Send: func(ctx context.Context, r *replica.Replica, id string, body []byte) upstream.Result {
 			res := s.client.Write(ctx, r.Addr, id, body)
--- a/entry/internal/writes/writer.go
+++ b/entry/internal/writes/writer.go
@@ -210,9 +210,10 @@
 func (r *run) inTime() bool { return r.w.opts.Clock.Now().Before(r.req.Deadline) }
 
 func (r *run) send(ctx context.Context, up Upstream, rep *replica.Replica, n int) upstream.Result {
-	rep.Begin()
+	began := r.w.opts.Clock.Now()
+	rep.Begin(began)
 	res := up.Send(ctx, rep, r.id+"-w"+strconv.Itoa(n), r.body)
-	rep.End(res.Took, res.Kind == upstream.KindOK)
+	rep.End(began, res.Took, res.Kind == upstream.KindOK)
 	r.decisions = append(r.decisions, r.w.decision(r.req, "write", rep, string(res.Kind)+": "+res.Detail))
 	events.WriteTried.Log(r.w.opts.Log, "service", r.req.Service, "request", r.req.ID, "replica", rep.ID, "try", n, "kind", res.Kind, "detail", res.Detail)
 	return res
