peers: Count the bytes between hosts, and measure what control costs a host

Change: metrics of the peer traffic, members, rumors and generations; scripts/capacity.sh (make capacity) measures bytes, processor time, memory, time to force and time to notice a killed host, with 8, 32 and 128 processes.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT := $(BIN)/golangci-lint
 LINT_VERSION := v2.12.2
 
-.PHONY: all build test fmt vet lint unit demo bench clean
+.PHONY: all build test fmt vet lint unit demo bench capacity clean
 
 all: build
 
@@ -39,5 +39,9 @@
 bench: build
 	SCENE="$(SCENE)" ROUNDS="$(or $(ROUNDS),2)" scripts/bench.sh
 
+# capacity measures what control costs a host, with up to 128 processes, and writes .out/capacity.csv; RUNS="hosts:services:replicas ..." chooses others.
+capacity: build
+	RUNS="$(RUNS)" scripts/capacity.sh
+
 clean:
 	rm -rf $(BIN) .out
--- a/entry/internal/host/host.go
+++ b/entry/internal/host/host.go
@@ -10,7 +10,6 @@
 
 	"github.com/go-kratos/kratos/v2"
 	"github.com/go-logr/logr"
-	"github.com/prometheus/client_golang/prometheus"
 
 	"guavaspring.org/core/caller"
 	"guavaspring.org/core/clock"
@@ -70,7 +69,7 @@
 func (h *Host) Run(ctx context.Context) error {
 	srv := callers.New(callers.Options{
 		Clock: h.opts.Clock, Listen: h.opts.Listen, NewID: rand.Text, Explain: h.explain,
-		Metrics: prometheus.NewRegistry(), Service: h.service, Ready: h.ready, Addresses: h.addresses, Write: h.write,
+		Metrics: h.metrics(), Service: h.service, Ready: h.ready, Addresses: h.addresses, Write: h.write,
 	})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/entry/internal/host/peers.go
+++ b/entry/internal/host/peers.go
@@ -11,6 +11,8 @@
 	"sync"
 
 	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"guavaspring.org/core/event"
 	"guavaspring.org/core/platform"
@@ -84,6 +86,14 @@
 	duties.Wait()
 }
 
+// metrics returns the registry of this host's metrics.
+func (h *Host) metrics() *prometheus.Registry {
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
+	reg.MustRegister(h.joined.peers.Collectors()...)
+	return reg
+}
+
 // status returns the writer of the services' statuses.
 func (h *Host) status(client *platform.Client) *status.Writer {
 	return status.New(status.Options{
