member: Make a change of one row cheap at 5,600 hosts

Each service also ranked the whole fleet twice a second to find its first watcher. Change: rows are kept ordered with their keys, neighbours are the few of lowest rank, only suspects and the dead wait for time, rows learned by comparing tables aren't news, watchers are ranked once for each member list.

--- a/entry/internal/directory/directory.go
+++ b/entry/internal/directory/directory.go
@@ -107,9 +107,13 @@
 
 func (d *Directory) inZone(hosts []member.Host) []member.Host {
 	self := d.opts.Self()
-	return slices.DeleteFunc(member.Ranked(hosts, "directory"), func(h member.Host) bool {
-		return h.Zone != self.Zone || h.Region != self.Region
-	})
+	var zone []member.Host
+	for _, h := range hosts {
+		if h.Zone == self.Zone && h.Region == self.Region {
+			zone = append(zone, h)
+		}
+	}
+	return member.Ranked(zone, "directory")
 }
 
 // body is the object of one zone.
--- a/entry/internal/follow/follow.go
+++ b/entry/internal/follow/follow.go
@@ -44,6 +44,11 @@
 	proposals map[string]*proposal
 	refusals  map[string]Refusal
 	replicas  []platform.Replica
+
+	// ranked holds the watchers of the member list that begins at rankedFor.
+	ranking   sync.Mutex
+	ranked    []member.Host
+	rankedFor *member.Host
 }
 
 // proposal is the highest version of a document that was seen, until it is judged.
--- a/entry/internal/follow/watchers.go
+++ b/entry/internal/follow/watchers.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"slices"
 	"time"
 
 	"guavaspring.org/entry/internal/member"
@@ -31,32 +32,40 @@
 	return list
 }
 
+// Watchers returns the hosts that watch the platform now. The answer is kept until the member list changes: ranking
+// 5,600 hosts takes milliseconds, and it is asked for several times a second for every service.
+func (f *Follower) Watchers() []member.Host {
+	hosts := f.opts.Hosts()
+	if len(hosts) == 0 {
+		return nil
+	}
+	f.ranking.Lock()
+	defer f.ranking.Unlock()
+	if f.rankedFor != &hosts[0] {
+		f.rankedFor, f.ranked = &hosts[0], Watchers(hosts)
+	}
+	return f.ranked
+}
+
 // Watches reports whether this host is one of its zone's watchers.
-func (f *Follower) Watches() bool { return contains(Watchers(f.opts.Hosts()), f.opts.Self().ID) }
+func (f *Follower) Watches() bool {
+	self := f.opts.Self().ID
+	return slices.ContainsFunc(f.Watchers(), func(h member.Host) bool { return h.ID == self })
+}
 
-// FirstFor reports whether this host is the first watcher for a purpose; hosts that disagree on who is a member may both be.
-func FirstFor(hosts []member.Host, self member.Host, purpose string) bool {
-	order := member.Ranked(Watchers(hosts), purpose)
-	return len(order) > 0 && order[0].ID == self.ID
+// First reports whether this host is the first watcher for a purpose; hosts that disagree on who is a member may both be.
+func (f *Follower) First(purpose string) bool {
+	order := member.Ranked(f.Watchers(), purpose)
+	return len(order) > 0 && order[0].ID == f.opts.Self().ID
 }
 
 // turn returns how long this host waits before it judges a proposal for service.
 func (f *Follower) turn(service string) time.Duration {
-	order := member.Ranked(Watchers(f.opts.Hosts()), "judge "+service)
 	self := f.opts.Self().ID
-	for i, h := range order {
+	for i, h := range member.Ranked(f.Watchers(), "judge "+service) {
 		if h.ID == self {
 			return time.Duration(min(i, maxTurns)) * judgeTurn
 		}
 	}
 	return maxTurns * judgeTurn
 }
-
-func contains(hosts []member.Host, id string) bool {
-	for _, h := range hosts {
-		if h.ID == id {
-			return true
-		}
-	}
-	return false
-}
--- a/entry/internal/host/peers.go
+++ b/entry/internal/host/peers.go
@@ -98,7 +98,7 @@
 func (h *Host) status(client *platform.Client) *status.Writer {
 	return status.New(status.Options{
 		Clock: h.opts.Clock, Log: h.opts.Log, Get: client.Get, Put: client.Put, Self: h.Self, Hosts: h.Hosts,
-		Services: h.serviceNames, Report: h.report, Number: h.joined.peers.Number,
+		First: h.follower.First, Services: h.serviceNames, Report: h.report, Number: h.joined.peers.Number,
 	})
 }
 
--- a/entry/internal/member/list.go
+++ b/entry/internal/member/list.go
@@ -33,6 +33,8 @@
 	maxRows = 6
 	// maxLoads is the most load marks in one message, about 100 bytes.
 	maxLoads = 6
+	// publishLoads is how often the snapshot takes over loads: at 5,600 hosts each takes a millisecond or two.
+	publishLoads = time.Second
 	// pauseAfter is the gap between two ticks that counts as a pause of this process.
 	pauseAfter = 2 * time.Second
 )
@@ -46,22 +48,28 @@
 type List struct {
 	opts Options
 
-	mu       sync.Mutex
-	self     Host
-	rows     map[string]*row
-	byKey    map[uint64]*row
+	mu    sync.Mutex
+	self  Host
+	rows  map[string]*row
+	byKey map[uint64]*row
+	// order holds the rows ordered by ID, so that a snapshot of thousands needs no sorting.
+	order []*row
+	// waiting holds the rows that time changes: suspects and the dead.
+	waiting  map[string]*row
 	queue    map[string]int
 	loads    map[uint64]int
 	lastTick time.Time
-	resumed  time.Time
-	toldLoad float64
-	toldAt   time.Time
-	load     float64
-	turn     int
-	around   []string
-	entries  []digest.Entry
-	total    uint64
-	stale    bool
+	// published is when the snapshot last took over changed loads.
+	published time.Time
+	resumed   time.Time
+	toldLoad  float64
+	toldAt    time.Time
+	load      float64
+	turn      int
+	around    []string
+	entries   []digest.Entry
+	total     uint64
+	stale     bool
 	// staleLoad says that only loads changed, which needs a new snapshot but no new neighbours.
 	staleLoad bool
 	pending   []change
@@ -71,6 +79,8 @@
 
 type row struct {
 	Host
+	// key is Host.Key, kept since hashing thousands of IDs at each change takes a millisecond.
+	key uint64
 	// until is when a suspect becomes dead, or a dead row is dropped.
 	until time.Time
 	// left says that the host had announced its stop, so that it isn't sought again.
@@ -82,7 +92,7 @@
 // New returns a list that knows only this host.
 func New(opts Options) *List {
 	opts.Self.Epoch, opts.Self.State = 1, StateAlive
-	l := &List{opts: opts, self: opts.Self, rows: map[string]*row{}, byKey: map[uint64]*row{}, queue: map[string]int{}, loads: map[uint64]int{}}
+	l := &List{opts: opts, self: opts.Self, rows: map[string]*row{}, byKey: map[uint64]*row{}, waiting: map[string]*row{}, queue: map[string]int{}, loads: map[uint64]int{}}
 	l.queue[l.self.ID] = 0
 	l.rebuild()
 	return l
@@ -118,14 +128,15 @@
 func (l *List) Tick(now time.Time) {
 	l.mu.Lock()
 	l.notePause(now)
-	for _, r := range l.rows {
+	for _, r := range l.waiting {
 		l.expire(r, now)
 	}
 	l.tellLoad(now)
 	switch {
 	case l.stale:
 		l.rebuild()
-	case l.staleLoad:
+	case l.staleLoad && now.Sub(l.published) >= publishLoads:
+		l.published = now
 		l.publish()
 	}
 	changes := l.takeChanges()
@@ -139,7 +150,7 @@
 	gap := now.Sub(l.lastTick)
 	if !l.lastTick.IsZero() && gap > pauseAfter {
 		l.resumed = now
-		for _, r := range l.rows {
+		for _, r := range l.waiting {
 			r.until = r.until.Add(gap)
 		}
 	}
@@ -157,16 +168,31 @@
 		l.put(h, now)
 	case StateDead:
 		delete(l.rows, r.ID)
-		delete(l.byKey, r.Key())
+		delete(l.waiting, r.ID)
+		delete(l.byKey, r.key)
 		delete(l.queue, r.ID)
+		at, _ := slices.BinarySearchFunc(l.order, r.ID, compareID)
+		l.order = slices.Delete(l.order, at, at+1)
 	}
 }
 
-// Merge takes over rows that another host sent.
-func (l *List) Merge(now time.Time, rows []Host) {
+func compareID(r *row, id string) int { return strings.Compare(r.ID, id) }
+
+// Merge takes over rows that another host sent as news, and passes them on.
+func (l *List) Merge(now time.Time, rows []Host) { l.merge(now, rows, true) }
+
+// Learn takes over rows that were found by comparing tables, and doesn't pass them on: others have had them for long, and
+// a host that joins a large fleet would have nothing but old rows to tell for hours, with real news among them.
+func (l *List) Learn(now time.Time, rows []Host) { l.merge(now, rows, false) }
+
+func (l *List) merge(now time.Time, rows []Host, news bool) {
 	l.mu.Lock()
 	for _, h := range rows {
+		_, queued := l.queue[h.ID]
 		l.mergeOne(now, h)
+		if !news && !queued && h.ID != l.self.ID {
+			delete(l.queue, h.ID)
+		}
 	}
 	if l.stale {
 		l.rebuild()
@@ -209,20 +235,25 @@
 func (l *List) put(h Host, now time.Time) {
 	r := l.rows[h.ID]
 	if r == nil {
-		r = &row{}
+		r = &row{key: h.Key()}
 		l.rows[h.ID] = r
-		l.byKey[h.Key()] = r
+		l.byKey[r.key] = r
+		at, _ := slices.BinarySearchFunc(l.order, h.ID, compareID)
+		l.order = slices.Insert(l.order, at, r)
 	} else if h.LoadSeq < r.LoadSeq {
 		h.Load, h.LoadSeq = r.Load, r.LoadSeq
 	}
 	old := r.Host
 	r.left = h.State == StateLeaving || h.State == StateDead && old.State == StateLeaving
 	r.Host = h
+	delete(l.waiting, h.ID)
 	switch h.State {
 	case StateSuspect:
 		r.until = now.Add(SuspectFor)
+		l.waiting[h.ID] = r
 	case StateDead:
 		r.until = now.Add(KeepDead)
+		l.waiting[h.ID] = r
 	}
 	l.queue[h.ID] = 0
 	l.stale = true
@@ -249,34 +280,39 @@
 // rebuild must be called with l.mu held; it publishes the snapshot and chooses the neighbours anew.
 func (l *List) rebuild() {
 	l.stale = false
-	list := l.publish()
-	l.entries, l.total = entriesOf(list)
-	l.around = neighbours(l.self, list)
+	list, keys := l.publish()
+	l.entries, l.total = entriesOf(list, keys)
+	l.around = neighbours(l.self, list, keys)
 }
 
-// publish must be called with l.mu held.
-func (l *List) publish() []Host {
+// publish must be called with l.mu held; it returns the snapshot and the key of each host.
+func (l *List) publish() ([]Host, []uint64) {
 	l.staleLoad = false
-	list := make([]Host, 0, len(l.rows)+1)
-	list = append(list, l.self)
-	for _, r := range l.rows {
+	list := make([]Host, 0, len(l.order)+1)
+	keys := make([]uint64, 0, len(l.order)+1)
+	self := l.self
+	told := false
+	for _, r := range l.order {
+		if !told && self.ID < r.ID {
+			list, keys, told = append(list, self), append(keys, self.Key()), true
+		}
 		if r.State != StateDead {
-			list = append(list, r.Host)
+			list, keys = append(list, r.Host), append(keys, r.key)
 		}
 	}
-	slices.SortFunc(list, func(a, b Host) int { return strings.Compare(a.ID, b.ID) })
-	own := l.self
-	l.own.Store(&own)
+	if !told {
+		list, keys = append(list, self), append(keys, self.Key())
+	}
+	l.own.Store(&self)
 	l.snapshot.Store(&list)
-	return list
+	return list, keys
 }
 
 // entriesOf leaves out load, which changes all the time, and dead rows, which each host drops at its own time.
-func entriesOf(list []Host) ([]digest.Entry, uint64) {
+func entriesOf(list []Host, keys []uint64) ([]digest.Entry, uint64) {
 	entries := make([]digest.Entry, len(list))
 	for i, h := range list {
-		key := h.Key()
-		entries[i] = digest.Entry{Key: key, Sum: mix(key ^ mix(h.Epoch*8+uint64(stateRank[h.State])))}
+		entries[i] = digest.Entry{Key: keys[i], Sum: mix(keys[i] ^ mix(h.Epoch*8+uint64(stateRank[h.State])))}
 	}
 	return entries, digest.Total(entries)
 }
--- a/entry/internal/member/neighbours.go
+++ b/entry/internal/member/neighbours.go
@@ -15,45 +15,57 @@
 	randomNeighbours = 3
 )
 
-// neighbours returns the IDs that self probes, in a fixed order.
-func neighbours(self Host, list []Host) []string {
-	others := make([]ranked, 0, len(list))
+// neighbours returns the IDs that self probes, in a fixed order; keys holds the key of each host of list.
+func neighbours(self Host, list []Host, keys []uint64) []string {
 	own := self.Key()
+	var ring, zone, anywhere nearest
 	for i := range list {
 		h := &list[i]
-		if h.ID != self.ID {
-			key := h.Key()
-			// The distance wraps around, which makes the keys a ring.
-			others = append(others, ranked{host: h, rank: key - own, pair: mix(own ^ mix(key))})
-		}
-	}
-	slices.SortFunc(others, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
-	var ids []string
-	ring := min(ringNeighbours, len(others))
-	for _, o := range others[:ring] {
-		ids = append(ids, o.host.ID)
-	}
-	rest := others[ring:]
-	slices.SortFunc(rest, func(a, b ranked) int { return cmp.Compare(a.pair, b.pair) })
-	inZone, anywhere := 0, 0
-	for _, o := range rest {
-		switch {
-		case inZone < zoneNeighbours && o.host.Zone == self.Zone && o.host.Region == self.Region:
-			inZone++
-		case anywhere < randomNeighbours:
-			anywhere++
-		default:
+		if h.ID == self.ID {
 			continue
 		}
-		ids = append(ids, o.host.ID)
+		key := keys[i]
+		pair := mix(own ^ mix(key))
+		// The distance wraps around, which makes the keys a ring.
+		ring.offer(ranked{host: h, rank: key - own}, ringNeighbours)
+		// More are kept than are taken, since those before may have taken some of them.
+		if h.Zone == self.Zone && h.Region == self.Region {
+			zone.offer(ranked{host: h, rank: pair}, zoneNeighbours+ringNeighbours)
+		}
+		anywhere.offer(ranked{host: h, rank: pair}, zoneNeighbours+ringNeighbours+randomNeighbours)
 	}
-	return ids
+	ids := take(nil, ring, ringNeighbours)
+	ids = take(ids, zone, zoneNeighbours)
+	return take(ids, anywhere, randomNeighbours)
 }
 
 type ranked struct {
 	host *Host
 	rank uint64
-	pair uint64
+}
+
+// nearest keeps the few hosts of lowest rank, in order.
+type nearest []ranked
+
+func (n *nearest) offer(r ranked, most int) {
+	list := *n
+	if len(list) == most && r.rank >= list[most-1].rank {
+		return
+	}
+	at, _ := slices.BinarySearchFunc(list, r, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	list = slices.Insert(list, at, r)
+	*n = list[:min(most, len(list))]
+}
+
+// take appends the first n hosts of from that aren't in ids yet.
+func take(ids []string, from nearest, n int) []string {
+	for _, r := range from {
+		if n > 0 && !slices.Contains(ids, r.host.ID) {
+			ids = append(ids, r.host.ID)
+			n--
+		}
+	}
+	return ids
 }
 
 // Ranked orders the hosts that may take up work by rendezvous hash for a purpose; every host that sees the same members gets the same order, and a change of one member moves only its own place.
@@ -63,10 +75,10 @@
 	for i := range hosts {
 		h := &hosts[i]
 		if h.State == StateAlive || h.State == StateSuspect {
-			list = append(list, ranked{host: h, pair: mix(seed ^ h.Key())})
+			list = append(list, ranked{host: h, rank: mix(seed ^ h.Key())})
 		}
 	}
-	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.pair, b.pair) })
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
 	out := make([]Host, len(list))
 	for i, r := range list {
 		out[i] = *r.host
--- a/entry/internal/peers/repair.go
+++ b/entry/internal/peers/repair.go
@@ -121,6 +121,6 @@
 }
 
 func (p *Peers) take(from netip.AddrPort, rows Rows) {
-	p.opts.List.Merge(p.opts.Clock.Now(), rows.Members)
+	p.opts.List.Learn(p.opts.Clock.Now(), rows.Members)
 	p.hear(from, rows.Marks, rows.Rumors)
 }
--- a/entry/internal/status/writer.go
+++ b/entry/internal/status/writer.go
@@ -14,7 +14,6 @@
 	"guavaspring.org/core/clock"
 	"guavaspring.org/core/platform"
 	"guavaspring.org/entry/internal/events"
-	"guavaspring.org/entry/internal/follow"
 	"guavaspring.org/entry/internal/member"
 )
 
@@ -38,6 +37,8 @@
 	// Self and Hosts return this host's row and every host that is not dead.
 	Self  func() member.Host
 	Hosts func() []member.Host
+	// First reports whether this host is the first watcher for a purpose.
+	First func(purpose string) bool
 	// Services returns the names of all services that are configured or proposed.
 	Services func() []string
 	// Report returns the part of the status that this host knows by itself.
@@ -77,9 +78,9 @@
 }
 
 func (w *Writer) tick(ctx context.Context) {
-	hosts, self := w.opts.Hosts(), w.opts.Self()
+	hosts := w.opts.Hosts()
 	for _, name := range w.opts.Services() {
-		if !follow.FirstFor(hosts, self, "status "+name) {
+		if !w.opts.First("status " + name) {
 			// Whoever is first again later must compare with what the others wrote meanwhile.
 			delete(w.state, name)
 			continue
--- a/entry/internal/status/writer_test.go
+++ b/entry/internal/status/writer_test.go
@@ -88,6 +88,7 @@
 			go New(Options{
 				Clock: clock.System{}, Log: logr.Discard(), Get: s.get, Put: s.put, Number: s.number,
 				Self: func() member.Host { return self }, Hosts: func() []member.Host { return s.hosts },
+				First:    func(purpose string) bool { return member.Ranked(s.hosts, purpose)[0].ID == self.ID },
 				Services: func() []string { return []string{"board-feed"} },
 				Report: func(string) platform.Status {
 					s.mu.Lock()
