--- a/entry/internal/events/membership.go
+++ b/entry/internal/events/membership.go
@@ -18,7 +18,6 @@
 // Events of rumors, 1550 to 1569.
 var (
 	RumorHeard = event.New(1550, "rumor_heard", "A fact that another host told all others, such as a replica that is leaving, was taken over.")
-	RumorFull  = event.New(1551, "rumor_dropped", "A rumor was dropped because the bounded store is full of rumors that live longer.")
 )
 
 // Events of the hosts' directory on the platform, 1570 to 1589.
--- a/entry/internal/follow/follow.go
+++ b/entry/internal/follow/follow.go
@@ -26,6 +26,8 @@
 	Get   func(ctx context.Context, kind platform.Kind, name string) (platform.Object, error)
 	Put   func(ctx context.Context, kind platform.Kind, name string, version int64, body []byte) (platform.Object, error)
 	Store *accepted.Store
+	// ReadReplicas reads the platform's replica list; New takes that of Platform where it is nil.
+	ReadReplicas func(ctx context.Context) ([]platform.Replica, error)
 	// Replicas receives the platform's replica list each time it was read.
 	Replicas func(ctx context.Context, list []platform.Replica)
 	// Self and Hosts return this host's row and every host that is not dead.
@@ -64,6 +66,9 @@
 	if opts.Get == nil {
 		opts.Get = opts.Platform.Get
 	}
+	if opts.ReadReplicas == nil {
+		opts.ReadReplicas = opts.Platform.Replicas
+	}
 	if opts.Put == nil {
 		opts.Put = opts.Platform.Put
 	}
--- a/entry/internal/follow/platform_test.go
+++ b/entry/internal/follow/platform_test.go
@@ -19,6 +19,7 @@
 	lag, lost, slow float64
 	down            bool
 	puts            []platform.Object
+	reads           int
 }
 
 func newFake(seed uint64) *fake {
@@ -77,3 +78,13 @@
 	}
 	return obj, nil
 }
+
+func (p *fake) replicas(context.Context) ([]platform.Replica, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reads++
+	if p.down {
+		return nil, platform.ErrUnavailable
+	}
+	return []platform.Replica{{ID: "r-1", Service: desk}}, nil
+}
--- a/entry/internal/host/peers.go
+++ b/entry/internal/host/peers.go
@@ -11,8 +11,6 @@
 	"sync"
 
 	"github.com/go-logr/logr"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"guavaspring.org/core/event"
 	"guavaspring.org/core/platform"
@@ -86,14 +84,6 @@
 	duties.Wait()
 }
 
-// metrics returns the registry of this host's metrics.
-func (h *Host) metrics() *prometheus.Registry {
-	reg := prometheus.NewRegistry()
-	reg.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
-	reg.MustRegister(h.joined.peers.Collectors()...)
-	return reg
-}
-
 // status returns the writer of the services' statuses.
 func (h *Host) status(client *platform.Client) *status.Writer {
 	return status.New(status.Options{
@@ -129,10 +119,7 @@
 func (h *Host) Subscribe(kind rumor.Kind, f func(rumor.Rumor)) { h.joined.rumors.Subscribe(kind, f) }
 
 // leave tells the other hosts that this one is stopping.
-func (j *joined) leave(ctx context.Context) error {
-	j.peers.Leave(ctx)
-	return nil
-}
+func (j *joined) leave(ctx context.Context) { j.peers.Leave(ctx) }
 
 // newRand needs no secrecy: it only spreads probes and repairs.
 func newRand() *mathrand.Rand {
--- a/entry/internal/member/bench_test.go
+++ b/entry/internal/member/bench_test.go
@@ -10,8 +10,8 @@
 )
 
 // large returns a list of the letter's size.
-func large(hosts int) (*List, []Host) {
-	rows := make([]Host, hosts)
+func large() (*List, []Host) {
+	rows := make([]Host, 5600)
 	for i := range rows {
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 7000)
 		rows[i] = Host{
@@ -26,7 +26,7 @@
 
 // BenchmarkChange is the cost of one changed row at 5,600 hosts; the fleet has 0.22 changes a second, each told a few times.
 func BenchmarkChange(b *testing.B) {
-	l, rows := large(5600)
+	l, rows := large()
 	b.ReportAllocs()
 	for i := range b.N {
 		h := rows[1+i%5000]
@@ -37,7 +37,7 @@
 
 // BenchmarkTick is the cost of letting time pass at 5,600 hosts, five times a second.
 func BenchmarkTick(b *testing.B) {
-	l, _ := large(5600)
+	l, _ := large()
 	b.ReportAllocs()
 	now := time.Unix(1, 0)
 	for range b.N {
@@ -48,7 +48,7 @@
 
 // BenchmarkMessage is the cost of filling one message while there is much to tell.
 func BenchmarkMessage(b *testing.B) {
-	l, rows := large(5600)
+	l, rows := large()
 	b.ReportAllocs()
 	for i := range b.N {
 		if len(l.queue) < 100 {
@@ -70,7 +70,7 @@
 		var before, after runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&before)
-		l, _ := large(5600)
+		l, _ := large()
 		l.mu.Lock()
 		clear(l.queue)
 		l.mu.Unlock()
--- a/entry/internal/peers/methods.go
+++ b/entry/internal/peers/methods.go
@@ -20,7 +20,8 @@
 
 // Ask probes a host on behalf of another that can't reach it.
 func (m *Methods) Ask(args *AskArgs, reply *AskReply) error {
-	reply.Reached = m.p.probe(context.Background(), args.Target) == nil
+	_, err := m.p.reach(context.Background(), args.Target)
+	reply.Reached = err == nil
 	return nil
 }
 
--- a/entry/internal/peers/server.go
+++ b/entry/internal/peers/server.go
@@ -7,11 +7,15 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 )
 
 // maxServed bounds the connections that other hosts hold here; a host has about eight probers and a few that repair.
 const maxServed = 256
 
+// acceptPause is how long to wait after a connection could not be accepted.
+const acceptPause = 100 * time.Millisecond
+
 // server accepts connections of other hosts and serves them with net/rpc.
 type server struct {
 	rpc *rpc.Server
@@ -39,7 +43,12 @@
 		if errors.Is(err, net.ErrClosed) {
 			break
 		}
-		if err != nil || !s.admit(conn) {
+		if err != nil {
+			// Without the pause a process that is out of file descriptors would spin here.
+			s.pause(ctx)
+			continue
+		}
+		if !s.admit(conn) {
 			continue
 		}
 		s.done.Go(func() {
@@ -51,6 +60,13 @@
 	s.done.Wait()
 }
 
+func (s *server) pause(ctx context.Context) {
+	select {
+	case <-time.After(acceptPause):
+	case <-ctx.Done():
+	}
+}
+
 // admit refuses a connection over the bound, so that a broken or hostile peer can't exhaust the host's memory.
 func (s *server) admit(conn net.Conn) bool {
 	s.mu.Lock()
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -32,7 +32,7 @@
 
 known() { # PORT HOSTS SERVICES: succeeds once a host knows all hosts and services
   curl -sf "http://127.0.0.1:$1/metrics" | awk -v hosts="$2" -v services="$3" '
-    /^entry_members\{state="alive"\}/ { a = $2 } /^entry_generations / { g = $2 } END { exit !(a == hosts && g >= services) }'
+    /^guavaspring_hosts\{state="alive"\}/ { a = $2 } /^guavaspring_generations / { g = $2 } END { exit !(a == hosts && g >= services) }'
 }
 
 # sample writes, for each host: bytes received and sent, reads, writes, processor seconds, resident bytes.
@@ -40,8 +40,8 @@
   local i
   for i in $(seq "$1"); do
     curl -sf "http://127.0.0.1:$((LISTEN_BASE + i))/metrics" | awk '
-      /^entry_peer_received_bytes_total/ { in_ = $2 } /^entry_peer_sent_bytes_total/ { out = $2 }
-      /^entry_peer_reads_total/ { r = $2 } /^entry_peer_writes_total/ { w = $2 } /^entry_peer_dials_total/ { d = $2 }
+      /^guavaspring_peer_received_bytes_total/ { in_ = $2 } /^guavaspring_peer_sent_bytes_total/ { out = $2 }
+      /^guavaspring_peer_reads_total/ { r = $2 } /^guavaspring_peer_writes_total/ { w = $2 } /^guavaspring_peer_dials_total/ { d = $2 }
       /^process_cpu_seconds_total/ { cpu = $2 } /^process_resident_memory_bytes/ { rss = $2 }
       END { printf "%.0f %.0f %.0f %.0f %.2f %.0f %.0f\n", in_, out, r, w, cpu, rss, d }'
   done >"$2"
