--- a/entry/internal/follow/replicas.go
+++ b/entry/internal/follow/replicas.go
@@ -31,7 +31,7 @@
 func (f *Follower) readReplicas(ctx context.Context) ([]platform.Replica, bool) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	list, err := f.opts.Platform.Replicas(callCtx)
+	list, err := f.opts.ReadReplicas(callCtx)
 	if err == nil {
 		return list, true
 	}
--- a/entry/internal/host/peers.go
+++ b/entry/internal/host/peers.go
@@ -88,7 +88,7 @@
 func (h *Host) status(client *platform.Client) *status.Writer {
 	return status.New(status.Options{
 		Clock: h.opts.Clock, Log: h.opts.Log, Get: client.Get, Put: client.Put, Self: h.Self, Hosts: h.Hosts,
-		Services: h.serviceNames, Report: h.report, Number: h.joined.peers.Number,
+		First: h.follower.First, Services: h.serviceNames, Report: h.report, Number: h.joined.peers.Number,
 	})
 }
 
--- a/entry/internal/member/probe.go
+++ b/entry/internal/member/probe.go
@@ -153,10 +153,12 @@
 // Replaced says that another incarnation answered at target's address, which proves that target has ended.
 func (l *List) Replaced(now time.Time, target Host) {
 	l.mu.Lock()
-	if r := l.rows[target.ID]; r != nil && r.State != StateDead {
-		h := r.Host
-		h.State = StateDead
-		l.put(h, now)
+	if r := l.rows[target.ID]; r != nil {
+		if r.State != StateDead {
+			h := r.Host
+			h.State = StateDead
+			l.put(h, now)
+		}
 		r.left = true
 	}
 	changes := l.takeChanges()
