core/upstream: Give back a query on a silent connection, without blame

Cause: a query on a connection that something in between had forgotten waited for the hedge or the deadline, and its age was held against the replica; the idle connections beside it were silent too.

Ruled out: keep-alive (kernel acknowledges for a stuck peer), probes on idle connections, a plain multiple of the usual time (cuts off every request of a slow replica).

Change: a query that waited four times the usual and was overtaken by two later requests ends as silent; where nothing comes back at all, idle connections are replaced once a second. fanout marks second tries Patient (one word in plan.go), so that a long query is cut off once only.

--- a/core/upstream/attempt.go
+++ b/core/upstream/attempt.go
@@ -1,9 +1,11 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"guavaspring.org/core/clock"
@@ -17,18 +19,47 @@
 	deadline time.Time
 	conn     *conn
 	start    uint64
+
+	silence *silence
+	// cancel ends the request early; it is nil where the request waits for its own deadline.
+	cancel context.CancelFunc
+	// usual says that the request's time is typical of the replica's.
+	usual bool
+	// sent and overtaken belong to silence.
+	sent      time.Time
+	overtaken int
+	silent    atomic.Bool
 }
 
 // trace returns req with the hook that tells the attempt its connection.
 func (at *attempt) trace(req *http.Request) *http.Request {
 	at.deadline, _ = req.Context().Deadline()
-	hooks := &httptrace.ClientTrace{GotConn: at.gotConn}
+	hooks := &httptrace.ClientTrace{GotConn: at.gotConn, GotFirstResponseByte: at.answered}
 	return req.WithContext(httptrace.WithClientTrace(req.Context(), hooks))
 }
 
 func (at *attempt) gotConn(info httptrace.GotConnInfo) {
 	at.conn = info.Conn.(*conn)
 	at.start = at.conn.begin(at.inTime)
+	at.silence.sent(at)
+}
+
+func (at *attempt) answered() { at.silence.answered(at, at.usual) }
+
+// giveUpSilent marks the request as one on a silent connection, and ends it where it may be tried elsewhere.
+func (at *attempt) giveUpSilent() {
+	at.silent.Store(true)
+	if at.cancel != nil {
+		at.cancel()
+	}
+}
+
+// end says that the request no longer uses its connection.
+func (at *attempt) end() {
+	at.silence.ended(at)
+	if at.conn != nil {
+		at.conn.end()
+	}
 }
 
 func (at *attempt) inTime() error {
--- a/core/upstream/client.go
+++ b/core/upstream/client.go
@@ -104,6 +104,8 @@
 		sum.Ready += s.stats.Ready
 		sum.Dialled += s.stats.Dialled
 		sum.Refused += s.stats.Refused
+		sum.Silent += s.silence.count()
+		sum.Refreshed += s.stats.Refreshed
 		sum.Open += s.open
 		sum.Peak = max(sum.Peak, s.stats.Peak)
 		s.mu.Unlock()
@@ -127,17 +129,26 @@
 	Version int64
 	Shard   int
 	Body    []byte
+	// Patient lets the try wait for its deadline on a connection that looks silent: a long query looks like that too, and must
+	// not be cut off again where it is tried next.
+	Patient bool
 }
 
 // Query sends one try; the deadline of ctx is passed on and its cancellation reaches the replica.
 func (c *Client) Query(ctx context.Context, addr netip.AddrPort, try QueryTry) Result {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	req, err := c.request(ctx, http.MethodPost, addr, "/v1/query", try.ID, try.Body)
 	if err != nil {
 		return Result{Kind: KindNotSent, Detail: err.Error()}
 	}
 	req.Header.Set(HeaderVersion, strconv.FormatInt(try.Version, 10))
 	req.Header.Set(HeaderShard, strconv.Itoa(try.Shard))
-	res, body := c.do(ctx, req)
+	at := &attempt{usual: true, cancel: cancel}
+	if try.Patient {
+		at.cancel = nil
+	}
+	res, body := c.do(ctx, req, at)
 	if res.Kind != KindOK {
 		return res
 	}
@@ -158,7 +169,8 @@
 	if err != nil {
 		return Result{Kind: KindNotSent, Detail: err.Error()}
 	}
-	res, b := c.do(ctx, req)
+	// A write is never given up early: its reply may still come, and nothing is won by not knowing sooner.
+	res, b := c.do(ctx, req, &attempt{usual: true})
 	if res.Kind != KindOK {
 		return res
 	}
@@ -180,7 +192,7 @@
 	if err != nil {
 		return h, Result{Kind: KindNotSent, Detail: err.Error()}
 	}
-	res, b := c.do(ctx, req)
+	res, b := c.do(ctx, req, &attempt{})
 	if res.Kind != KindOK {
 		return h, res
 	}
@@ -210,10 +222,12 @@
 	return req, nil
 }
 
-func (c *Client) do(ctx context.Context, req *http.Request) (Result, []byte) {
+func (c *Client) do(ctx context.Context, req *http.Request, at *attempt) (Result, []byte) {
 	start := c.clock.Now()
-	c.seat(req.URL.Host).touch()
-	at := &attempt{clock: c.clock}
+	seat := c.seat(req.URL.Host)
+	seat.touch()
+	at.clock, at.silence = c.clock, seat.silence
+	defer at.end()
 	resp, err := c.http.Do(at.trace(req))
 	if err != nil {
 		return c.transportFailure(ctx, at, start, err), nil
@@ -245,6 +259,8 @@
 	switch sent := at.giveUp(); {
 	case !sent:
 		kind = KindNotSent
+	case at.silent.Load():
+		kind = KindSilent
 	case ctx.Err() != nil:
 		kind = KindCanceled
 	}
--- a/core/upstream/conn.go
+++ b/core/upstream/conn.go
@@ -9,7 +9,7 @@
 )
 
 // linger is how long a closed connection waits for the replica to close its side.
-const linger = time.Second
+const linger = 250 * time.Millisecond
 
 var errFenced = errors.New("the request was given up before it was sent")
 
@@ -32,6 +32,9 @@
 	writing bool
 	fenced  bool
 	guard   func() error
+	// busy is set while a request uses the connection; heard is when it last received.
+	busy  bool
+	heard time.Time
 }
 
 // begin marks the start of a request, whose first byte leaves only if guard allows it then.
@@ -39,9 +42,24 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.guard = guard
+	c.busy = true
 	return c.sent
 }
 
+// end marks the connection as unused.
+func (c *conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = false
+}
+
+// idleSince reports whether the connection is unused and has received nothing since t.
+func (c *conn) idleSince(t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.busy && c.opened.Before(t) && c.heard.Before(t)
+}
+
 // fence forbids further writes and reports whether a byte may have left since start.
 func (c *conn) fence(start uint64) bool {
 	c.mu.Lock()
@@ -87,7 +105,12 @@
 	if c.closing.Load() {
 		return 0, net.ErrClosed
 	}
-	if n > 0 && !c.received.Swap(true) && c.seats != nil {
+	if n > 0 {
+		c.mu.Lock()
+		c.heard = c.seats.clock.Now()
+		c.mu.Unlock()
+	}
+	if n > 0 && !c.received.Swap(true) {
 		c.seats.answered()
 	}
 	if err != nil {
@@ -115,9 +138,7 @@
 		drain(c.Conn)
 	}
 	_ = c.Conn.Close()
-	if c.seats != nil {
-		c.seats.release(c.ended.Load() && !c.received.Load())
-	}
+	c.seats.release(c, c.ended.Load() && !c.received.Load())
 }
 
 // drain reads until the other side closes or the deadline of the connection passes.
--- a/core/upstream/seats.go
+++ b/core/upstream/seats.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -40,10 +41,12 @@
 	most  int
 	clock clock.Clock
 	// cold turns dialling ahead off, to measure what it brings.
-	cold bool
+	cold    bool
+	silence *silence
 
 	mu      sync.Mutex
 	open    int
+	conns   map[*conn]struct{}
 	spares  []*conn
 	changed chan struct{}
 	filling bool
@@ -60,12 +63,16 @@
 	Ready, Dialled uint64
 	// Refused counts connections that the replica refused or closed unused.
 	Refused uint64
+	// Silent counts requests found on a silent connection, Refreshed idle connections replaced on suspicion.
+	Silent, Refreshed uint64
 	// Open is how many connections are open now, and Peak the most that ever were at one replica.
 	Open, Peak int
 }
 
 func newSeats(addr string, most int, clk clock.Clock, cold bool) *seats {
-	return &seats{addr: addr, most: most, clock: clk, cold: cold, changed: make(chan struct{}), used: clk.Now()}
+	s := &seats{addr: addr, most: most, clock: clk, cold: cold, changed: make(chan struct{}), conns: map[*conn]struct{}{}, used: clk.Now()}
+	s.silence = newSilence(clk, s.refresh)
+	return s
 }
 
 // take returns a connection dialled ahead, or dials one, or waits for a seat until ctx ends.
@@ -133,16 +140,38 @@
 	d := net.Dialer{Timeout: dialTimeout}
 	raw, err := d.DialContext(ctx, "tcp", s.addr)
 	if err != nil {
-		s.release(ctx.Err() == nil)
+		s.release(nil, ctx.Err() == nil)
 		return nil, fmt.Errorf("dial %s: %w", s.addr, err)
 	}
-	return &conn{Conn: raw, seats: s, opened: s.clock.Now()}, nil
+	c := &conn{Conn: raw, seats: s, opened: s.clock.Now()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+	return c, nil
+}
+
+// refresh replaces the idle connections that were opened before since and have received nothing after it.
+func (s *seats) refresh(since time.Time) {
+	s.mu.Lock()
+	var drop []*conn
+	for c := range s.conns {
+		if c.idleSince(since) {
+			drop = append(drop, c)
+		}
+	}
+	s.spares = slices.DeleteFunc(s.spares, func(c *conn) bool { return slices.Contains(drop, c) })
+	s.stats.Refreshed += uint64(len(drop))
+	s.mu.Unlock()
+	for _, c := range drop {
+		_ = c.Close()
+	}
 }
 
-// release frees a seat; refused says that the replica did not want the connection.
-func (s *seats) release(refused bool) {
+// release frees the seat of c, nil where the dial failed; refused says that the replica did not want the connection.
+func (s *seats) release(c *conn, refused bool) {
 	s.mu.Lock()
 	s.open--
+	delete(s.conns, c)
 	if refused {
 		s.stats.Refused++
 		s.backOff = min(max(firstBackOff, 2*s.backOff), lastBackOff)
--- /dev/null
+++ b/core/upstream/silence_test.go
@@ -0,0 +1,118 @@
+package upstream
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/clock"
+)
+
+type silenceRun struct {
+	s         *silence
+	refreshed atomic.Int32
+}
+
+func newSilenceRun() *silenceRun {
+	r := &silenceRun{}
+	r.s = newSilence(clock.System{}, func(time.Time) { r.refreshed.Add(1) })
+	for range 8 {
+		r.answer(10 * time.Millisecond)
+	}
+	return r
+}
+
+// answer plays one request that the replica answers after d.
+func (r *silenceRun) answer(d time.Duration) {
+	at := &attempt{silence: r.s, usual: true}
+	r.s.sent(at)
+	time.Sleep(d)
+	at.answered()
+}
+
+func (r *silenceRun) wait() (at *attempt, gaveUp *atomic.Bool) {
+	gaveUp = &atomic.Bool{}
+	at = &attempt{silence: r.s, usual: true, cancel: func() { gaveUp.Store(true) }}
+	r.s.sent(at)
+	return at, gaveUp
+}
+
+// A greeter's lookup goes out on a connection that a firewall has forgotten, and freezes until its deadline although
+// the replica answers everyone else. A lookup that is merely slow, on a replica where all are slow, must not be cut off.
+func TestSilentConnectionIsToldFromSlowReplica(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		others time.Duration
+		gaveUp bool
+	}{
+		{"the replica answers others as usual", 10 * time.Millisecond, true},
+		{"the whole replica is slow", time.Second, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newSilenceRun()
+				at, gaveUp := r.wait()
+				var others sync.WaitGroup
+				for range 8 {
+					others.Go(func() { r.answer(test.others) })
+					time.Sleep(10 * time.Millisecond)
+				}
+				synctest.Wait()
+				qt.Assert(t, gaveUp.Load(), qt.Equals, test.gaveUp)
+				r.s.ended(at)
+				others.Wait()
+			})
+		})
+	}
+}
+
+// Every open connection to a replica falls silent at once and nothing comes back at all. Waiting for evidence takes for
+// ever, since each next request sits on a silent connection too: the idle ones are replaced on suspicion, once a second.
+func TestStuckReplicaGetsFreshConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newSilenceRun()
+		at, gaveUp := r.wait()
+		time.Sleep(900 * time.Millisecond)
+		qt.Assert(t, r.refreshed.Load(), qt.Equals, int32(1))
+		qt.Assert(t, gaveUp.Load(), qt.IsFalse)
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, r.refreshed.Load() <= 3, qt.IsTrue)
+		r.s.ended(at)
+	})
+}
+
+// The same on a socket: one connection falls silent under a lookup. Those that come after it get their answers on others,
+// and the lookup is given back as silent, without waiting for a deadline (it has none here), so that it can be tried again.
+func TestLookupOnSilentConnectionIsGivenBack(t *testing.T) {
+	lost := make(chan struct{})
+	p := newPeer(t, func(c net.Conn, id string, nth int) bool {
+		if id == "lost" {
+			close(lost)
+			<-t.Context().Done()
+			return false
+		}
+		return answer(c, 200, "", `{"request_id":"`+id+`","version":1,"shard":0}`)
+	})
+	c := newTestClient(t, Options{Seats: 3})
+	query := func(id string) Result {
+		return c.Query(t.Context(), p.addr(), QueryTry{ID: id, Version: 1, Body: []byte("{}")})
+	}
+	qt.Assert(t, query("first").Kind, qt.Equals, KindOK)
+	kinds := make(chan Kind, 1)
+	go func() { kinds <- query("lost").Kind }()
+	<-lost
+	for {
+		select {
+		case kind := <-kinds:
+			qt.Assert(t, kind, qt.Equals, KindSilent)
+			return
+		default:
+			qt.Assert(t, query("next").Kind, qt.Equals, KindOK)
+		}
+	}
+}
--- a/entry/internal/fanout/plan.go
+++ b/entry/internal/fanout/plan.go
@@ -193,7 +193,7 @@
 	p.sent++
 	try := upstream.QueryTry{
 		ID:      p.id + "-" + strconv.Itoa(i) + "-" + strconv.Itoa(k+1),
-		Version: p.vm.Version, Shard: i, Body: p.body,
+		Version: p.vm.Version, Shard: i, Body: p.body, Patient: k > 0,
 	}
 	began := p.now
 	r.Begin(began)
