--- a/entry/internal/host/host.go
+++ b/entry/internal/host/host.go
@@ -77,6 +77,7 @@
 		return nil, err
 	}
 	h.joined.status = h.status(client)
+	h.counts.Registry().MustRegister(h.joined.peers.Collectors()...)
 	h.writer = h.newWriter()
 	h.mint = ticket.Mint
 	return h, nil
--- a/entry/internal/peers/peers.go
+++ b/entry/internal/peers/peers.go
@@ -109,7 +109,7 @@
 	for _, h := range p.opts.List.Neighbours() {
 		wg.Go(func() {
 			// A neighbour that can't be told now hears it from the others.
-			_ = p.probe(ctx, h)
+			_, _ = p.reach(ctx, h)
 		})
 	}
 	wg.Wait()
@@ -143,19 +143,29 @@
 
 var errReplaced = errors.New("another incarnation answers at the address")
 
+// probe exchanges packets with target and repairs what differs.
 func (p *Peers) probe(ctx context.Context, target member.Host) error {
+	sums, err := p.reach(ctx, target)
+	if err != nil {
+		return err
+	}
+	p.compare(ctx, target.Peer, sums)
+	return nil
+}
+
+// reach exchanges packets with target and returns its digests.
+func (p *Peers) reach(ctx context.Context, target member.Host) (Sums, error) {
 	args := p.packet(target.ID)
 	var reply Packet
 	if err := p.pool.call(ctx, target.Peer, probeTimeout, "Probe", &args, &reply); err != nil {
-		return err
+		return Sums{}, err
 	}
 	p.receive(&reply)
 	if reply.Member.From != target.ID {
 		p.opts.List.Replaced(p.opts.Clock.Now(), target)
-		return fmt.Errorf("peer %s: %w", target.Peer, errReplaced)
+		return Sums{}, fmt.Errorf("peer %s: %w", target.Peer, errReplaced)
 	}
-	p.compare(ctx, target.Peer, reply.Sums)
-	return nil
+	return reply.Sums, nil
 }
 
 func (p *Peers) askOthers(ctx context.Context, target member.Host) bool {
@@ -267,6 +277,9 @@
 		return false
 	}
 	p.receive(&reply)
+	if id != "" && reply.Member.From != id {
+		p.opts.List.Replaced(p.opts.Clock.Now(), member.Host{ID: id})
+	}
 	if alone {
 		p.repair(ctx, addr, TableMembers, joinWalk)
 		p.repair(ctx, addr, TableGenerations, joinWalk)
--- a/entry/internal/peers/pool.go
+++ b/entry/internal/peers/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -57,8 +58,11 @@
 	call := c.Go("Peers."+method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
-		if call.Error != nil {
+		var refused rpc.ServerError
+		if call.Error != nil && !errors.As(call.Error, &refused) {
 			p.drop(addr, c)
+		}
+		if call.Error != nil {
 			return fmt.Errorf("peer %s: %s: %w", addr, method, call.Error)
 		}
 		return nil
