--- a/entry/internal/fanout/plan.go
+++ b/entry/internal/fanout/plan.go
@@ -224,7 +224,7 @@
 	p.sent++
 	try := upstream.QueryTry{
 		ID:      p.id + "-" + strconv.Itoa(i) + "-" + strconv.Itoa(nth),
-		Version: p.vm.Version, Shard: i, Body: p.body,
+		Version: p.vm.Version, Shard: i, Body: p.body, Patient: nth > 1,
 	}
 	began := p.now
 	r.Begin(began)
