peers: Cut off a message that never ends

Cause: net/rpc reads what gob announces, up to a gigabyte, so one broken host could end all others for want of memory. Change: at most 1 MB of a request and 16 MB of a reply are read from a connection between two writes to it. Ruled out: a codec of our own, which would repeat net/rpc's.

--- a/entry/internal/peers/conn.go
+++ b/entry/internal/peers/conn.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"errors"
 	"net"
 	"sync/atomic"
 	"time"
@@ -17,10 +18,23 @@
 	connections atomic.Int64
 }
 
-// counted is a connection that counts its bytes and ends when it is idle too long.
+// The most bytes read from a connection between two writes to it. Each request is answered, and each reply was asked
+// for, so this bounds one message: gob alone would take in a gigabyte that a broken host claims to send, and the
+// process would end for want of memory. The largest request is a page of rows, the largest reply the replica list.
+const (
+	maxRequest = 1 << 20
+	maxReply   = 16 << 20
+)
+
+var errTooLarge = errors.New("message from another host is too large")
+
+// counted is a connection that counts its bytes and ends when it is idle too long or a message is too large.
 type counted struct {
 	net.Conn
-	t *traffic
+	t    *traffic
+	most int64
+	// pending counts the bytes read since the last write.
+	pending atomic.Int64
 }
 
 // Read counts what arrives and moves the idle limit on.
@@ -31,6 +45,9 @@
 	n, err := c.Conn.Read(b)
 	c.t.in.Add(int64(n))
 	c.t.reads.Add(1)
+	if c.pending.Add(int64(n)) > c.most {
+		return 0, errTooLarge
+	}
 	return n, err
 }
 
@@ -39,6 +56,7 @@
 	if err := c.SetWriteDeadline(time.Now().Add(callTimeout)); err != nil {
 		return 0, err
 	}
+	c.pending.Store(0)
 	n, err := c.Conn.Write(b)
 	c.t.out.Add(int64(n))
 	c.t.writes.Add(1)
--- a/entry/internal/peers/peers_test.go
+++ b/entry/internal/peers/peers_test.go
@@ -137,6 +137,26 @@
 	})
 }
 
+// Story: a broken host sends one message that never ends. Without a bound the host that reads it keeps all of it, until the
+// system ends the process together with the queries that it serves.
+func TestMessageThatNeverEndsIsCutOff(t *testing.T) {
+	play(t, 2, func(f *fleet, hosts []*testHost) {
+		c := qt.New(t)
+		conn, err := f.dial(f.t.Context(), hosts[0].addr)
+		c.Assert(err, qt.IsNil)
+		c.Assert(conn.SetDeadline(time.Now().Add(time.Minute)), qt.IsNil)
+		// A gob message of 512 MB is announced by its length.
+		_, err = conn.Write([]byte{0xfc, 0x20, 0x00, 0x00, 0x00})
+		c.Assert(err, qt.IsNil)
+		sent := 0
+		for block := make([]byte, 64<<10); err == nil && sent < 8*maxRequest; sent += len(block) {
+			_, err = conn.Write(block)
+		}
+		c.Assert(err, qt.IsNotNil, qt.Commentf("%d bytes were taken", sent))
+		c.Assert(sent <= 2*maxRequest, qt.IsTrue, qt.Commentf("%d bytes were taken", sent))
+	})
+}
+
 // Story: the address of a stopped host is given to something else, or a host is cut off: each dial hangs or is refused.
 // The number of connections that a host holds must stay bounded whatever it tries.
 func TestConnectionsStayBounded(t *testing.T) {
--- a/entry/internal/peers/pool.go
+++ b/entry/internal/peers/pool.go
@@ -85,7 +85,7 @@
 		return nil, fmt.Errorf("peer %s: %w", addr, err)
 	}
 	p.t.connections.Add(1)
-	fresh := &client{rpc: rpc.NewClient(&counted{Conn: conn, t: p.t}), used: p.clock.Now()}
+	fresh := &client{rpc: rpc.NewClient(&counted{Conn: conn, t: p.t, most: maxReply}), used: p.clock.Now()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c := p.clients[addr]; c != nil {
--- a/entry/internal/peers/server.go
+++ b/entry/internal/peers/server.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		s.done.Go(func() {
-			s.rpc.ServeConn(&counted{Conn: conn, t: s.t})
+			s.rpc.ServeConn(&counted{Conn: conn, t: s.t, most: maxRequest})
 			s.forget(conn)
 		})
 	}
