follow: End a watch with the duty

Change: a host meets the others for 500 ms before it watches, and a watch ends within 500 ms of the duty. Seen red: on a scratch copy whose watch goes on, one is open after the duty ended.

--- a/entry/internal/follow/follow.go
+++ b/entry/internal/follow/follow.go
@@ -26,6 +26,8 @@
 	Get   func(ctx context.Context, kind platform.Kind, name string) (platform.Object, error)
 	Put   func(ctx context.Context, kind platform.Kind, name string, version int64, body []byte) (platform.Object, error)
 	Store *accepted.Store
+	// Watch waits for changed objects; New takes that of Platform where it is nil.
+	Watch func(ctx context.Context, kind platform.Kind, after int64, wait time.Duration) ([]platform.Object, int64, error)
 	// ReadReplicas reads the platform's replica list; New takes that of Platform where it is nil.
 	ReadReplicas func(ctx context.Context) ([]platform.Replica, error)
 	// Replicas receives the platform's replica list each time it was read.
@@ -66,6 +68,9 @@
 	if opts.Get == nil {
 		opts.Get = opts.Platform.Get
 	}
+	if opts.Watch == nil {
+		opts.Watch = opts.Platform.Watch
+	}
 	if opts.ReadReplicas == nil {
 		opts.ReadReplicas = opts.Platform.Replicas
 	}
@@ -80,6 +85,8 @@
 	callTimeout  = 2 * time.Second
 	watchTimeout = watchWait + 5*time.Second
 	retryAfter   = 500 * time.Millisecond
+	// meetFor is how long a host that starts meets the others before it watches.
+	meetFor = 500 * time.Millisecond
 	// watchRetry keeps the calls of all watchers during an outage to two a second for each.
 	watchRetry = time.Second
 	judgeEvery = 100 * time.Millisecond
@@ -111,6 +118,9 @@
 
 func (f *Follower) watch(ctx context.Context, kind platform.Kind, take func([]platform.Object)) {
 	after := int64(0)
+	// Before it has met the others each host takes itself for the first of its zone, and a fleet that starts at once
+	// would watch as a whole.
+	f.pause(ctx, meetFor)
 	for ctx.Err() == nil {
 		if !f.Watches() {
 			// Whoever watches again later must not miss what changed meanwhile.
@@ -118,9 +128,10 @@
 			f.pause(ctx, retryAfter)
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, watchTimeout)
-		objs, rev, err := f.opts.Platform.Watch(callCtx, kind, after, watchWait)
-		cancel()
+		objs, rev, err := f.watchOnce(ctx, kind, after)
+		if err != nil && !f.Watches() {
+			continue
+		}
 		f.note(ctx, err)
 		if err != nil {
 			f.pause(ctx, watchRetry)
@@ -131,6 +142,23 @@
 	}
 }
 
+// watchOnce waits for one change, or until this host is no watcher any more: a waiting watch counts as a call.
+func (f *Follower) watchOnce(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	var check sync.WaitGroup
+	check.Go(func() {
+		for ctx.Err() == nil && f.Watches() {
+			f.pause(ctx, retryAfter)
+		}
+		cancel()
+	})
+	objs, rev, err := f.opts.Watch(ctx, kind, after, watchWait)
+	cancel()
+	check.Wait()
+	return objs, rev, err
+}
+
 func (f *Follower) offer(objs []platform.Object) {
 	for _, obj := range objs {
 		gen, err := accepted.Decode(obj.Body)
--- a/entry/internal/follow/judge_test.go
+++ b/entry/internal/follow/judge_test.go
@@ -21,7 +21,7 @@
 func follower(p *fake, store *accepted.Store) *Follower {
 	self := member.Host{ID: "a", State: member.StateAlive}
 	return New(Options{
-		Clock: clock.System{}, Log: logr.Discard(), Get: p.get, Put: p.put, ReadReplicas: p.replicas, Store: store,
+		Clock: clock.System{}, Log: logr.Discard(), Get: p.get, Put: p.put, Watch: p.watch, ReadReplicas: p.replicas, Store: store,
 		Self: func() member.Host { return self }, Hosts: func() []member.Host { return []member.Host{self} },
 	})
 }
--- a/entry/internal/follow/platform_test.go
+++ b/entry/internal/follow/platform_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"guavaspring.org/core/platform"
@@ -20,6 +21,7 @@
 	down            bool
 	puts            []platform.Object
 	reads           int
+	watching        atomic.Int32
 }
 
 func newFake(seed uint64) *fake {
@@ -88,3 +90,11 @@
 	}
 	return []platform.Replica{{ID: "r-1", Service: desk}}, nil
 }
+
+// watch waits until it is ended.
+func (p *fake) watch(ctx context.Context, _ platform.Kind, _ int64, _ time.Duration) ([]platform.Object, int64, error) {
+	p.watching.Add(1)
+	defer p.watching.Add(-1)
+	<-ctx.Done()
+	return nil, 0, platform.ErrUnavailable
+}
--- a/entry/internal/follow/watchers_test.go
+++ b/entry/internal/follow/watchers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,7 +60,7 @@
 			c := qt.New(t)
 			p, list := newFake(1), hostsIn(1, test.hosts)
 			f := New(Options{
-				Clock: clock.System{}, Log: logr.Discard(), Get: p.get, Put: p.put, ReadReplicas: p.replicas,
+				Clock: clock.System{}, Log: logr.Discard(), Get: p.get, Put: p.put, Watch: p.watch, ReadReplicas: p.replicas,
 				Self: func() member.Host { return list[0] }, Hosts: func() []member.Host { return list },
 				Replicas: func(context.Context, []platform.Replica) {},
 			})
@@ -83,7 +84,7 @@
 		p, list := newFake(1), hostsIn(1, 3)
 		p.down = true
 		f := New(Options{
-			Clock: clock.System{}, Log: logr.Discard(), Get: p.get, Put: p.put, ReadReplicas: p.replicas,
+			Clock: clock.System{}, Log: logr.Discard(), Get: p.get, Put: p.put, Watch: p.watch, ReadReplicas: p.replicas,
 			Self: func() member.Host { return list[0] }, Hosts: func() []member.Host { return list },
 			Replicas:    func(context.Context, []platform.Replica) {},
 			AskReplicas: func(context.Context) ([]platform.Replica, error) { return []platform.Replica{{ID: "r-9"}}, nil },
@@ -97,3 +98,36 @@
 		synctest.Wait()
 	})
 }
+
+// Story: a fleet starts at once, and each host takes itself for the only one until it has met the others. If each then
+// went on waiting for the platform, a restart of everything would cost two waiting calls for every host.
+func TestWatchEndsWithTheDuty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p, list := newFake(1), hostsIn(1, 10)
+		var alone atomic.Bool
+		alone.Store(true)
+		self := member.Ranked(list, "watch")[5]
+		f := New(Options{
+			Clock: clock.System{}, Log: logr.Discard(), Get: p.get, Put: p.put, Watch: p.watch, ReadReplicas: p.replicas,
+			Self: func() member.Host { return self },
+			Hosts: func() []member.Host {
+				if alone.Load() {
+					return []member.Host{self}
+				}
+				return list
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.WatchDocuments(ctx)
+		time.Sleep(2 * time.Second)
+		c.Assert(p.watching.Load(), qt.Equals, int32(1))
+		alone.Store(false)
+		time.Sleep(time.Second)
+		c.Assert(p.watching.Load(), qt.Equals, int32(0))
+		c.Assert(f.Down(), qt.IsFalse)
+		cancel()
+		time.Sleep(time.Second)
+		synctest.Wait()
+	})
+}
