load: Split the driver by what it sends, and count refused connections of each run alone

Cause: the driver had grown to 400 lines with four duties; refused connections were counted since the replicas' start, so a run answered for the one before it. Change: queries, writes, faults and counts in files of their own; refused connections as a difference.

--- /dev/null
+++ b/load/internal/drive/counts.go
@@ -0,0 +1,49 @@
+package drive
+
+import (
+	"context"
+	"time"
+
+	"guavaspring.org/load/internal/cpu"
+)
+
+func (d *Driver) watchTruths(ctx context.Context) {
+	for sleepUntil(ctx, time.Now().Add(truthEvery)) {
+		for _, f := range d.opts.Fleets {
+			f.Read(ctx)
+		}
+	}
+}
+
+func (d *Driver) readTruths(ctx context.Context) {
+	for _, f := range d.opts.Fleets {
+		f.Read(ctx)
+	}
+}
+
+// counts is what the replicas have counted since they started.
+type counts struct{ requests, crashes, refused int }
+
+func (d *Driver) counts() counts {
+	var c counts
+	for _, f := range d.opts.Fleets {
+		c.refused += f.RefusedConnections()
+		if f.Service == d.opts.Scene.Service {
+			c.requests += f.Requests()
+			c.crashes += f.Crashes()
+		}
+	}
+	return c
+}
+
+func (d *Driver) cpuTime() time.Duration {
+	var sum time.Duration
+	for _, pid := range d.opts.PIDs {
+		// A host that was killed meanwhile is left out.
+		used, err := cpu.Of(pid)
+		if err == nil {
+			sum += used
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/load/internal/drive/faults.go
@@ -0,0 +1,66 @@
+package drive
+
+import (
+	"context"
+	"encoding/json"
+
+	"guavaspring.org/load/internal/check"
+	"guavaspring.org/load/internal/scene"
+	"guavaspring.org/load/internal/truth"
+)
+
+func (d *Driver) fault(ctx context.Context, f scene.Fault) {
+	if !sleepUntil(ctx, d.start.Add(f.At.Std())) {
+		return
+	}
+	body, err := f.Body()
+	if err != nil {
+		d.fail(err)
+		return
+	}
+	if f.Service == "" {
+		d.fail(truth.Command(ctx, d.opts.Platform, body))
+		return
+	}
+	for _, fleet := range d.opts.Fleets {
+		if fleet.Service != f.Service {
+			continue
+		}
+		for _, i := range f.Replicas {
+			d.fail(fleet.Command(ctx, i, body))
+		}
+	}
+}
+
+// mended ends every fault that lasts, so that the next run starts from healthy upstreams.
+const mended = `{"slow":1,"straggler_share":0,"shed_share":0,"draining":false,"claim_load":"","claim_lag":"0s","crash_marker":"","lose_replies":0,"reset_before":0,"foreign":0}`
+
+// mend ends the faults of the run; a replica that is down can't be told, and comes back without them by itself.
+func (d *Driver) mend() {
+	ctx, cancel := context.WithTimeout(context.Background(), writeDeadline)
+	defer cancel()
+	for _, f := range d.opts.Scene.Faults {
+		if f.Service == "" {
+			_ = truth.Command(ctx, d.opts.Platform, json.RawMessage(`{}`))
+			continue
+		}
+		for _, fleet := range d.opts.Fleets {
+			if fleet.Service != f.Service {
+				continue
+			}
+			for _, i := range f.Replicas {
+				_ = fleet.Command(ctx, i, json.RawMessage(mended))
+			}
+		}
+	}
+}
+
+// fail notes a fault that could not be set as an untruth of the run itself, so that the run does not count as one with the fault.
+func (d *Driver) fail(err error) {
+	if err == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lies = append(d.lies, check.Lie{Kind: "fault_not_set", Detail: err.Error()})
+}
--- /dev/null
+++ b/load/internal/drive/queries.go
@@ -0,0 +1,110 @@
+package drive
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"guavaspring.org/core/caller"
+	"guavaspring.org/load/internal/arrivals"
+	"guavaspring.org/load/internal/check"
+	"guavaspring.org/load/internal/hosts"
+	"guavaspring.org/load/internal/measure"
+)
+
+func (d *Driver) sendQueries(ctx context.Context) {
+	sc := d.opts.Scene
+	arrive := arrivals.New(sc.Rate, d.opts.Seed)
+	rnd := rand.New(rand.NewPCG(d.opts.Seed, 2))
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for n := 0; ; n++ {
+		at := arrive.Next()
+		if at > sc.Duration.Std() || !sleepUntil(ctx, d.start.Add(at)) {
+			return
+		}
+		from, hot := d.sender(rnd)
+		wg.Go(func() { d.query(ctx, from, hot, n, at) })
+	}
+}
+
+// sender draws which caller sends the next query.
+func (d *Driver) sender(rnd *rand.Rand) (c *hosts.Caller, hot bool) {
+	if len(d.callers) == 1 {
+		return d.callers[0], true
+	}
+	if d.opts.Scene.HotShare > 0 && rnd.Float64() < d.opts.Scene.HotShare {
+		return d.callers[0], true
+	}
+	return d.callers[1+rnd.IntN(len(d.callers)-1)], false
+}
+
+func (d *Driver) query(ctx context.Context, from *hosts.Caller, hot bool, n int, at time.Duration) {
+	sc := d.opts.Scene
+	asked := check.Asked{
+		RequestID: fmt.Sprintf("%s-q%d", d.opts.Run, n), Service: sc.Service,
+		Query: fmt.Sprintf("%s question %d", d.opts.Run, n), Limit: sc.Limit,
+	}
+	due := d.start.Add(at)
+	ctx, cancel := context.WithDeadline(ctx, due.Add(sc.Deadline.Std()+grace))
+	defer cancel()
+	res := from.Query(ctx, hosts.QueryRequest{
+		Service: sc.Service, ID: asked.RequestID, Deadline: due.Add(sc.Deadline.Std()),
+		Query: caller.Query{Query: asked.Query, Limit: sc.Limit}, Retry: sc.RetryRefused,
+	})
+	now := time.Now()
+	s := measure.Sample{At: at, Took: now.Sub(due), Refusal: res.Refusal, Hot: hot, Outcome: measure.OutcomeError}
+	s.Late = s.Took > sc.Deadline.Std()+lateness
+	if res.Err == nil {
+		s.Outcome, s.Share, s.Shards = res.Answer.Outcome, res.Answer.Coverage.Share, res.Answer.Snapshot.Shards
+	}
+	d.note(s, asked, res)
+}
+
+const (
+	// grace is how much longer than the deadline a caller waits for the answer that was cut off at the deadline to arrive.
+	grace = 300 * time.Millisecond
+	// lateness is how far over its deadline an answer may arrive and still count as in time: the way back and the machine's scheduling.
+	lateness = 15 * time.Millisecond
+)
+
+func (d *Driver) note(s measure.Sample, asked check.Asked, res hosts.QueryResult) {
+	var lies []check.Lie
+	if res.Err == nil {
+		lies = check.Answer(asked, res.Answer)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.samples = append(d.samples, s)
+	d.lies = append(d.lies, lies...)
+	if res.Err != nil || s.Outcome == caller.OutcomeRefused {
+		return
+	}
+	d.needed += s.Shards
+	d.worst = append(d.worst, scored{answer: res.Answer, score: (1-s.Share)*1000 + s.Took.Seconds()})
+	slices.SortFunc(d.worst, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	d.worst = d.worst[:min(len(d.worst), keptWorst)]
+}
+
+// sendPoison plays a caller that sends a query again and again, each time as a new request, though it crashes what runs it.
+func (d *Driver) sendPoison(ctx context.Context) {
+	p := d.opts.Scene.Poison
+	for n := range p.Times {
+		at := p.At.Std() + time.Duration(n)*p.Every.Std()
+		if !sleepUntil(ctx, d.start.Add(at)) {
+			return
+		}
+		deadline := time.Now().Add(d.opts.Scene.Deadline.Std())
+		askCtx, cancel := context.WithDeadline(ctx, deadline.Add(grace))
+		// What it gets does not matter; what it does to the others does.
+		_ = d.callers[n%len(d.callers)].Query(askCtx, hosts.QueryRequest{
+			Service: d.opts.Scene.Service, ID: fmt.Sprintf("%s-poison%d", d.opts.Run, n), Deadline: deadline,
+			Query: caller.Query{Query: p.Text, Limit: d.opts.Scene.Limit},
+		})
+		cancel()
+	}
+}
--- a/load/internal/truth/truth.go
+++ b/load/internal/truth/truth.go
@@ -104,15 +104,26 @@
 	return n
 }
 
-// Peak returns the most connections that any one replica has had, and how many were refused in all.
-func (f *Fleet) Peak() (peak, refused int) {
+// Peak returns the most connections that any one replica has had since it started.
+func (f *Fleet) Peak() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	peak := 0
 	for _, r := range f.last {
 		peak = max(peak, r.Connections.Peak)
-		refused += r.Connections.Refused
 	}
-	return peak, refused
+	return peak
+}
+
+// RefusedConnections returns how many connections the replicas have refused since they started.
+func (f *Fleet) RefusedConnections() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, r := range f.last {
+		n += r.Connections.Refused
+	}
+	return n
 }
 
 // Crashes returns how often the replicas have crashed on a request, not on command.
