load: Say why queries were refused or not answered

Cause: the scene platform_down ended with 47 refusals and 2 errors, and nothing said why. Change: reasons are counted and the five most frequent printed.

--- a/load/internal/compare/chart.go
+++ b/load/internal/compare/chart.go
@@ -165,6 +165,21 @@
 	return percentile(of, quantile*100) / percentile(all, quantile*100)
 }
 
+// RatioToMedianRun returns the target's latency at a quantile over that of the baseline's median run, so that one disturbed run among the baseline's does not count.
+func RatioToMedianRun(quantile float64, target []Point, baseline ...[]Point) float64 {
+	var each []float64
+	for _, run := range baseline {
+		if len(run) > 0 {
+			each = append(each, RatioAt(quantile, target, run))
+		}
+	}
+	if len(each) == 0 {
+		return math.NaN()
+	}
+	slices.Sort(each)
+	return percentile(each, 50)
+}
+
 func latencies(run []Point) []float64 {
 	list := make([]float64, len(run))
 	for i, p := range run {
--- a/load/internal/compare/trial.go
+++ b/load/internal/compare/trial.go
@@ -16,6 +16,8 @@
 	list := []Detector{
 		{"ratio of medians", func(t []Point, b [][]Point) float64 { return RatioAt(0.5, t, b...) }},
 		{"ratio of p99", func(t []Point, b [][]Point) float64 { return RatioAt(0.99, t, b...) }},
+		{"p50 over the median run's", func(t []Point, b [][]Point) float64 { return RatioToMedianRun(0.5, t, b...) }},
+		{"p90 over the median run's", func(t []Point, b [][]Point) float64 { return RatioToMedianRun(0.9, t, b...) }},
 	}
 	for _, quantile := range []float64{0.5, 0.9} {
 		for _, period := range []time.Duration{250 * time.Millisecond, 500 * time.Millisecond} {
--- a/load/internal/drive/drive.go
+++ b/load/internal/drive/drive.go
@@ -56,6 +56,8 @@
 	// worst holds the answers that cover least or took longest, the worst first.
 	worst   []scored
 	reasons map[string]int
+	// queryReasons counts why queries were refused or not answered.
+	queryReasons map[string]int
 }
 
 // scored is an answer and how much it calls for an explanation.
@@ -66,7 +68,7 @@
 
 // New returns a driver with its callers, the first of which is the one that sends the most.
 func New(opts Options) (*Driver, error) {
-	d := &Driver{opts: opts, told: map[string]int{}, reasons: map[string]int{}}
+	d := &Driver{opts: opts, told: map[string]int{}, reasons: map[string]int{}, queryReasons: map[string]int{}}
 	for i := range opts.Scene.Callers {
 		c, err := hosts.New(fmt.Sprintf("caller-%d", i), opts.Hosts)
 		if err != nil {
@@ -122,6 +124,7 @@
 	sc := d.opts.Scene
 	sum := measure.Summarize(d.samples, sc.Warmup.Std(), sc.Duration.Std())
 	sum.Scene, sum.Writes, sum.WriteReasons = sc.Name, d.told, d.reasons
+	sum.QueryReasons = d.queryReasons
 	after := d.counts()
 	sum.Sent, sum.Needed, sum.Crashes = after.requests-before.requests, d.needed, after.crashes-before.crashes
 	if sum.Needed > 0 {
--- a/load/internal/drive/queries.go
+++ b/load/internal/drive/queries.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -81,7 +82,12 @@
 	defer d.mu.Unlock()
 	d.samples = append(d.samples, s)
 	d.lies = append(d.lies, lies...)
-	if res.Err != nil || s.Outcome == caller.OutcomeRefused {
+	switch {
+	case res.Err != nil:
+		d.queryReasons["error: "+withoutIDs(res.Err.Error(), asked)]++
+		return
+	case s.Outcome == caller.OutcomeRefused:
+		d.queryReasons["refused: "+res.Answer.Reason]++
 		return
 	}
 	d.needed += s.Shards
@@ -108,3 +114,8 @@
 		cancel()
 	}
 }
+
+// withoutIDs makes errors of different requests count as the same.
+func withoutIDs(text string, asked check.Asked) string {
+	return strings.ReplaceAll(text, asked.RequestID, "ID")
+}
--- a/load/internal/measure/measure.go
+++ b/load/internal/measure/measure.go
@@ -89,6 +89,8 @@
 	// AfterDrainMS is how long after the start of its drain a replica still took work.
 	AfterDrainMS int64 `json:"after_drain_ms"`
 
+	// QueryReasons counts the queries that were refused or that no host answered, by outcome and reason.
+	QueryReasons map[string]int `json:"query_reasons,omitempty"`
 	// Writes counts the writes by their final outcome, WriteReasons those that are not done by outcome and reason.
 	Writes       map[string]int `json:"writes,omitempty"`
 	WriteReasons map[string]int `json:"write_reasons,omitempty"`
--- a/load/run.go
+++ b/load/run.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"os"
 	"slices"
@@ -85,6 +87,7 @@
 	fmt.Fprintf(w, "  coverage                     mean %.4f  complete %.2f%%  worst %.2f\n", s.CoverageMean, s.CompleteShare*100, s.CoverageWorst)
 	fmt.Fprintf(w, "  extra load                   %.2f%%  (%d sent, %d needed)%s\n", s.Extra*100, s.Sent, s.Needed, lost(s))
 	fmt.Fprintf(w, "  of %d queries                goodput %.0f/s  refused %d (p99 %.1f ms)  failed %d  errors %d  late %d\n", s.Offered, s.Goodput, s.Refused, s.Refusals.P99, s.Failed, s.Errors, s.Late)
+	printReasons(w, s.QueryReasons)
 	if s.CPUPerQueryMS > 0 {
 		fmt.Fprintf(w, "  processor time               %.2f ms a query\n", s.CPUPerQueryMS)
 	}
@@ -92,9 +95,7 @@
 	if len(s.Writes) > 0 {
 		fmt.Fprintf(w, "  writes                       done %d  not_run %d  unknown %d  not sent %d\n", s.Writes["done"], s.Writes["not_run"], s.Writes["unknown"], s.Writes["not_sent"])
 	}
-	for _, reason := range slices.Sorted(maps.Keys(s.WriteReasons)) {
-		fmt.Fprintf(w, "    %4d x %s\n", s.WriteReasons[reason], reason)
-	}
+	printReasons(w, s.WriteReasons)
 	if s.Crashes > 0 {
 		fmt.Fprintf(w, "  crashes by a request         %d\n", s.Crashes)
 	}
@@ -107,6 +108,18 @@
 	}
 }
 
+// printReasons writes the most frequent reasons; there may be one for each request where they name ports.
+func printReasons(w io.Writer, reasons map[string]int) {
+	keys := slices.SortedFunc(maps.Keys(reasons), func(a, b string) int {
+		return cmp.Or(cmp.Compare(reasons[b], reasons[a]), cmp.Compare(a, b))
+	})
+	for _, reason := range keys[:min(len(keys), maxReasons)] {
+		fmt.Fprintf(w, "    %4d x %s\n", reasons[reason], reason)
+	}
+}
+
+const maxReasons = 5
+
 func lost(s measure.Summary) string {
 	if s.LostTruths == 0 {
 		return ""
