--- a/entry/internal/host/host.go
+++ b/entry/internal/host/host.go
@@ -3,24 +3,26 @@
 import (
 	"context"
 	"crypto/rand"
-	"errors"
 	"fmt"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/go-kratos/kratos/v2"
 	"github.com/go-logr/logr"
-	"github.com/prometheus/client_golang/prometheus"
 
 	"guavaspring.org/core/caller"
 	"guavaspring.org/core/clock"
 	"guavaspring.org/core/platform"
 	"guavaspring.org/entry/internal/accepted"
 	"guavaspring.org/entry/internal/callers"
+	"guavaspring.org/entry/internal/drainer"
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/explain"
 	"guavaspring.org/entry/internal/follow"
+	"guavaspring.org/entry/internal/metrics"
 	"guavaspring.org/entry/internal/service"
+	"guavaspring.org/entry/internal/steer"
 )
 
 const explanations = 4096
@@ -44,6 +46,12 @@
 	explain  *explain.Store
 	follower *follow.Follower
 	joined   *joined
+	steerer  *steer.Steerer
+	drain    *drainer.Drainer
+	// mint makes a write ticket for one incarnation of a host; nil means that none are handed out.
+	mint    func(incarnation, service string, now time.Time, life time.Duration) string
+	counts  *metrics.Metrics
+	routing *service.Metrics
 
 	mu       sync.RWMutex
 	services map[string]*service.Service
@@ -55,27 +63,37 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &Host{opts: opts, explain: explain.New(explanations), services: map[string]*service.Service{}}
+	h := &Host{opts: opts, explain: explain.New(explanations), services: map[string]*service.Service{}, steerer: steer.New(steer.Options{})}
+	h.drain = h.newDrainer()
+	h.counts = h.newMetrics()
+	h.routing = service.NewMetrics(h.counts.Registry())
 	h.store = accepted.New(h.inForce)
 	h.follower = h.follow(client)
-	h.joined, err = join(opts, h.store, h.follower.Replicas)
+	h.joined, err = join(opts, client, h.store, h.follower.Replicas)
 	if err != nil {
 		return nil, err
 	}
+	h.joined.status = h.status(client)
 	return h, nil
 }
 
 // Run serves until ctx ends or the process is told to stop, and then finishes what is in flight.
 func (h *Host) Run(ctx context.Context) error {
 	srv := callers.New(callers.Options{
-		Clock: h.opts.Clock, Listen: h.opts.Listen, NewID: rand.Text, Explain: h.explain,
-		Metrics: prometheus.NewRegistry(), Service: h.service, Ready: h.ready, Addresses: h.addresses, Write: h.write,
+		Clock: h.opts.Clock, Log: h.opts.Log, Listen: h.opts.Listen, NewID: rand.Text, Explain: h.explain,
+		Metrics: h.counts.Registry(), Answered: h.counts.Answered, Service: h.service, Ready: h.ready,
+		Addresses: h.addresses, Refresh: h.refresh, Filter: h.drain.Filter, Write: h.write,
 	})
-	ctx, cancel := context.WithCancel(ctx)
+	// The end of ctx is a planned stop: if it reached the requests in flight, it would cut them off.
+	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var duties sync.WaitGroup
-	duties.Go(func() { h.runPeers(ctx) })
-	app := kratos.New(kratos.Context(ctx), kratos.Name("entry"), kratos.Server(srv), kratos.BeforeStop(h.joined.leave))
+	duties.Go(func() { h.runPeers(own) })
+	duties.Go(func() { h.reportLoad(own) })
+	app := kratos.New(kratos.Context(own), kratos.Name("entry"), kratos.Server(srv),
+		kratos.BeforeStop(h.drain.Leave), kratos.StopTimeout(stopTimeout))
+	stop := context.AfterFunc(ctx, func() { _ = app.Stop() })
+	defer stop()
 	events.Started.Log(h.opts.Log, "listen", h.opts.Listen.String(), "zone", h.opts.Zone)
 	err := app.Run()
 	cancel()
@@ -96,7 +114,7 @@
 		s.SetGeneration(gen)
 		return
 	}
-	s, err := service.New(gen, service.Options{Clock: h.opts.Clock, Log: h.opts.Log, Explain: h.explain, NewID: h.explanationID, Draining: h.noteDraining})
+	s, err := service.New(gen, h.serviceOptions())
 	if err != nil {
 		panic(fmt.Sprintf("host: a client without an endpoint can't be made: %v", err))
 	}
@@ -117,38 +135,13 @@
 	for _, r := range list {
 		byService[r.Service] = append(byService[r.Service], r)
 	}
-	h.mu.RLock()
-	services := make(map[string]*service.Service, len(h.services))
-	for name, s := range h.services {
-		services[name] = s
-	}
-	h.mu.RUnlock()
 	var wg sync.WaitGroup
-	for name, s := range services {
+	for name, s := range h.all() {
 		wg.Go(func() { s.Update(ctx, byService[name]) })
 	}
 	wg.Wait()
 }
 
-func (h *Host) ready() error {
-	if len(h.store.All()) == 0 {
-		return errors.New("no accepted document is known yet")
-	}
-	return nil
-}
-
-func (h *Host) addresses(name string, _ int) (caller.Addresses, error) {
-	s := h.service(name)
-	if s == nil {
-		return caller.Addresses{}, fmt.Errorf("no service %q is configured here", name)
-	}
-	gen := s.Generation()
-	return caller.Addresses{
-		Service: name, Generation: gen.Number, KeepMS: gen.Document.Addresses.Keep.Std().Milliseconds(),
-		Addresses: []caller.Address{{Address: h.opts.Listen, Zone: h.opts.Zone, Weight: 1}},
-	}, nil
-}
-
 func (h *Host) write(_ context.Context, req callers.WriteRequest) caller.WriteAnswer {
 	return caller.WriteAnswer{RequestID: req.ID, Service: req.Service, Outcome: caller.WriteNotRun, Reason: "writes are not served yet"}
 }
