--- a/load/internal/report/table.go
+++ b/load/internal/report/table.go
@@ -197,6 +197,7 @@
 	"complete_share":        func(run, _ measure.Summary) float64 { return run.CompleteShare },
 	"late_share":            func(run, _ measure.Summary) float64 { return float64(run.Late) / float64(max(1, run.Offered)) },
 	"failed":                func(run, _ measure.Summary) float64 { return float64(run.Failed + run.Errors) },
+	"unanswered":            func(run, _ measure.Summary) float64 { return float64(run.Failed + run.Errors + run.Refused) },
 	"cpu_per_query_ms":      func(run, _ measure.Summary) float64 { return run.CPUPerQueryMS },
 	"lies":                  func(run, _ measure.Summary) float64 { return float64(len(run.Lies)) },
 	"crashes":               func(run, _ measure.Summary) float64 { return float64(run.Crashes) },
