--- a/entry/internal/service/service.go
+++ b/entry/internal/service/service.go
@@ -78,7 +78,7 @@
 	s := &Service{opts: opts, name: gen.Service, client: client}
 	s.gate = admission.New(admission.Options{Clock: opts.Clock, Limits: limits(gen.Document), Moved: s.limitMoved})
 	s.gen.Store(&gen)
-	s.table = replica.New(replica.Options{Clock: opts.Clock, Zone: opts.Zone, Draining: s.draining})
+	s.table = replica.New(replica.Options{Clock: opts.Clock, Zone: opts.Zone, Draining: s.draining, Doubted: s.doubted})
 	s.picker = snapshot.New(snapshot.Options{Moved: s.moved})
 	s.runner = fanout.New(fanout.Options{Clock: opts.Clock, Send: opts.Send, Heard: s.heard, Judged: s.judged, IntN: opts.IntN})
 	return s, nil
@@ -175,7 +175,6 @@
 	took := s.opts.Clock.Now().Sub(rec.Arrived)
 	rec.Outcome, rec.Reason, rec.TookMS = string(ans.Outcome), ans.Reason, float64(took.Microseconds())/1000
 	s.opts.Explain.Add(rec)
-	s.opts.Metrics.answered(s.name, ans.Outcome, took)
 	ev := events.Answered
 	if ans.Outcome == caller.OutcomeRefused {
 		ev = events.Refused
