load: Take a new ticket where no connection was made, and tell connections by service

Change: a caller that could not connect forgets the address with its tickets and takes another; after any byte was sent it repeats the same ticket as before. Seen red: TestWriteTakesANewTicketOnlyWhereNoConnectionWasMade fails with the new ticket taken out.

--- a/load/internal/drive/drive.go
+++ b/load/internal/drive/drive.go
@@ -133,11 +133,12 @@
 	if len(d.samples) > 0 {
 		sum.CPUPerQueryMS = cpuUsed.Seconds() * 1000 / float64(len(d.samples))
 	}
+	sum.PeakConnections = map[string]int{}
 	sum.RefusedConnections = after.refused - before.refused
 	for _, f := range d.opts.Fleets {
 		sum.LostTruths += f.Lost()
 		sum.AfterDrainMS = max(sum.AfterDrainMS, f.AfterDrain())
-		sum.PeakConnections = max(sum.PeakConnections, f.Peak())
+		sum.PeakConnections[f.Service] = f.Peak()
 	}
 	d.lies = append(d.lies, check.Writes(d.writes, d.ran())...)
 	sum.Lies = inWords(d.lies)
--- a/load/internal/hosts/caller.go
+++ b/load/internal/hosts/caller.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"slices"
 	"sync"
@@ -128,7 +129,20 @@
 }
 
 // Write sends a write under one ticket, and again under the same ticket while its outcome is unknown: at first to the same host, then to another.
+//
+// A new ticket is taken only where no connection to the first one's host was made: then the write surely did not run.
 func (c *Caller) Write(ctx context.Context, service string, w caller.Write) (WriteResult, error) {
+	var err error
+	for range maxSends {
+		var res WriteResult
+		if res, err = c.writeOnce(ctx, service, w); err == nil || ctx.Err() != nil {
+			return res, err
+		}
+	}
+	return WriteResult{}, err
+}
+
+func (c *Caller) writeOnce(ctx context.Context, service string, w caller.Write) (WriteResult, error) {
 	addr, ticket, err := c.ticket(ctx, service)
 	if err != nil {
 		return WriteResult{}, err
@@ -136,7 +150,11 @@
 	var res WriteResult
 	target := addr
 	for range 1 + resends {
-		outcome, reason := c.send(ctx, target, service, ticket, w)
+		outcome, reason, err := c.send(ctx, target, service, ticket, w)
+		if err != nil && len(res.Told) == 0 {
+			c.forget(service, target)
+			return WriteResult{}, err
+		}
 		res.Told, res.Reason = append(res.Told, outcome), reason
 		if outcome != caller.WriteUnknown || ctx.Err() != nil {
 			break
@@ -150,12 +168,17 @@
 	return res, nil
 }
 
-func (c *Caller) send(ctx context.Context, addr netip.AddrPort, service, ticket string, w caller.Write) (caller.WriteOutcome, string) {
+// send returns an error only where no connection was made.
+func (c *Caller) send(ctx context.Context, addr netip.AddrPort, service, ticket string, w caller.Write) (caller.WriteOutcome, string, error) {
 	ans, err := c.client.Write(ctx, caller.Request{Host: addr, Service: service, ID: w.OpID, Deadline: left(ctx), Ticket: ticket}, w)
-	if err != nil {
-		return caller.WriteUnknown, err.Error()
+	var op *net.OpError
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		return caller.WriteUnknown, err.Error(), err
+	case err != nil:
+		return caller.WriteUnknown, err.Error(), nil
 	}
-	return ans.Outcome, ans.Reason
+	return ans.Outcome, ans.Reason, nil
 }
 
 // Explain reads the explanation of an answer from the hosts in turn, since only the one that gave it knows.
--- a/load/internal/hosts/caller_test.go
+++ b/load/internal/hosts/caller_test.go
@@ -133,3 +133,22 @@
 	c.Assert(res.Told, qt.DeepEquals, []caller.WriteOutcome{caller.WriteUnknown, caller.WriteUnknown, caller.WriteDone})
 	c.Assert(h.tickets, qt.DeepEquals, []string{"t1", "t1", "t1"})
 }
+
+func TestWriteTakesANewTicketOnlyWhereNoConnectionWasMade(t *testing.T) {
+	// The ticket's host has died and refuses connections, so the write surely did not run, and another host's ticket may be used.
+	c := qt.New(t)
+	h := &fakeHost{write: func(int, string) caller.WriteOutcome { return caller.WriteDone }}
+	alive := serve(c, h)
+	h.list = []caller.Address{{Address: dead(), Weight: 1, Tickets: []string{"dead"}}, {Address: alive, Weight: 1, Tickets: []string{"alive"}}}
+	// Which of the two tickets comes first is drawn at random; of twenty callers some draw the dead host's.
+	for range 20 {
+		one, err := hosts.New("c", []netip.AddrPort{alive})
+		c.Assert(err, qt.IsNil)
+		res, err := one.Write(context.Background(), "s", caller.Write{OpID: "op"})
+		c.Assert(err, qt.IsNil)
+		c.Assert(res.Told, qt.DeepEquals, []caller.WriteOutcome{caller.WriteDone})
+	}
+	for _, ticket := range h.tickets {
+		c.Assert(ticket, qt.Equals, "alive")
+	}
+}
--- a/load/internal/measure/measure.go
+++ b/load/internal/measure/measure.go
@@ -79,8 +79,9 @@
 	// CPUPerQueryMS is processor time of the hosts for each query answered, zero where it was not measured.
 	CPUPerQueryMS float64 `json:"cpu_per_query_ms"`
 
-	PeakConnections    int `json:"peak_connections"`
-	RefusedConnections int `json:"refused_connections"`
+	// PeakConnections is the most that any one replica of a service has had since it started, by service.
+	PeakConnections    map[string]int `json:"peak_connections"`
+	RefusedConnections int            `json:"refused_connections"`
 	// LostTruths counts replicas whose truth could not be read at the end; Sent leaves out their last second.
 	LostTruths int `json:"lost_truths"`
 
--- a/load/internal/report/files.go
+++ b/load/internal/report/files.go
@@ -73,7 +73,7 @@
 			num(s.All.P50), num(s.All.P99), num(s.All.P999), num(s.Others.P99), num(s.CoverageMean), num(s.CoverageWorst), num(s.CompleteShare),
 			strconv.Itoa(s.Sent), strconv.Itoa(s.Needed), num(s.Extra), strconv.Itoa(s.Refused), num(s.Refusals.P99), strconv.Itoa(s.Failed),
 			strconv.Itoa(s.Errors), strconv.Itoa(s.Late), num(s.CPUPerQueryMS),
-			strconv.Itoa(s.PeakConnections), strconv.Itoa(s.RefusedConnections), strconv.Itoa(len(s.Lies)),
+			strconv.Itoa(peak(s)), strconv.Itoa(s.RefusedConnections), strconv.Itoa(len(s.Lies)),
 		})
 	}
 	return writeCSV(file, rows)
@@ -98,3 +98,11 @@
 func num(v float64) string { return strconv.FormatFloat(v, 'f', 4, 64) }
 
 func millis(seconds float64) string { return strconv.FormatFloat(seconds*1000, 'f', 3, 64) }
+
+func peak(s measure.Summary) int {
+	most := 0
+	for _, n := range s.PeakConnections {
+		most = max(most, n)
+	}
+	return most
+}
--- a/load/run.go
+++ b/load/run.go
@@ -91,7 +91,11 @@
 	if s.CPUPerQueryMS > 0 {
 		fmt.Fprintf(w, "  processor time               %.2f ms a query\n", s.CPUPerQueryMS)
 	}
-	fmt.Fprintf(w, "  upstream connections         peak %d at one replica, %d refused\n", s.PeakConnections, s.RefusedConnections)
+	fmt.Fprintf(w, "  upstream connections         %d refused; the most at one replica:", s.RefusedConnections)
+	for _, service := range slices.Sorted(maps.Keys(s.PeakConnections)) {
+		fmt.Fprintf(w, " %s %d", service, s.PeakConnections[service])
+	}
+	fmt.Fprintln(w)
 	if len(s.Writes) > 0 {
 		fmt.Fprintf(w, "  writes                       done %d  not_run %d  unknown %d  not sent %d\n", s.Writes["done"], s.Writes["not_run"], s.Writes["unknown"], s.Writes["not_sent"])
 	}
