--- a/load/internal/measure/measure.go
+++ b/load/internal/measure/measure.go
@@ -79,8 +79,9 @@
 	// CPUPerQueryMS is processor time of the hosts for each query answered, zero where it was not measured.
 	CPUPerQueryMS float64 `json:"cpu_per_query_ms"`
 
-	PeakConnections    int `json:"peak_connections"`
-	RefusedConnections int `json:"refused_connections"`
+	// PeakConnections is the most that any one replica of a service has had since it started, by service.
+	PeakConnections    map[string]int `json:"peak_connections"`
+	RefusedConnections int            `json:"refused_connections"`
 	// LostTruths counts replicas whose truth could not be read at the end; Sent leaves out their last second.
 	LostTruths int `json:"lost_truths"`
 
@@ -89,6 +90,8 @@
 	// AfterDrainMS is how long after the start of its drain a replica still took work.
 	AfterDrainMS int64 `json:"after_drain_ms"`
 
+	// QueryReasons counts the queries that were refused or that no host answered, by outcome and reason.
+	QueryReasons map[string]int `json:"query_reasons,omitempty"`
 	// Writes counts the writes by their final outcome, WriteReasons those that are not done by outcome and reason.
 	Writes       map[string]int `json:"writes,omitempty"`
 	WriteReasons map[string]int `json:"write_reasons,omitempty"`
