--- a/core/upstream/client.go
+++ b/core/upstream/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync"
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
@@ -25,6 +26,8 @@
 	Clock clock.Clock
 	// Seats is the most connections held to each replica.
 	Seats int
+
+	cold bool
 }
 
 // Client sends tries to the replicas of one service; it never sends one twice.
@@ -32,6 +35,11 @@
 	clock clock.Clock
 	http  *khttp.Client
 	tr    *http.Transport
+	most  int
+	cold  bool
+
+	mu    sync.Mutex
+	seats map[string]*seats
 }
 
 // New returns a client without any connection yet.
@@ -39,31 +47,81 @@
 	if opts.Clock == nil {
 		opts.Clock = clock.System{}
 	}
-	tr := &http.Transport{
-		DialContext:         dial,
+	c := &Client{clock: opts.Clock, most: opts.Seats, cold: opts.cold, seats: map[string]*seats{}}
+	c.tr = &http.Transport{
+		DialContext:         c.dial,
 		MaxConnsPerHost:     opts.Seats,
 		MaxIdleConnsPerHost: opts.Seats,
+		IdleConnTimeout:     idleLimit,
 		DisableCompression:  true,
 	}
-	hc, err := khttp.NewClient(context.Background(), khttp.WithTransport(noRedirect{tr}), khttp.WithTimeout(0),
+	hc, err := khttp.NewClient(context.Background(), khttp.WithTransport(noRedirect{c.tr}), khttp.WithTimeout(0),
 		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }))
 	if err != nil {
 		return nil, fmt.Errorf("upstream client: %w", err)
 	}
-	return &Client{clock: opts.Clock, http: hc, tr: tr}, nil
+	c.http = hc
+	return c, nil
 }
 
-func dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	var d net.Dialer
-	c, err := d.DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, fmt.Errorf("dial %s: %w", addr, err)
+// seat returns the connections held to the replica at addr.
+func (c *Client) seat(addr string) *seats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.seats[addr]
+	if s == nil {
+		s = newSeats(addr, c.most, c.clock, c.cold)
+		c.seats[addr] = s
+		c.clock.AfterFunc(idleLimit/2, func() { c.renew(s) })
+	}
+	return s
+}
+
+func (c *Client) dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	return c.seat(addr).take(ctx)
+}
+
+// renew looks after the seats at one replica twice in idleLimit, until the replica is no longer used.
+func (c *Client) renew(s *seats) {
+	if s.renew() {
+		c.mu.Lock()
+		delete(c.seats, s.addr)
+		c.mu.Unlock()
+		s.close()
+		return
 	}
-	return &conn{Conn: c}, nil
+	s.fill()
+	c.clock.AfterFunc(idleLimit/2, func() { c.renew(s) })
 }
 
-// Close drops the idle connections.
-func (c *Client) Close() { c.tr.CloseIdleConnections() }
+// Stats returns the sums over all replicas; Peak is the highest of any one.
+func (c *Client) Stats() SeatStats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var sum SeatStats
+	for _, s := range c.seats {
+		s.mu.Lock()
+		sum.Ready += s.stats.Ready
+		sum.Dialled += s.stats.Dialled
+		sum.Refused += s.stats.Refused
+		sum.Silent += s.silence.count()
+		sum.Refreshed += s.stats.Refreshed
+		sum.Open += s.open
+		sum.Peak = max(sum.Peak, s.stats.Peak)
+		s.mu.Unlock()
+	}
+	return sum
+}
+
+// Close drops the connections that no request uses.
+func (c *Client) Close() {
+	c.mu.Lock()
+	for _, s := range c.seats {
+		s.close()
+	}
+	c.mu.Unlock()
+	c.tr.CloseIdleConnections()
+}
 
 // QueryTry is one try of a query at one replica.
 type QueryTry struct {
@@ -71,17 +129,26 @@
 	Version int64
 	Shard   int
 	Body    []byte
+	// Patient lets the try wait for its deadline on a connection that looks silent: a long query looks like that too, and must
+	// not be cut off again where it is tried next.
+	Patient bool
 }
 
 // Query sends one try; the deadline of ctx is passed on and its cancellation reaches the replica.
 func (c *Client) Query(ctx context.Context, addr netip.AddrPort, try QueryTry) Result {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	req, err := c.request(ctx, http.MethodPost, addr, "/v1/query", try.ID, try.Body)
 	if err != nil {
 		return Result{Kind: KindNotSent, Detail: err.Error()}
 	}
 	req.Header.Set(HeaderVersion, strconv.FormatInt(try.Version, 10))
 	req.Header.Set(HeaderShard, strconv.Itoa(try.Shard))
-	res, body := c.do(ctx, req)
+	at := &attempt{usual: true, cancel: cancel}
+	if try.Patient {
+		at.cancel = nil
+	}
+	res, body := c.do(ctx, req, at)
 	if res.Kind != KindOK {
 		return res
 	}
@@ -102,7 +169,8 @@
 	if err != nil {
 		return Result{Kind: KindNotSent, Detail: err.Error()}
 	}
-	res, b := c.do(ctx, req)
+	// A write is never given up early: its reply may still come, and nothing is won by not knowing sooner.
+	res, b := c.do(ctx, req, &attempt{usual: true})
 	if res.Kind != KindOK {
 		return res
 	}
@@ -124,7 +192,7 @@
 	if err != nil {
 		return h, Result{Kind: KindNotSent, Detail: err.Error()}
 	}
-	res, b := c.do(ctx, req)
+	res, b := c.do(ctx, req, &attempt{})
 	if res.Kind != KindOK {
 		return h, res
 	}
@@ -154,9 +222,12 @@
 	return req, nil
 }
 
-func (c *Client) do(ctx context.Context, req *http.Request) (Result, []byte) {
+func (c *Client) do(ctx context.Context, req *http.Request, at *attempt) (Result, []byte) {
 	start := c.clock.Now()
-	at := &attempt{clock: c.clock}
+	seat := c.seat(req.URL.Host)
+	seat.touch()
+	at.clock, at.silence = c.clock, seat.silence
+	defer at.end()
 	resp, err := c.http.Do(at.trace(req))
 	if err != nil {
 		return c.transportFailure(ctx, at, start, err), nil
@@ -188,6 +259,8 @@
 	switch sent := at.giveUp(); {
 	case !sent:
 		kind = KindNotSent
+	case at.silent.Load():
+		kind = KindSilent
 	case ctx.Err() != nil:
 		kind = KindCanceled
 	}
--- a/entry/internal/follow/platform_test.go
+++ b/entry/internal/follow/platform_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"guavaspring.org/core/platform"
@@ -19,6 +20,8 @@
 	lag, lost, slow float64
 	down            bool
 	puts            []platform.Object
+	reads           int
+	watching        atomic.Int32
 }
 
 func newFake(seed uint64) *fake {
@@ -77,3 +80,21 @@
 	}
 	return obj, nil
 }
+
+func (p *fake) replicas(context.Context) ([]platform.Replica, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reads++
+	if p.down {
+		return nil, platform.ErrUnavailable
+	}
+	return []platform.Replica{{ID: "r-1", Service: desk}}, nil
+}
+
+// watch waits until it is ended.
+func (p *fake) watch(ctx context.Context, _ platform.Kind, _ int64, _ time.Duration) ([]platform.Object, int64, error) {
+	p.watching.Add(1)
+	defer p.watching.Add(-1)
+	<-ctx.Done()
+	return nil, 0, platform.ErrUnavailable
+}
