--- a/entry/internal/admission/adapt/limit.go
+++ b/entry/internal/admission/adapt/limit.go
@@ -36,7 +36,7 @@
 // It rises while the median reply time stays near the lowest one seen, first by doubling, then by steps,
 // and falls by a share when it does not or when tries are shed. Equal steps up and equal shares down let
 // hosts that see the same upstream end at equal limits with no word between them. The median is taken over
-// tries, not over whole queries: one dead or slow shard must not be taken for an upstream that is full.
+// shards, not over whole queries: one dead or slow shard must not be taken for an upstream that is full.
 type Limit struct {
 	cap     int
 	current float64
@@ -73,7 +73,7 @@
 // Base returns the median reply time of an upstream that is not pressed, zero before the first window ended.
 func (l *Limit) Base() time.Duration { return l.base }
 
-// Reply takes in that a try ended after took, answered or cut off, while running requests ran; it reports whether the limit moved.
+// Reply takes in that a shard answered after took from the start of its query, or that a try was cut off after took, while running requests ran; it reports whether the limit moved.
 func (l *Limit) Reply(now time.Time, took time.Duration, running int) bool {
 	if len(l.took) < maxReplies {
 		l.took = append(l.took, took)
--- a/entry/internal/admission/gate.go
+++ b/entry/internal/admission/gate.go
@@ -165,7 +165,7 @@
 	g.queue.SetLimits(g.clock.Now(), g.inForce())
 }
 
-// Replied takes in that a try upstream ended after took, answered or cut off.
+// Replied takes in that a shard answered after took from the start of its query, or that a try was cut off after took.
 func (g *Gate) Replied(took time.Duration) {
 	g.adapt(func(now time.Time) bool { return g.limit.Reply(now, took, g.queue.Running()) })
 }
