warmup: Open the port for callers once the host can serve

Cause: a host that replaced another on its address opened its port before it knew what any replica holds, and refused with "no index version of the service is known yet" what another host would have answered. Callers keep addresses, so they came to it at once.

Ruled out: holding such requests inside their deadlines (a host may need longer than they have, and another host needs no time at all); not being ready only in /readyz (callers do not ask it).

Change: the host joins its peers, learns, and opens the port for callers when every service it knows has an index version, or after 5 s. Until then it tells its peers that it is full.

--- a/entry/internal/events/events.go
+++ b/entry/internal/events/events.go
@@ -5,6 +5,7 @@
 // Events of a host's life, 1000 to 1099.
 var (
 	Started  = event.New(1000, "host_started", "The host listens and has begun its duties.")
+	Warm     = event.New(1003, "host_warm", "The host opens its port for callers: it can serve, or has waited as long as it may.")
 	Stopping = event.New(1001, "host_stopping", "The host was told to stop: it is no longer handed out and finishes what is in flight.")
 	Stopped  = event.New(1002, "host_stopped", "The host has finished every request in flight and ends.")
 )
--- a/entry/internal/host/host.go
+++ b/entry/internal/host/host.go
@@ -95,6 +95,7 @@
 	defer cancel()
 	var duties sync.WaitGroup
 	duties.Go(func() { h.runPeers(own) })
+	h.warm(ctx)
 	duties.Go(func() { h.reportLoad(own) })
 	app := kratos.New(kratos.Context(own), kratos.Name("entry"), kratos.Server(srv),
 		kratos.BeforeStop(h.drain.Leave), kratos.StopTimeout(stopTimeout))
