member: Pass a change on half as often

Cause: a change was sent up to 28 times by each host at 5,600, three quarters of them after everybody knew: at two messages a second the news is everywhere within 20. At 0.33 row changes a second that is some 700 bytes a second for nothing, sent and received together (worked out). Change: log2 n + 3 times. The test network now bounds comparisons of tables as the hosts do.

--- a/entry/internal/member/network_test.go
+++ b/entry/internal/member/network_test.go
@@ -36,7 +36,9 @@
 	side   int
 	up     bool
 	paused time.Time
-	epochs map[string]uint64
+	// repaired is when the node compared tables last, which is bounded as over the network.
+	repaired time.Time
+	epochs   map[string]uint64
 }
 
 type event struct {
@@ -246,9 +248,11 @@
 
 // repair exchanges the rows below the first prefixes that differ, as the walk over the network does in more steps.
 func (n *network) repair(a, b *node) {
-	if a.list.Digest() == b.list.Digest() || n.rnd.Float64() < n.loss {
+	every := 2*time.Second + time.Duration(len(a.list.Hosts()))*2*time.Millisecond
+	if a.list.Digest() == b.list.Digest() || n.now.Sub(a.repaired) < every || n.rnd.Float64() < n.loss {
 		return
 	}
+	a.repaired = n.now
 	root := digest.Prefix{}
 	for _, i := range digest.Differing(a.list.Sums(root), b.list.Sums(root)) {
 		rows := a.list.Rows(root.Child(i), 64)
--- a/entry/internal/member/probe.go
+++ b/entry/internal/member/probe.go
@@ -169,8 +169,8 @@
 	l.announce(changes)
 }
 
-// sends is how often a change is passed on: twice the logarithm of the fleet reaches all but a few hosts, and digests reach those.
-func (l *List) sends() int { return 2 * (bits.Len(uint(len(l.rows)+1)) + 1) }
+// sends is how often a change is passed on: two messages a second carry it everywhere before that (docs/design/membership.md), and digests reach whoever missed it.
+func (l *List) sends() int { return bits.Len(uint(len(l.rows)+1)) + 2 }
 
 // takeRows picks the rows sent least often; ties are broken by ID so that a seeded run repeats.
 func (l *List) takeRows(to string) []Host {
