hedge: Ask elsewhere where many shards stay late and the rest has answered

Over two late shards at once were taken for a sign of load, so none got a second try; and a second try that went to another silent replica was the last.

Ruled out: no bound on late shards (a long query is late everywhere, and would spend the budget).

Change: where the late shards are still late after another delay and half of the query has answered, second tries go out, budget and free replicas as ever; a try sent beside another is late after twice the delay.

Seen red: TestZoneGoesSilent without the second look (2 thin), the table of TestNoSecondTriesWhereManyShardsAreLate with it, TestThirdTryWhereTwoAreSilent with two tries at most (shard 3 missing).

--- a/entry/internal/fanout/fanout_test.go
+++ b/entry/internal/fanout/fanout_test.go
@@ -186,6 +186,31 @@
 	}
 }
 
+// Two of a shard's three replicas go silent together, and the second try of a page goes to the other silent
+// one. The third answers at once; a page that stopped at two tries would lack the shard.
+func TestThirdTryWhereTwoAreSilent(t *testing.T) {
+	for first := range 3 {
+		synctest.Test(t, func(t *testing.T) {
+			s, silent := &sent{}, false
+			runner := fanout.New(fanout.Options{Clock: clock.System{}, IntN: func(n int) int { return first % n }, Send: s.send(func(r *replica.Replica) (upstream.Kind, time.Duration) {
+				if silent && (r.ID == "3.0" || r.ID == "3.1") {
+					return upstream.KindOK, -1
+				}
+				return upstream.KindOK, 5 * ms
+			})})
+			tab := table(4)
+			for range 30 {
+				run(t, runner, tab, nil)
+				time.Sleep(5 * ms)
+			}
+			silent = true
+			rep, took := run(t, runner, tab, nil)
+			qt.Assert(t, rep.Coverage.Missing, qt.HasLen, 0)
+			qt.Assert(t, took < 25*ms, qt.IsTrue, qt.Commentf("took %v", took))
+		})
+	}
+}
+
 func count(list []explain.Decision, what string) int {
 	n := 0
 	for _, d := range list {
--- a/entry/internal/fanout/plan.go
+++ b/entry/internal/fanout/plan.go
@@ -48,6 +48,8 @@
 	lost bool
 	// busy says that a shard was given up since its replicas were full.
 	busy bool
+	// crowded says that shards were late at the last look and got no second try.
+	crowded bool
 	// soft says that the soft deadline has passed, and that the first answer ends the plan.
 	soft bool
 	// holds and split are how a reply's header names the plan's version and number of shards.
@@ -74,7 +76,6 @@
 	cancel context.CancelFunc
 	// wait is the decision that waits for a free replica, empty where none does, and why its reason.
 	wait, why string
-	hedged    bool
 	closed    bool
 	answered  bool
 	// gone says that a replica refused the version, shed that one was full, refused that the last failure was a refusal.
@@ -145,7 +146,7 @@
 // a page that a wait of a few milliseconds would have filled.
 func (p *plan) again(i int, why string) {
 	s := &p.shards[i]
-	s.n, s.hedged, s.shed = 0, false, false
+	s.n, s.shed = 0, false
 	s.next = p.now.Add(p.pause() << min(s.rounds, mostRounds))
 	s.rounds++
 	p.hold(i, WhatRetry, why)
@@ -331,7 +332,9 @@
 			late++
 		}
 	}
-	if late == 0 || !p.run.policy.Allow(late, len(p.shards)) {
+	again := p.crowded
+	p.crowded = late > 0
+	if late == 0 || !p.run.policy.Allow(late, p.answered, len(p.shards), again) {
 		return
 	}
 	for i := range p.shards {
@@ -341,9 +344,12 @@
 	}
 }
 
-// late reports whether the shard's last try has run for the delay and no second one was sent beside it.
+// late reports whether the shard's last try has run for the delay, or for twice the delay where it was sent beside another: the second replica may have gone silent with the first.
 func (s *shard) late(now time.Time, delay time.Duration) bool {
-	return !s.closed && !s.hedged && s.inflight == 1 && s.n < maxTries && now.Sub(s.began[s.n-1]) >= delay
+	if s.closed || s.inflight == 0 || s.n >= maxTries {
+		return false
+	}
+	return now.Sub(s.began[s.n-1]) >= delay<<(s.inflight-1)
 }
 
 func (p *plan) second(i int, delay time.Duration) {
@@ -355,7 +361,6 @@
 	if est, _ := r.Estimate(p.now); est > delay || !p.run.hedges.Take() {
 		return
 	}
-	s.hedged = true
 	p.send(i, r, WhatHedge, "no answer after "+delay.String())
 }
 
--- a/entry/internal/hedge/hedge.go
+++ b/entry/internal/hedge/hedge.go
@@ -30,7 +30,8 @@
 // It answers single stragglers: one slow replica holds up a whole page. Without it the page's time is the
 // worst of its shards' times. Sent too early or into a full upstream, second tries are the load that makes
 // the next tries late; so the delay is a measured quantile, and no second try goes out while tries are
-// being refused or many shards of a query are late at once, since then the load is the cause.
+// being refused, and none at first where many shards of a query are late at once, since then the load is the
+// likely cause.
 type Policy struct {
 	mu      sync.Mutex
 	cur     window
@@ -83,11 +84,17 @@
 // Median returns the median reply time, zero while too little is known.
 func (p *Policy) Median() time.Duration { return time.Duration(p.median.Load()) }
 
-// Allow reports whether a query of so many shards, of which so many are late, may send second tries now.
-func (p *Policy) Allow(late, shards int) bool {
+// Allow reports whether a query of so many shards, of which so many are late and so many have answered, may send second tries now; again says that the late ones have been so for another delay.
+//
+// Many late at once are first taken for a sign of load. Where they stay late while half of the query has
+// answered, it isn't the load, nor a long query: replicas have gone silent together, as with a switch.
+func (p *Policy) Allow(late, answered, shards int, again bool) bool {
 	if p.full.Load() {
 		return false
 	}
+	if again && 2*answered >= shards {
+		return true
+	}
 	expected := (1 - math.Float64frombits(p.quantile.Load())) * float64(shards)
 	return late <= max(fewLate, int(lateFactor*expected))
 }
--- a/entry/internal/hedge/hedge_test.go
+++ b/entry/internal/hedge/hedge_test.go
@@ -45,27 +45,34 @@
 		now = now.Add(time.Millisecond)
 		p.Observe(now, 5*time.Millisecond)
 	}
-	qt.Assert(t, p.Allow(1, 10), qt.IsTrue)
+	qt.Assert(t, p.Allow(1, 9, 10, false), qt.IsTrue)
 	for range 100 {
 		now = now.Add(time.Millisecond)
 		p.Refused(now)
 	}
-	qt.Assert(t, p.Allow(1, 10), qt.IsFalse)
+	qt.Assert(t, p.Allow(1, 9, 10, false), qt.IsFalse)
 	for range 5000 {
 		now = now.Add(time.Millisecond)
 		p.Observe(now, 5*time.Millisecond)
 	}
-	qt.Assert(t, p.Allow(1, 10), qt.IsTrue)
+	qt.Assert(t, p.Allow(1, 9, 10, false), qt.IsTrue)
 }
 
 // A collection of long queries, or a zone that answers slowly as a whole, makes most shards of a page late
 // at once. No other replica would be quicker; second tries would only add load.
 func TestNoSecondTriesWhereManyShardsAreLate(t *testing.T) {
 	for _, test := range []struct {
-		late, shards int
-		want         bool
-	}{{1, 10, true}, {2, 10, true}, {3, 10, false}, {4, 69, true}, {20, 69, false}, {1, 1, true}} {
-		qt.Assert(t, hedge.New().Allow(test.late, test.shards), qt.Equals, test.want, qt.Commentf("%+v", test))
+		late, answered, shards int
+		again, want            bool
+	}{
+		{1, 9, 10, false, true}, {2, 8, 10, false, true}, {3, 7, 10, false, false},
+		{4, 65, 69, false, true}, {20, 49, 69, false, false}, {1, 0, 1, false, true},
+		// A zone is silent: the other two thirds have answered, and the third is still late.
+		{20, 49, 69, true, true},
+		// A long query is late everywhere, however long one waits.
+		{10, 0, 10, true, false},
+	} {
+		qt.Assert(t, hedge.New().Allow(test.late, test.answered, test.shards, test.again), qt.Equals, test.want, qt.Commentf("%+v", test))
 	}
 }
 
--- a/entry/internal/service/scenes_test.go
+++ b/entry/internal/service/scenes_test.go
@@ -160,6 +160,26 @@
 	qt.Assert(t, float64(plain.p99) > 2*float64(base.p99), qt.IsTrue)
 }
 
+// A switch fails, and the ten replicas behind it stop answering from one moment to the next; connections stay
+// open. Three shards of ten are late at once on every page that is under way. It looks like load, but most of
+// the page has come in good time: the rest should be asked elsewhere, not left out.
+func TestZoneGoesSilent(t *testing.T) {
+	t.Parallel()
+	sc := scene{seed: 11, rate: 200, warm: time.Second, lasts: 2 * time.Second}
+	sc.fault = func(f *farm, _ *service.Service, _ time.Duration) {
+		f.change(func(w []*worker) {
+			for i := range 10 {
+				w[i].slow = 10_000
+			}
+		})
+	}
+	ours, plain := sc.play(t, false), sc.play(t, true)
+	t.Logf("silent: %v", ours)
+	t.Logf("plain:  %v", plain)
+	qt.Assert(t, ours.complete, qt.Equals, ours.n)
+	qt.Assert(t, ours.extra < 0.03, qt.IsTrue)
+}
+
 // All three replicas of one shard are gone. Every page must come on time and say that nine shards of ten
 // answered; a page that waits for the deadline each time freezes the board for nothing.
 func TestOneShardGone(t *testing.T) {
