document: Explain every key on a page that a test holds to the code

Cause: operators steer by the document alone, and only the schema named its keys. Seen red: with the row of writes.ticket_life taken out of the page.

--- a/core/document/document_test.go
+++ b/core/document/document_test.go
@@ -1,9 +1,13 @@
 package document_test
 
 import (
+	"encoding/json"
 	"errors"
 	"flag"
+	"fmt"
 	"os"
+	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
@@ -100,3 +104,41 @@
 		}
 	})
 }
+
+// A key that the page does not explain can't be used by an operator, who has nothing else to steer by; one that the
+// page explains and the program refuses is worse. The page must name each key with its default, and no other.
+func TestEveryKeyIsExplained(t *testing.T) {
+	c := qt.New(t)
+	page, err := os.ReadFile("../../docs/DOCUMENT.md")
+	c.Assert(err, qt.IsNil)
+	var schema node
+	c.Assert(json.Unmarshal(document.Schema(), &schema), qt.IsNil)
+	want := schema.rows("")
+	var got []string
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-z_.]+)` \\| ([^|]+) \\|").FindAllStringSubmatch(string(page), -1) {
+		got = append(got, m[1]+" "+m[2])
+	}
+	slices.Sort(got)
+	slices.Sort(want)
+	c.Assert(got, qt.DeepEquals, want)
+}
+
+type node struct {
+	Properties map[string]node `json:"properties"`
+	Default    any             `json:"default"`
+}
+
+// rows returns "key default" of each key below n.
+func (n node) rows(key string) []string {
+	if len(n.Properties) == 0 {
+		if n.Default == nil {
+			return []string{key + " none"}
+		}
+		return []string{key + " " + fmt.Sprint(n.Default)}
+	}
+	var list []string
+	for name, child := range n.Properties {
+		list = append(list, child.rows(strings.TrimPrefix(key+"."+name, "."))...)
+	}
+	return list
+}
