--- a/entry/internal/events/events.go
+++ b/entry/internal/events/events.go
@@ -33,5 +33,4 @@
 	Hedged   = event.New(1302, "shard_hedged", "A shard was tried at a second replica while the first still ran.")
 	Answered = event.New(1303, "query_answered", "A query was answered; coverage, time and extra tries are in the line.")
 	Refused  = event.New(1304, "request_refused", "A request was refused before anything was sent upstream.")
-	WriteRun = event.New(1305, "write_ended", "A write ended as done, not_run or unknown.")
 )
