core/upstream: Let an accepted document change the seats at once

Cause: the share of a replica's connections was taken from the document when a service was first seen. A lowered upstream.connections was in force for requests and not for connections, until the host's next restart: weeks, for a promise of seconds.

Ruled out: one transport without a limit of its own (requests over the limit would each leave a dial waiting); a new client in place of the old (both would hold connections at once, over the limit of the replica).

Change: SetSeats gives later requests a new transport with the new limit; both dial through the same seats, whose count goes on. Connections dialled ahead that are too many are closed at once, others as their requests end.

Seen red: without the change of the seats, and with the old transport kept: "the replica never had exactly 2 connections".

--- a/core/upstream/client.go
+++ b/core/upstream/client.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
@@ -33,35 +34,74 @@
 // Client sends tries to the replicas of one service; it never sends one twice.
 type Client struct {
 	clock clock.Clock
-	http  *khttp.Client
-	tr    *http.Transport
-	most  int
 	cold  bool
+	// lane carries the requests that come next; SetSeats replaces it.
+	lane atomic.Pointer[lane]
 
 	mu    sync.Mutex
+	most  int
 	seats map[string]*seats
 }
 
+// lane is an HTTP client over a transport that holds at most a number of connections to a replica.
+type lane struct {
+	http *khttp.Client
+	tr   *http.Transport
+}
+
 // New returns a client without any connection yet.
 func New(opts Options) (*Client, error) {
 	if opts.Clock == nil {
 		opts.Clock = clock.System{}
 	}
-	c := &Client{clock: opts.Clock, most: opts.Seats, cold: opts.cold, seats: map[string]*seats{}}
-	c.tr = &http.Transport{
+	c := &Client{clock: opts.Clock, cold: opts.cold, most: opts.Seats, seats: map[string]*seats{}}
+	l, err := c.newLane(opts.Seats)
+	if err != nil {
+		return nil, err
+	}
+	c.lane.Store(l)
+	return c, nil
+}
+
+func (c *Client) newLane(most int) (*lane, error) {
+	tr := &http.Transport{
 		DialContext:         c.dial,
-		MaxConnsPerHost:     opts.Seats,
-		MaxIdleConnsPerHost: opts.Seats,
+		MaxConnsPerHost:     most,
+		MaxIdleConnsPerHost: most,
 		IdleConnTimeout:     idleLimit,
 		DisableCompression:  true,
 	}
-	hc, err := khttp.NewClient(context.Background(), khttp.WithTransport(noRedirect{c.tr}), khttp.WithTimeout(0),
+	hc, err := khttp.NewClient(context.Background(), khttp.WithTransport(noRedirect{tr}), khttp.WithTimeout(0),
 		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }))
 	if err != nil {
 		return nil, fmt.Errorf("upstream client: %w", err)
 	}
-	c.http = hc
-	return c, nil
+	return &lane{http: hc, tr: tr}, nil
+}
+
+// SetSeats changes the most connections held to each replica; requests in flight end on the connections that they have.
+//
+// Operators lower the limit because a replica's connections are wanted elsewhere. A transport can't be given
+// another limit while it runs, so later requests go through a new one; both dial through the same seats, whose count
+// of open connections goes on, so that the replica never sees more than the higher of the two limits.
+func (c *Client) SetSeats(most int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if most == c.most {
+		return nil
+	}
+	l, err := c.newLane(most)
+	if err != nil {
+		return err
+	}
+	c.most = most
+	for _, s := range c.seats {
+		s.setMost(most)
+	}
+	old := c.lane.Swap(l)
+	// The transport closes the connections that are idle now, and the others as their requests end.
+	old.tr.CloseIdleConnections()
+	return nil
 }
 
 // seat returns the connections held to the replica at addr.
@@ -120,7 +160,7 @@
 		s.close()
 	}
 	c.mu.Unlock()
-	c.tr.CloseIdleConnections()
+	c.lane.Load().tr.CloseIdleConnections()
 }
 
 // QueryTry is one try of a query at one replica.
@@ -228,7 +268,7 @@
 	seat.touch()
 	at.clock, at.silence = c.clock, seat.silence
 	defer at.end()
-	resp, err := c.http.Do(at.trace(req))
+	resp, err := c.lane.Load().http.Do(at.trace(req))
 	if err != nil {
 		return c.transportFailure(ctx, at, start, err), nil
 	}
--- a/core/upstream/seats.go
+++ b/core/upstream/seats.go
@@ -284,6 +284,21 @@
 	return unused
 }
 
+// setMost changes the number of seats; connections dialled ahead that are too many by it are closed at once.
+func (s *seats) setMost(most int) {
+	s.mu.Lock()
+	s.most = most
+	n := min(max(0, s.open-most), len(s.spares))
+	drop := slices.Clone(s.spares[:n])
+	s.spares = s.spares[n:]
+	s.wake()
+	s.mu.Unlock()
+	for _, c := range drop {
+		_ = c.Close()
+	}
+	s.fill()
+}
+
 func (s *seats) close() {
 	s.mu.Lock()
 	s.closed = true
--- a/core/upstream/seats_test.go
+++ b/core/upstream/seats_test.go
@@ -178,3 +178,39 @@
 		})
 	}
 }
+
+// A draper's servers are to be shared with another system, and the operators lower upstream.connections. The
+// document is in force at once, but a host that kept its old share until its next restart would go on taking
+// the connections of the other system for weeks. Raised again, the host must use what it is given.
+func TestSeatsFollowTheDocument(t *testing.T) {
+	const many, few = 6, 2
+	p := newLimited(t, many, 0, func(string) {})
+	c := newTestClient(t, Options{Seats: many})
+	never := func(int) time.Duration { return -1 }
+	storm(t.Context(), c, p.addr(), 16, 200, never)
+	p.settle(t, many)
+	for _, most := range []int{few, many, few} {
+		qt.Assert(t, c.SetSeats(most), qt.IsNil)
+		p.settle(t, most)
+		ok := storm(t.Context(), c, p.addr(), 16, 200, never)
+		qt.Assert(t, ok, qt.Equals, 200)
+		p.settle(t, most)
+		peak, refused := p.counts()
+		qt.Assert(t, peak, qt.Equals, most)
+		qt.Assert(t, refused, qt.Equals, 0)
+	}
+}
+
+// settle waits until the replica has exactly n connections and counts its peak from there.
+func (p *limited) settle(tb testing.TB, n int) {
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		p.mu.Lock()
+		if p.open == n {
+			p.peak = p.open
+			p.mu.Unlock()
+			return
+		}
+		p.mu.Unlock()
+	}
+	tb.Fatalf("the replica never had exactly %d connections", n)
+}
--- a/entry/internal/service/service.go
+++ b/entry/internal/service/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -101,6 +102,9 @@
 func (s *Service) SetGeneration(gen accepted.Generation) {
 	s.gen.Store(&gen)
 	s.gate.SetLimits(limits(gen.Document))
+	if err := s.client.SetSeats(seats(gen.Document)); err != nil {
+		panic(fmt.Sprintf("service: a client without an endpoint can't be made: %v", err))
+	}
 }
 
 // Generation returns the generation in force.
