sessions: Never give two sessions the same port

Cause: sessions run at once and are given ports that they bind later; blocks were drawn at random and could overlap. Seen once as 'bind: address already in use'. Change: blocks follow each other from a random start, so none overlap.

--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -15,6 +15,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,10 +98,16 @@
 	highestPort = 32000
 )
 
-// freeBlock holds all the ports open while it looks, so that no other session is given one of them.
+// nextPort is where the next block is sought. Sessions run at once, and one that has been given a block binds it
+// only later; blocks that never overlap are what keeps another session from taking a port in between.
+var nextPort atomic.Int32
+
+func init() { nextPort.Store(lowestPort + rand.Int32N((highestPort-lowestPort)/2)) }
+
+// freeBlock returns the next block of n ports if all of them are free.
 func freeBlock(n int) (netip.AddrPort, bool) {
 	var lc net.ListenConfig
-	base := lowestPort + rand.IntN(highestPort-lowestPort-n)
+	base := int(nextPort.Add(int32(n))) - n
 	for i := range n {
 		l, err := lc.Listen(context.Background(), "tcp", fmt.Sprintf("127.0.0.1:%d", base+i))
 		if err != nil {
