--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -15,9 +15,10 @@
 RUNS="${RUNS:-8:1:0 32:1:0 128:1:0 8:64:0 8:1:600 32:1:0:3}"
 WINDOW="${WINDOW:-30}"
 EDITS="${EDITS:-5}"
-PLATFORM=127.0.0.1:21500
-LISTEN_BASE=21600
-PEER_BASE=21900
+# Below the ports that the sessions search, so that both can run at once.
+PLATFORM=127.0.0.1:8100
+LISTEN_BASE=8200
+PEER_BASE=8500
 CSV=.out/capacity.csv
 CONFIG=.out/capacity-config.csv
 # A segment carries 52 bytes of TCP and IP header, and about every second one is acknowledged by an empty one.
