--- a/entry/internal/member/load.go
+++ b/entry/internal/member/load.go
@@ -13,7 +13,7 @@
 const (
 	loadSends = 4
 	// marksPerSecond is how many new marks a host hears a second from all others together.
-	marksPerSecond = 10
+	marksPerSecond = 5
 	wholeFleet     = 64
 	// loadStep is the least change of load that is worth telling.
 	loadStep = 0.02
