--- a/Makefile
+++ b/Makefile
@@ -39,9 +39,10 @@
 bench: build
 	SCENE="$(SCENE)" ROUNDS="$(or $(ROUNDS),2)" scripts/bench.sh
 
-# capacity measures what control costs a host, with up to 128 processes, and writes .out/capacity.csv; RUNS="hosts:services:replicas ..." chooses others.
+# capacity measures what control costs a host, with up to 128 processes, and what queries cost it, and writes CSV files under .out; RUNS="hosts:services:replicas ..." chooses others.
 capacity: build
 	RUNS="$(RUNS)" scripts/capacity.sh
+	scripts/capacity_queries.sh
 
 clean:
 	rm -rf $(BIN) .out
