--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -148,8 +148,14 @@
   stop_all
 }
 
+# machine says how busy the machine is, since figures depend on it.
+machine() {
+  echo "$1: load average $(cut -d' ' -f1-3 /proc/loadavg) on $(nproc) processors"
+}
+
 FAILED=0
 FILES=()
+machine "at the start"
 for scene in $SCENES; do
   if [ ! -f "load/scenes/$scene.yaml" ]; then
     echo "no scene $scene; there are: $ALL $FAULTS" >&2
@@ -167,5 +173,6 @@
 done
 echo
 "$BIN/load" table --out="$OUT" "${FILES[@]}"
+machine "at the end"
 echo "figures, plots and logs are in $OUT"
 exit "$FAILED"
