--- a/scripts/compare.sh
+++ b/scripts/compare.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Weighs ways of comparing two versions: runs without any change at three rates, and runs with planted regressions.
+# Tries load compare: runs without any change at three rates, and runs with planted regressions.
 # What it starts it stops, by pid.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -21,7 +21,6 @@
 for n in 0 1 2; do until_ok "host $n answers" answers_whole "127.0.0.1:$((ENTRY_BASE + n))" remnant-finder; done
 
 EVERY="$(seq -s, 0 29)"
-ARGS=()
 # one NAME RATE ROUND FAULT runs once.
 one() {
   local scene="$OUT/$1.yaml"
@@ -31,18 +30,33 @@
 }
 
 ROUND=0
+CLEAN=()
 for rate in 90 110 130; do
-  for repeat in 1 2 3; do
+  for _ in 1 2 3; do
     ROUND=$((ROUND + 1))
     one clean "$rate" "$ROUND" '{slow: 1}'
-    ARGS+=(--clean="$OUT/clean/guavaspring-$ROUND.csv")
-    if [ "$repeat" = 3 ]; then continue; fi
+    CLEAN+=("$OUT/clean/guavaspring-$ROUND.csv")
+  done
+done
+ROUND=0
+for rate in 90 110 130; do
+  for _ in 1 2; do
+    ROUND=$((ROUND + 1))
     one all_3_percent_slower "$rate" "$ROUND" '{slow: 1.03}'
     one all_8_percent_slower "$rate" "$ROUND" '{slow: 1.08}'
     one one_in_200_tries_3x "$rate" "$ROUND" '{straggler_share: 0.005, straggler_factor: 3}'
-    for name in all_3_percent_slower all_8_percent_slower one_in_200_tries_3x; do
-      ARGS+=(--planted="$name#$ROUND=$OUT/$name/guavaspring-$ROUND.csv")
-    done
   done
 done
-"$BIN/load" detectors "${ARGS[@]}"
+# verdict NAME FILE... compares one run with earlier ones and prints what came out.
+verdict() {
+  local name="$1"
+  shift
+  echo "$name: $("$BIN/load" compare "$@" 2>&1 | tr '\n' ';')"
+}
+for i in "${!CLEAN[@]}"; do
+  others=("${CLEAN[@]:0:i}" "${CLEAN[@]:i+1}")
+  verdict "no change" "${others[@]}" "${CLEAN[$i]}"
+done
+for name in all_3_percent_slower all_8_percent_slower one_in_200_tries_3x; do
+  for i in $(seq "$ROUND"); do verdict "$name" "${CLEAN[@]}" "$OUT/$name/guavaspring-$i.csv"; done
+done
