--- a/load/internal/report/table.go
+++ b/load/internal/report/table.go
@@ -141,6 +141,8 @@
 	switch {
 	case s.N == 0:
 		return "not run"
+	case aim.AtMost == nil && aim.AtLeast == nil:
+		return "no bound set"
 	case aim.Met(s.Least) && aim.Met(s.Most):
 		return "met"
 	case !aim.Met(s.Least) && !aim.Met(s.Most):
