sessions: Pause a real host across its right to run a write

Cause: "leases lapse while their holder is paused and unaware" was held by the model of the decisions with a clock of its own; no real process was stopped.

Change: the session paused_host stops a host with a write on its way to it until the other host takes it for dead, resumes it, and reads the upstream's record. load write runs one write, as load query runs one query.

Seen red: with the check of the ticket's end taken out, the resumed host runs the write. Green with it.

--- a/load/main.go
+++ b/load/main.go
@@ -28,7 +28,7 @@
 
 func main() {
 	app := settings.New("load", "Calls hosts as callers do and reports tail latency, coverage and extra load.")
-	commands := []command{queryCommand(app), runCommand(app), tableCommand(app), baselineCommand(app), portsCommand(app), compareCommand(app)}
+	commands := []command{queryCommand(app), writeCommand(app), runCommand(app), tableCommand(app), baselineCommand(app), portsCommand(app), compareCommand(app)}
 	chosen, err := app.Parse(os.Args[1:])
 	if err != nil {
 		settings.Fail(os.Stderr, "load", err)
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -13,9 +13,11 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -66,6 +68,7 @@
 			"until":  until,
 			"grab":   grab,
 			"golden": golden,
+			"signal": signal,
 		},
 		RequireExplicitExec: true,
 	})
@@ -195,6 +198,23 @@
 	return ts.ReadFile("stdout") + ts.ReadFile("stderr")
 }
 
+// signals are those that a session may send besides those of the kill command.
+var signals = map[string]syscall.Signal{"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
+
+// signal STOP|CONT ARGUMENT pauses or resumes the background program that was started with the argument.
+func signal(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 || signals[args[0]] == 0 {
+		ts.Fatalf("usage: signal STOP|CONT ARGUMENT")
+	}
+	for _, cmd := range ts.BackgroundCmds() {
+		if slices.Contains(cmd.Args, args[1]) {
+			ts.Check(cmd.Process.Signal(signals[args[0]]))
+			return
+		}
+	}
+	ts.Fatalf("no background program was started with %s", args[1])
+}
+
 // grab NAME PATTERN sets NAME to what the pattern's group matched in what was printed last.
 func grab(ts *testscript.TestScript, _ bool, args []string) {
 	if len(args) != 2 {
