--- a/entry/internal/admission/queue/queue.go
+++ b/entry/internal/admission/queue/queue.go
@@ -36,7 +36,6 @@
 	all     class
 	typical median
 	refused recent
-	seen    others
 
 	// served is the place-time that a caller which always had something waiting has been given; callers that begin to wait start from it.
 	served time.Duration
@@ -80,10 +79,9 @@
 	if !now.Before(req.Deadline) {
 		return q.turnAway(now, ReasonLate)
 	}
-	q.seen.note(now, req.Caller)
 	c := q.classOf(req)
 	long := q.isLong(c)
-	if q.running < q.limits.Running && (!long || q.longFree()) && !q.held(now, q.flows[req.Caller]) {
+	if q.running < q.limits.Running && (!long || q.longFree()) {
 		f := q.flow(req.Caller)
 		f.served = max(f.served, q.served)
 		return Arrival{Verdict: VerdictRun, Grant: q.start(now, f, c, long)}
@@ -179,7 +177,7 @@
 // fill gives free places to waiting requests.
 func (q *Queue) fill(now time.Time) {
 	for q.running < q.limits.Running {
-		k := q.next(now)
+		k := q.next()
 		if k == nil {
 			return
 		}
@@ -198,28 +196,26 @@
 	}
 }
 
-// next returns the queue whose oldest request runs next, or nil: of the callers that are not held to their share, the one with the least place-time.
-func (q *Queue) next(now time.Time) *keyQueue {
-	longFree := q.longFree()
-	var best *keyQueue
+// next returns the queue whose oldest request runs next: of the callers below their share, or of all where each has it, the one with the least place-time.
+func (q *Queue) next() *keyQueue {
+	share, longFree := q.shareOf(q.limits.Running), q.longFree()
+	var best, over *keyQueue
 	for _, f := range q.active {
-		if k := f.next(longFree); k != nil && !q.held(now, f) {
+		k := f.next(longFree)
+		switch {
+		case k == nil:
+		case f.running >= share:
+			over = lessServed(over, k)
+		default:
 			best = lessServed(best, k)
 		}
 	}
+	if best == nil {
+		return over
+	}
 	return best
 }
 
-// held reports whether a caller has its share of the places and must leave the rest to the other callers of late.
-//
-// A caller with most of the load would otherwise take each place that is free between two requests of the
-// others. Every replica's slots are then taken whenever one of those arrives, and it waits for a slot at some shard
-// though it is the next in line here. The share costs goodput while the others ask for little; a caller that is
-// alone has all places.
-func (q *Queue) held(now time.Time, f *flow) bool {
-	return f != nil && f.running >= q.shareOf(q.limits.Running) && q.seen.besides(now, f.caller)
-}
-
 func lessServed(a, b *keyQueue) *keyQueue {
 	if a == nil || b.flow.served < a.flow.served {
 		return b
