standin: Use a client of one seat in the test of the connection limit

Cause: TestConnectionsOverTheLimitAreClosed failed in 5 of 30 runs, and once in make test. Its client had four seats against a replica that accepts one connection; since the upstream client dials ahead, a second connection of its own could take or lose the one place before the test's first query. Ruled out: the stand-in's limit, which the test still proves with the peak and the count of refusals; nothing in it is weaker.

--- a/standin/internal/replica/replica_test.go
+++ b/standin/internal/replica/replica_test.go
@@ -130,7 +130,10 @@
 func TestConnectionsOverTheLimitAreClosed(t *testing.T) {
 	// One connection is held; the second is closed as soon as it is accepted, and is counted.
 	c := qt.New(t)
-	addr, client := start(c, replica.Options{Slots: 1, Connections: 1})
+	addr, _ := start(c, replica.Options{Slots: 1, Connections: 1})
+	// One seat: a client with more may open a second connection of its own, and then lose its request to the limit.
+	client, err := upstream.New(upstream.Options{Seats: 1})
+	c.Assert(err, qt.IsNil)
 	c.Assert(query(client, addr, "q1", "wool").Kind, qt.Equals, upstream.KindOK)
 	other, err := upstream.New(upstream.Options{Seats: 1})
 	c.Assert(err, qt.IsNil)
