--- a/entry/internal/host/host.go
+++ b/entry/internal/host/host.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/netip"
 	"sync"
-	"time"
 
 	"github.com/go-kratos/kratos/v2"
 	"github.com/go-logr/logr"
@@ -23,7 +22,6 @@
 	"guavaspring.org/entry/internal/metrics"
 	"guavaspring.org/entry/internal/service"
 	"guavaspring.org/entry/internal/steer"
-	"guavaspring.org/entry/internal/ticket"
 	"guavaspring.org/entry/internal/writes"
 )
 
@@ -51,10 +49,8 @@
 	writer   *writes.Writer
 	steerer  *steer.Steerer
 	drain    *drainer.Drainer
-	// mint makes a write ticket for one incarnation of a host; nil means that none are handed out.
-	mint    func(incarnation, service string, now time.Time, life time.Duration) string
-	counts  *metrics.Metrics
-	routing *service.Metrics
+	counts   *metrics.Metrics
+	routing  *service.Metrics
 
 	mu       sync.RWMutex
 	services map[string]*service.Service
@@ -79,7 +75,6 @@
 	h.joined.status = h.status(client)
 	h.counts.Registry().MustRegister(h.joined.peers.Collectors()...)
 	h.writer = h.newWriter()
-	h.mint = ticket.Mint
 	return h, nil
 }
 
--- a/entry/internal/host/steer.go
+++ b/entry/internal/host/steer.go
@@ -12,6 +12,7 @@
 	"guavaspring.org/entry/internal/metrics"
 	"guavaspring.org/entry/internal/service"
 	"guavaspring.org/entry/internal/steer"
+	"guavaspring.org/entry/internal/ticket"
 )
 
 // loadEvery is how often the other hosts may hear a new load of this one.
@@ -45,12 +46,9 @@
 
 // tickets mints n rights to a write at one incarnation of a host.
 func (h *Host) tickets(incarnation, service string, n int, life time.Duration) []string {
-	if h.mint == nil {
-		return nil
-	}
 	list := make([]string, n)
 	for i := range list {
-		list[i] = h.mint(incarnation, service, h.opts.Clock.Now(), life)
+		list[i] = ticket.Mint(incarnation, service, h.opts.Clock.Now(), life)
 	}
 	return list
 }
