fanout: Retry what a crash broke without the budget

A crash of ten replicas fails some hundred tries of three hosts within 50 ms; the budget keeps ten a host. not_sent took from it though nothing had run.

Ruled out: no shard of another request was lost to both tries breaking, none to waiting behind a suspect.

Change: a retry after a try that surely did not run is free; so is that of the first break of a shard while the replica that gets it is in. Where every replica breaks what it runs all are out within three strikes, and the budget bounds the load again.

Seen red: TestCrashSpendsNoRetryBudget on the code before (2 to 3 shards missing an answer); TestBreaksOfEveryReplicaAreNotSentAgainForGood with the guard taken out on a scratch copy (1,600 retries for 800 tries, 54 allowed).

--- a/entry/internal/fanout/plan.go
+++ b/entry/internal/fanout/plan.go
@@ -67,9 +67,11 @@
 	wait, why string
 	closed    bool
 	answered  bool
-	// gone says that a replica refused the version, shed that one was full, refused that the last failure was a refusal.
-	gone, shed, refused bool
-	hits                []upstream.Hit
+	// gone says that a replica refused the version, shed that one was full.
+	gone, shed bool
+	// failure is how the last try failed.
+	failure upstream.Kind
+	hits    []upstream.Hit
 }
 
 func (s *shard) tried() []*replica.Replica { return s.tries[:s.n] }
--- a/entry/internal/fanout/results.go
+++ b/entry/internal/fanout/results.go
@@ -40,7 +40,7 @@
 	s := &p.shards[i]
 	s.gone = s.gone || res.Kind == upstream.KindVersionGone
 	s.shed = s.shed || res.Kind == upstream.KindShed
-	s.refused = res.Kind == upstream.KindVersionGone || res.Kind == upstream.KindShed || res.Kind == upstream.KindDraining
+	s.failure = res.Kind
 	why := join(string(res.Kind), res.Detail)
 	switch {
 	case s.inflight > 0 && s.n > 1:
--- a/entry/internal/fanout/tries.go
+++ b/entry/internal/fanout/tries.go
@@ -20,7 +20,7 @@
 		p.miss(i, nil, join(why, "no replica is left to try"))
 	case verdict == choice.Busy && s.inflight == 0:
 		p.hold(i, what, why)
-	case verdict == choice.Found && what == WhatRetry && !p.mayRetry(s):
+	case verdict == choice.Found && what == WhatRetry && !p.mayRetry(s, r):
 		if s.inflight == 0 {
 			p.miss(i, r, join(why, "the retry budget is spent"))
 		}
@@ -29,10 +29,22 @@
 	}
 }
 
-// mayRetry takes from the retry budget. Refusals are free: a replica that refused did no work. One that
-// leaves, or has lost the version, can't refuse again; and one that sheds sets the pace itself by the limit.
-func (p *plan) mayRetry(s *shard) bool {
-	return s.refused || p.run.retries.Take()
+// mayRetry takes from the retry budget where the failed try may have cost an upstream its work.
+//
+// A try that surely did not run is sent again free of charge: a replica that leaves, has lost the version or can't be
+// reached did nothing for it, and one that sheds sets the pace itself by the limit. So is the first break of a shard
+// while r is in: a crash breaks all that a replica runs at once, more than the budget ever keeps, and answers that two
+// healthy replicas could give would go out with holes. Where every replica breaks what it runs, all are soon out, and the
+// budget bounds the load again.
+func (p *plan) mayRetry(s *shard, r *replica.Replica) bool {
+	switch {
+	case s.failure.NotRun() || s.failure == upstream.KindVersionGone:
+		return true
+	case s.failure == upstream.KindBroken && s.n == 1 && r.Eject.In():
+		return true
+	default:
+		return p.run.retries.Take()
+	}
 }
 
 func (p *plan) send(i int, r *replica.Replica, what, why string) {
