quarantine: Try a suspect at one shard first

Cause: the first tries of a query that crashes upstreams break at ten shards within some milliseconds, and its second tries left together too: several replicas more were down before the first of them had proved the request guilty.

Weighed and ruled out: to hold two breaks at two shards for proof. To cancel the other shards' tries: the stand-in crashes as soon as it has read the request.

Change: while no shard has answered, one shard's second try goes first and the others wait for it, 100 ms at most.

The loss of innocents is no smaller by this change: what is left of it waits for replicas at their limit until the deadline.

--- a/entry/internal/quarantine/model_test.go
+++ b/entry/internal/quarantine/model_test.go
@@ -29,6 +29,7 @@
 
 // site is one shard of three replicas, hosts that use it, and the rumors between them.
 type site struct {
+	shard   int
 	mu      sync.Mutex
 	rand    *rand.Rand
 	lives   [3]chan struct{}
@@ -104,7 +105,7 @@
 	first := s.draw(3)
 	for k := range 3 {
 		r := (first + k) % 3
-		try, err := q.Enter(ctx, fp, 0, fmt.Sprint("r", r))
+		try, err := q.Enter(ctx, fp, s.shard, fmt.Sprint("r", r, ".", s.shard))
 		if err != nil {
 			continue
 		}
--- a/entry/internal/quarantine/quarantine.go
+++ b/entry/internal/quarantine/quarantine.go
@@ -22,6 +22,9 @@
 	// confirm is how long a suspicion stays on this host: nearly every innocent request has been answered by then, and a
 	// crash with many in flight isn't told to the fleet once for each.
 	confirm = 200 * time.Millisecond
+	// patience is how long the shards of a suspect wait for its first second try, twice the usual reply of the slowest
+	// service that was measured; an innocent must not lose all of them to one replica that has gone silent.
+	patience = 100 * time.Millisecond
 	// most bounds the requests that are remembered; the oldest go first.
 	most = 4096
 )
@@ -52,7 +55,8 @@
 // request whose try broke is a suspect; it is tried once more, and a second break of the same shard on another replica
 // quarantines it. An answer of the shard clears it, since a request that crashes upstreams is never answered. Suspects are
 // kept apart: a replica gets one at a time from this host, so that an innocent one doesn't sit beside the guilty
-// one a second time.
+// one a second time. A request that broke at several shards is tried again at one of them first while none has answered:
+// sent to all at once, its second tries would take down several replicas more before the first has proved it guilty.
 type Quarantine struct {
 	opts Options
 
@@ -68,6 +72,10 @@
 	until  time.Time
 	held   bool
 	shards map[int]*shard
+	// probe is the one more try that the other shards of the request wait for.
+	probe *Try
+	// open says that its shards don't wait for one another any more, since one has answered or the probe took too long.
+	open bool
 }
 
 // shard is what is known of one request at one shard.
@@ -118,7 +126,8 @@
 	more bool
 }
 
-// Enter asks to send a try of shard n to a replica, and waits while the replica runs another suspect.
+// Enter asks to send a try of shard n to a replica, and waits while the replica runs another suspect or the request's own
+// one more try of another shard is not decided.
 func (q *Quarantine) Enter(ctx context.Context, fp string, n int, replica string) (*Try, error) {
 	try := &Try{q: q, fp: fp, n: n, replica: replica}
 	for {
@@ -139,7 +148,8 @@
 	}
 }
 
-// enter returns a channel to wait on where the replica runs another suspect; q.mu is held.
+// enter returns a channel to wait on where the replica runs another suspect, or where the one more try of another shard of
+// the request is to be awaited first; q.mu is held.
 func (q *Quarantine) enter(try *Try) (wait <-chan struct{}, err error) {
 	r := q.records[try.fp]
 	if r == nil || !q.opts.Clock.Now().Before(r.until) {
@@ -159,10 +169,14 @@
 	if s.broke == try.replica {
 		return nil, fmt.Errorf("the request is a suspect since its connection to this replica broke; another one has to be tried")
 	}
-	if q.carries[try.replica] != nil {
+	if r.probe != nil || q.carries[try.replica] != nil {
 		return q.changed, nil
 	}
 	s.trying, try.more = true, true
+	if !r.open {
+		r.probe = try
+		q.opts.Clock.AfterFunc(patience, func() { q.giveUp(r, try) })
+	}
 	q.carries[try.replica] = try
 	return nil, nil
 }
@@ -229,6 +243,7 @@
 	if r == nil || r.held {
 		return
 	}
+	q.open(r)
 	delete(r.shards, t.n)
 	if len(r.shards) == 0 {
 		delete(q.records, t.fp)
@@ -273,13 +288,43 @@
 		return
 	}
 	delete(q.carries, t.replica)
-	close(q.changed)
-	q.changed = make(chan struct{})
-	if r := q.records[t.fp]; r != nil && r.shards[t.n] != nil {
+	q.wakeAll()
+	r := q.records[t.fp]
+	if r == nil {
+		return
+	}
+	if r.probe == t {
+		r.probe = nil
+	}
+	if r.shards[t.n] != nil {
 		r.shards[t.n].trying = false
 	}
 }
 
+// giveUp lets the other shards go where the probe is still undecided: its replica may be slow or silent.
+func (q *Quarantine) giveUp(r *record, probe *Try) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if r.probe == probe {
+		q.open(r)
+	}
+}
+
+// open ends the waiting of a request's shards for one another; q.mu is held.
+func (q *Quarantine) open(r *record) {
+	if r.open {
+		return
+	}
+	r.open, r.probe = true, nil
+	q.wakeAll()
+}
+
+// wakeAll lets those who wait look again; q.mu is held.
+func (q *Quarantine) wakeAll() {
+	close(q.changed)
+	q.changed = make(chan struct{})
+}
+
 // record returns the record of a request, and makes room for a new one by dropping the one that ends first.
 func (q *Quarantine) record(fp string, now time.Time) *record {
 	r := q.records[fp]
