quarantine: Keep a quarantine when a late try breaks

Cause: a try that was on its way to another shard when the request was quarantined, and broke a moment later, set the end of the record to the 10 s of a suspicion. The host that had found the request forgot it after 10 s; the other two kept it for 60.

Change: such a break adds nothing to a quarantine.

Seen red: TestLateBreakDoesNotEndTheQuarantine on the code before.

--- a/entry/internal/quarantine/quarantine.go
+++ b/entry/internal/quarantine/quarantine.go
@@ -189,7 +189,8 @@
 	r := q.record(t.fp, now)
 	s := r.shards[t.n]
 	guilty := s != nil && s.broke != t.replica && !r.held
-	if s == nil {
+	// A try that was on its way when the request was quarantined adds nothing, and must not end the quarantine early.
+	if s == nil && !r.held {
 		r.shards[t.n] = &shard{broke: t.replica}
 		r.until = now.Add(suspected)
 		q.opts.Clock.AfterFunc(confirm, func() { q.tellSuspect(t.fp, t.n) })
--- a/entry/internal/quarantine/shards_test.go
+++ b/entry/internal/quarantine/shards_test.go
@@ -119,3 +119,22 @@
 		})
 	}
 }
+
+// A lookup is quarantined at its second break of one shard, and the try of another shard breaks a moment later. That break
+// must not end the quarantine early: after 10 s its caller would take down ten replicas once more.
+func TestLateBreakDoesNotEndTheQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newSite(1, 1).hosts[0]
+		enter := func(n int, replica string) *Try {
+			try, err := q.Enter(t.Context(), poison, n, replica)
+			qt.Assert(t, err, qt.IsNil)
+			return try
+		}
+		late := enter(1, "a1")
+		enter(0, "a0").Broke()
+		enter(0, "b0").Broke()
+		late.Broke()
+		time.Sleep(held - time.Second)
+		qt.Assert(t, q.Check(poison).Refused, qt.IsTrue)
+	})
+}
