load: Send another poison in each run

Change: the poison's text ends with the name of the run; the marker that crashes a replica is still in it.

--- a/load/internal/drive/queries.go
+++ b/load/internal/drive/queries.go
@@ -97,6 +97,7 @@
 }
 
 // sendPoison plays a caller that sends a query again and again, each time as a new request, though it crashes what runs it.
+// Its text differs from run to run: a quarantine outlasts a run, and the next one would measure no crash at all.
 func (d *Driver) sendPoison(ctx context.Context) {
 	p := d.opts.Scene.Poison
 	for n := range p.Times {
@@ -109,7 +110,7 @@
 		// What it gets does not matter; what it does to the others does.
 		_ = d.callers[n%len(d.callers)].Query(askCtx, hosts.QueryRequest{
 			Service: d.opts.Scene.Service, ID: fmt.Sprintf("%s-poison%d", d.opts.Run, n), Deadline: deadline,
-			Query: caller.Query{Query: p.Text, Limit: d.opts.Scene.Limit},
+			Query: caller.Query{Query: p.Text + " of " + d.opts.Run, Limit: d.opts.Scene.Limit},
 		})
 		cancel()
 	}
