--- /dev/null
+++ b/gsctl/internal/docfile/file_test.go
@@ -0,0 +1,40 @@
+package docfile
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// An operator's file comes back from an editor in any state. Whatever the first line holds, the version that an
+// edit started from is read as it was written or refused; read wrongly, the edit would undo somebody else's.
+func FuzzSplitBase(f *testing.F) {
+	for _, seed := range []string{"", "# base_version: 3\nservice: x\n", "# base_version: -1\n", "# base_version: 3 4\n", "service: x"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		base, text, err := splitBase(b)
+		if err != nil || base == 0 {
+			return
+		}
+		again, same, err := splitBase(Format(base, text))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, again, qt.Equals, base)
+		qt.Assert(t, string(same), qt.Equals, string(text))
+	})
+}
+
+func TestReadSaysWhatIsWrong(t *testing.T) {
+	for _, test := range []struct{ text, want string }{
+		{"# base_version: three\nservice: donor-desk\n", `.*d.yaml: base_version: "three": not a version; want a whole number.*`},
+		{"# base_version: -1\nservice: donor-desk\n", `.*d.yaml: base_version: "-1": not a version.*`},
+		{"service: Donor\n", `.*d.yaml: service: .*`},
+	} {
+		path := filepath.Join(t.TempDir(), "d.yaml")
+		qt.Assert(t, os.WriteFile(path, []byte(test.text), 0o600), qt.IsNil)
+		_, err := Read(path)
+		qt.Assert(t, err, qt.ErrorMatches, test.want)
+	}
+}
