--- a/entry/internal/member/list.go
+++ b/entry/internal/member/list.go
@@ -15,7 +15,7 @@
 type Options struct {
 	// Self is this host's own row; its Epoch and State are set by New.
 	Self Host
-	// Rand draws probe orders and helpers; a seeded one makes a test repeatable.
+	// Rand draws probe orders and the hosts of indirect probes; a seeded one makes a test repeatable.
 	Rand *rand.Rand
 	// Changed is called, without locks held, after each change of a host's state; it may be nil.
 	Changed func(old, now Host)
--- a/entry/internal/member/list_test.go
+++ b/entry/internal/member/list_test.go
@@ -28,7 +28,7 @@
 	return StateDead
 }
 
-// Story: a host's process is stopped while it waits for its helpers, and while it suspects another host. It wakes
+// Story: a host's process is stopped while it waits for indirect probes, and while it suspects another host. It wakes
 // up with every deadline overdue; the answers that would clear the others lie unread in its sockets. If it acted on
 // the deadlines it would tell everybody that healthy hosts are gone.
 func TestNothingIsDecidedOnDeadlinesThatRanOutDuringAPause(t *testing.T) {
--- a/entry/internal/member/network_test.go
+++ b/entry/internal/member/network_test.go
@@ -229,12 +229,12 @@
 
 func (n *network) ask(from *node, target Host, sent time.Time) {
 	reached := false
-	for _, h := range from.list.Helpers(target, 3) {
-		helper := n.find(h.Peer)
-		n.deliver(from, helper, func() {
-			n.call(helper, target.Peer, target.ID, func(reply Message) {
+	for _, h := range from.list.IndirectProbers(target, 3) {
+		prober := n.find(h.Peer)
+		n.deliver(from, prober, func() {
+			n.call(prober, target.Peer, target.ID, func(reply Message) {
 				if reply.From == target.ID {
-					n.deliver(helper, from, func() { reached = true })
+					n.deliver(prober, from, func() { reached = true })
 				}
 			}, func() {})
 		})
--- a/entry/internal/member/probe.go
+++ b/entry/internal/member/probe.go
@@ -50,13 +50,13 @@
 	return list
 }
 
-// Helpers returns up to n random hosts that are alive and not target, to probe it from elsewhere.
-func (l *List) Helpers(target Host, n int) []Host {
+// IndirectProbers returns up to n random hosts that are alive and not target, to probe it from elsewhere.
+func (l *List) IndirectProbers(target Host, n int) []Host {
 	hosts := l.Hosts()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var list []Host
-	// A bounded number of draws is enough: a helper less only makes the check less sure.
+	// A bounded number of draws is enough: one less only makes the check less sure.
 	for range 4 * n {
 		h := hosts[l.opts.Rand.IntN(len(hosts))]
 		if len(list) == n {
@@ -124,7 +124,7 @@
 	}
 }
 
-// Unreachable says that neither this host nor its helpers reached target with a probe sent at sent.
+// Unreachable says that neither a direct nor an indirect probe reached target with a probe sent at sent.
 func (l *List) Unreachable(now time.Time, target Host, sent time.Time) {
 	l.mu.Lock()
 	r := l.rows[target.ID]
--- a/entry/internal/peers/peers.go
+++ b/entry/internal/peers/peers.go
@@ -22,10 +22,10 @@
 )
 
 const (
-	tickEvery    = 200 * time.Millisecond
-	probeTimeout = 500 * time.Millisecond
-	askTimeout   = 1200 * time.Millisecond
-	helpers      = 3
+	tickEvery      = 200 * time.Millisecond
+	probeTimeout   = 500 * time.Millisecond
+	askTimeout     = 1200 * time.Millisecond
+	indirectProbes = 3
 )
 
 // Options configures Peers.
@@ -160,7 +160,7 @@
 }
 
 func (p *Peers) askOthers(ctx context.Context, target member.Host) bool {
-	list := p.opts.List.Helpers(target, helpers)
+	list := p.opts.List.IndirectProbers(target, indirectProbes)
 	found := make(chan bool, len(list))
 	for _, h := range list {
 		go func() {
--- a/entry/internal/peers/pool.go
+++ b/entry/internal/peers/pool.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// maxClients bounds the open connections to other hosts: neighbours, helpers and the sources of a repair.
+	// maxClients bounds the open connections to other hosts: neighbours, hosts asked to probe and the sources of a repair.
 	maxClients  = 24
 	callTimeout = 2 * time.Second
 )
--- a/entry/internal/service/service.go
+++ b/entry/internal/service/service.go
@@ -139,6 +139,9 @@
 	s.probes.Wait()
 }
 
+// retryUnknown is when to come back to a host that knows no index version; it reads the list and asks new replicas each second.
+const retryUnknown = 500 * time.Millisecond
+
 // QueryRequest is one query as it arrived at the host.
 type QueryRequest struct {
 	ID       string
@@ -168,7 +171,7 @@
 	defer func() { place.Leave(ans.Outcome == caller.OutcomeComplete) }()
 	vm, ok := s.pick()
 	if !ok {
-		ans.Outcome, ans.Reason, ans.RetryAfterMS = caller.OutcomeRefused, "no index version of the service is known yet", 500
+		ans.Outcome, ans.Reason, ans.RetryAfterMS = caller.OutcomeRefused, "no index version of the service is known yet", retryMS(retryUnknown)
 		return ans
 	}
 	// The tries are named after an id of our own: callers repeat theirs, and an upstream or a late reply could not tell two such requests apart.
@@ -182,7 +185,7 @@
 	ans.Snapshot = report.Snapshot
 	ans.Coverage, ans.Hits = report.Coverage, report.Hits
 	ans.Outcome, ans.Reason = outcome(report.Coverage), report.Reason
-	ans.RetryAfterMS = report.RetryAfter.Milliseconds()
+	ans.RetryAfterMS = retryMS(report.RetryAfter)
 	return ans
 }
 
