sessions: Hold docs/PROOFS.md to the tests that it names

Cause: a session was lost in a merge, and nothing said so. Change: TestProofsAreThere wants each test and session that the page names, and each session on the page. Seen red: with the session of the outage taken away.

--- /dev/null
+++ b/sessions/proofs_test.go
@@ -0,0 +1,75 @@
+package sessions
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+var (
+	provenTest    = regexp.MustCompile(`\b(?:Test|Fuzz|Benchmark)[A-Z]\w+`)
+	provenSession = regexp.MustCompile(`session (\w+) in sessions|TestSessions/(\w+)`)
+	declared      = regexp.MustCompile(`(?m)^func ((?:Test|Fuzz|Benchmark)\w+)\(`)
+)
+
+// A merge takes a test away, and nobody notices: everything is green, with one proof fewer, while docs/PROOFS.md
+// still names it to its readers. It happened to the session of the outage. Each test and each session that
+// the page names must be there, and each session must be on the page.
+func TestProofsAreThere(t *testing.T) {
+	b, err := os.ReadFile("../docs/PROOFS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(b)
+	there := testNames(t)
+	for _, name := range provenTest.FindAllString(page, -1) {
+		if !there[name] {
+			t.Errorf("docs/PROOFS.md names %s, and no such test is in the repository", name)
+		}
+	}
+	files, err := filepath.Glob("testdata/*.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sessions := map[string]bool{}
+	for _, f := range files {
+		sessions[strings.TrimSuffix(filepath.Base(f), ".txtar")] = false
+	}
+	for _, m := range provenSession.FindAllStringSubmatch(page, -1) {
+		name := m[1] + m[2]
+		if _, ok := sessions[name]; !ok {
+			t.Errorf("docs/PROOFS.md names the session %s, and testdata has none", name)
+		}
+		sessions[name] = true
+	}
+	for name, named := range sessions {
+		if !named {
+			t.Errorf("the session %s is not named in docs/PROOFS.md", name)
+		}
+	}
+}
+
+// testNames returns the name of every test, fuzz target and benchmark of the repository.
+func testNames(t *testing.T) map[string]bool {
+	names := map[string]bool{}
+	err := filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		b, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, m := range declared.FindAllStringSubmatch(string(b), -1) {
+			names[m[1]] = true
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return names
+}
