warmup: Do not wait for services that have no replica

Cause: a host opened its port only when each service had an index version. With one document whose replicas do not run yet, each start of any host took the whole limit.

Change: a service counts once the platform's list names a replica of it.

--- a/entry/internal/host/start.go
+++ b/entry/internal/host/start.go
@@ -17,13 +17,17 @@
 	events.Warm.Log(h.opts.Log, "reason", reason, "services", len(h.all()), "waited_ms", h.opts.Clock.Now().Sub(began)/time.Millisecond)
 }
 
-// knowsIndexes reports whether an index version of every service is known, and at least one service.
+// knowsIndexes reports whether this host could answer a query of each service that has replicas.
 func (h *Host) knowsIndexes() bool {
-	services := h.all()
-	for _, s := range services {
-		if _, versions := s.Status(); len(versions) == 0 {
-			return false
-		}
+	list, read := h.listing.List()
+	listed := map[string]int{}
+	for _, r := range list {
+		listed[r.Service]++
 	}
-	return len(services) > 0
+	var services []warmup.Service
+	for name, s := range h.all() {
+		_, versions := s.Status()
+		services = append(services, warmup.Service{Listed: listed[name], Versions: len(versions)})
+	}
+	return warmup.Ready(read, services)
 }
--- a/entry/internal/warmup/warmup.go
+++ b/entry/internal/warmup/warmup.go
@@ -56,3 +56,25 @@
 	}
 	return Reached
 }
+
+// Service is what a host that starts knows of one service.
+type Service struct {
+	// Listed is how many replicas the platform's list names, Versions how many index versions they hold.
+	Listed, Versions int
+}
+
+// Ready reports whether a host can answer as well as another: it has the list of replicas, and knows a version of each service that has any.
+//
+// A service whose document came before its replicas must not count, or each start of any host would last for Limit
+// until somebody starts them.
+func Ready(listRead bool, services []Service) bool {
+	if !listRead || len(services) == 0 {
+		return false
+	}
+	for _, s := range services {
+		if s.Listed > 0 && s.Versions == 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/entry/internal/warmup/warmup_test.go
+++ b/entry/internal/warmup/warmup_test.go
@@ -41,3 +41,22 @@
 		})
 	}
 }
+
+// A team proposes the document of a service whose servers come next week. Hosts are replaced meanwhile, and each
+// keeps its port closed for the whole limit though it could serve all other services.
+func TestReady(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		listRead bool
+		services []warmup.Service
+		want     bool
+	}{
+		{"nothing is configured", true, nil, false},
+		{"the list was not read", false, []warmup.Service{{Listed: 0, Versions: 0}}, false},
+		{"replicas that were not asked yet", true, []warmup.Service{{Listed: 3, Versions: 1}, {Listed: 3, Versions: 0}}, false},
+		{"a service without replicas", true, []warmup.Service{{Listed: 3, Versions: 1}, {Listed: 0, Versions: 0}}, true},
+		{"all known", true, []warmup.Service{{Listed: 3, Versions: 2}}, true},
+	} {
+		qt.Check(t, warmup.Ready(test.listRead, test.services), qt.Equals, test.want, qt.Commentf("%s", test.name))
+	}
+}
