steer: Keep the hosts of a service until the member list changes

Cause: each query and write asks whether its caller came to a host that should serve it, and each time the whole fleet was hashed for that: 620 us at 5,600 hosts, a tenth of a core at 173 queries a second, on the way of every request. docs/CAPACITY.md counted it for address requests alone.

Ruled out: asking only now and then, which changes what callers are told; a timer, which sends them to a dead host until it ends.

Change: Steerer keeps the placement by service and limit as long as the member list is the same slice, as follow does with its watchers. Serves is a method.

Seen red: kept for ever; the limit left out of the key.

--- a/entry/internal/host/steer.go
+++ b/entry/internal/host/steer.go
@@ -59,7 +59,7 @@
 	if s == nil {
 		return false
 	}
-	return !steer.Serves(h.Hosts(), h.Self(), service, s.Generation().Document.Upstream.EntryHosts)
+	return !h.steerer.Serves(h.Hosts(), h.Self(), service, s.Generation().Document.Upstream.EntryHosts)
 }
 
 // reportLoad tells the list of hosts this one's load until ctx ends.
--- a/entry/internal/steer/steer.go
+++ b/entry/internal/steer/steer.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"guavaspring.org/entry/internal/member"
@@ -68,19 +69,54 @@
 // Each service is placed on a few hosts, and each caller is given a few of these, both by rendezvous hashing
 // over the hosts' addresses: every host computes the same answer with no word to the others, and a host that
 // comes or goes moves only the callers that used it. Hosts that are leaving or suspect are not handed out.
-type Steerer struct{ opts Options }
+type Steerer struct {
+	opts Options
+
+	// placed holds what was worked out for the member list that begins at placedFor.
+	mu        sync.Mutex
+	placed    map[placement][]member.Host
+	placedFor *member.Host
+}
+
+// placement is what the hosts of a service depend on besides the member list.
+type placement struct {
+	service string
+	limit   int
+}
 
 // New returns a steerer.
 func New(opts Options) *Steerer {
 	if opts.Float64 == nil {
 		opts.Float64 = rand.Float64
 	}
-	return &Steerer{opts: opts}
+	return &Steerer{opts: opts, placed: map[placement][]member.Host{}}
+}
+
+// place returns Place for self's host, and keeps it until the member list changes: each request asks whether it came
+// to the right host, and looking through 5,600 hosts for each would take a tenth of a core. A member list is a new
+// slice after each change and never changes itself.
+func (s *Steerer) place(hosts []member.Host, self member.Host, service string, limit int) []member.Host {
+	if len(hosts) == 0 {
+		return Place(hosts, self, service, limit)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.placedFor != &hosts[0] {
+		s.placedFor = &hosts[0]
+		clear(s.placed)
+	}
+	key := placement{service, limit}
+	list, ok := s.placed[key]
+	if !ok {
+		list = Place(hosts, self, service, limit)
+		s.placed[key] = list
+	}
+	return list
 }
 
 // Pick answers a request that self received; hosts holds self too. There is always a choice, self if no other serves.
 func (s *Steerer) Pick(hosts []member.Host, self member.Host, req Request) Answer {
-	candidates := Place(hosts, self, req.Service, req.Hosts)
+	candidates := s.place(hosts, self, req.Service, req.Hosts)
 	chosen := choose(candidates, req)
 	ans := Answer{Choices: make([]Choice, len(chosen)), Keep: s.keep(req.Keep)}
 	for i, h := range chosen {
@@ -120,11 +156,11 @@
 }
 
 // Serves reports whether callers of a service should use self; where not, it still serves those that come.
-func Serves(hosts []member.Host, self member.Host, service string, limit int) bool {
+func (s *Steerer) Serves(hosts []member.Host, self member.Host, service string, limit int) bool {
 	if self.State == member.StateLeaving {
 		return false
 	}
-	return slices.ContainsFunc(Place(hosts, self, service, limit), func(h member.Host) bool { return h.ID == self.ID })
+	return slices.ContainsFunc(s.place(hosts, self, service, limit), func(h member.Host) bool { return h.ID == self.ID })
 }
 
 func has(hosts []member.Host, region string, state member.State) bool {
--- a/entry/internal/steer/steer_test.go
+++ b/entry/internal/steer/steer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -186,11 +187,47 @@
 	}
 	// A caller that kept an answer for too long is told so by a host that should not serve it any more.
 	hosts := fleet(100)
+	s := steer.New(steer.Options{})
 	for _, h := range hosts {
-		c.Assert(steer.Serves(hosts, h, "remnant-finder", 8), qt.Equals, before[h.ID])
+		c.Assert(s.Serves(hosts, h, "remnant-finder", 8), qt.Equals, before[h.ID])
 	}
 	hosts[0].State = member.StateLeaving
-	c.Check(steer.Serves(hosts, hosts[0], "remnant-finder", 8), qt.IsFalse)
+	c.Check(s.Serves(hosts, hosts[0], "remnant-finder", 8), qt.IsFalse)
+}
+
+// The hosts of a service are kept from one request to the next. A host of them dies, and callers that ask
+// afterwards must be told of its successor; if what is kept outlived the member list, they would be sent to a
+// dead host for as long as this one runs. Two services, or two limits, must not be given each other's hosts.
+func TestWhatIsKeptEndsWithTheMemberList(t *testing.T) {
+	c := qt.New(t)
+	s := steer.New(steer.Options{})
+	serving := func(hosts []member.Host, service string, limit int) map[string]bool {
+		set := map[string]bool{}
+		for _, h := range hosts {
+			if s.Serves(hosts, h, service, limit) {
+				set[h.ID] = true
+			}
+		}
+		return set
+	}
+	placed := func(hosts []member.Host, service string, limit int) map[string]bool {
+		set := map[string]bool{}
+		for _, h := range steer.Place(hosts, hosts[0], service, limit) {
+			set[h.ID] = true
+		}
+		return set
+	}
+	before := fleet(100)
+	dead := steer.Place(before, before[0], "remnant-finder", 8)[0].ID
+	after := slices.DeleteFunc(slices.Clone(before), func(h member.Host) bool { return h.ID == dead })
+	for _, hosts := range [][]member.Host{before, after, before} {
+		for _, service := range []string{"remnant-finder", "circle-roster"} {
+			for _, limit := range []int{8, 16} {
+				c.Assert(serving(hosts, service, limit), qt.DeepEquals, placed(hosts, service, limit))
+			}
+		}
+	}
+	c.Assert(serving(after, "remnant-finder", 8)[dead], qt.IsFalse)
 }
 
 func BenchmarkPick(b *testing.B) {
@@ -206,3 +243,17 @@
 		})
 	}
 }
+
+// BenchmarkServes measures what each query and write asks.
+func BenchmarkServes(b *testing.B) {
+	for _, n := range []int{7, 700, 5600} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			hosts := fleet(n)
+			s := steer.New(steer.Options{})
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Serves(hosts, hosts[0], "remnant-finder", 8)
+			}
+		})
+	}
+}
