core, entry, load: Let one piece of code serve where five stood twice

Cause: a read of the whole change.

Ruled out: load/internal/check, which derives the outcome by itself on purpose, since it judges the hosts; the event heaps of two tests, which would need a package of their own outside test files.

--- a/core/caller/messages.go
+++ b/core/caller/messages.go
@@ -1,8 +1,10 @@
 package caller
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/netip"
+	"slices"
 )
 
 // Outcome says what became of a query.
@@ -79,6 +81,26 @@
 	Missing []int `json:"missing,omitempty"`
 }
 
+// Outcome returns the outcome of a query that was sent upstream and came to this coverage.
+func (cov Coverage) Outcome() Outcome {
+	switch cov.Answered {
+	case 0:
+		return OutcomeFailed
+	case cov.Shards:
+		return OutcomeComplete
+	default:
+		return OutcomePartial
+	}
+}
+
+// Best returns the hits with the highest scores, at most limit, in the order in which an answer lists them; it sorts hits.
+func Best(hits []Hit, limit int) []Hit {
+	slices.SortFunc(hits, func(a, b Hit) int {
+		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.ID, b.ID))
+	})
+	return hits[:min(len(hits), limit)]
+}
+
 // Answer is the reply to a query.
 type Answer struct {
 	RequestID     string   `json:"request_id"`
--- /dev/null
+++ b/core/clock/sleep.go
@@ -0,0 +1,14 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep returns once d has passed on c or ctx has ended, whichever comes first.
+func Sleep(ctx context.Context, c Clock, d time.Duration) {
+	select {
+	case <-c.After(d):
+	case <-ctx.Done():
+	}
+}
--- a/core/upstream/messages.go
+++ b/core/upstream/messages.go
@@ -52,6 +52,15 @@
 	Limit int    `json:"limit"`
 }
 
+// Encode returns the body that each replica is sent.
+func (q Query) Encode() []byte {
+	b, err := json.Marshal(q)
+	if err != nil {
+		panic("upstream: a query of two plain fields can't be encoded: " + err.Error())
+	}
+	return b
+}
+
 // Hit is one result of a query.
 type Hit struct {
 	ID    string          `json:"id"`
--- a/entry/internal/callers/doors_test.go
+++ b/entry/internal/callers/doors_test.go
@@ -29,6 +29,7 @@
 	"guavaspring.org/entry/internal/callers"
 	"guavaspring.org/entry/internal/explain"
 	"guavaspring.org/entry/internal/service"
+	"guavaspring.org/entry/internal/writes"
 )
 
 // newUpstream answers every query with one hit.
@@ -71,7 +72,7 @@
 			}
 			return caller.Addresses{Service: req.Service}, nil
 		},
-		Write: func(_ context.Context, req callers.WriteRequest) caller.WriteAnswer {
+		Write: func(_ context.Context, req writes.Request) caller.WriteAnswer {
 			return caller.WriteAnswer{RequestID: req.ID, Outcome: caller.WriteDone}
 		},
 	})
--- a/entry/internal/callers/server.go
+++ b/entry/internal/callers/server.go
@@ -21,6 +21,7 @@
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/explain"
 	"guavaspring.org/entry/internal/service"
+	"guavaspring.org/entry/internal/writes"
 )
 
 // The limits of a connection: headers hold a name, two ids, a deadline and a ticket; a body of maxBody comes within bodyTimeout over a slow line.
@@ -52,7 +53,7 @@
 	// Filter stands before every request; it may be nil.
 	Filter func(next http.Handler) http.Handler
 	// Write runs a write.
-	Write func(ctx context.Context, req WriteRequest) caller.WriteAnswer
+	Write func(ctx context.Context, req writes.Request) caller.WriteAnswer
 }
 
 // AddressRequest is one address request as it arrived at the host.
@@ -65,17 +66,6 @@
 	Tickets int
 }
 
-// WriteRequest is one write as it arrived at the host.
-type WriteRequest struct {
-	ID       string
-	Service  string
-	Caller   string
-	Ticket   string
-	Arrived  time.Time
-	Deadline time.Time
-	Write    caller.Write
-}
-
 // New returns the kratos HTTP server of a host; it listens once it is started.
 func New(opts Options) *khttp.Server {
 	if opts.Refresh == nil {
@@ -170,7 +160,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
 	defer cancel()
-	ans := h.opts.Write(ctx, WriteRequest{
+	ans := h.opts.Write(ctx, writes.Request{
 		ID: call.id, Service: mux.Vars(r)["service"], Caller: call.caller, Ticket: ticket,
 		Arrived: call.arrived, Deadline: call.deadline, Write: op,
 	})
--- a/entry/internal/directory/directory.go
+++ b/entry/internal/directory/directory.go
@@ -75,10 +75,7 @@
 func (d *Directory) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		d.tick(ctx)
-		select {
-		case <-d.opts.Clock.After(tickEvery):
-		case <-ctx.Done():
-		}
+		clock.Sleep(ctx, d.opts.Clock, tickEvery)
 	}
 }
 
--- a/entry/internal/explain/explain.go
+++ b/entry/internal/explain/explain.go
@@ -19,6 +19,9 @@
 	Why string `json:"why,omitempty"`
 }
 
+// Millis returns d in milliseconds, to the microsecond, as AtMS and TookMS count.
+func Millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
 // Record is the explanation of one answer.
 type Record struct {
 	ID        string     `json:"id"`
--- a/entry/internal/fanout/fanout.go
+++ b/entry/internal/fanout/fanout.go
@@ -1,11 +1,8 @@
 package fanout
 
 import (
-	"cmp"
 	"context"
-	"encoding/json"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"time"
 
@@ -115,10 +112,7 @@
 func (run *Runner) Run(ctx context.Context, req Request) Report {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	body, err := json.Marshal(upstream.Query{Query: req.Query.Query, Limit: req.Query.Limit})
-	if err != nil {
-		panic("fanout: a query of two plain fields can't be encoded: " + err.Error())
-	}
+	body := upstream.Query{Query: req.Query.Query, Limit: req.Query.Limit}.Encode()
 	doc := &req.Document
 	run.policy.SetQuantile(doc.Hedge.Quantile, doc.Hedge.BudgetPercent)
 	run.hedges.Earn(len(req.Map.Holders), doc.Hedge.BudgetPercent)
@@ -181,7 +175,7 @@
 }
 
 func (q *query) decide(what string, shard int, r *replica.Replica, why string) {
-	d := explain.Decision{AtMS: millis(q.now.Sub(q.req.Arrived)), What: what, Shard: shard, Why: why}
+	d := explain.Decision{AtMS: explain.Millis(q.now.Sub(q.req.Arrived)), What: what, Shard: shard, Why: why}
 	if r != nil {
 		d.Replica = r.ID
 	}
@@ -195,10 +189,5 @@
 			hits = append(hits, caller.Hit{ID: h.ID, Score: h.Score, Shard: i, Data: h.Data})
 		}
 	}
-	slices.SortFunc(hits, func(a, b caller.Hit) int {
-		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.ID, b.ID))
-	})
-	return hits[:min(len(hits), limit)]
+	return caller.Best(hits, limit)
 }
-
-func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/entry/internal/follow/follow.go
+++ b/entry/internal/follow/follow.go
@@ -116,7 +116,7 @@
 			f.offer(objs)
 			return
 		}
-		f.pause(ctx, readEvery)
+		clock.Sleep(ctx, f.opts.Clock, readEvery)
 	}
 }
 
@@ -132,12 +132,12 @@
 	after := int64(0)
 	// Before it has met the others each host takes itself for the first of its zone, and a fleet that starts at once
 	// would watch as a whole.
-	f.pause(ctx, meetFor)
+	clock.Sleep(ctx, f.opts.Clock, meetFor)
 	for ctx.Err() == nil {
 		if !f.Watches() {
 			// Whoever watches again later must not miss what changed meanwhile.
 			after = 0
-			f.pause(ctx, retryAfter)
+			clock.Sleep(ctx, f.opts.Clock, retryAfter)
 			continue
 		}
 		objs, rev, err := f.watchOnce(ctx, kind, after)
@@ -146,7 +146,7 @@
 		}
 		f.note(ctx, err)
 		if err != nil {
-			f.pause(ctx, watchRetry)
+			clock.Sleep(ctx, f.opts.Clock, watchRetry)
 			continue
 		}
 		after = rev
@@ -161,7 +161,7 @@
 	var check sync.WaitGroup
 	check.Go(func() {
 		for ctx.Err() == nil && f.Watches() {
-			f.pause(ctx, retryAfter)
+			clock.Sleep(ctx, f.opts.Clock, retryAfter)
 		}
 		cancel()
 	})
@@ -206,7 +206,7 @@
 			p.settled, p.retry = err == nil, f.opts.Clock.Now().Add(retryAfter)
 			f.mu.Unlock()
 		}
-		f.pause(ctx, judgeEvery)
+		clock.Sleep(ctx, f.opts.Clock, judgeEvery)
 	}
 }
 
@@ -268,10 +268,3 @@
 	defer f.mu.Unlock()
 	return f.down
 }
-
-func (f *Follower) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-f.opts.Clock.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/entry/internal/follow/model_test.go
+++ b/entry/internal/follow/model_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"guavaspring.org/core/clock"
 	"guavaspring.org/core/platform"
 	"guavaspring.org/entry/internal/accepted"
 )
@@ -158,7 +159,7 @@
 		if obj, err := m.p.get(ctx, platform.KindDocument, desk); err == nil {
 			f.propose([]platform.Object{obj})
 		}
-		f.pause(ctx, 300*time.Millisecond)
+		clock.Sleep(ctx, f.opts.Clock, 300*time.Millisecond)
 	}
 }
 
--- a/entry/internal/follow/replicas.go
+++ b/entry/internal/follow/replicas.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"guavaspring.org/core/clock"
 	"guavaspring.org/core/platform"
 )
 
@@ -35,7 +36,7 @@
 			changes, handed = count, now
 			f.opts.Replicas(ctx, list)
 		}
-		f.pause(ctx, replicaEvery)
+		clock.Sleep(ctx, f.opts.Clock, replicaEvery)
 	}
 }
 
--- a/entry/internal/host/host.go
+++ b/entry/internal/host/host.go
@@ -86,7 +86,7 @@
 	srv := callers.New(callers.Options{
 		Clock: h.opts.Clock, Log: h.opts.Log, Listen: h.opts.Listen, NewID: rand.Text, Explain: h.explain,
 		Metrics: h.counts.Registry(), Answered: h.counts.Answered, Service: h.service, Ready: h.ready,
-		Addresses: h.addresses, Refresh: h.refresh, Filter: h.drain.Filter, Write: h.write,
+		Addresses: h.addresses, Refresh: h.refresh, Filter: h.drain.Filter, Write: h.writer.Write,
 	})
 	// The end of ctx is a planned stop: if it reached the requests in flight, it would cut them off.
 	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/entry/internal/host/writes.go
+++ b/entry/internal/host/writes.go
@@ -1,10 +1,6 @@
 package host
 
 import (
-	"context"
-
-	"guavaspring.org/core/caller"
-	"guavaspring.org/entry/internal/callers"
 	"guavaspring.org/entry/internal/member"
 	"guavaspring.org/entry/internal/ticket"
 	"guavaspring.org/entry/internal/writes"
@@ -34,7 +30,3 @@
 	}
 	return "", false
 }
-
-func (h *Host) write(ctx context.Context, req callers.WriteRequest) caller.WriteAnswer {
-	return h.writer.Write(ctx, writes.Request(req))
-}
--- a/entry/internal/peers/join.go
+++ b/entry/internal/peers/join.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"guavaspring.org/core/clock"
 	"guavaspring.org/entry/internal/member"
 )
 
@@ -22,7 +23,7 @@
 		if lost, ok := p.opts.List.Lost(); ok {
 			p.greet(ctx, lost.Peer, lost.ID)
 		}
-		p.pause(ctx, p.seekPause())
+		clock.Sleep(ctx, p.opts.Clock, p.seekPause())
 	}
 }
 
--- a/entry/internal/peers/peers.go
+++ b/entry/internal/peers/peers.go
@@ -245,13 +245,6 @@
 func (p *Peers) every(ctx context.Context, d time.Duration, f func()) {
 	for ctx.Err() == nil {
 		f()
-		p.pause(ctx, d)
-	}
-}
-
-func (p *Peers) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-p.opts.Clock.After(d):
-	case <-ctx.Done():
+		clock.Sleep(ctx, p.opts.Clock, d)
 	}
 }
--- a/entry/internal/peers/replicas.go
+++ b/entry/internal/peers/replicas.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"guavaspring.org/core/clock"
 	"guavaspring.org/entry/internal/listing"
 )
 
@@ -50,7 +51,7 @@
 				break
 			}
 			if !b.take(p.opts.Clock.Now()) {
-				p.pause(ctx, tellRows)
+				clock.Sleep(ctx, p.opts.Clock, tellRows)
 				b.take(p.opts.Clock.Now())
 			}
 			p.sendNews(ctx, news)
--- a/entry/internal/service/admit.go
+++ b/entry/internal/service/admit.go
@@ -23,7 +23,7 @@
 }
 
 func (s *Service) refused(req QueryRequest, r *admission.Refusal) explain.Decision {
-	return explain.Decision{AtMS: millis(s.opts.Clock.Now().Sub(req.Arrived)), What: "refuse", Shard: -1, Why: string(r.Reason)}
+	return explain.Decision{AtMS: explain.Millis(s.opts.Clock.Now().Sub(req.Arrived)), What: "refuse", Shard: -1, Why: string(r.Reason)}
 }
 
 // admitted says how long a query waited; one that did not wait has nothing to explain.
@@ -31,11 +31,9 @@
 	if place.Waited == 0 {
 		return nil
 	}
-	return []explain.Decision{{AtMS: millis(place.Waited), What: "admit", Shard: -1, Why: "waited for a place"}}
+	return []explain.Decision{{AtMS: explain.Millis(place.Waited), What: "admit", Shard: -1, Why: "waited for a place"}}
 }
 
-func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
-
 // retryMS rounds up, since 0 on the wire means that no time is given.
 func retryMS(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
 
--- a/entry/internal/service/quarantine.go
+++ b/entry/internal/service/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"guavaspring.org/core/caller"
 	"guavaspring.org/core/upstream"
@@ -29,10 +28,7 @@
 
 // fingerprint names a query by what its replicas get of it.
 func (s *Service) fingerprint(q caller.Query) string {
-	body, err := json.Marshal(upstream.Query{Query: q.Query, Limit: q.Limit})
-	if err != nil {
-		panic("service: a query of two plain fields can't be encoded: " + err.Error())
-	}
+	body := upstream.Query{Query: q.Query, Limit: q.Limit}.Encode()
 	return quarantine.Fingerprint(s.name, body)
 }
 
--- a/entry/internal/service/service.go
+++ b/entry/internal/service/service.go
@@ -184,7 +184,7 @@
 	s.opts.Metrics.ran(s.name, report)
 	ans.Snapshot = report.Snapshot
 	ans.Coverage, ans.Hits = report.Coverage, report.Hits
-	ans.Outcome, ans.Reason = outcome(report.Coverage), report.Reason
+	ans.Outcome, ans.Reason = report.Coverage.Outcome(), report.Reason
 	ans.RetryAfterMS = retryMS(report.RetryAfter)
 	return ans
 }
@@ -193,7 +193,7 @@
 
 func (s *Service) finish(rec *explain.Record, ans caller.Answer) {
 	took := s.opts.Clock.Now().Sub(rec.Arrived)
-	rec.Outcome, rec.Reason, rec.TookMS = string(ans.Outcome), ans.Reason, float64(took.Microseconds())/1000
+	rec.Outcome, rec.Reason, rec.TookMS = string(ans.Outcome), ans.Reason, explain.Millis(took)
 	s.opts.Explain.Add(rec)
 	ev := events.Answered
 	if ans.Outcome == caller.OutcomeRefused {
@@ -203,17 +203,6 @@
 		"answered", ans.Coverage.Answered, "shards", ans.Coverage.Shards, "took_ms", rec.TookMS, "explanation", ans.ExplanationID)
 }
 
-func outcome(cov caller.Coverage) caller.Outcome {
-	switch cov.Answered {
-	case 0:
-		return caller.OutcomeFailed
-	case cov.Shards:
-		return caller.OutcomeComplete
-	default:
-		return caller.OutcomePartial
-	}
-}
-
 func limits(doc document.Document) admission.Limits {
 	return admission.Limits{Running: doc.Admission.Concurrency, Waiting: doc.Admission.Queue, CallerShare: doc.Admission.CallerShare}
 }
--- a/entry/internal/status/writer.go
+++ b/entry/internal/status/writer.go
@@ -70,10 +70,7 @@
 func (w *Writer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		w.tick(ctx)
-		select {
-		case <-w.opts.Clock.After(tickEvery):
-		case <-ctx.Done():
-		}
+		clock.Sleep(ctx, w.opts.Clock, tickEvery)
 	}
 }
 
--- a/entry/internal/writes/writer.go
+++ b/entry/internal/writes/writer.go
@@ -142,7 +142,7 @@
 
 func (w *Writer) finish(req Request, rec *explain.Record, action string, out ticket.Outcome) caller.WriteAnswer {
 	took := w.opts.Clock.Now().Sub(req.Arrived)
-	rec.Outcome, rec.Reason, rec.TookMS = string(out.Outcome), out.Reason, millis(took)
+	rec.Outcome, rec.Reason, rec.TookMS = string(out.Outcome), out.Reason, explain.Millis(took)
 	w.opts.Explain.Add(rec)
 	events.WriteAnswered.Log(w.opts.Log, "service", req.Service, "request", req.ID, "action", action, "outcome", out.Outcome,
 		"reason", out.Reason, "took_ms", rec.TookMS, "explanation", rec.ID)
@@ -153,7 +153,7 @@
 }
 
 func (w *Writer) decision(req Request, what string, r *replica.Replica, why string) explain.Decision {
-	d := explain.Decision{AtMS: millis(w.opts.Clock.Now().Sub(req.Arrived)), What: what, Shard: -1, Why: why}
+	d := explain.Decision{AtMS: explain.Millis(w.opts.Clock.Now().Sub(req.Arrived)), What: what, Shard: -1, Why: why}
 	if r != nil {
 		d.Replica = r.ID
 	}
@@ -241,5 +241,3 @@
 	}
 	return b
 }
-
-func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/load/internal/baseline/server.go
+++ b/load/internal/baseline/server.go
@@ -1,7 +1,6 @@
 package baseline
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -193,10 +192,7 @@
 
 // fanout sends one try for each shard and takes what has come back by the deadline.
 func (s *Server) fanout(ctx context.Context, id string, m shardMap, q caller.Query) caller.Answer {
-	body, err := json.Marshal(upstream.Query{Query: q.Query, Limit: q.Limit})
-	if err != nil {
-		panic("baseline: a query of two plain fields can't be encoded: " + err.Error())
-	}
+	body := upstream.Query{Query: q.Query, Limit: q.Limit}.Encode()
 	ans := caller.Answer{RequestID: id, Snapshot: caller.Snapshot{Version: m.version, Shards: len(m.holders)}, Hits: []caller.Hit{}}
 	results := make([]upstream.Result, len(m.holders))
 	var wg sync.WaitGroup
@@ -223,22 +219,12 @@
 }
 
 func finish(ans caller.Answer, limit int) caller.Answer {
-	slices.SortFunc(ans.Hits, func(a, b caller.Hit) int {
-		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.ID, b.ID))
-	})
-	ans.Hits = ans.Hits[:min(len(ans.Hits), limit)]
+	ans.Hits = caller.Best(ans.Hits, limit)
 	cov := &ans.Coverage
 	cov.Shards = ans.Snapshot.Shards
 	cov.Answered = cov.Shards - len(cov.Missing)
 	cov.Share = float64(cov.Answered) / float64(max(1, cov.Shards))
-	switch cov.Answered {
-	case 0:
-		ans.Outcome = caller.OutcomeFailed
-	case cov.Shards:
-		ans.Outcome = caller.OutcomeComplete
-	default:
-		ans.Outcome = caller.OutcomePartial
-	}
+	ans.Outcome = cov.Outcome()
 	return ans
 }
 
