--- /dev/null
+++ b/core/feed/feed.go
@@ -0,0 +1,26 @@
+// Package feed holds what a store of objects tells of one kind: a page of all of them, and the changes since.
+package feed
+
+import "errors"
+
+// ErrHistoryGone means that the changes since the wanted revision are no longer kept, so that all objects have to be listed again.
+var ErrHistoryGone = errors.New("feed: the history since that revision is gone")
+
+// Entry is one object as it was last seen.
+type Entry[T any] struct {
+	Name string
+	// Revision is the store's revision at the object's last change.
+	Revision int64
+	Deleted  bool
+	// Value is the zero value where the object is deleted.
+	Value T
+}
+
+// Batch is a list of all objects, or of those that changed, as of one revision of the store.
+type Batch[T any] struct {
+	Entries []Entry[T]
+	// Revision is where the next changes continue.
+	Revision int64
+	// Unreadable says of each object that could not be read why; it is left out of Entries.
+	Unreadable []error
+}
--- /dev/null
+++ b/core/opaque/request.go
@@ -0,0 +1,53 @@
+package opaque
+
+import (
+	"net/http"
+	"time"
+)
+
+// Request is one attempt of a client, whose method, target and body reach a replica unchanged.
+type Request struct {
+	// ID is the client's name for this attempt.
+	ID     string
+	Method string
+	// Target is the path and query as the client wrote them.
+	Target string
+	// Path is the decoded path, by which the route is found.
+	Path string
+	Host string
+	// Header holds the fields that are forwarded: those of one connection, and those that every hop sets itself, are left out.
+	Header http.Header
+	Body   []byte
+	// Patience is how long the client will wait, zero where it didn't say.
+	Patience time.Duration
+}
+
+// Reply is what the header of a replica's reply says.
+type Reply struct {
+	// ID is the id of the request that is answered, empty where the replica did not say.
+	ID string
+	// Stamp proves that the reply is a replica's own answer to the request.
+	Stamp string
+	// NotRun says that the replica did not run the request and never will.
+	NotRun bool
+	// Misdirected says that another replica has the address.
+	Misdirected bool
+	// Leaving says that the replica closes the connection after the reply.
+	Leaving bool
+	// IdleFor is how long the replica keeps the connection open while it is unused, zero where it didn't say.
+	IdleFor time.Duration
+}
+
+// Codec translates between the wire and the types of this package.
+type Codec struct {
+	// Decode reads a client's request whose body has been read.
+	Decode func(r *http.Request, body []byte) Request
+	// AppendHead appends the request line and header with which a request is sent to a replica that may use the time left.
+	AppendHead func(b []byte, r *Request, replica string, left time.Duration) []byte
+	// Reply reads the header of a replica's reply.
+	Reply func(resp *http.Response) Reply
+	// CopyHeader copies the fields of a replica's reply that the client gets.
+	CopyHeader func(to, from http.Header)
+	// SetParts states which parts an answer holds and how many shards are missing.
+	SetParts func(h http.Header, stamps []string, missing int)
+}
--- a/core/platform/client.go
+++ b/core/platform/client.go
@@ -64,6 +64,8 @@
 	Addr    netip.AddrPort `json:"addr"`
 	Zone    string         `json:"zone"`
 	State   ReplicaState   `json:"state"`
+	// Slots is how many requests the replica runs at once, zero where it did not say.
+	Slots int `json:"slots,omitempty"`
 }
 
 // Client calls the platform's API at one address.
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,51 @@
+package route_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/route"
+)
+
+// Two teams share a host name. The one with the longer prefix must get its own requests, and a path that only looks
+// alike must get none: a request run by the wrong service is worse than one that is refused.
+func TestLongestPrefixWins(t *testing.T) {
+	table := route.NewTable(route.Config{Routes: []route.Route{
+		{Name: "all", Host: "search.example", Prefix: "/"},
+		{Name: "bundles", Host: "search.example", Prefix: "/bundles/"},
+		{Name: "urgent", Host: "search.example", Prefix: "/bundles/urgent/"},
+		{Name: "other", Host: "Desk.example", Prefix: "/desk/"},
+	}})
+	tests := []struct{ host, path, want string }{
+		{"search.example", "/bundles/urgent/7", "urgent"},
+		{"search.example", "/bundles/7", "bundles"},
+		{"search.example", "/bundlesx", "all"},
+		{"search.example:8080", "/bundles/7", "bundles"},
+		{"SEARCH.example", "/x", "all"},
+		{"desk.example", "/desk/1", "other"},
+		{"desk.example", "/desk", ""},
+		{"elsewhere.example", "/bundles/7", ""},
+	}
+	for _, test := range tests {
+		got := ""
+		if r := table.Find(test.host, test.path); r != nil {
+			got = r.Name
+		}
+		qt.Check(t, got, qt.Equals, test.want, qt.Commentf("%s%s", test.host, test.path))
+	}
+}
+
+// A team asks for 0.89 of its shards. With ten of them nine are enough, with fifteen it takes fourteen; rounding down
+// would call an answer complete enough that hides more than the team allows.
+func TestLeastShards(t *testing.T) {
+	tests := []struct {
+		shards int
+		share  float64
+		want   int
+	}{{10, 0.89, 9}, {15, 0.89, 14}, {10, 0.75, 8}, {15, 0.75, 12}, {10, 0.9, 9}, {10, 1, 10}, {10, 0, 1}, {1, 0.5, 1}}
+	for _, test := range tests {
+		r := route.Route{Shards: make([]string, test.shards), LeastShare: test.share}
+		qt.Check(t, r.LeastShards(), qt.Equals, test.want, qt.Commentf("%d shards, share %v", test.shards, test.share))
+	}
+}
--- /dev/null
+++ b/core/route/table.go
@@ -0,0 +1,43 @@
+package route
+
+import (
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table finds the route of a request in one version of the configuration.
+type Table struct {
+	config Config
+	hosts  map[string][]*Route
+}
+
+// NewTable returns the table of cfg, which must not be changed any more.
+func NewTable(cfg Config) *Table {
+	t := &Table{config: cfg, hosts: map[string][]*Route{}}
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
+		name := strings.ToLower(r.Host)
+		t.hosts[name] = append(t.hosts[name], r)
+	}
+	for _, list := range t.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return t
+}
+
+// Config returns the configuration that the table was made of.
+func (t *Table) Config() *Config { return &t.config }
+
+// Find returns the route of the host name whose prefix is the longest that begins path, or nil.
+func (t *Table) Find(host, path string) *Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/internal/endpoints/replica.go
@@ -0,0 +1,177 @@
+package endpoints
+
+import (
+	"context"
+	"errors"
+	"math"
+	"sync"
+	"time"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/opaque"
+	"guavaspring.org/core/platform"
+	"guavaspring.org/core/upstream"
+	"guavaspring.org/entry/internal/exchange"
+	"guavaspring.org/entry/internal/pick"
+)
+
+const (
+	// slownessWeight and failureWeight are the weights of a new sample; about four samples outweigh what was known before.
+	slownessWeight = 0.3
+	failureWeight  = 0.25
+	// mostSlowness bounds what one sample can say, so that a replica that was dark is found again soon.
+	mostSlowness = 20
+	// firstPause and mostPause bound how long a replica that can't be reached is left alone; the time doubles with each failure.
+	firstPause = 100 * time.Millisecond
+	mostPause  = 2 * time.Second
+	// coldFor is how long a replica that was listed after the first list counts as cold: replicas are slow for some seconds after their start.
+	coldFor = 3 * time.Second
+)
+
+// Replica is one replica with what this host has seen of it.
+type Replica struct {
+	clock clock.Clock
+	near  bool
+	pool  *exchange.Pool
+
+	mu     sync.Mutex
+	row    platform.Replica
+	usable bool
+	// lapsed is when a row that vanished while the store was away counts as gone; zero where it is listed.
+	lapsed  time.Time
+	coldEnd time.Time
+	// running holds the starts of the requests under way, in no order.
+	running map[uint64]time.Time
+	next    uint64
+	// slowness and failures are as of seen, and lose weight from then on.
+	slowness, failures float64
+	seen               time.Time
+	// until is when the replica may be tried again after it could not be reached, tries how often in a row that happened.
+	until time.Time
+	tries int
+}
+
+// ID returns the replica's id.
+func (r *Replica) ID() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.row.ID
+}
+
+// Usable reports whether new requests may be sent to the replica: it is listed and does not leave.
+func (r *Replica) Usable() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mayUse(r.clock.Now())
+}
+
+func (r *Replica) mayUse(now time.Time) bool {
+	return r.usable && (r.lapsed.IsZero() || now.Before(r.lapsed))
+}
+
+// Begin counts a request as under way and returns its number.
+func (r *Replica) Begin(now time.Time) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.next++
+	r.running[r.next] = now
+	return r.next
+}
+
+// End counts the request as ended and learns from its result, where usual is the time of a healthy replica.
+func (r *Replica) End(n uint64, res *exchange.Result, usual time.Duration) {
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.running, n)
+	switch res.Kind {
+	case upstream.KindOK:
+		r.learn(now, res.Took, usual, 0)
+		r.tries, r.until = 0, time.Time{}
+	case upstream.KindCanceled:
+		// A request that was given up took at least so long.
+		if float64(res.Took) > r.slownessAt(now)*float64(usual) {
+			r.learn(now, res.Took, usual, r.failures)
+		}
+	case upstream.KindNotSent:
+		if !res.Busy {
+			r.unreachable(now)
+		}
+	case upstream.KindRefused:
+		// The address belongs to another replica: nothing can be had here until the list says so.
+		r.usable = false
+	default:
+		r.learnFailure(now)
+		if !res.Whole() {
+			r.tries = 0
+			r.unreachable(now)
+		}
+	}
+}
+
+func (r *Replica) unreachable(now time.Time) {
+	r.until = now.Add(min(firstPause<<min(r.tries, 8), mostPause))
+	r.tries++
+}
+
+func (r *Replica) learn(now time.Time, took, usual time.Duration, failed float64) {
+	x := min(float64(took)/float64(max(usual, time.Millisecond)), mostSlowness)
+	r.slowness = r.slownessAt(now) + slownessWeight*(x-r.slownessAt(now))
+	r.failures = r.failuresAt(now) + failureWeight*(failed-r.failuresAt(now))
+	r.seen = now
+}
+
+func (r *Replica) learnFailure(now time.Time) {
+	r.slowness = r.slownessAt(now)
+	r.failures = r.failuresAt(now) + failureWeight*(1-r.failuresAt(now))
+	r.seen = now
+}
+
+func (r *Replica) fade(now time.Time) float64 {
+	return math.Exp(-float64(now.Sub(r.seen)) / float64(pick.Forget))
+}
+
+func (r *Replica) slownessAt(now time.Time) float64 { return 1 + (r.slowness-1)*r.fade(now) }
+
+func (r *Replica) failuresAt(now time.Time) float64 { return r.failures * r.fade(now) }
+
+// view returns what a decision needs; l.mu of the service is not held.
+func (r *Replica) view(now time.Time) (v pick.Replica, resting, usable bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v = pick.Replica{Running: len(r.running), Slowness: r.slownessAt(now), Failures: r.failuresAt(now), Near: r.near, Cold: now.Before(r.coldEnd)}
+	for _, start := range r.running {
+		v.Oldest = max(v.Oldest, now.Sub(start))
+	}
+	return v, now.Before(r.until), r.mayUse(now)
+}
+
+var errUnusable = errors.New("the replica leaves or is gone")
+
+// Call is one request to be sent to a replica.
+type Call struct {
+	Request *opaque.Request
+	// Deadline is when the replica has to give up.
+	Deadline time.Time
+	// Connections is the most connections that this host may hold to the replica.
+	Connections int
+	// Usual is the time that a healthy replica takes.
+	Usual time.Duration
+}
+
+// Send sends one request, unless the replica was found leaving meanwhile, and learns from how it ends.
+func (r *Replica) Send(ctx context.Context, call Call) exchange.Result {
+	n := r.Begin(r.clock.Now())
+	res := r.pool.Do(ctx, &exchange.Call{
+		Request: call.Request, Replica: r.ID(), Deadline: call.Deadline, Connections: call.Connections,
+		// What waited for a connection may have outlived the replica's place in the list.
+		Guard: func() error {
+			if !r.Usable() {
+				return errUnusable
+			}
+			return nil
+		},
+	})
+	r.End(n, &res, call.Usual)
+	return res
+}
--- /dev/null
+++ b/entry/internal/endpoints/service.go
@@ -0,0 +1,95 @@
+package endpoints
+
+import (
+	"sync/atomic"
+	"time"
+
+	"guavaspring.org/entry/internal/pick"
+	"guavaspring.org/entry/internal/spend"
+)
+
+// Verdict says how a choice ended.
+type Verdict string
+
+// The ways in which a choice ends.
+const (
+	// Found means that a replica was chosen.
+	Found Verdict = "found"
+	// Busy means that every replica left holds as many connections of this host as it may.
+	Busy Verdict = "busy"
+	// None means that no replica is left that may be used.
+	None Verdict = "none"
+)
+
+// Service is one service's replicas and its budget of extra tries.
+type Service struct {
+	Name   string
+	Budget *spend.Budget
+	list   atomic.Pointer[[]*Replica]
+	// conns is the most connections that this host may hold to each replica.
+	conns atomic.Int64
+}
+
+// Connections returns the most connections that this host may hold to each replica.
+func (s *Service) Connections() int { return int(s.conns.Load()) }
+
+// Replicas returns the replicas that are listed; the slice must not be changed.
+func (s *Service) Replicas() []*Replica { return *s.list.Load() }
+
+// Usable returns how many replicas may be sent requests.
+func (s *Service) Usable() int {
+	n := 0
+	for _, r := range s.Replicas() {
+		if r.Usable() {
+			n++
+		}
+	}
+	return n
+}
+
+// Pick returns the replica with the least estimate among those that were not tried, and that estimate.
+func (s *Service) Pick(now time.Time, usual time.Duration, tried []*Replica, draw func() float64) (*Replica, time.Duration, Verdict) {
+	var best, rested *Replica
+	var least, leastRested time.Duration
+	verdict := None
+	for _, r := range s.Replicas() {
+		if contains(tried, r) {
+			continue
+		}
+		v, resting, usable := r.view(now)
+		if !usable {
+			continue
+		}
+		if !r.pool.Free(s.Connections()) {
+			verdict = Busy
+			continue
+		}
+		t := pick.Estimate(v, usual, draw())
+		if resting {
+			if rested == nil || t < leastRested {
+				rested, leastRested = r, t
+			}
+			continue
+		}
+		if best == nil || t < least {
+			best, least = r, t
+		}
+	}
+	switch {
+	case best != nil:
+		return best, least, Found
+	case rested != nil:
+		// One that could not be reached a moment ago is better than none.
+		return rested, leastRested, Found
+	}
+	return nil, 0, verdict
+}
+
+func contains(list []*Replica, r *Replica) bool {
+	for _, other := range list {
+		if other == r {
+			return true
+		}
+	}
+	return false
+}
--- a/entry/internal/events/events.go
+++ b/entry/internal/events/events.go
@@ -4,10 +4,12 @@
 
 // Events of a host's life, 1000 to 1099.
 var (
-	Started  = event.New(1000, "host_started", "The host listens and has begun its duties.")
-	Warm     = event.New(1003, "host_warm", "The host opens its port for callers: it can serve, or has waited as long as it may.")
-	Stopping = event.New(1001, "host_stopping", "The host was told to stop: it is no longer handed out and finishes what is in flight.")
-	Stopped  = event.New(1002, "host_stopped", "The host has finished every request in flight and ends.")
+	Started         = event.New(1000, "host_started", "The host listens and has begun its duties.")
+	Warm            = event.New(1003, "host_warm", "The host opens its port for callers: it can serve, or has waited as long as it may.")
+	Stopping        = event.New(1001, "host_stopping", "The host was told to stop: it is no longer handed out and finishes what is in flight.")
+	SettingsRead    = event.New(1004, "settings_read", "The settings file was read again and its changes are in force.")
+	SettingsRefused = event.New(1005, "settings_refused", "The settings file could not be read again; what was read before stays in force.")
+	Stopped         = event.New(1002, "host_stopped", "The host has finished every request in flight and ends.")
 )
 
 // Events of configuration, 1100 to 1199.
@@ -24,6 +26,9 @@
 	PlatformUp   = event.New(1201, "platform_up", "The platform answers again.")
 	ReplicaSeen  = event.New(1202, "replica_seen", "A replica was added to a service.")
 	ReplicaGone  = event.New(1203, "replica_gone", "A replica was removed from a service.")
+
+	HistoryGone      = event.New(1204, "history_gone", "The platform no longer keeps the changes since the last watch; all objects of the kind are listed again.")
+	ObjectUnreadable = event.New(1205, "object_unreadable", "An object of the platform could not be read and was left out.")
 )
 
 // Events of requests, 1300 to 1399.
--- /dev/null
+++ b/entry/internal/exchange/conn.go
@@ -0,0 +1,187 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"guavaspring.org/core/upstream"
+)
+
+const (
+	readBuffer = 4 << 10
+	// interim is below the first status of a final reply.
+	interim = 200
+)
+
+// conn is one connection, read by its own goroutine from its start to its end.
+type conn struct {
+	net.Conn
+	pool *Pool
+	// until is when the connection is too old to be used again; the pool's lock guards it.
+	until time.Time
+
+	mu      sync.Mutex
+	waiting *waiting
+	ended   bool
+}
+
+// waiting is a call whose reply is to come next on the connection.
+type waiting struct {
+	done   chan Result
+	id     string
+	method string
+}
+
+// begin makes the connection wait for the reply to w; it reports false where the connection has ended.
+func (c *conn) begin(w *waiting) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return false
+	}
+	c.waiting = w
+	return true
+}
+
+// run writes the request and waits for the end.
+func (c *conn) run(ctx context.Context, call *Call, w *waiting) Result {
+	clk := c.pool.opts.Clock
+	start := clk.Now()
+	sent, err := c.send(call, start)
+	if err != nil {
+		c.close()
+		kind := upstream.KindBroken
+		if !sent {
+			kind = upstream.KindNotSent
+		}
+		return Result{Kind: kind, Detail: err.Error(), Took: clk.Now().Sub(start)}
+	}
+	var res Result
+	select {
+	case res = <-w.done:
+	case <-ctx.Done():
+		c.close()
+		res = Result{Kind: upstream.KindCanceled, Detail: context.Cause(ctx).Error()}
+	}
+	res.Took = clk.Now().Sub(start)
+	return res
+}
+
+// send writes the request, its deadline last of all that is decided, and reports whether a byte of it may have left.
+func (c *conn) send(call *Call, now time.Time) (bool, error) {
+	if call.Guard != nil {
+		if err := call.Guard(); err != nil {
+			return false, err
+		}
+	}
+	left := call.Deadline.Sub(now)
+	if left <= 0 {
+		return false, fmt.Errorf("the deadline passed before the first byte was sent")
+	}
+	b := c.pool.opts.Codec.AppendHead(make([]byte, 0, 512+len(call.Request.Body)), call.Request, call.Replica, left)
+	b = append(b, call.Request.Body...)
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return false, err
+	}
+	n, err := c.Write(b)
+	if err != nil {
+		return n > 0, fmt.Errorf("send: %w", err)
+	}
+	return true, nil
+}
+
+// read takes replies until the connection ends or can't be trusted any more.
+func (c *conn) read() {
+	br := bufio.NewReaderSize(c.Conn, readBuffer)
+	for {
+		_, err := br.Peek(1)
+		c.mu.Lock()
+		w := c.waiting
+		c.mu.Unlock()
+		if w == nil {
+			// The replica closed the connection, or sent bytes that belong to no request.
+			c.close()
+			return
+		}
+		if err != nil {
+			c.close()
+			w.done <- Result{Kind: upstream.KindBroken, Detail: "the connection broke: " + err.Error()}
+			return
+		}
+		res, reuse := c.reply(br, w)
+		reuse = reuse && br.Buffered() == 0 && c.keep(res.Reply.IdleFor)
+		if !reuse {
+			c.close()
+		}
+		w.done <- res
+		if !reuse {
+			return
+		}
+	}
+}
+
+// keep gives the connection back to the pool.
+func (c *conn) keep(idleFor time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return false
+	}
+	c.waiting = nil
+	return c.pool.put(c, idleFor)
+}
+
+// reply reads one whole reply and reports whether the connection can carry another request.
+func (c *conn) reply(br *bufio.Reader, w *waiting) (Result, bool) {
+	resp, err := http.ReadResponse(br, &http.Request{Method: w.method})
+	for err == nil && resp.StatusCode < interim {
+		resp, err = http.ReadResponse(br, &http.Request{Method: w.method})
+	}
+	if err != nil {
+		return Result{Kind: upstream.KindBroken, Detail: "the reply can't be read: " + err.Error()}, false
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxReply+1))
+	if err != nil {
+		return Result{Kind: upstream.KindBroken, Detail: "the reply broke off: " + err.Error()}, false
+	}
+	if len(body) > MaxReply {
+		return Result{Kind: upstream.KindError, Detail: fmt.Sprintf("the reply is over %d bytes", MaxReply)}, false
+	}
+	head := c.pool.opts.Codec.Reply(resp)
+	if head.ID != "" && head.ID != w.id {
+		// A second reply to an earlier request sits where this one's is due.
+		return Result{Kind: upstream.KindForeign, Detail: "the reply belongs to request " + head.ID}, false
+	}
+	res := Result{Reply: head, Status: resp.StatusCode, Header: resp.Header, Body: body}
+	switch {
+	case head.Misdirected:
+		res.Kind, res.Detail = upstream.KindRefused, "another replica has the address"
+	case head.NotRun:
+		res.Kind, res.Detail = upstream.KindShed, "the replica did not run the request"
+	case resp.StatusCode < 300 && head.Stamp != "" && resp.Header.Get("Content-Encoding") == "":
+		res.Kind = upstream.KindOK
+	default:
+		res.Kind, res.Detail = upstream.KindError, fmt.Sprintf("status %d", resp.StatusCode)
+	}
+	return res, !resp.Close
+}
+
+// close ends the connection; its reading goroutine then ends by itself.
+func (c *conn) close() {
+	c.mu.Lock()
+	was := c.ended
+	c.ended = true
+	c.mu.Unlock()
+	if was {
+		return
+	}
+	c.pool.drop(c)
+	_ = c.Conn.Close()
+	c.pool.forget()
+}
--- /dev/null
+++ b/entry/internal/exchange/pool.go
@@ -0,0 +1,232 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/opaque"
+	"guavaspring.org/core/upstream"
+)
+
+const (
+	// dialTimeout bounds the wait for a new connection: a replica accepts within about 6 ms, and one that has lost power never answers.
+	dialTimeout = 300 * time.Millisecond
+	// unacknowledged is how long sent bytes may stay without an acknowledgement before the kernel breaks the connection. A host that
+	// lost power, or a path that has forgotten the connection, shows no other sign.
+	unacknowledged = 1500 * time.Millisecond
+	// keepAliveIdle and keepAliveEvery let an unused connection that fell silent break within unacknowledged too.
+	keepAliveIdle  = time.Second
+	keepAliveEvery = 500 * time.Millisecond
+	// defaultIdle is how long an unused connection is kept where the replica does not say; idleMargin is taken off what it says,
+	// since a request that crosses the replica's close is lost without a sign of whether it ran.
+	defaultIdle = 4 * time.Second
+	idleMargin  = time.Second
+	// writeTimeout bounds the sending of one request to a replica that does not read.
+	writeTimeout = time.Second
+	// MaxReply is the most bytes of one reply that are read.
+	MaxReply = 8 << 20
+)
+
+// ErrBusy is the detail of a request that was not sent since every connection allowed to the replica is in use.
+const ErrBusy = "every connection to the replica is in use"
+
+// Options configures a Pool.
+type Options struct {
+	Clock clock.Clock
+	Addr  netip.AddrPort
+	Codec *opaque.Codec
+	// Dial opens a connection; nil means TCP.
+	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+}
+
+// Call is one request to be sent to one replica.
+type Call struct {
+	Request *opaque.Request
+	// Replica is the id of the replica that alone may run the request.
+	Replica string
+	// Deadline is when the replica has to give up.
+	Deadline time.Time
+	// Guard is asked right before the first byte leaves; an error keeps the request from being sent.
+	Guard func() error
+	// Connections bounds the connections to the replica.
+	Connections int
+}
+
+// Result says how a call ended.
+type Result struct {
+	Kind   upstream.Kind
+	Detail string
+	// Busy says that nothing was sent for want of a connection.
+	Busy bool
+	// Reply, Status, Header and Body are set where a whole reply to the request came.
+	Reply  opaque.Reply
+	Status int
+	Header map[string][]string
+	Body   []byte
+	// Took is the time from the first byte sent to the end.
+	Took time.Duration
+}
+
+// Whole reports whether the replica's reply is complete and its own, a failure included.
+func (r *Result) Whole() bool { return r.Status != 0 }
+
+// Pool holds the connections to one replica.
+//
+// net/http's transport is not used: it resends a request by itself when a kept connection breaks, it hands a
+// request to a connection before the deadline that it carries is known to hold, and it takes a late second reply for the
+// reply to the next request. Here a call writes once, last of all its deadline, and each connection is read by one goroutine
+// that closes it on any byte that no request waits for.
+type Pool struct {
+	opts Options
+
+	mu     sync.Mutex
+	idle   []*conn
+	open   int
+	dialed uint64
+	closed bool
+}
+
+// New returns a pool without connections.
+func New(opts Options) *Pool {
+	if opts.Dial == nil {
+		opts.Dial = dialTCP
+	}
+	return &Pool{opts: opts}
+}
+
+func dialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	d := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveEvery, Count: int(unacknowledged / keepAliveEvery)},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var err error
+			ctl := c.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
+			})
+			return errors.Join(ctl, err)
+		},
+	}
+	return d.DialContext(ctx, "tcp", addr.String())
+}
+
+// Free reports whether a call could have one of most connections now.
+func (p *Pool) Free(most int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0 || p.open < most
+}
+
+// Dialed returns how many connections were opened.
+func (p *Pool) Dialed() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialed
+}
+
+// Close closes the unused connections; those in use are closed as their calls end.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.closed = nil, true
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.close()
+	}
+}
+
+// Do sends one request and returns its reply; the end of ctx closes the connection, which is how the replica learns of it.
+func (p *Pool) Do(ctx context.Context, call *Call) Result {
+	for {
+		c, err := p.take(ctx, call.Connections)
+		if err != nil {
+			return Result{Kind: upstream.KindNotSent, Detail: err.Error(), Busy: errors.Is(err, errBusy)}
+		}
+		w := &waiting{done: make(chan Result, 1), id: call.Request.ID, method: call.Request.Method}
+		if !c.begin(w) {
+			// The replica closed it while it was unused, and nothing was sent.
+			continue
+		}
+		return c.run(ctx, call, w)
+	}
+}
+
+var errBusy = errors.New(ErrBusy)
+
+// take returns an unused connection, or opens one.
+func (p *Pool) take(ctx context.Context, most int) (*conn, error) {
+	now := p.opts.Clock.Now()
+	p.mu.Lock()
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if now.Before(c.until) {
+			p.mu.Unlock()
+			return c, nil
+		}
+		p.mu.Unlock()
+		c.close()
+		p.mu.Lock()
+	}
+	if p.open >= most {
+		p.mu.Unlock()
+		return nil, errBusy
+	}
+	p.open++
+	p.dialed++
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	nc, err := p.opts.Dial(ctx, p.opts.Addr)
+	if err != nil {
+		p.forget()
+		return nil, fmt.Errorf("connect to %s: %w", p.opts.Addr, err)
+	}
+	c := &conn{Conn: nc, pool: p}
+	go c.read()
+	return c, nil
+}
+
+func (p *Pool) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
+// put keeps a connection for the next call.
+func (p *Pool) put(c *conn, idleFor time.Duration) bool {
+	keep := defaultIdle
+	if idleFor > 0 {
+		keep = idleFor - idleMargin
+	}
+	if keep <= 0 {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	c.until = p.opts.Clock.Now().Add(keep)
+	p.idle = append(p.idle, c)
+	return true
+}
+
+// drop removes a connection that was closed while it was unused.
+func (p *Pool) drop(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, other := range p.idle {
+		if other == c {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/entry/internal/forward/forwarder.go
@@ -0,0 +1,229 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/opaque"
+	"guavaspring.org/core/route"
+	"guavaspring.org/core/upstream"
+	"guavaspring.org/entry/internal/endpoints"
+	"guavaspring.org/entry/internal/events"
+	"guavaspring.org/entry/internal/exchange"
+	"guavaspring.org/entry/internal/latency"
+	"guavaspring.org/entry/internal/scatter"
+)
+
+const (
+	// retryUnknown is when to come back to a host that knows no configuration yet: it learns one within two calls to the store.
+	retryUnknown = 300 * time.Millisecond
+	// retryGone is when to come back where a service has no replica: a new one is listed within a second or two of its start.
+	retryGone = 500 * time.Millisecond
+	// retryShed is when to come back where replicas were full or their connections taken: a few replies later there is room.
+	retryShed = 100 * time.Millisecond
+	// defaultTimeout is how long a request may take where neither the client nor the route says.
+	defaultTimeout = 10 * time.Second
+)
+
+// Options configures a Forwarder.
+type Options struct {
+	Clock clock.Clock
+	Log   logr.Logger
+	Codec *opaque.Codec
+	// Config returns the configuration in force, nil where none is known yet.
+	Config func() *route.Table
+	Table  *endpoints.Table
+	Runner *scatter.Runner
+}
+
+// Forwarder is the HTTP handler of clients' requests.
+type Forwarder struct {
+	opts   Options
+	recent sync.Map
+}
+
+// New returns a forwarder.
+func New(opts Options) *Forwarder { return &Forwarder{opts: opts} }
+
+// ServeHTTP answers one request.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := f.opts.Clock.Now()
+	table := f.opts.Config()
+	if table == nil || !f.opts.Table.Known() {
+		refuse(w, http.StatusServiceUnavailable, retryUnknown, "the configuration is not known yet")
+		return
+	}
+	body, err := readBody(r, table.Config().Limits.BodyBytes)
+	if err != nil {
+		f.badBody(w, err)
+		return
+	}
+	req := f.opts.Codec.Decode(r, body)
+	rt := table.Find(req.Host, req.Path)
+	if rt == nil {
+		http.Error(w, "no route", http.StatusNotFound)
+		return
+	}
+	q := scatter.Query{Request: &req, Route: rt, Shards: f.shards(rt), Recent: f.recentOf(rt), Arrived: arrived, Deadline: deadline(arrived, &req, rt)}
+	rep := f.opts.Runner.Run(r.Context(), q)
+	f.answer(w, rt, &rep)
+	f.log(&q, &rep)
+}
+
+func deadline(arrived time.Time, req *opaque.Request, rt *route.Route) time.Time {
+	limit := rt.Timeout
+	if limit <= 0 {
+		limit = defaultTimeout
+	}
+	if req.Patience > 0 {
+		limit = min(limit, req.Patience)
+	}
+	return arrived.Add(limit)
+}
+
+// shards returns the services that a request of the route is sent to.
+func (f *Forwarder) shards(rt *route.Route) []*endpoints.Service {
+	if len(rt.Shards) == 0 {
+		return []*endpoints.Service{f.opts.Table.Service(draw(rt.Split))}
+	}
+	list := make([]*endpoints.Service, len(rt.Shards))
+	for i, name := range rt.Shards {
+		list[i] = f.opts.Table.Service(name)
+	}
+	return list
+}
+
+// draw returns one service of a split in proportion to its weight.
+func draw(split []route.Share) string {
+	sum := 0.0
+	for _, s := range split {
+		sum += s.Weight
+	}
+	x := rand.Float64() * sum
+	for _, s := range split {
+		if x -= s.Weight; x < 0 {
+			return s.Service
+		}
+	}
+	return split[len(split)-1].Service
+}
+
+func (f *Forwarder) recentOf(rt *route.Route) *latency.Recent {
+	key := rt.Host + rt.Prefix
+	if r, ok := f.recent.Load(key); ok {
+		return r.(*latency.Recent)
+	}
+	r, _ := f.recent.LoadOrStore(key, &latency.Recent{})
+	return r.(*latency.Recent)
+}
+
+var errTooLarge = errors.New("the body is over the limit")
+
+func readBody(r *http.Request, most int) ([]byte, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	if most <= 0 {
+		return io.ReadAll(r.Body)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, int64(most)+1))
+	if err == nil && len(body) > most {
+		return nil, errTooLarge
+	}
+	return body, err
+}
+
+func (f *Forwarder) badBody(w http.ResponseWriter, err error) {
+	status := http.StatusBadRequest
+	if errors.Is(err, errTooLarge) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	events.Refused.Log(f.opts.Log, "reason", err.Error(), "status", status)
+	http.Error(w, err.Error(), status)
+}
+
+// answer writes what the request came to.
+func (f *Forwarder) answer(w http.ResponseWriter, rt *route.Route, rep *scatter.Report) {
+	switch {
+	case rep.Ending == scatter.Gone:
+		// Nobody reads the answer.
+	case len(rt.Shards) > 0 && (rep.Ending == scatter.Complete || rep.Ending == scatter.Partial):
+		f.merged(w, rt, rep)
+	case len(rt.Shards) == 0 && passable(&rep.Results[0]):
+		f.pass(w, &rep.Results[0])
+	case !rep.Ran:
+		refuse(w, http.StatusServiceUnavailable, retryAfter(rep), "the request did not run")
+	case rep.Ending == scatter.Expired:
+		http.Error(w, "the time is up", http.StatusGatewayTimeout)
+	default:
+		w.Header().Set("Retry-After", seconds(retryShed))
+		http.Error(w, "the replicas failed", http.StatusBadGateway)
+	}
+}
+
+// passable reports whether a replica's reply may go to the client as it is. A status that promises that nothing ran may not, where
+// the replica did not promise it.
+func passable(res *exchange.Result) bool {
+	if !res.Whole() || res.Kind.NotRun() {
+		return false
+	}
+	switch res.Status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return false
+	}
+	return res.Kind == upstream.KindOK || res.Status >= 300
+}
+
+func (f *Forwarder) pass(w http.ResponseWriter, res *exchange.Result) {
+	f.opts.Codec.CopyHeader(w.Header(), res.Header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(res.Body)))
+	w.WriteHeader(res.Status)
+	f.write(w, res.Body)
+}
+
+func (f *Forwarder) merged(w http.ResponseWriter, rt *route.Route, rep *scatter.Report) {
+	var parts [][]byte
+	var stamps []string
+	for i := range rep.Results {
+		if res := &rep.Results[i]; res.Kind == upstream.KindOK {
+			parts = append(parts, res.Body)
+			stamps = append(stamps, res.Reply.Stamp)
+		}
+	}
+	body := merge(parts, rt.TopK)
+	f.opts.Codec.SetParts(w.Header(), stamps, len(rep.Results)-len(parts))
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(http.StatusOK)
+	f.write(w, body)
+}
+
+func (f *Forwarder) write(w http.ResponseWriter, body []byte) {
+	if _, err := w.Write(body); err != nil {
+		events.AnswerBroken.Log(f.opts.Log, "reason", err.Error())
+	}
+}
+
+func retryAfter(rep *scatter.Report) time.Duration {
+	for i := range rep.Results {
+		if rep.Results[i].Kind == upstream.KindShed || rep.Results[i].Busy {
+			return retryShed
+		}
+	}
+	return retryGone
+}
+
+func refuse(w http.ResponseWriter, status int, after time.Duration, why string) {
+	w.Header().Set("Retry-After", seconds(after))
+	http.Error(w, why, status)
+}
+
+func seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', -1, 64) }
--- /dev/null
+++ b/entry/internal/front/follow.go
@@ -0,0 +1,58 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"guavaspring.org/core/feed"
+	"guavaspring.org/core/platform"
+	"guavaspring.org/core/route"
+	"guavaspring.org/entry/internal/events"
+	"guavaspring.org/entry/internal/source"
+)
+
+const (
+	// waitPart is the part of the time in which a change must be in force that one watch waits; the rest is for a list after a watch that
+	// heard nothing.
+	waitPart = 0.55
+	// mostWait bounds a watch where much more time is allowed.
+	mostWait = 20 * time.Second
+)
+
+func waitFor(bound time.Duration) time.Duration {
+	return min(mostWait, time.Duration(waitPart*float64(bound)))
+}
+
+func (f *Front) followConfig(ctx context.Context) {
+	apply := func(batch feed.Batch[route.Config], _ bool) { f.applyConfig(batch) }
+	source.New(source.Options[route.Config]{
+		Clock: f.opts.Clock, Log: f.opts.Log, Name: "config", List: f.opts.Store.ListConfig, Watch: f.opts.Store.WatchConfig,
+		Replace: apply, Change: apply, Reconnect: f.opts.Store.Reconnect, Wait: waitFor(f.opts.Apply),
+	}).Run(ctx)
+}
+
+// applyConfig puts the newest configuration in force; one that is older than what is in force never comes back.
+func (f *Front) applyConfig(batch feed.Batch[route.Config]) {
+	for _, e := range batch.Entries {
+		old := f.config.Load()
+		switch {
+		case e.Deleted || e.Value.Version == 0:
+			continue
+		case old != nil && e.Value.Version <= old.Config().Version:
+			if e.Value.Version < old.Config().Version {
+				events.ConfigStale.Log(f.opts.Log, "version", e.Value.Version, "in_force", old.Config().Version)
+			}
+			continue
+		}
+		f.table.SetLimits(e.Value.Services)
+		f.config.Store(route.NewTable(e.Value))
+		events.ConfigInForce.Log(f.opts.Log, "version", e.Value.Version, "routes", len(e.Value.Routes), "services", len(e.Value.Services))
+	}
+}
+
+func (f *Front) followReplicas(ctx context.Context) {
+	source.New(source.Options[platform.Replica]{
+		Clock: f.opts.Clock, Log: f.opts.Log, Name: "replicas", List: f.opts.Store.ListReplicas, Watch: f.opts.Store.WatchReplicas,
+		Replace: f.table.Replace, Change: f.table.Change, Reconnect: f.opts.Store.Reconnect, Wait: waitFor(f.opts.Drain),
+	}).Run(ctx)
+}
--- /dev/null
+++ b/entry/internal/front/front.go
@@ -0,0 +1,194 @@
+package front
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	"github.com/go-kratos/kratos/v2/transport"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/go-logr/logr"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/feed"
+	"guavaspring.org/core/opaque"
+	"guavaspring.org/core/platform"
+	"guavaspring.org/core/route"
+	"guavaspring.org/entry/internal/drainer"
+	"guavaspring.org/entry/internal/endpoints"
+	"guavaspring.org/entry/internal/events"
+	"guavaspring.org/entry/internal/forward"
+	"guavaspring.org/entry/internal/scatter"
+	"guavaspring.org/entry/internal/spend"
+)
+
+const (
+	// keepFor is how long clients keep the addresses that they are told; some keep them three times as long, which has to end before a
+	// host that leaves closes its port.
+	keepFor = 1500 * time.Millisecond
+	// finishIn is the end of the grace that is left for requests in flight after the port is closed.
+	finishIn = 1200 * time.Millisecond
+	// exitIn is the end of the grace that is left for the process to end by itself.
+	exitIn = 200 * time.Millisecond
+	// idleFor is how long an unused connection of a client is kept where the configuration is not known yet; longer is always safe.
+	idleFor = time.Minute
+	// headersIn bounds the wait for the header of a request.
+	headersIn = 10 * time.Second
+	// shareEvery is how often the hosts' shares of a replica's connections follow the number of hosts.
+	shareEvery = time.Second
+	// leastHosts is the number of hosts that is taken for granted where fewer are known: a host that has just started knows only itself,
+	// and must not take the shares of all.
+	leastHosts = 3
+)
+
+// Store is how the platform's store is called.
+type Store struct {
+	ListConfig    func(ctx context.Context) (feed.Batch[route.Config], error)
+	WatchConfig   func(ctx context.Context, since int64, wait time.Duration) (feed.Batch[route.Config], error)
+	ListReplicas  func(ctx context.Context) (feed.Batch[platform.Replica], error)
+	WatchReplicas func(ctx context.Context, since int64, wait time.Duration) (feed.Batch[platform.Replica], error)
+	List          func(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error)
+	Get           func(ctx context.Context, kind platform.Kind, name string) (platform.Object, error)
+	Put           func(ctx context.Context, kind platform.Kind, name string, version int64, body []byte) (platform.Object, error)
+	// Reconnect drops the unused connections.
+	Reconnect func()
+}
+
+// Options holds the settings of a host.
+type Options struct {
+	Clock        clock.Clock
+	Log          logr.Logger
+	Zone, Region string
+	// Front is for clients, Readiness for the platform's checks, Directory for clients that ask for addresses, Peer for the other hosts.
+	Front, Readiness, Directory, Peer netip.AddrPort
+	// Seeds returns addresses of other hosts that may be alive.
+	Seeds func() []netip.AddrPort
+	Store Store
+	Codec opaque.Codec
+	// Resolve and Ready make the handlers of the directory and of the platform's checks.
+	Resolve func(answer func(region, zone string) ([]netip.AddrPort, time.Duration, error)) http.Handler
+	Ready   func(ready func() error) http.Handler
+	// Grace is the time between the order to stop and the kill.
+	Grace time.Duration
+	// MaxKeep is the longest time for which a client may be told to keep addresses.
+	MaxKeep time.Duration
+	// Apply is how soon a changed configuration has to be in force, and Drain how long a replica that leaves may still be sent requests.
+	Apply, Drain time.Duration
+	// Spend bounds the tries beyond the first of each request, of all hosts together.
+	Spend spend.Options
+}
+
+// Front is one host.
+type Front struct {
+	opts   Options
+	drain  *drainer.Drainer
+	table  *endpoints.Table
+	config atomic.Pointer[route.Table]
+	joined *joined
+}
+
+// New returns a host that does nothing until Run.
+func New(opts Options) (*Front, error) {
+	f := &Front{opts: opts}
+	f.drain = drainer.New(drainer.Options{Clock: opts.Clock, Announce: f.announce, Grace: func() time.Duration { return opts.Grace - finishIn }})
+	f.table = endpoints.New(endpoints.Options{Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Hosts: f.hosts})
+	j, err := join(opts, rand.Text())
+	if err != nil {
+		return nil, err
+	}
+	f.joined = j
+	return f, nil
+}
+
+// Run serves until ctx ends or the process is told to stop, and then finishes what is in flight.
+func (f *Front) Run(ctx context.Context) error {
+	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var duties sync.WaitGroup
+	f.start(own, &duties)
+	app := kratos.New(kratos.Context(own), kratos.Name("entry"), kratos.Server(f.servers()...),
+		kratos.BeforeStop(f.drain.Leave), kratos.StopTimeout(f.opts.Grace-exitIn))
+	stop := context.AfterFunc(ctx, func() { _ = app.Stop() })
+	defer stop()
+	events.Started.Log(f.opts.Log, "listen", f.opts.Front.String(), "zone", f.opts.Zone)
+	err := app.Run()
+	cancel()
+	duties.Wait()
+	events.Stopped.Log(f.opts.Log)
+	if err != nil {
+		return fmt.Errorf("host %s: %w", f.opts.Front, err)
+	}
+	return nil
+}
+
+// start begins the duties that run until ctx ends. Clients are answered from the first moment: one that comes before the
+// configuration is known is told when to come back.
+func (f *Front) start(ctx context.Context, duties *sync.WaitGroup) {
+	duties.Go(func() { f.followConfig(ctx) })
+	duties.Go(func() { f.followReplicas(ctx) })
+	duties.Go(func() { f.joined.run(ctx) })
+	duties.Go(func() { f.share(ctx) })
+}
+
+func (f *Front) servers() []transport.Server {
+	fwd := forward.New(forward.Options{
+		Clock: f.opts.Clock, Log: f.opts.Log, Codec: &f.opts.Codec, Config: f.config.Load, Table: f.table,
+		Runner: scatter.New(scatter.Options{Clock: f.opts.Clock, Hosts: f.hosts}),
+	})
+	return []transport.Server{
+		f.server(f.opts.Front, f.drain.Filter(fwd)),
+		f.server(f.opts.Readiness, f.opts.Ready(f.ready)),
+		f.server(f.opts.Directory, f.opts.Resolve(f.addresses)),
+	}
+}
+
+// server returns a kratos server all of whose requests go to h: a router would rewrite paths that must reach replicas unchanged.
+func (f *Front) server(addr netip.AddrPort, h http.Handler) transport.Server {
+	srv := khttp.NewServer(khttp.Address(addr.String()), khttp.Timeout(0), khttp.Filter(func(http.Handler) http.Handler { return h }))
+	srv.IdleTimeout, srv.ReadHeaderTimeout = idleFor, headersIn
+	return srv
+}
+
+// share lets the shares of the replicas' connections follow the number of hosts until ctx ends.
+func (f *Front) share(ctx context.Context) {
+	for ctx.Err() == nil {
+		if t := f.config.Load(); t != nil {
+			f.table.SetLimits(t.Config().Services)
+		}
+		clock.Sleep(ctx, f.opts.Clock, shareEvery)
+	}
+}
+
+// hosts returns how many hosts share what is bounded for all together.
+func (f *Front) hosts() int { return max(leastHosts, f.joined.count()) }
+
+func (f *Front) ready() error {
+	switch {
+	case f.drain.Leaving():
+		return errors.New("the host is leaving; it serves those that still come")
+	case f.config.Load() == nil || !f.table.Known():
+		return errors.New("the configuration is not known yet")
+	}
+	return nil
+}
+
+// addresses returns the hosts that clients should use.
+func (f *Front) addresses(_, _ string) ([]netip.AddrPort, time.Duration, error) {
+	list := f.joined.addresses(!f.drain.Leaving())
+	if len(list) == 0 {
+		return nil, 0, errors.New("no host is known to serve")
+	}
+	return list, min(keepFor, f.opts.MaxKeep), nil
+}
+
+func (f *Front) announce(ctx context.Context) {
+	events.Stopping.Log(f.opts.Log, "in_flight", f.drain.Running(), "grace", f.opts.Grace.String())
+	f.joined.peers.Leave(ctx)
+}
--- /dev/null
+++ b/entry/internal/front/joined.go
@@ -0,0 +1,98 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	mathrand "math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+
+	"guavaspring.org/core/event"
+	"guavaspring.org/core/platform"
+	"guavaspring.org/entry/internal/accepted"
+	"guavaspring.org/entry/internal/directory"
+	"guavaspring.org/entry/internal/events"
+	"guavaspring.org/entry/internal/listing"
+	"guavaspring.org/entry/internal/member"
+	"guavaspring.org/entry/internal/peers"
+	"guavaspring.org/entry/internal/rumor"
+)
+
+// joined is what makes this host one of many: the list of hosts and the traffic with them.
+type joined struct {
+	list      *member.List
+	peers     *peers.Peers
+	directory *directory.Directory
+}
+
+// join opens the port for other hosts; the host joins once run is called.
+func join(opts Options, incarnation string) (*joined, error) {
+	var cfg net.ListenConfig
+	l, err := cfg.Listen(context.Background(), "tcp", opts.Peer.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen for other hosts: %w", err)
+	}
+	j := &joined{}
+	self := member.Host{ID: incarnation, Caller: opts.Front, Peer: opts.Peer, Zone: opts.Zone, Region: opts.Region}
+	j.list = member.New(member.Options{Self: self, Rand: newRand(), Changed: func(old, now member.Host) { logMember(opts, old, now) }})
+	j.directory = directory.New(directory.Options{
+		Clock: opts.Clock, Log: opts.Log, List: opts.Store.List, Get: opts.Store.Get, Put: opts.Store.Put, Self: j.list.Self, Hosts: j.list.Hosts,
+	})
+	j.peers, err = peers.New(peers.Options{
+		Clock: opts.Clock, Log: opts.Log, Listener: l, List: j.list, Rand: newRand(),
+		// Documents and replica lists of the project's own interface are not shared here: both come from the platform's store.
+		Store: accepted.New(func(accepted.Generation) {}), Listing: listing.New(opts.Clock), Replicas: func() []platform.Replica { return nil },
+		Rumors:   rumor.New(opts.Clock, func() int { return len(j.list.Hosts()) }),
+		Contacts: func() []netip.AddrPort { return append(j.directory.Contacts(), opts.Seeds()...) },
+	})
+	return j, err
+}
+
+func (j *joined) run(ctx context.Context) {
+	var duties sync.WaitGroup
+	duties.Go(func() { j.peers.Run(ctx) })
+	duties.Go(func() { j.directory.Run(ctx) })
+	duties.Wait()
+}
+
+// count returns how many hosts there are; two incarnations at one address are one host.
+func (j *joined) count() int {
+	seen := map[netip.AddrPort]bool{}
+	for _, h := range j.list.Hosts() {
+		seen[h.Peer] = true
+	}
+	return len(seen)
+}
+
+// addresses returns the hosts that serve, this one included where self is set. A host that is suspected is left out as long as
+// another is known: a connection to one that has lost power costs a client a second.
+func (j *joined) addresses(self bool) []netip.AddrPort {
+	own := j.list.Self()
+	var alive, suspect []netip.AddrPort
+	for _, h := range j.list.Hosts() {
+		switch {
+		case h.ID == own.ID && self, h.ID != own.ID && h.State == member.StateAlive:
+			alive = append(alive, h.Caller)
+		case h.ID != own.ID && h.State == member.StateSuspect:
+			suspect = append(suspect, h.Caller)
+		}
+	}
+	if len(alive) > 0 {
+		return alive
+	}
+	return suspect
+}
+
+// newRand needs no secrecy: it only spreads probes and repairs.
+func newRand() *mathrand.Rand {
+	return mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
+}
+
+func logMember(opts Options, old, now member.Host) {
+	ev := map[member.State]event.Event{
+		member.StateAlive: events.MemberAlive, member.StateSuspect: events.MemberSuspect,
+		member.StateLeaving: events.MemberLeaving, member.StateDead: events.MemberDead,
+	}[now.State]
+	ev.Log(opts.Log, "id", now.ID, "peer", now.Peer.String(), "zone", now.Zone, "epoch", now.Epoch, "was", old.State)
+}
--- /dev/null
+++ b/entry/internal/pick/pick.go
@@ -0,0 +1,64 @@
+// Package pick decides which replica a request is sent to.
+package pick
+
+import (
+	"time"
+)
+
+const (
+	// queueWeight is how much each request of this host that runs at a replica lengthens the expected time of one more. A replica runs
+	// five at once and most hosts send to it, so one of this host's stands for several.
+	queueWeight = 0.35
+	// zoneWeight and zoneDelay make another availability zone dearer than the time it costs, since bytes between zones are paid
+	// for; a replica in the own zone that is a quarter slower is still preferred.
+	zoneWeight = 0.15
+	zoneDelay  = 2 * time.Millisecond
+	// Forget is the time in which what was learned of a replica's speed loses two thirds of its weight. A disruption lasts for seconds;
+	// a replica that was slow is tried again about as long after.
+	Forget = 3 * time.Second
+	// spread is the random part of an estimate, so that hosts that know the same don't all choose the same replica.
+	spread = 0.2
+	// failureCost is what a failed try costs in times of a usual reply: it has to be sent again, from a bounded budget.
+	failureCost = 4
+)
+
+// Replica is what one host knows of a replica at the time of a decision.
+type Replica struct {
+	// Running is how many requests of this host it works on.
+	Running int
+	// Oldest is the age of the oldest of them.
+	Oldest time.Duration
+	// Slowness is how many times longer than usual its replies take.
+	Slowness float64
+	// Failures is the share of late tries, 0 to 1, that failed.
+	Failures float64
+	// Near says that it is in the host's own availability zone.
+	Near bool
+	// Cold says that it has just started and is still slow.
+	Cold bool
+}
+
+// coldSlowness stands for a replica that has just started and has not answered this host yet.
+const coldSlowness = 1.6
+
+// Estimate returns how long a request is expected to take at the replica, where usual is the time at a healthy one and draw a random
+// number between 0 and 1.
+//
+// It answers replicas that pause for a quarter of a second, or are ten times slower for a while: what is under way there and has
+// not come back is the first sign, before any reply could show it.
+func Estimate(r Replica, usual time.Duration, draw float64) time.Duration {
+	slow := max(r.Slowness, 0.5)
+	if r.Cold {
+		slow = max(slow, coldSlowness)
+	}
+	t := time.Duration(float64(usual) * slow * (1 + queueWeight*float64(r.Running)))
+	// A request that is overdue says more than the replies before it: this one would wait behind it.
+	if overdue := time.Duration(2 * float64(usual) * slow); r.Oldest > overdue {
+		t = max(t, 2*r.Oldest)
+	}
+	t += time.Duration(float64(usual) * failureCost * r.Failures)
+	if !r.Near {
+		t += zoneDelay + time.Duration(float64(usual)*zoneWeight)
+	}
+	return t + time.Duration(float64(t)*spread*draw)
+}
--- /dev/null
+++ b/entry/internal/scatter/scatter.go
@@ -0,0 +1,269 @@
+package scatter
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/opaque"
+	"guavaspring.org/core/route"
+	"guavaspring.org/entry/internal/endpoints"
+	"guavaspring.org/entry/internal/exchange"
+	"guavaspring.org/entry/internal/latency"
+)
+
+const (
+	// lingerFor is how long a try that lost is left alone: a replica that pauses is back within a quarter of a second, and a new
+	// connection costs it more than the rest of the work.
+	lingerFor = 300 * time.Millisecond
+	// lookAgain is how soon a shard whose replicas are all busy looks for a connection again.
+	lookAgain = 3 * time.Millisecond
+	// unsentTries is how many replicas beyond the allowed ones may be tried where nothing was sent to the others.
+	unsentTries = 2
+	// answerBefore is how long before its deadline a request is given up, so that the answer is there in time.
+	answerBefore = 5 * time.Millisecond
+)
+
+// Ending says how a request came to its end.
+type Ending string
+
+// The ways in which a request ends.
+const (
+	// Complete means that every shard answered.
+	Complete Ending = "complete"
+	// Partial means that enough shards answered by the time an answer was due.
+	Partial Ending = "partial"
+	// Lost means that too few shards can still answer.
+	Lost Ending = "lost"
+	// Expired means that the deadline passed.
+	Expired Ending = "expired"
+	// Gone means that the client went away.
+	Gone Ending = "client_gone"
+)
+
+// Options configures a Runner.
+type Options struct {
+	Clock clock.Clock
+	// Hosts returns how many hosts share the budgets of extra tries.
+	Hosts func() int
+	// Draw returns a random number between 0 and 1 and must be safe for concurrent use; nil means rand.Float64.
+	Draw func() float64
+}
+
+// Runner runs requests.
+type Runner struct{ opts Options }
+
+// New returns a runner.
+func New(opts Options) *Runner {
+	if opts.Draw == nil {
+		opts.Draw = rand.Float64
+	}
+	return &Runner{opts: opts}
+}
+
+// Query is one request and where it goes.
+type Query struct {
+	Request *opaque.Request
+	Route   *route.Route
+	// Shards are the services that it is sent to, one replica each.
+	Shards []*endpoints.Service
+	// Recent holds how long replies to the route took lately.
+	Recent            *latency.Recent
+	Arrived, Deadline time.Time
+}
+
+// Report is what a request came to.
+type Report struct {
+	Ending Ending
+	// Results holds, for each shard, the reply that was taken, or the last failure where none was.
+	Results []exchange.Result
+	// Answered counts the shards whose reply was taken.
+	Answered int
+	// Sent counts the tries of which a byte may have left, Hedges and Retries those of them beyond the first of a shard.
+	Sent, Hedges, Retries int
+	// Ran says that a replica may have run the request.
+	Ran bool
+	// Denied counts second tries that the budget did not allow.
+	Denied int
+	Steps  []Step
+}
+
+// Run sends the request and returns once its end is decided.
+func (run *Runner) Run(ctx context.Context, q Query) Report {
+	p := newPlan(run, q)
+	p.start(ctx)
+	rep := p.collect(ctx)
+	p.leave(rep.Ending)
+	return rep
+}
+
+// plan is the state of one request, owned by the goroutine that called Run.
+type plan struct {
+	Query
+	run    *Runner
+	timing timing
+	least  int
+	now    time.Time
+	shards []shard
+	// ctx ends the tries; it is not the client's, since a try that lost is left to end by itself for a while.
+	ctx    context.Context
+	cancel context.CancelFunc
+	ends   chan ended
+	report Report
+	lost   int
+	open   int
+}
+
+type shard struct {
+	tried []*endpoints.Replica
+	// sent counts the tries that may have reached a replica, running those under way.
+	sent, running int
+	// hedgeAt and lookAt are when the shard is looked at next; zero means never.
+	hedgeAt, lookAt time.Time
+	answered, lost  bool
+	result          exchange.Result
+}
+
+// ended is a try that came to its end.
+type ended struct {
+	shard   int
+	replica *endpoints.Replica
+	res     exchange.Result
+}
+
+func newPlan(run *Runner, q Query) *plan {
+	n := len(q.Shards)
+	p := &plan{
+		Query: q, run: run, timing: timingOf(q.Route, q.Recent), least: 1, now: run.opts.Clock.Now(), shards: make([]shard, n), open: n,
+		ends: make(chan ended, n*(q.Route.Attempts+unsentTries)),
+	}
+	if len(q.Route.Shards) > 0 {
+		p.least = q.Route.LeastShards()
+	}
+	return p
+}
+
+// start sends the first try of each shard. What is not idempotent is not ended with the client: it may have run, and its replica
+// should not be cut off.
+func (p *plan) start(ctx context.Context) {
+	p.ctx, p.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	for i, s := range p.Shards {
+		s.Budget.Request(p.now)
+		p.try(i, First, "")
+	}
+}
+
+// leave lets the tries that are still under way go on for a while, unless nobody waits for the answer.
+func (p *plan) leave(end Ending) {
+	switch {
+	case p.running() == 0:
+		p.cancel()
+	case end == Gone && p.Route.Idempotent:
+		p.cancel()
+	case !p.Route.Idempotent:
+		p.run.opts.Clock.AfterFunc(max(0, p.Deadline.Sub(p.now)), p.cancel)
+	default:
+		p.run.opts.Clock.AfterFunc(lingerFor, p.cancel)
+	}
+}
+
+func (p *plan) running() int {
+	n := 0
+	for i := range p.shards {
+		n += p.shards[i].running
+	}
+	return n
+}
+
+// collect takes results until the end of the request is decided.
+func (p *plan) collect(ctx context.Context) Report {
+	for {
+		if end, ok := p.decided(); ok {
+			return p.finish(end)
+		}
+		select {
+		case e := <-p.ends:
+			p.now = p.run.opts.Clock.Now()
+			p.take(e)
+		case <-p.run.opts.Clock.After(p.wake().Sub(p.now)):
+			p.now = p.run.opts.Clock.Now()
+			p.tick()
+		case <-ctx.Done():
+			p.now = p.run.opts.Clock.Now()
+			return p.finish(Gone)
+		}
+	}
+}
+
+// decided reports whether nothing better than what is there can come in time, and how the request ends.
+func (p *plan) decided() (Ending, bool) {
+	have := p.report.Answered
+	switch {
+	case have == len(p.shards):
+		return Complete, true
+	case len(p.shards)-p.lost < p.least:
+		return Lost, true
+	case p.open == 0:
+		return Partial, true
+	case have >= p.least && !p.now.Before(p.Arrived.Add(p.timing.cutoff)):
+		return Partial, true
+	case !p.now.Before(p.end()):
+		return Expired, true
+	}
+	return "", false
+}
+
+func (p *plan) end() time.Time { return p.Deadline.Add(-answerBefore) }
+
+// wake returns when there is something to look at next.
+func (p *plan) wake() time.Time {
+	next := p.end()
+	if cutoff := p.Arrived.Add(p.timing.cutoff); p.now.Before(cutoff) && cutoff.Before(next) {
+		next = cutoff
+	}
+	for i := range p.shards {
+		s := &p.shards[i]
+		if s.answered || s.lost {
+			continue
+		}
+		for _, at := range []time.Time{s.hedgeAt, s.lookAt} {
+			if !at.IsZero() && at.Before(next) {
+				next = at
+			}
+		}
+	}
+	return next
+}
+
+// tick sends what is due by the time.
+func (p *plan) tick() {
+	for i := range p.shards {
+		s := &p.shards[i]
+		if s.answered || s.lost {
+			continue
+		}
+		if !s.lookAt.IsZero() && !p.now.Before(s.lookAt) {
+			s.lookAt = time.Time{}
+			p.try(i, Again, "")
+		}
+		if !s.hedgeAt.IsZero() && !p.now.Before(s.hedgeAt) {
+			s.hedgeAt = time.Time{}
+			p.hedge(i)
+		}
+	}
+}
+
+func (p *plan) finish(end Ending) Report {
+	p.report.Ending = end
+	p.report.Results = make([]exchange.Result, len(p.shards))
+	for i := range p.shards {
+		p.report.Results[i] = p.shards[i].result
+		// What is under way and idempotent is not waited for; it counts as run all the same.
+		p.report.Ran = p.report.Ran || p.shards[i].running > 0
+	}
+	return p.report
+}
+
+var errNoReplica = errors.New("no replica is left to try")
--- /dev/null
+++ b/entry/internal/scatter/tries.go
@@ -0,0 +1,177 @@
+package scatter
+
+import (
+	"time"
+
+	"guavaspring.org/core/upstream"
+	"guavaspring.org/entry/internal/endpoints"
+	"guavaspring.org/entry/internal/exchange"
+)
+
+// What names a decision about one shard.
+type What string
+
+// The decisions about one shard.
+const (
+	// First sends the first try.
+	First What = "first"
+	// Again sends a try that waited for a connection.
+	Again What = "again"
+	// Retry sends a try after one that failed.
+	Retry What = "retry"
+	// Hedge sends a try beside one that is late.
+	Hedge What = "hedge"
+	// Denied keeps a second try back, since the budget is spent.
+	Denied What = "denied"
+	// Wait holds a shard back until a connection is free.
+	Wait What = "wait"
+	// Miss gives a shard up.
+	Miss What = "miss"
+)
+
+// Step is one decision beyond the first tries.
+type Step struct {
+	// At is the time after the request's arrival.
+	At      time.Duration
+	What    What
+	Shard   int
+	Replica string
+	Why     string
+}
+
+func (p *plan) note(what What, i int, r *endpoints.Replica, why string) {
+	if what == First || what == Again {
+		return
+	}
+	st := Step{At: p.now.Sub(p.Arrived), What: what, Shard: i, Why: why}
+	if r != nil {
+		st.Replica = r.ID()
+	}
+	p.report.Steps = append(p.report.Steps, st)
+}
+
+// try sends one try of shard i to the best replica left, waits for a connection, or gives the shard up.
+func (p *plan) try(i int, what What, why string) {
+	s := &p.shards[i]
+	r, _, verdict := p.Shards[i].Pick(p.now, p.timing.usual, s.tried, p.run.opts.Draw)
+	switch {
+	case verdict == endpoints.Found:
+		p.send(i, r, what, why)
+	case s.running > 0:
+		// The try under way may still answer.
+	case verdict == endpoints.Busy && p.now.Add(p.timing.usual).Before(p.end()):
+		if s.lookAt.IsZero() && what != Again {
+			p.note(Wait, i, nil, exchange.ErrBusy)
+		}
+		s.lookAt = p.now.Add(lookAgain)
+	default:
+		p.miss(i, why, errNoReplica.Error())
+	}
+}
+
+func (p *plan) send(i int, r *endpoints.Replica, what What, why string) {
+	s := &p.shards[i]
+	s.tried = append(s.tried, r)
+	s.sent++
+	s.running++
+	p.note(what, i, r, why)
+	if s.sent < p.Route.Attempts && p.Route.Idempotent {
+		s.hedgeAt = p.now.Add(p.timing.hedge)
+	}
+	call := endpoints.Call{Request: p.Request, Deadline: p.Deadline, Connections: p.Shards[i].Connections(), Usual: p.timing.usual}
+	go func() {
+		res := r.Send(p.ctx, call)
+		if res.Kind == upstream.KindOK {
+			p.Recent.Observe(res.Took)
+		}
+		p.ends <- ended{shard: i, replica: r, res: res}
+	}()
+}
+
+// hedge sends a second try beside one that is late, where the budget allows it.
+func (p *plan) hedge(i int) {
+	s := &p.shards[i]
+	if s.running == 0 || s.sent >= p.Route.Attempts || p.now.Add(p.timing.usual).After(p.end()) {
+		return
+	}
+	r, _, verdict := p.Shards[i].Pick(p.now, p.timing.usual, s.tried, p.run.opts.Draw)
+	if verdict != endpoints.Found {
+		return
+	}
+	if !p.Shards[i].Budget.Hedge(p.now, p.run.opts.Hosts()) {
+		p.report.Denied++
+		p.note(Denied, i, r, "the budget of extra tries is spent")
+		return
+	}
+	p.report.Hedges++
+	p.send(i, r, Hedge, "")
+}
+
+// take takes over how a try ended.
+func (p *plan) take(e ended) {
+	s := &p.shards[e.shard]
+	s.running--
+	switch {
+	case e.res.Kind == upstream.KindNotSent:
+		// No byte left: the try counts against nothing.
+		s.sent--
+		if s.sent > 0 {
+			p.Shards[e.shard].Budget.Unsend(p.now)
+		}
+	case !e.res.Kind.NotRun():
+		p.report.Ran = true
+	}
+	if s.answered || s.lost {
+		return
+	}
+	s.result = e.res
+	if e.res.Kind == upstream.KindOK {
+		s.answered = true
+		p.report.Answered++
+		p.open--
+		return
+	}
+	p.failed(e.shard, e.res)
+}
+
+// failed decides what follows a try that brought no part.
+func (p *plan) failed(i int, res exchange.Result) {
+	s := &p.shards[i]
+	why := string(res.Kind) + ": " + res.Detail
+	if s.running > 0 {
+		return
+	}
+	s.hedgeAt = time.Time{}
+	switch {
+	case !p.Route.Idempotent && !res.Kind.NotRun():
+		p.miss(i, why, "it may have run and is not sent again")
+	case res.Busy:
+		// The connection that was free is taken: the replica may be tried again.
+		s.tried = s.tried[:len(s.tried)-1]
+		s.lookAt = p.now.Add(lookAgain)
+	case s.sent >= p.Route.Attempts || len(s.tried) >= p.Route.Attempts+unsentTries:
+		p.miss(i, why, "no try is left")
+	case p.now.Add(p.timing.usual).After(p.end()):
+		p.miss(i, why, "too little time is left for another try")
+	case s.sent > 0 && !p.Shards[i].Budget.Retry(p.now, p.run.opts.Hosts()):
+		p.report.Denied++
+		p.miss(i, why, "the budget of extra tries is spent")
+	default:
+		p.report.Retries++
+		p.try(i, Retry, why)
+	}
+}
+
+func (p *plan) miss(i int, why, then string) {
+	s := &p.shards[i]
+	if why != "" {
+		then = why + "; " + then
+	}
+	if s.result.Kind == "" {
+		s.result = exchange.Result{Kind: upstream.KindNotSent, Detail: then}
+	}
+	p.note(Miss, i, nil, then)
+	s.lost = true
+	p.lost++
+	p.open--
+}
--- a/entry/main.go
+++ b/entry/main.go
@@ -12,9 +12,18 @@
 	"guavaspring.org/core/event"
 	"guavaspring.org/core/settings"
 	"guavaspring.org/entry/internal/host"
+	platsettings "guavaspring.org/platform/settings"
 )
 
 func main() {
+	klog.SetLogger(klog.NewStdLogger(io.Discard))
+	if path, ok := platsettings.Path(); ok {
+		log := event.NewLogger(os.Stdout)
+		if err := runOnPlatform(context.Background(), path, log); err != nil {
+			settings.Fail(os.Stderr, "entry", err)
+		}
+		return
+	}
 	app := settings.New("entry", "Serves queries and writes of callers over the replicas of the services described on the platform.")
 	listen := settings.AddrPort(app.Flag("listen", "IP:port for callers and operators.").Required())
 	peer := settings.AddrPort(app.Flag("peer", "IP:port for the other hosts.").Required())
@@ -26,7 +35,6 @@
 		settings.Fail(os.Stderr, "entry", err)
 	}
 	log := event.NewLogger(os.Stderr)
-	klog.SetLogger(klog.NewStdLogger(io.Discard))
 	h, err := host.New(host.Options{
 		Clock: clock.System{}, Log: log, Listen: *listen, Peer: *peer, Seeds: *seeds,
 		Zone: *zone, Region: *region, Platform: *plat,
--- /dev/null
+++ b/entry/onplatform.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/go-logr/logr"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/entry/internal/events"
+	"guavaspring.org/entry/internal/front"
+	"guavaspring.org/entry/internal/spend"
+	"guavaspring.org/platform/settings"
+	"guavaspring.org/platform/store"
+	"guavaspring.org/platform/wire"
+)
+
+const (
+	// memoryPart is the part of the memory limit at which the collector works harder; the rest is for what it doesn't see.
+	memoryPart = 0.7
+	// collectAt lets the heap grow to four times what is live, which is a few megabytes: less processor time for memory that is there.
+	collectAt = 300
+)
+
+// runOnPlatform runs a host that a settings file of the platform describes.
+func runOnPlatform(ctx context.Context, path string, log logr.Logger) error {
+	s, err := settings.Read(path)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(collectAt)
+	debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryBytes)))
+	seeds := &atomic.Pointer[[]netip.AddrPort]{}
+	seeds.Store(&s.Seeds)
+	go reload(ctx, path, seeds, log)
+	c := store.New(s.Store)
+	f, err := front.New(front.Options{
+		Clock: clock.System{}, Log: log, Zone: s.Zone, Region: s.Region,
+		Front: s.Front, Readiness: s.Readiness, Directory: s.Directory, Peer: s.Peer,
+		Seeds: func() []netip.AddrPort { return *seeds.Load() },
+		Store: front.Store{
+			ListConfig: c.ListConfig, WatchConfig: c.WatchConfig, ListReplicas: c.ListReplicas, WatchReplicas: c.WatchReplicas,
+			List: c.List, Get: c.Get, Put: c.Put, Reconnect: c.Reconnect,
+		},
+		Codec: wire.Codec(), Resolve: wire.Resolve, Ready: wire.Ready,
+		Grace: s.Grace, MaxKeep: s.MaxKeep, Apply: s.ApplyConfig, Drain: s.Drain,
+		Spend: spend.Options{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
+	})
+	if err != nil {
+		return err
+	}
+	return f.Run(ctx)
+}
+
+// reload reads the settings again at each SIGHUP until ctx ends. Of what may change while a process runs, only the addresses of
+// other hosts matter to it; the signal would otherwise end the process.
+func reload(ctx context.Context, path string, seeds *atomic.Pointer[[]netip.AddrPort], log logr.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-hup:
+		case <-ctx.Done():
+			return
+		}
+		s, err := settings.Read(path)
+		if err != nil {
+			events.SettingsRefused.Log(log, "reason", err.Error())
+			continue
+		}
+		seeds.Store(&s.Seeds)
+		events.SettingsRead.Log(log, "seeds", len(s.Seeds))
+	}
+}
