endpoints, scatter: Limit the requests at a replica and let tries wait by rank

Change: a host has at most its part of twice the slots at a replica; tries beyond wait in this host, those without which the page fails first, those that are late last.

--- /dev/null
+++ b/entry/internal/endpoints/queue.go
@@ -0,0 +1,85 @@
+package endpoints
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Rank says how much a waiting try is worth to its request; the lower goes first.
+type Rank int
+
+// The ranks of waiting tries.
+const (
+	// Needed means that without the try the request can't be answered with success in time.
+	Needed Rank = iota
+	// Useful means that the request can be answered without it, less completely.
+	Useful
+	// Late means that the answer has missed its objective already.
+	Late
+)
+
+// Waiter is one try that waits for a replica of a service to have room.
+type Waiter struct {
+	// Since is when the try began to wait.
+	Since time.Time
+	// Wake is called once when there may be room; it must not block.
+	Wake func()
+
+	rank Rank
+}
+
+// queue holds the tries that wait for one service.
+//
+// It answers a shard that gets more work than its replicas left can do: the shard of a page whose other two replicas were taken away.
+// Sent on at once, all tries stand in the replica's queue past their objective and each page waits for them in vain. Held
+// here, the work that decides whether a page can be answered goes first, and what is late goes last.
+type queue struct {
+	mu      sync.Mutex
+	waiting []*Waiter
+}
+
+// Wait lets w wait with a rank; a waiter that waits already takes the new rank.
+func (q *queue) Wait(w *Waiter, rank Rank) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	w.rank = rank
+	if !slices.Contains(q.waiting, w) {
+		q.waiting = append(q.waiting, w)
+	}
+}
+
+// Leave ends the wait of w.
+func (q *queue) Leave(w *Waiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if i := slices.Index(q.waiting, w); i >= 0 {
+		q.waiting = slices.Delete(q.waiting, i, i+1)
+	}
+}
+
+// Waiting returns how many tries wait.
+func (q *queue) Waiting() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiting)
+}
+
+// wake wakes the waiter that goes first.
+func (q *queue) wake() {
+	q.mu.Lock()
+	if len(q.waiting) == 0 {
+		q.mu.Unlock()
+		return
+	}
+	best := 0
+	for i, w := range q.waiting {
+		if b := q.waiting[best]; w.rank < b.rank || w.rank == b.rank && w.Since.Before(b.Since) {
+			best = i
+		}
+	}
+	w := q.waiting[best]
+	q.waiting = slices.Delete(q.waiting, best, best+1)
+	q.mu.Unlock()
+	w.Wake()
+}
--- a/entry/internal/endpoints/replica.go
+++ b/entry/internal/endpoints/replica.go
@@ -30,9 +30,10 @@
 
 // Replica is one replica with what this host has seen of it.
 type Replica struct {
-	clock clock.Clock
-	near  bool
-	pool  *exchange.Pool
+	clock   clock.Clock
+	near    bool
+	service *Service
+	pool    *exchange.Pool
 
 	mu     sync.Mutex
 	row    platform.Replica
@@ -139,7 +140,7 @@
 func (r *Replica) view(now time.Time) (v pick.Replica, resting, usable bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	v = pick.Replica{Running: len(r.running), Slowness: r.slownessAt(now), Failures: r.failuresAt(now), Near: r.near, Cold: now.Before(r.coldEnd)}
+	v = pick.Replica{Running: len(r.running), Slots: r.row.Slots, Slowness: r.slownessAt(now), Failures: r.failuresAt(now), Near: r.near, Cold: now.Before(r.coldEnd)}
 	for _, start := range r.running {
 		v.Oldest = max(v.Oldest, now.Sub(start))
 	}
@@ -173,5 +174,6 @@
 		},
 	})
 	r.End(n, &res, call.Usual)
+	r.service.wake()
 	return res
 }
--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -25,9 +25,29 @@
 type Service struct {
 	Name   string
 	Budget *spend.Budget
-	list   atomic.Pointer[[]*Replica]
+	queue
+	list atomic.Pointer[[]*Replica]
 	// conns is the most connections that this host may hold to each replica.
 	conns atomic.Int64
+	// hosts returns how many hosts send to the replicas.
+	hosts func() int
+}
+
+const (
+	// depth is how many requests all hosts together may have at a replica, in times of what it runs at once: what runs, and as much again
+	// that is there when a slot becomes free. More only makes the replica's queue longer, which keeps no order.
+	depth = 2
+	// defaultSlots stands in for a replica that does not say how many requests it runs at once.
+	defaultSlots = 4
+)
+
+// share returns how many requests this host may have at a replica that runs a number of them at once.
+func (s *Service) share(slots int) int {
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	hosts := max(1, s.hosts())
+	return max(1, (depth*slots+hosts-1)/hosts)
 }
 
 // Connections returns the most connections that this host may hold to each replica.
@@ -60,7 +80,7 @@
 		if !usable {
 			continue
 		}
-		if !r.pool.Free(s.Connections()) {
+		if v.Running >= s.share(v.Slots) || !r.pool.Free(s.Connections()) {
 			verdict = Busy
 			continue
 		}
--- a/entry/internal/endpoints/table.go
+++ b/entry/internal/endpoints/table.go
@@ -72,7 +72,7 @@
 func (t *Table) service(name string) *Service {
 	s := t.services[name]
 	if s == nil {
-		s = &Service{Name: name, Budget: spend.New(t.opts.Spend)}
+		s = &Service{Name: name, Budget: spend.New(t.opts.Spend), hosts: t.opts.Hosts}
 		s.list.Store(&[]*Replica{})
 		s.conns.Store(int64(t.connections(name)))
 		t.services[name] = s
@@ -153,7 +153,7 @@
 		return
 	}
 	r = &Replica{
-		clock: t.opts.Clock, near: row.Zone == t.opts.Zone, row: row, usable: row.State != platform.StateLeaving,
+		clock: t.opts.Clock, service: t.service(row.Service), near: row.Zone == t.opts.Zone, row: row, usable: row.State != platform.StateLeaving,
 		running: map[uint64]time.Time{}, slowness: 1, seen: now,
 		pool: exchange.New(exchange.Options{Clock: t.opts.Clock, Addr: row.Addr, Codec: t.opts.Codec, Dial: t.opts.Dial}),
 	}
@@ -221,5 +221,6 @@
 	for name, s := range t.services {
 		list := lists[name]
 		s.list.Store(&list)
+		s.wake()
 	}
 }
--- a/entry/internal/pick/pick.go
+++ b/entry/internal/pick/pick.go
@@ -26,6 +26,8 @@
 type Replica struct {
 	// Running is how many requests of this host it works on.
 	Running int
+	// Slots is how many requests it runs at once, zero where it didn't say.
+	Slots int
 	// Oldest is the age of the oldest of them.
 	Oldest time.Duration
 	// Slowness is how many times longer than usual its replies take.
--- a/entry/internal/scatter/scatter.go
+++ b/entry/internal/scatter/scatter.go
@@ -18,8 +18,8 @@
 	// lingerFor is how long a try that lost is left alone: a replica that pauses is back within a quarter of a second, and a new
 	// connection costs it more than the rest of the work.
 	lingerFor = 300 * time.Millisecond
-	// lookAgain is how soon a shard whose replicas are all busy looks for a connection again.
-	lookAgain = 3 * time.Millisecond
+	// lookAgain is how soon a waiting shard looks for room that no reply of this host has announced.
+	lookAgain = 25 * time.Millisecond
 	// unsentTries is how many replicas beyond the allowed ones may be tried where nothing was sent to the others.
 	unsentTries = 2
 	// answerBefore is how long before its deadline a request is given up, so that the answer is there in time.
@@ -111,9 +111,12 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	ends   chan ended
-	report Report
-	lost   int
-	open   int
+	// room receives the shards whose wait for room may be over.
+	room    chan int
+	report  Report
+	lost    int
+	open    int
+	waiting int
 }
 
 type shard struct {
@@ -123,7 +126,10 @@
 	// hedgeAt and lookAt are when the shard is looked at next; zero means never.
 	hedgeAt, lookAt time.Time
 	answered, lost  bool
-	result          exchange.Result
+	// waiter is set while the shard waits for room, and what is the try that waits.
+	waiter *endpoints.Waiter
+	what   What
+	result exchange.Result
 }
 
 // ended is a try that came to its end.
@@ -137,7 +143,7 @@
 	n := len(q.Shards)
 	p := &plan{
 		Query: q, run: run, timing: timingOf(q.Route, q.Recent), least: 1, now: run.opts.Clock.Now(), shards: make([]shard, n), open: n,
-		ends: make(chan ended, n*(q.Route.Attempts+unsentTries)),
+		ends: make(chan ended, n*(q.Route.Attempts+unsentTries)), room: make(chan int, n),
 	}
 	if len(q.Route.Shards) > 0 {
 		p.least = q.Route.LeastShards()
@@ -187,6 +193,9 @@
 		case e := <-p.ends:
 			p.now = p.run.opts.Clock.Now()
 			p.take(e)
+		case i := <-p.room:
+			p.now = p.run.opts.Clock.Now()
+			p.look(i)
 		case <-p.run.opts.Clock.After(p.wake().Sub(p.now)):
 			p.now = p.run.opts.Clock.Now()
 			p.tick()
@@ -245,8 +254,7 @@
 			continue
 		}
 		if !s.lookAt.IsZero() && !p.now.Before(s.lookAt) {
-			s.lookAt = time.Time{}
-			p.try(i, Again, "")
+			p.look(i)
 		}
 		if !s.hedgeAt.IsZero() && !p.now.Before(s.hedgeAt) {
 			s.hedgeAt = time.Time{}
@@ -257,6 +265,9 @@
 
 func (p *plan) finish(end Ending) Report {
 	p.report.Ending = end
+	for i := range p.shards {
+		p.stopWaiting(i)
+	}
 	p.report.Results = make([]exchange.Result, len(p.shards))
 	for i := range p.shards {
 		p.report.Results[i] = p.shards[i].result
--- a/entry/internal/scatter/tries.go
+++ b/entry/internal/scatter/tries.go
@@ -15,8 +15,6 @@
 const (
 	// First sends the first try.
 	First What = "first"
-	// Again sends a try that waited for a connection.
-	Again What = "again"
 	// Retry sends a try after one that failed.
 	Retry What = "retry"
 	// Hedge sends a try beside one that is late.
@@ -40,7 +38,7 @@
 }
 
 func (p *plan) note(what What, i int, r *endpoints.Replica, why string) {
-	if what == First || what == Again {
+	if what == First {
 		return
 	}
 	st := Step{At: p.now.Sub(p.Arrived), What: what, Shard: i, Why: why}
@@ -50,7 +48,7 @@
 	p.report.Steps = append(p.report.Steps, st)
 }
 
-// try sends one try of shard i to the best replica left, waits for a connection, or gives the shard up.
+// try sends one try of shard i to the best replica left, waits for room, or gives the shard up.
 func (p *plan) try(i int, what What, why string) {
 	s := &p.shards[i]
 	r, _, verdict := p.Shards[i].Pick(p.now, p.timing.usual, s.tried, p.run.opts.Draw)
@@ -60,17 +58,72 @@
 	case s.running > 0:
 		// The try under way may still answer.
 	case verdict == endpoints.Busy && p.now.Add(p.timing.usual).Before(p.end()):
-		if s.lookAt.IsZero() && what != Again {
-			p.note(Wait, i, nil, exchange.ErrBusy)
-		}
-		s.lookAt = p.now.Add(lookAgain)
+		p.wait(i, what)
 	default:
 		p.miss(i, why, errNoReplica.Error())
 	}
 }
 
+// wait lets shard i wait for room at its replicas.
+func (p *plan) wait(i int, what What) {
+	s := &p.shards[i]
+	if s.waiter == nil {
+		p.note(Wait, i, nil, "every replica has as much work of this host as it may")
+		s.waiter = &endpoints.Waiter{Since: p.now, Wake: func() {
+			select {
+			case p.room <- i:
+			default:
+				// The plan looks at the shard anyway.
+			}
+		}}
+		s.what = what
+		p.waiting++
+	}
+	s.lookAt = p.now.Add(lookAgain)
+	p.Shards[i].Wait(s.waiter, p.rank())
+}
+
+// rank returns how much a shard that waits is worth to the request.
+func (p *plan) rank() endpoints.Rank {
+	switch {
+	case !p.now.Before(p.Arrived.Add(p.timing.cutoff)):
+		return endpoints.Late
+	case len(p.shards)-p.lost-p.waiting < p.least:
+		return endpoints.Needed
+	}
+	return endpoints.Useful
+}
+
+// rerank tells the queues what the waiting shards are worth now.
+func (p *plan) rerank() {
+	for i := range p.shards {
+		if w := p.shards[i].waiter; w != nil {
+			p.Shards[i].Wait(w, p.rank())
+		}
+	}
+}
+
+func (p *plan) stopWaiting(i int) {
+	s := &p.shards[i]
+	if s.waiter == nil {
+		return
+	}
+	p.Shards[i].Leave(s.waiter)
+	s.waiter, s.lookAt = nil, time.Time{}
+	p.waiting--
+}
+
+// look tries a waiting shard again.
+func (p *plan) look(i int) {
+	if s := &p.shards[i]; s.waiter != nil && !s.answered && !s.lost {
+		p.try(i, s.what, "")
+	}
+}
+
 func (p *plan) send(i int, r *endpoints.Replica, what What, why string) {
 	s := &p.shards[i]
+	waited := s.waiter != nil
+	p.stopWaiting(i)
 	s.tried = append(s.tried, r)
 	s.sent++
 	s.running++
@@ -86,6 +139,9 @@
 		}
 		p.ends <- ended{shard: i, replica: r, res: res}
 	}()
+	if waited && p.waiting > 0 {
+		p.rerank()
+	}
 }
 
 // hedge sends a second try beside one that is late, where the budget allows it.
@@ -148,7 +204,7 @@
 	case res.Busy:
 		// The connection that was free is taken: the replica may be tried again.
 		s.tried = s.tried[:len(s.tried)-1]
-		s.lookAt = p.now.Add(lookAgain)
+		p.wait(i, First)
 	case s.sent >= p.Route.Attempts || len(s.tried) >= p.Route.Attempts+unsentTries:
 		p.miss(i, why, "no try is left")
 	case p.now.Add(p.timing.usual).After(p.end()):
@@ -171,6 +227,7 @@
 		s.result = exchange.Result{Kind: upstream.KindNotSent, Detail: then}
 	}
 	p.note(Miss, i, nil, then)
+	p.stopWaiting(i)
 	s.lost = true
 	p.lost++
 	p.open--
