relay, source: Let two hosts watch the store and the others hear from them

Ruled out: longer waits (a watch whose history is dropped tells so only at its end), stale reads (they prove nothing). Change: hosts ranked by hash; two watch, each other asks the one above it in a tree of eight, and is told with the age of the store's word; one that hears nothing fresh for three quarters of the bound lists by itself.

--- a/entry/internal/events/events.go
+++ b/entry/internal/events/events.go
@@ -28,6 +28,7 @@
 	ReplicaGone  = event.New(1203, "replica_gone", "A replica was removed from a service.")
 
 	HistoryGone      = event.New(1204, "history_gone", "The platform no longer keeps the changes since the last watch; all objects of the kind are listed again.")
+	ParentLost       = event.New(1206, "parent_lost", "The host from which this one hears of configurations or replicas did not answer; another is asked next.")
 	ObjectUnreadable = event.New(1205, "object_unreadable", "An object of the platform could not be read and was left out.")
 )
 
--- a/entry/internal/front/follow.go
+++ b/entry/internal/front/follow.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"time"
-
 	"guavaspring.org/core/feed"
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/route"
@@ -11,23 +9,12 @@
 	"guavaspring.org/entry/internal/source"
 )
 
-const (
-	// waitPart is the part of the time in which a change must be in force that one watch waits; the rest is for a list after a watch that
-	// heard nothing.
-	waitPart = 0.55
-	// mostWait bounds a watch where much more time is allowed.
-	mostWait = 20 * time.Second
-)
-
-func waitFor(bound time.Duration) time.Duration {
-	return min(mostWait, time.Duration(waitPart*float64(bound)))
-}
-
 func (f *Front) followConfig(ctx context.Context) {
 	apply := func(batch feed.Batch[route.Config], _ bool) { f.applyConfig(batch) }
 	source.New(source.Options[route.Config]{
 		Clock: f.opts.Clock, Log: f.opts.Log, Name: "config", List: f.opts.Store.ListConfig, Watch: f.opts.Store.WatchConfig,
-		Replace: apply, Change: apply, Reconnect: f.opts.Store.Reconnect, Wait: waitFor(f.opts.Apply),
+		Parents: func() ([]source.Parent[route.Config], bool) { return parents[route.Config](f.joined, "Configs") },
+		Copy:    f.joined.configs, Replace: apply, Change: apply, Reconnect: f.opts.Store.Reconnect, Bound: f.opts.Apply,
 	}).Run(ctx)
 }
 
@@ -53,6 +40,9 @@
 func (f *Front) followReplicas(ctx context.Context) {
 	source.New(source.Options[platform.Replica]{
 		Clock: f.opts.Clock, Log: f.opts.Log, Name: "replicas", List: f.opts.Store.ListReplicas, Watch: f.opts.Store.WatchReplicas,
-		Replace: f.table.Replace, Change: f.table.Change, Reconnect: f.opts.Store.Reconnect, Wait: waitFor(f.opts.Drain),
+		Parents: func() ([]source.Parent[platform.Replica], bool) {
+			return parents[platform.Replica](f.joined, "Replicas")
+		},
+		Copy: f.joined.replicas, Replace: f.table.Replace, Change: f.table.Change, Reconnect: f.opts.Store.Reconnect, Bound: f.opts.Drain,
 	}).Run(ctx)
 }
--- a/entry/internal/front/joined.go
+++ b/entry/internal/front/joined.go
@@ -7,16 +7,20 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"guavaspring.org/core/event"
 	"guavaspring.org/core/platform"
+	"guavaspring.org/core/route"
 	"guavaspring.org/entry/internal/accepted"
 	"guavaspring.org/entry/internal/directory"
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/listing"
 	"guavaspring.org/entry/internal/member"
 	"guavaspring.org/entry/internal/peers"
+	"guavaspring.org/entry/internal/relay"
 	"guavaspring.org/entry/internal/rumor"
+	"guavaspring.org/entry/internal/source"
 )
 
 // joined is what makes this host one of many: the list of hosts and the traffic with them.
@@ -24,6 +28,8 @@
 	list      *member.List
 	peers     *peers.Peers
 	directory *directory.Directory
+	configs   *relay.Copy[route.Config]
+	replicas  *relay.Copy[platform.Replica]
 }
 
 // join opens the port for other hosts; the host joins once run is called.
@@ -33,7 +39,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for other hosts: %w", err)
 	}
-	j := &joined{}
+	j := &joined{configs: relay.NewCopy[route.Config](), replicas: relay.NewCopy[platform.Replica]()}
 	self := member.Host{ID: incarnation, Caller: opts.Front, Peer: opts.Peer, Zone: opts.Zone, Region: opts.Region}
 	j.list = member.New(member.Options{Self: self, Rand: newRand(), Changed: func(old, now member.Host) { logMember(opts, old, now) }})
 	j.directory = directory.New(directory.Options{
@@ -43,12 +49,34 @@
 		Clock: opts.Clock, Log: opts.Log, Listener: l, List: j.list, Rand: newRand(),
 		// Documents and replica lists of the project's own interface are not shared here: both come from the platform's store.
 		Store: accepted.New(func(accepted.Generation) {}), Listing: listing.New(opts.Clock), Replicas: func() []platform.Replica { return nil },
+		Services: map[string]any{relayService: &relay.Methods{Clock: opts.Clock, ConfigCopy: j.configs, ReplicaCopy: j.replicas}},
 		Rumors:   rumor.New(opts.Clock, func() int { return len(j.list.Hosts()) }),
 		Contacts: func() []netip.AddrPort { return append(j.directory.Contacts(), opts.Seeds()...) },
 	})
 	return j, err
 }
 
+// relayService is the name under which hosts serve what they read from the store.
+const relayService = "Relay"
+
+// mostAsk bounds a call that waits for news at another host.
+const mostAsk = 30 * time.Second
+
+// parents returns how to ask the hosts from which this one hears, by one method of relay.Methods.
+func parents[T any](j *joined, method string) ([]source.Parent[T], bool) {
+	hosts, watches := relay.Parents(j.list.Hosts(), j.list.Self().ID)
+	list := make([]source.Parent[T], len(hosts))
+	for i, h := range hosts {
+		list[i] = source.Parent[T]{Name: h.Peer.String(), Ask: func(ctx context.Context, args relay.Args) (relay.Reply[T], error) {
+			var rep relay.Reply[T]
+			// The context ends the call sooner where the answer would come too late.
+			err := j.peers.Call(ctx, h.Peer, mostAsk, relayService+"."+method, &args, &rep)
+			return rep, err
+		}}
+	}
+	return list, watches
+}
+
 func (j *joined) run(ctx context.Context) {
 	var duties sync.WaitGroup
 	duties.Go(func() { j.peers.Run(ctx) })
--- a/entry/internal/peers/peers.go
+++ b/entry/internal/peers/peers.go
@@ -44,6 +44,8 @@
 	// Contacts returns addresses of hosts that may be alive, from settings and the platform's directory.
 	Contacts func() []netip.AddrPort
 	Rand     *rand.Rand
+	// Services are further net/rpc services for the other hosts, by name.
+	Services map[string]any
 	// Dial opens a connection to another host; New takes TCP where it is nil.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 }
@@ -53,6 +55,9 @@
 	opts    Options
 	traffic traffic
 	pool    *pool
+	// waits holds the connections of Call, whose calls wait for long: a call that is late closes its connection, which must not
+	// break the probes.
+	waits   *pool
 	server  *server
 	news    *ring.Ring[item]
 	changed *ring.Ring[listing.Row]
@@ -73,10 +78,16 @@
 	p := &Peers{opts: opts, news: ring.New[item](newsQueue), changed: ring.New[listing.Row](rowsQueue), repaired: map[Table]time.Time{}, fetching: map[accepted.Mark]bool{}}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.pool = newPool(opts.Clock, &p.traffic, opts.Dial)
+	p.waits = newPool(opts.Clock, &p.traffic, opts.Dial)
 	srv, err := newServer(&Methods{p: p}, &p.traffic)
 	if err != nil {
 		return nil, err
 	}
+	for name, methods := range opts.Services {
+		if err := srv.rpc.RegisterName(name, methods); err != nil {
+			return nil, fmt.Errorf("peers: service %s: %w", name, err)
+		}
+	}
 	p.server = srv
 	return p, nil
 }
@@ -84,6 +95,7 @@
 // Run serves and probes until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	defer p.pool.close()
+	defer p.waits.close()
 	var duties sync.WaitGroup
 	duties.Go(func() { p.server.serve(ctx, p.opts.Listener) })
 	duties.Go(func() { p.every(ctx, tickEvery, func() { p.opts.List.Tick(p.opts.Clock.Now()) }) })
@@ -99,6 +111,11 @@
 	p.fetches.Wait()
 }
 
+// Call runs a method of one of the other hosts' further services, written as service and method with a dot between.
+func (p *Peers) Call(ctx context.Context, addr netip.AddrPort, timeout time.Duration, method string, args, reply any) error {
+	return p.waits.invoke(ctx, addr, timeout, method, args, reply)
+}
+
 // Leave tells the neighbours at once that this host is stopping, and returns once they have answered; each passes it on.
 func (p *Peers) Leave(ctx context.Context) {
 	p.opts.List.Leave()
--- a/entry/internal/peers/pool.go
+++ b/entry/internal/peers/pool.go
@@ -46,16 +46,21 @@
 	return d.DialContext(ctx, "tcp", addr.String())
 }
 
-// call runs one method at addr. A call that fails or is late closes its connection: the connection may have gone
-// silent for good while a new one would work, and a late reply is then never taken for a later one.
+// call runs one method of Methods at addr.
 func (p *pool) call(ctx context.Context, addr netip.AddrPort, timeout time.Duration, method string, args, reply any) error {
+	return p.invoke(ctx, addr, timeout, "Peers."+method, args, reply)
+}
+
+// invoke runs one method at addr. A call that fails or is late closes its connection: the connection may have gone
+// silent for good while a new one would work, and a late reply is then never taken for a later one.
+func (p *pool) invoke(ctx context.Context, addr netip.AddrPort, timeout time.Duration, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c, err := p.get(ctx, addr)
 	if err != nil {
 		return err
 	}
-	call := c.Go("Peers."+method, args, reply, make(chan *rpc.Call, 1))
+	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		var refused rpc.ServerError
--- /dev/null
+++ b/entry/internal/relay/copy.go
@@ -0,0 +1,114 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"guavaspring.org/core/feed"
+)
+
+// keptBatches is how many of the newest changes are kept for hosts that are a little behind; one that lacks more gets everything.
+const keptBatches = 64
+
+// Copy is one host's copy of all objects of one kind, with how fresh it is.
+type Copy[T any] struct {
+	mu       sync.Mutex
+	entries  map[string]feed.Entry[T]
+	revision int64
+	// log holds the newest changes; a host at revision from or later can be served from it.
+	log  []feed.Batch[T]
+	from int64
+	// confirmed is when the store was known to hold nothing newer.
+	confirmed time.Time
+	returned  bool
+	changed   chan struct{}
+}
+
+// NewCopy returns an empty copy that was never confirmed.
+func NewCopy[T any]() *Copy[T] {
+	return &Copy[T]{entries: map[string]feed.Entry[T]{}, changed: make(chan struct{})}
+}
+
+// State is what a copy is as of one moment.
+type State struct {
+	// Revision is the store's revision that the copy has reached, zero where it never held anything.
+	Revision int64
+	// Confirmed is when the store was known to hold nothing newer.
+	Confirmed time.Time
+}
+
+// State returns how fresh the copy is, and a channel that is closed with the next change of that.
+func (c *Copy[T]) State() (State, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return State{Revision: c.revision, Confirmed: c.confirmed}, c.changed
+}
+
+// Replace takes over a list of all objects as of at, and reports whether it is at least as new as the copy.
+func (c *Copy[T]) Replace(batch feed.Batch[T], at time.Time, returned bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if batch.Revision < c.revision {
+		return false
+	}
+	clear(c.entries)
+	for _, e := range batch.Entries {
+		c.entries[e.Name] = e
+	}
+	c.log, c.from = nil, batch.Revision
+	c.confirm(batch.Revision, at, returned)
+	return true
+}
+
+// Change takes over what changed up to the batch's revision as of at, and reports whether it is at least as new as the copy.
+func (c *Copy[T]) Change(batch feed.Batch[T], at time.Time, returned bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if batch.Revision < c.revision {
+		return false
+	}
+	for _, e := range batch.Entries {
+		if e.Deleted {
+			delete(c.entries, e.Name)
+		} else {
+			c.entries[e.Name] = e
+		}
+	}
+	if len(batch.Entries) > 0 {
+		c.log = append(c.log, batch)
+	}
+	if len(c.log) > keptBatches {
+		c.from = c.log[0].Revision
+		c.log = c.log[1:]
+	}
+	c.confirm(batch.Revision, at, returned)
+	return true
+}
+
+func (c *Copy[T]) confirm(revision int64, at time.Time, returned bool) {
+	c.revision, c.returned = revision, returned
+	if at.After(c.confirmed) {
+		c.confirmed = at
+	}
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// Since returns what a host at a revision lacks, and whether that is everything there is.
+func (c *Copy[T]) Since(revision int64) (batch feed.Batch[T], full, returned bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	batch.Revision = c.revision
+	if revision < c.from || revision == 0 {
+		for _, e := range c.entries {
+			batch.Entries = append(batch.Entries, e)
+		}
+		return batch, true, c.returned
+	}
+	for _, b := range c.log {
+		if b.Revision > revision {
+			batch.Entries = append(batch.Entries, b.Entries...)
+		}
+	}
+	return batch, false, c.returned
+}
--- a/entry/internal/source/follower.go
+++ b/entry/internal/source/follower.go
@@ -10,6 +10,7 @@
 	"guavaspring.org/core/clock"
 	"guavaspring.org/core/feed"
 	"guavaspring.org/entry/internal/events"
+	"guavaspring.org/entry/internal/relay"
 )
 
 const (
@@ -17,6 +18,12 @@
 	listTimeout = 2 * time.Second
 	// watchMargin is how long after its wait a watch may still answer; one that says nothing then sits on a silent connection.
 	watchMargin = 700 * time.Millisecond
+	// waitPart is the part of the bound that one watch waits, and stalePart the part after which a host that hears nothing from others asks
+	// the store itself; the rest is for one list.
+	waitPart  = 0.55
+	stalePart = 0.75
+	// askMargin is how much sooner a parent answers than this host gives up on it.
+	askMargin = 150 * time.Millisecond
 	// firstPause and mostPause bound the wait after a call that failed: each call is paid for, and a host that hears nothing for a
 	// second can still apply a configuration in time.
 	firstPause = 100 * time.Millisecond
@@ -25,6 +32,14 @@
 	returnedFor = time.Second
 )
 
+// Parent is a host from which this one hears.
+type Parent[T any] struct {
+	// Name identifies the host in logs.
+	Name string
+	// Ask returns what is newer than a revision, or that nothing is, within the wait.
+	Ask func(ctx context.Context, args relay.Args) (relay.Reply[T], error)
+}
+
 // Options configures a Follower.
 type Options[T any] struct {
 	Clock clock.Clock
@@ -33,73 +48,160 @@
 	Name  string
 	List  func(ctx context.Context) (feed.Batch[T], error)
 	Watch func(ctx context.Context, since int64, wait time.Duration) (feed.Batch[T], error)
+	// Parents returns the hosts to hear from, and whether this host watches the store itself.
+	Parents func() (parents []Parent[T], watches bool)
+	// Copy takes what was read, for the other hosts.
+	Copy *relay.Copy[T]
 	// Replace takes a list of all objects, Change those that changed; returned says that the store was away until a moment ago.
 	Replace, Change func(batch feed.Batch[T], returned bool)
 	// Reconnect drops the unused connections to the store.
 	Reconnect func()
-	// Wait is how long one watch waits. A watch may hear nothing while its history is being dropped, and tells so only at its end: the
-	// wait has to be well under the time in which a change must be in force.
-	Wait time.Duration
+	// Bound is how soon a change has to be known here. A watch may hear nothing while its history is being dropped, and tells so only at its
+	// end: its wait has to be well under the bound.
+	Bound time.Duration
 }
 
 // Follower keeps this host in step with one kind of object.
 type Follower[T any] struct {
 	opts Options[T]
-	// down says that the last call failed, back when calls succeeded again.
+	// listed says that changes since the copy's revision can be watched.
+	listed bool
+	// down says that the last call to the store failed, back when calls succeeded again.
 	down  bool
 	back  time.Time
 	pause time.Duration
+	// next is which parent is asked next, and failed how many in a row brought nothing.
+	next, failed int
 }
 
 // New returns a follower that does nothing until Run.
 func New[T any](opts Options[T]) *Follower[T] { return &Follower[T]{opts: opts} }
 
-// Run lists once and then watches until ctx ends, and lists again after whatever may have hidden a change.
+// Run follows until ctx ends. Most hosts hear from another; one that hears nothing fresh asks the store itself, and the few that
+// watch it hear from each other while the store turns them away.
 func (f *Follower[T]) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		batch, err := f.list(ctx)
-		if err != nil {
-			f.failed(ctx, err)
+		parents, watches := f.opts.Parents()
+		if f.hearsFirst(parents, watches) {
+			f.hear(ctx, parents)
 			continue
 		}
-		f.opts.Replace(batch, f.succeeded())
-		f.unreadable(batch)
-		f.watch(ctx, batch.Revision)
+		f.failed = 0
+		f.read(ctx)
+	}
+}
+
+// hearsFirst reports whether another host is asked before the store.
+func (f *Follower[T]) hearsFirst(parents []Parent[T], watches bool) bool {
+	if len(parents) == 0 || f.failed >= len(parents) || f.stale() {
+		return false
+	}
+	return !watches || f.down
+}
+
+// stale reports whether this host has to ask the store itself.
+func (f *Follower[T]) stale() bool { return f.left() <= 0 }
+
+// left returns how long what is known here is fresh enough.
+func (f *Follower[T]) left() time.Duration {
+	st, _ := f.opts.Copy.State()
+	if st.Confirmed.IsZero() {
+		return 0
 	}
+	return part(stalePart, f.opts.Bound) - f.opts.Clock.Now().Sub(st.Confirmed)
 }
 
-func (f *Follower[T]) list(ctx context.Context) (feed.Batch[T], error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+func part(p float64, d time.Duration) time.Duration { return time.Duration(p * float64(d)) }
+
+// hear asks one parent for what is new. One that is silent, behind, or without news of the store is passed over next time.
+func (f *Follower[T]) hear(ctx context.Context, parents []Parent[T]) {
+	parent := parents[f.next%len(parents)]
+	before, _ := f.opts.Copy.State()
+	left := f.left()
+	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	return f.opts.List(ctx)
+	rep, err := parent.Ask(ctx, relay.Args{Since: before.Revision, Wait: max(0, left-askMargin)})
+	if err == nil && rep.Age >= 0 && rep.Revision >= before.Revision {
+		f.heard(rep)
+	}
+	if after, _ := f.opts.Copy.State(); err == nil && after.Confirmed.After(before.Confirmed) {
+		f.failed = 0
+		return
+	}
+	f.next++
+	f.failed++
+	if err != nil && ctx.Err() == nil {
+		events.ParentLost.Log(f.opts.Log, "kind", f.opts.Name, "host", parent.Name, "reason", err.Error())
+	}
 }
 
-// watch takes over changes until a watch fails.
-func (f *Follower[T]) watch(ctx context.Context, since int64) {
-	for ctx.Err() == nil {
-		batch, err := f.wait(ctx, since)
-		switch {
-		case errors.Is(err, feed.ErrHistoryGone):
-			events.HistoryGone.Log(f.opts.Log, "kind", f.opts.Name, "since", since)
-			return
-		case err != nil:
-			f.failed(ctx, err)
-			return
-		}
-		f.opts.Change(batch, f.succeeded())
-		f.unreadable(batch)
-		since = batch.Revision
+func (f *Follower[T]) heard(rep relay.Reply[T]) {
+	at := f.opts.Clock.Now().Add(-rep.Age)
+	batch := feed.Batch[T]{Entries: rep.Entries, Revision: rep.Revision}
+	f.listed = true
+	if rep.Full {
+		f.replace(batch, at, rep.Returned)
+		return
+	}
+	f.change(batch, at, rep.Returned)
+}
+
+func (f *Follower[T]) replace(batch feed.Batch[T], at time.Time, returned bool) {
+	if f.opts.Copy.Replace(batch, at, returned) {
+		f.opts.Replace(batch, returned)
+	}
+}
+
+func (f *Follower[T]) change(batch feed.Batch[T], at time.Time, returned bool) {
+	if f.opts.Copy.Change(batch, at, returned) && len(batch.Entries) > 0 {
+		f.opts.Change(batch, returned)
+	}
+}
+
+// read makes one call to the store: a list where nothing is known or what is known may have a hole, a watch otherwise.
+func (f *Follower[T]) read(ctx context.Context) {
+	if !f.listed || f.stale() {
+		f.list(ctx)
+		return
 	}
+	f.watch(ctx)
 }
 
-func (f *Follower[T]) wait(ctx context.Context, since int64) (feed.Batch[T], error) {
-	ctx, cancel := context.WithTimeout(ctx, f.opts.Wait+watchMargin)
+func (f *Follower[T]) list(ctx context.Context) {
+	began := f.opts.Clock.Now()
+	call, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	return f.opts.Watch(ctx, since, f.opts.Wait)
+	batch, err := f.opts.List(call)
+	if err != nil {
+		f.lost(ctx, err)
+		return
+	}
+	f.listed = true
+	f.replace(batch, began, f.succeeded())
+	f.unreadable(batch)
+}
+
+func (f *Follower[T]) watch(ctx context.Context) {
+	st, _ := f.opts.Copy.State()
+	wait := part(waitPart, f.opts.Bound)
+	call, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	defer cancel()
+	batch, err := f.opts.Watch(call, st.Revision, wait)
+	switch {
+	case errors.Is(err, feed.ErrHistoryGone):
+		events.HistoryGone.Log(f.opts.Log, "kind", f.opts.Name, "since", st.Revision)
+		f.listed = false
+	case err != nil:
+		f.listed = false
+		f.lost(ctx, err)
+	default:
+		f.change(batch, f.opts.Clock.Now(), f.succeeded())
+		f.unreadable(batch)
+	}
 }
 
-// failed notes an outage and waits before the next call.
-func (f *Follower[T]) failed(ctx context.Context, err error) {
+// lost notes an outage and waits before the next call.
+func (f *Follower[T]) lost(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
