--- a/entry/internal/pick/pick.go
+++ b/entry/internal/pick/pick.go
@@ -11,7 +11,7 @@
 	queueWeight = 0.35
 	// zoneWeight and zoneDelay make another availability zone dearer than the time it costs, since bytes between zones are paid
 	// for; a replica in the own zone that is a quarter slower is still preferred.
-	zoneWeight = 0.15
+	zoneWeight = 0.4
 	zoneDelay  = 2 * time.Millisecond
 	// Forget is the time in which what was learned of a replica's speed loses two thirds of its weight. A disruption lasts for seconds;
 	// a replica that was slow is tried again about as long after.
