endpoints, scatter: Wait for a better replica, and let late tries go last

Change: a replica too slow to be of use is passed over while a better one is only full; a try that would come too late ranks last; a hedge whose replica is full looks again instead of being dropped.

--- a/entry/internal/endpoints/queue.go
+++ b/entry/internal/endpoints/queue.go
@@ -23,6 +23,8 @@
 type Waiter struct {
 	// Since is when the try began to wait.
 	Since time.Time
+	// Due is when the try has to leave for its answer to come in time; from then on it ranks as Late.
+	Due time.Time
 	// Wake is called once when there may be room; it must not block.
 	Wake func()
 
@@ -65,8 +67,15 @@
 	return len(q.waiting)
 }
 
+func (w *Waiter) rankAt(now time.Time) Rank {
+	if !now.Before(w.Due) {
+		return Late
+	}
+	return w.rank
+}
+
 // wake wakes the waiter that goes first.
-func (q *queue) wake() {
+func (q *queue) wake(now time.Time) {
 	q.mu.Lock()
 	if len(q.waiting) == 0 {
 		q.mu.Unlock()
@@ -74,7 +83,8 @@
 	}
 	best := 0
 	for i, w := range q.waiting {
-		if b := q.waiting[best]; w.rank < b.rank || w.rank == b.rank && w.Since.Before(b.Since) {
+		b := q.waiting[best]
+		if rank, least := w.rankAt(now), b.rankAt(now); rank < least || rank == least && w.Since.Before(b.Since) {
 			best = i
 		}
 	}
--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -67,42 +67,65 @@
 	return n
 }
 
+// Need is what a request asks of a choice.
+type Need struct {
+	// Usual is the time that a healthy replica takes, Within the time in which the reply is of full use.
+	Usual, Within time.Duration
+	// Tried holds the replicas that had a try of the request.
+	Tried []*Replica
+}
+
 // Pick returns the replica with the least estimate among those that were not tried, and that estimate.
-func (s *Service) Pick(now time.Time, usual time.Duration, tried []*Replica, draw func() float64) (*Replica, time.Duration, Verdict) {
-	var best, rested *Replica
-	var least, leastRested time.Duration
-	verdict := None
+//
+// One that has room but is too slow to be of use is passed over while another is only full: a try there would take one
+// of the few that a request has, where a short wait brings a better one.
+func (s *Service) Pick(now time.Time, need Need, draw func() float64) (*Replica, time.Duration, Verdict) {
+	var best choice
+	var rested choice
+	busy := time.Duration(-1)
 	for _, r := range s.Replicas() {
-		if contains(tried, r) {
+		if contains(need.Tried, r) {
 			continue
 		}
 		v, resting, usable := r.view(now)
 		if !usable {
 			continue
 		}
-		if v.Running >= s.share(v.Slots) || !r.pool.Free(s.Connections()) {
-			verdict = Busy
-			continue
-		}
-		t := pick.Estimate(v, usual, draw())
-		if resting {
-			if rested == nil || t < leastRested {
-				rested, leastRested = r, t
+		t := pick.Estimate(v, need.Usual, draw())
+		switch {
+		case v.Running >= s.share(v.Slots) || !r.pool.Free(s.Connections()):
+			if busy < 0 || t < busy {
+				busy = t
 			}
-			continue
-		}
-		if best == nil || t < least {
-			best, least = r, t
+		case resting:
+			rested.offer(r, t)
+		default:
+			best.offer(r, t)
 		}
 	}
-	switch {
-	case best != nil:
-		return best, least, Found
-	case rested != nil:
+	if best.replica == nil {
 		// One that could not be reached a moment ago is better than none.
-		return rested, leastRested, Found
+		best = rested
+	}
+	switch {
+	case best.replica == nil && busy < 0:
+		return nil, 0, None
+	case best.replica == nil, best.estimate > need.Within && busy >= 0 && busy <= need.Within:
+		return nil, 0, Busy
+	}
+	return best.replica, best.estimate, Found
+}
+
+// choice is the best replica seen so far.
+type choice struct {
+	replica  *Replica
+	estimate time.Duration
+}
+
+func (c *choice) offer(r *Replica, t time.Duration) {
+	if c.replica == nil || t < c.estimate {
+		c.replica, c.estimate = r, t
 	}
-	return nil, 0, verdict
 }
 
 func contains(list []*Replica, r *Replica) bool {
--- a/entry/internal/forward/log.go
+++ b/entry/internal/forward/log.go
@@ -1,8 +1,6 @@
 package forward
 
 import (
-	"time"
-
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/scatter"
 )
@@ -16,5 +14,5 @@
 		events.ShardDecided.Log(f.opts.Log, "request", q.Request.ID, "at_ms", st.At.Milliseconds(), "what", st.What, "shard", q.Shards[st.Shard].Name, "replica", st.Replica, "why", st.Why)
 	}
 	events.Forwarded.Log(f.opts.Log, "request", q.Request.ID, "route", q.Route.Name, "ending", rep.Ending, "answered", rep.Answered, "shards", len(q.Shards),
-		"ran", rep.Ran, "took_ms", f.opts.Clock.Now().Sub(q.Arrived)/time.Millisecond)
+		"ran", rep.Ran, "took_ms", f.opts.Clock.Now().Sub(q.Arrived).Milliseconds())
 }
--- a/entry/internal/scatter/scatter.go
+++ b/entry/internal/scatter/scatter.go
@@ -20,6 +20,8 @@
 	lingerFor = 300 * time.Millisecond
 	// lookAgain is how soon a waiting shard looks for room that no reply of this host has announced.
 	lookAgain = 25 * time.Millisecond
+	// hedgeAgain is how soon a late shard whose other replicas are full looks at them again.
+	hedgeAgain = 10 * time.Millisecond
 	// unsentTries is how many replicas beyond the allowed ones may be tried where nothing was sent to the others.
 	unsentTries = 2
 	// answerBefore is how long before its deadline a request is given up, so that the answer is there in time.
@@ -216,7 +218,7 @@
 		return Lost, true
 	case p.open == 0:
 		return Partial, true
-	case have >= p.least && !p.now.Before(p.Arrived.Add(p.timing.cutoff)):
+	case have >= p.least && !p.now.Before(p.cutoff()):
 		return Partial, true
 	case !p.now.Before(p.end()):
 		return Expired, true
@@ -224,12 +226,15 @@
 	return "", false
 }
 
+// cutoff is when an answer leaves that has enough parts though not all.
+func (p *plan) cutoff() time.Time { return p.Arrived.Add(p.timing.cutoff) }
+
 func (p *plan) end() time.Time { return p.Deadline.Add(-answerBefore) }
 
 // wake returns when there is something to look at next.
 func (p *plan) wake() time.Time {
 	next := p.end()
-	if cutoff := p.Arrived.Add(p.timing.cutoff); p.now.Before(cutoff) && cutoff.Before(next) {
+	if cutoff := p.cutoff(); p.now.Before(cutoff) && cutoff.Before(next) {
 		next = cutoff
 	}
 	for i := range p.shards {
--- a/entry/internal/scatter/timing.go
+++ b/entry/internal/scatter/timing.go
@@ -29,6 +29,8 @@
 type timing struct {
 	// usual is how long a healthy replica takes, hedge when a second try is sent.
 	usual, hedge time.Duration
+	// late is how long all but one in ten replies take.
+	late time.Duration
 	// cutoff is when an answer leaves that has enough parts though not all.
 	cutoff time.Duration
 }
@@ -48,6 +50,7 @@
 	margin := min(answerMargin, time.Duration(mostMargin*float64(objective)))
 	return timing{
 		usual:  usual,
+		late:   late,
 		hedge:  min(time.Duration((1+hedgeMargin)*float64(late)), most),
 		cutoff: objective - margin,
 	}
--- a/entry/internal/scatter/tries.go
+++ b/entry/internal/scatter/tries.go
@@ -51,7 +51,7 @@
 // try sends one try of shard i to the best replica left, waits for room, or gives the shard up.
 func (p *plan) try(i int, what What, why string) {
 	s := &p.shards[i]
-	r, _, verdict := p.Shards[i].Pick(p.now, p.timing.usual, s.tried, p.run.opts.Draw)
+	r, _, verdict := p.Shards[i].Pick(p.now, p.need(i), p.run.opts.Draw)
 	switch {
 	case verdict == endpoints.Found:
 		p.send(i, r, what, why)
@@ -64,12 +64,21 @@
 	}
 }
 
+// need returns what shard i asks of its next replica.
+func (p *plan) need(i int) endpoints.Need {
+	within := p.cutoff().Sub(p.now)
+	if within <= 0 {
+		within = p.end().Sub(p.now)
+	}
+	return endpoints.Need{Usual: p.timing.usual, Within: within, Tried: p.shards[i].tried}
+}
+
 // wait lets shard i wait for room at its replicas.
 func (p *plan) wait(i int, what What) {
 	s := &p.shards[i]
 	if s.waiter == nil {
 		p.note(Wait, i, nil, "every replica has as much work of this host as it may")
-		s.waiter = &endpoints.Waiter{Since: p.now, Wake: func() {
+		s.waiter = &endpoints.Waiter{Since: p.now, Due: p.cutoff().Add(-p.timing.late), Wake: func() {
 			select {
 			case p.room <- i:
 			default:
@@ -86,7 +95,7 @@
 // rank returns how much a shard that waits is worth to the request.
 func (p *plan) rank() endpoints.Rank {
 	switch {
-	case !p.now.Before(p.Arrived.Add(p.timing.cutoff)):
+	case !p.now.Before(p.cutoff()):
 		return endpoints.Late
 	case len(p.shards)-p.lost-p.waiting < p.least:
 		return endpoints.Needed
@@ -150,8 +159,13 @@
 	if s.running == 0 || s.sent >= p.Route.Attempts || p.now.Add(p.timing.usual).After(p.end()) {
 		return
 	}
-	r, _, verdict := p.Shards[i].Pick(p.now, p.timing.usual, s.tried, p.run.opts.Draw)
-	if verdict != endpoints.Found {
+	need := p.need(i)
+	r, estimate, verdict := p.Shards[i].Pick(p.now, need, p.run.opts.Draw)
+	switch {
+	case verdict == endpoints.Busy:
+		s.hedgeAt = p.now.Add(hedgeAgain)
+		return
+	case verdict != endpoints.Found, estimate > need.Within:
 		return
 	}
 	if !p.Shards[i].Budget.Hedge(p.now, p.run.opts.Hosts()) {
