endpoints: Serve the newest waiting try first under overload; platform, entry: Test the new path

Cause: TestOverloadedShardThinsPages, 240 pages a second on a shard that can do 178: 115 of 480 pages were whole, as every try left the queue at its last moment and came back late. Change: once the oldest has waited for half of what it can, the newest goes first.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := core entry gsctl standin load sessions
+MODULES := core platform entry gsctl standin load sessions
 BIN := $(CURDIR)/.bin
 LINT := $(BIN)/golangci-lint
 LINT_VERSION := v2.12.2
--- a/entry/internal/endpoints/queue.go
+++ b/entry/internal/endpoints/queue.go
@@ -74,22 +74,46 @@
 	return w.rank
 }
 
-// wake wakes the waiter that goes first.
-func (q *queue) wake(now time.Time) {
+// Wake wakes the waiter that goes first.
+func (q *queue) Wake(now time.Time) {
 	q.mu.Lock()
 	if len(q.waiting) == 0 {
 		q.mu.Unlock()
 		return
 	}
-	best := 0
+	i := q.first(now)
+	w := q.waiting[i]
+	q.waiting = slices.Delete(q.waiting, i, i+1)
+	q.mu.Unlock()
+	w.Wake()
+}
+
+// first returns the place of the waiter that goes first, of those with the lowest rank.
+//
+// While the queue is short that is the one that has waited longest. Once it has waited for half of what it can, more comes than
+// can be done: in that order all would leave at the last moment and come back late. Then the newest goes first, which is in
+// time, and those that can't all be served are the ones that have waited.
+func (q *queue) first(now time.Time) int {
+	oldest, newest := 0, 0
 	for i, w := range q.waiting {
-		b := q.waiting[best]
-		if rank, least := w.rankAt(now), b.rankAt(now); rank < least || rank == least && w.Since.Before(b.Since) {
-			best = i
+		rank, least := w.rankAt(now), q.waiting[oldest].rankAt(now)
+		if rank > least {
+			continue
+		}
+		if rank < least {
+			oldest, newest = i, i
+			continue
+		}
+		if w.Since.Before(q.waiting[oldest].Since) {
+			oldest = i
+		}
+		if q.waiting[newest].Since.Before(w.Since) {
+			newest = i
 		}
 	}
-	w := q.waiting[best]
-	q.waiting = slices.Delete(q.waiting, best, best+1)
-	q.mu.Unlock()
-	w.Wake()
+	w := q.waiting[oldest]
+	if now.Sub(w.Since) > w.Due.Sub(w.Since)/2 {
+		return newest
+	}
+	return oldest
 }
--- a/entry/internal/endpoints/replica.go
+++ b/entry/internal/endpoints/replica.go
@@ -174,6 +174,6 @@
 		},
 	})
 	r.End(n, &res, call.Usual)
-	r.service.wake(r.clock.Now())
+	r.service.Wake(r.clock.Now())
 	return res
 }
--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -136,3 +136,14 @@
 	}
 	return false
 }
+
+// Running returns how many requests of this host are under way at the replicas.
+func (s *Service) Running() int {
+	n := 0
+	for _, r := range s.Replicas() {
+		r.mu.Lock()
+		n += len(r.running)
+		r.mu.Unlock()
+	}
+	return n
+}
--- a/entry/internal/endpoints/table.go
+++ b/entry/internal/endpoints/table.go
@@ -221,6 +221,6 @@
 	for name, s := range t.services {
 		list := lists[name]
 		s.list.Store(&list)
-		s.wake(t.opts.Clock.Now())
+		s.Wake(t.opts.Clock.Now())
 	}
 }
--- /dev/null
+++ b/entry/internal/endpoints/table_test.go
@@ -0,0 +1,104 @@
+package endpoints_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/feed"
+	"guavaspring.org/core/platform"
+	"guavaspring.org/entry/internal/endpoints"
+	"guavaspring.org/entry/internal/replicatest"
+	"guavaspring.org/entry/internal/spend"
+	"guavaspring.org/platform/wire"
+)
+
+func newTable(f *replicatest.Farm) *endpoints.Table {
+	codec := wire.Codec()
+	return endpoints.New(endpoints.Options{
+		Clock: clock.System{}, Log: logr.Discard(), Zone: "a", Codec: &codec, Dial: f.Dial,
+		Spend: spend.Options{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, Hosts: func() int { return 3 },
+	})
+}
+
+func changed(row platform.Replica, deleted bool) feed.Batch[platform.Replica] {
+	return feed.Batch[platform.Replica]{Revision: 9, Entries: []feed.Entry[platform.Replica]{{Name: row.ID, Revision: 9, Deleted: deleted, Value: row}}}
+}
+
+// A replica announces that it leaves, or is taken off the list. From then on nothing is sent to it, as it may end at any moment.
+func TestLeavingReplicaIsNotUsed(t *testing.T) {
+	for _, deleted := range []bool{false, true} {
+		f := replicatest.New()
+		r := f.Add("a", 1, replicatest.OK("a-1", 0, "x"))
+		f.Add("a", 2, replicatest.OK("a-2", 0, "x"))
+		table := newTable(f)
+		table.Replace(f.Batch(), false)
+		qt.Assert(t, table.Service("a").Usable(), qt.Equals, 2)
+		row := r.Row
+		row.State = platform.StateLeaving
+		table.Change(changed(row, deleted), false)
+		qt.Assert(t, table.Service("a").Usable(), qt.Equals, 1)
+	}
+}
+
+// The store is away for some seconds and forgets replicas that could not write to it. They live, and are back in the list within two
+// seconds of its return; taken as gone at once, a whole service would have no replica. One that does not come back is gone.
+func TestLapsedReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := replicatest.New()
+		back := f.Add("a", 1, replicatest.OK("a-1", 0, "x"))
+		f.Add("a", 2, replicatest.OK("a-2", 0, "x"))
+		table := newTable(f)
+		table.Replace(f.Batch(), false)
+		table.Replace(feed.Batch[platform.Replica]{Revision: 5}, true)
+		qt.Assert(t, table.Service("a").Usable(), qt.Equals, 2)
+		time.Sleep(time.Second)
+		table.Change(changed(back.Row, false), false)
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, table.Service("a").Usable(), qt.Equals, 1)
+		qt.Assert(t, table.Service("a").Replicas()[0].ID(), qt.Equals, "a-1")
+	})
+}
+
+// Two tries wait for a shard that has one replica left. The one without which its page fails goes first, though it came later; one that
+// can't come back in time any more goes last, though it came first.
+func TestQueueOrder(t *testing.T) {
+	f := replicatest.New()
+	s := newTable(f).Service("a")
+	now := time.Now()
+	var order []string
+	waiter := func(name string, since, due time.Duration) *endpoints.Waiter {
+		return &endpoints.Waiter{Since: now.Add(since), Due: now.Add(due), Wake: func() { order = append(order, name) }}
+	}
+	s.Wait(waiter("late", -3*time.Second, -time.Millisecond), endpoints.Needed)
+	s.Wait(waiter("useful", -2*time.Second, 3*time.Second), endpoints.Useful)
+	s.Wait(waiter("needed", -time.Second, 2*time.Second), endpoints.Needed)
+	s.Wait(waiter("needed later", 0, 2*time.Second), endpoints.Needed)
+	gone := waiter("gone", -5*time.Second, time.Second)
+	s.Wait(gone, endpoints.Needed)
+	s.Leave(gone)
+	for range 5 {
+		s.Wake(now)
+	}
+	qt.Assert(t, order, qt.DeepEquals, []string{"needed", "needed later", "useful", "late"})
+}
+
+// More work comes for a shard than it can do. Served in order of arrival, each try would leave at the last moment and come back late; the
+// newest, which is in time, has to go first.
+func TestQueueOrderUnderOverload(t *testing.T) {
+	f := replicatest.New()
+	s := newTable(f).Service("a")
+	now := time.Now()
+	var order []string
+	for name, since := range map[string]time.Duration{"oldest": -150, "middle": -100, "newest": 0} {
+		s.Wait(&endpoints.Waiter{Since: now.Add(since * time.Millisecond), Due: now.Add((since + 180) * time.Millisecond), Wake: func() { order = append(order, name) }}, endpoints.Needed)
+	}
+	for range 3 {
+		s.Wake(now)
+	}
+	qt.Assert(t, order, qt.DeepEquals, []string{"newest", "middle", "oldest"})
+}
--- a/entry/internal/exchange/conn.go
+++ b/entry/internal/exchange/conn.go
@@ -21,7 +21,7 @@
 
 // conn is one connection, read by its own goroutine from its start to its end.
 type conn struct {
-	net.Conn
+	tcp  net.Conn
 	pool *Pool
 	// until is when the connection is too old to be used again; the pool's lock guards it.
 	until time.Time
@@ -86,10 +86,10 @@
 	}
 	b := c.pool.opts.Codec.AppendHead(make([]byte, 0, 512+len(call.Request.Body)), call.Request, call.Replica, left)
 	b = append(b, call.Request.Body...)
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := c.tcp.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return false, err
 	}
-	n, err := c.Write(b)
+	n, err := c.tcp.Write(b)
 	if err != nil {
 		return n > 0, fmt.Errorf("send: %w", err)
 	}
@@ -98,7 +98,7 @@
 
 // read takes replies until the connection ends or can't be trusted any more.
 func (c *conn) read() {
-	br := bufio.NewReaderSize(c.Conn, readBuffer)
+	br := bufio.NewReaderSize(c.tcp, readBuffer)
 	for {
 		_, err := br.Peek(1)
 		c.mu.Lock()
@@ -139,13 +139,11 @@
 
 // reply reads one whole reply and reports whether the connection can carry another request.
 func (c *conn) reply(br *bufio.Reader, w *waiting) (Result, bool) {
-	resp, err := http.ReadResponse(br, &http.Request{Method: w.method})
-	for err == nil && resp.StatusCode < interim {
-		resp, err = http.ReadResponse(br, &http.Request{Method: w.method})
-	}
+	resp, err := final(br, w.method)
 	if err != nil {
 		return Result{Kind: upstream.KindBroken, Detail: "the reply can't be read: " + err.Error()}, false
 	}
+	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxReply+1))
 	if err != nil {
 		return Result{Kind: upstream.KindBroken, Detail: "the reply broke off: " + err.Error()}, false
@@ -172,6 +170,17 @@
 	return res, !resp.Close
 }
 
+// final reads the header of the final reply, past those that only announce it.
+func final(br *bufio.Reader, method string) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(br, &http.Request{Method: method})
+		if err != nil || resp.StatusCode >= interim {
+			return resp, err
+		}
+		_ = resp.Body.Close()
+	}
+}
+
 // close ends the connection; its reading goroutine then ends by itself.
 func (c *conn) close() {
 	c.mu.Lock()
@@ -182,6 +191,6 @@
 		return
 	}
 	c.pool.drop(c)
-	_ = c.Conn.Close()
+	_ = c.tcp.Close()
 	c.pool.forget()
 }
--- a/entry/internal/exchange/pool.go
+++ b/entry/internal/exchange/pool.go
@@ -189,7 +189,7 @@
 		p.forget()
 		return nil, fmt.Errorf("connect to %s: %w", p.opts.Addr, err)
 	}
-	c := &conn{Conn: nc, pool: p}
+	c := &conn{tcp: nc, pool: p}
 	go c.read()
 	return c, nil
 }
--- /dev/null
+++ b/entry/internal/exchange/pool_test.go
@@ -0,0 +1,208 @@
+package exchange_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/opaque"
+	"guavaspring.org/core/upstream"
+	"guavaspring.org/entry/internal/exchange"
+	"guavaspring.org/entry/internal/replicatest"
+	"guavaspring.org/platform/platformtest"
+	"guavaspring.org/platform/wire"
+)
+
+func newPool(f *replicatest.Farm, r *replicatest.Replica) *exchange.Pool {
+	codec := wire.Codec()
+	return exchange.New(exchange.Options{Clock: clock.System{}, Addr: r.Row.Addr, Codec: &codec, Dial: f.Dial})
+}
+
+func call(id string) *exchange.Call {
+	return &exchange.Call{
+		Request: &opaque.Request{ID: id, Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{}},
+		Replica: "a-1", Deadline: time.Now().Add(time.Second), Connections: 4,
+	}
+}
+
+// A replica sends a second answer to a request that it has answered. A query for another branch is next on the connection,
+// and must not get what was meant for the first: a greeter would see another member's appointments.
+func TestLateSecondReplyIsNobodys(t *testing.T) {
+	tests := []struct {
+		name      string
+		lateAfter time.Duration
+		wait      time.Duration
+	}{
+		{"it comes while the connection is unused", 10 * time.Millisecond, 50 * time.Millisecond},
+		{"it comes with the reply", 0, 0},
+		{"it comes where the next reply is due", 10 * time.Millisecond, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := replicatest.New()
+				r := f.Add("a", 1, func(req *http.Request, _ []byte) replicatest.Answer {
+					id := platformtest.Read(req).ID
+					a := replicatest.Answer{After: 20 * time.Millisecond, Raw: platformtest.Reply(200, id, "s."+id, []byte(id))}
+					if id == "one" {
+						a.Late, a.LateAfter = platformtest.Reply(200, id, "s."+id, []byte("late")), test.lateAfter
+					}
+					return a
+				})
+				p := newPool(f, r)
+				defer p.Close()
+				first := p.Do(t.Context(), call("one"))
+				qt.Assert(t, first.Kind, qt.Equals, upstream.KindOK)
+				qt.Assert(t, string(first.Body), qt.Equals, "one")
+				time.Sleep(test.wait)
+				second := p.Do(t.Context(), call("two"))
+				// Whether it fails depends on which of the two is on the way first; what it must never hold is the other's reply.
+				if second.Kind == upstream.KindOK {
+					qt.Assert(t, string(second.Body), qt.Equals, "two")
+				} else {
+					qt.Assert(t, second.Body, qt.HasLen, 0)
+				}
+				third := p.Do(t.Context(), call("three"))
+				qt.Assert(t, string(third.Body), qt.Equals, "three")
+			})
+		})
+	}
+}
+
+// The connection breaks under a request that has run. The transport of the standard library would send a GET again by itself on
+// another connection; here it must reach the replica once and be reported as broken.
+func TestBrokenRequestIsNotResent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := replicatest.New()
+		n := 0
+		r := f.Add("a", 1, func(req *http.Request, b []byte) replicatest.Answer {
+			if n++; n == 2 {
+				return replicatest.Answer{}
+			}
+			return replicatest.OK("a-1", time.Millisecond, "x")(req, b)
+		})
+		p := newPool(f, r)
+		defer p.Close()
+		qt.Assert(t, p.Do(t.Context(), call("one")).Kind, qt.Equals, upstream.KindOK)
+		qt.Assert(t, p.Do(t.Context(), call("two")).Kind, qt.Equals, upstream.KindBroken)
+		qt.Assert(t, r.Runs(), qt.DeepEquals, []string{"one", "two"})
+	})
+}
+
+// An answer without a length ends with its connection; one that breaks off before its stated length must not pass for whole.
+func TestReplyIsWholeOrBroken(t *testing.T) {
+	whole := platformtest.Reply(200, "one", "s", []byte("whole"))
+	tests := []struct {
+		name string
+		raw  []byte
+		want upstream.Kind
+	}{
+		{"no length", platformtest.Unframed("one", "s", []byte("whole")), upstream.KindOK},
+		{"cut off", whole[:len(whole)-2], upstream.KindBroken},
+		{"cut off in the header", whole[:20], upstream.KindBroken},
+		{"not a reply", []byte("\x00\x01\x02\x03\x04\x05\r\n\r\n"), upstream.KindBroken},
+		{"another request's", platformtest.Reply(200, "two", "s", nil), upstream.KindForeign},
+		{"no stamp", platformtest.Reply(200, "one", "", nil), upstream.KindError},
+		{"failure", platformtest.Reply(500, "one", "s", nil), upstream.KindError},
+		{"not run", platformtest.NotRun("one"), upstream.KindShed},
+		{"another replica", platformtest.Misdirected("one"), upstream.KindRefused},
+	}
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			f := replicatest.New()
+			r := f.Add("a", 1, func(*http.Request, []byte) replicatest.Answer {
+				return replicatest.Answer{Raw: test.raw, Close: true}
+			})
+			p := newPool(f, r)
+			defer p.Close()
+			res := p.Do(t.Context(), call("one"))
+			qt.Check(t, res.Kind, qt.Equals, test.want, qt.Commentf("%s: %s", test.name, res.Detail))
+		})
+	}
+}
+
+// A request waits 650 ms for a connection. The replica must be told the time that is left then, not what was left before, or it works for
+// somebody who has gone.
+func TestDeadlineIsWrittenLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := replicatest.New()
+		f.DialTime = 250 * time.Millisecond
+		var told string
+		r := f.Add("a", 1, func(req *http.Request, b []byte) replicatest.Answer {
+			told = platformtest.Read(req).Deadline
+			return replicatest.OK("a-1", 0, "x")(req, b)
+		})
+		p := newPool(f, r)
+		defer p.Close()
+		qt.Assert(t, p.Do(t.Context(), call("one")).Kind, qt.Equals, upstream.KindOK)
+		qt.Assert(t, told, qt.Equals, "750")
+	})
+}
+
+// A replica is found leaving while a request waits for a connection to it: nothing may be sent any more, and the request has not run.
+func TestGuardIsAskedLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := replicatest.New()
+		f.DialTime = 10 * time.Millisecond
+		r := f.Add("a", 1, replicatest.OK("a-1", 0, "x"))
+		p := newPool(f, r)
+		defer p.Close()
+		c := call("one")
+		leaves := time.Now().Add(5 * time.Millisecond)
+		c.Guard = func() error {
+			if time.Now().After(leaves) {
+				return errors.New("it leaves")
+			}
+			return nil
+		}
+		qt.Assert(t, p.Do(t.Context(), c).Kind, qt.Equals, upstream.KindNotSent)
+		qt.Assert(t, r.Arrivals(), qt.Equals, 0)
+	})
+}
+
+// A client goes away: its connection to the replica is closed, which is how the replica learns of it, and no other request uses it.
+func TestCancelClosesTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := replicatest.New()
+		r := f.Add("a", 1, replicatest.OK("a-1", 100*time.Millisecond, "x"))
+		p := newPool(f, r)
+		defer p.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		qt.Assert(t, p.Do(ctx, call("one")).Kind, qt.Equals, upstream.KindCanceled)
+		qt.Assert(t, p.Do(t.Context(), call("two")).Kind, qt.Equals, upstream.KindOK)
+		qt.Assert(t, f.Dials(), qt.Equals, 2)
+		time.Sleep(time.Second)
+	})
+}
+
+// Connections are few: a third call must not open one over the limit, and says that it was not sent.
+func TestConnectionLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := replicatest.New()
+		r := f.Add("a", 1, replicatest.OK("a-1", 100*time.Millisecond, "x"))
+		p := newPool(f, r)
+		defer p.Close()
+		done := make(chan exchange.Result, 2)
+		for _, id := range []string{"one", "two"} {
+			c := call(id)
+			c.Connections = 2
+			go func() { done <- p.Do(t.Context(), c) }()
+		}
+		synctest.Wait()
+		c := call("three")
+		c.Connections = 2
+		res := p.Do(t.Context(), c)
+		qt.Assert(t, res.Busy, qt.IsTrue)
+		qt.Assert(t, res.Kind, qt.Equals, upstream.KindNotSent)
+		<-done
+		<-done
+		qt.Assert(t, r.Arrivals(), qt.Equals, 2)
+	})
+}
--- /dev/null
+++ b/entry/internal/pick/pick_test.go
@@ -0,0 +1,49 @@
+package pick_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/entry/internal/pick"
+)
+
+const usual = 30 * time.Millisecond
+
+func estimate(r pick.Replica) time.Duration { return pick.Estimate(r, usual, 0) }
+
+// A host chooses between two replicas of a shard. Each row is a pair of which the first must be preferred.
+func TestPreference(t *testing.T) {
+	near := pick.Replica{Slowness: 1, Near: true}
+	with := func(change func(*pick.Replica)) pick.Replica {
+		r := near
+		change(&r)
+		return r
+	}
+	far := with(func(r *pick.Replica) { r.Near = false })
+	tests := []struct {
+		name          string
+		better, worse pick.Replica
+	}{
+		{"the own zone", near, far},
+		{"the own zone, though one request runs there", with(func(r *pick.Replica) { r.Running = 1 }), far},
+		{"another zone rather than a queue", far, with(func(r *pick.Replica) { r.Running = 3 })},
+		{"another zone rather than a slow one", far, with(func(r *pick.Replica) { r.Slowness = 3 })},
+		{"another zone rather than one that pauses", far, with(func(r *pick.Replica) { r.Running, r.Oldest = 1, 80*time.Millisecond })},
+		{"another zone rather than one that fails", far, with(func(r *pick.Replica) { r.Failures = 0.5 })},
+		{"another zone rather than one that has just started", far, with(func(r *pick.Replica) { r.Cold = true })},
+		{"a cold one rather than one ten times slower", with(func(r *pick.Replica) { r.Cold = true }), with(func(r *pick.Replica) { r.Slowness = 10 })},
+	}
+	for _, test := range tests {
+		qt.Check(t, estimate(test.better) < estimate(test.worse), qt.IsTrue, qt.Commentf("%s: %v, %v", test.name, estimate(test.better), estimate(test.worse)))
+	}
+}
+
+// All hosts know the same of two equal replicas. If each took the one with the least estimate to the nanosecond, all would take the
+// same; the random part has to be wider than what tells equals apart.
+func TestEqualsAreSpread(t *testing.T) {
+	r := pick.Replica{Slowness: 1, Near: true}
+	slightly := pick.Replica{Slowness: 1.05, Near: true}
+	qt.Assert(t, pick.Estimate(r, usual, 0.9) > pick.Estimate(slightly, usual, 0.1), qt.IsTrue)
+}
--- /dev/null
+++ b/entry/internal/scatter/scatter_test.go
@@ -0,0 +1,301 @@
+package scatter_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/opaque"
+	"guavaspring.org/core/route"
+	"guavaspring.org/core/upstream"
+	"guavaspring.org/entry/internal/endpoints"
+	"guavaspring.org/entry/internal/latency"
+	"guavaspring.org/entry/internal/replicatest"
+	"guavaspring.org/entry/internal/scatter"
+	"guavaspring.org/entry/internal/spend"
+	"guavaspring.org/platform/wire"
+)
+
+// bed is a host's way to the replicas of a farm.
+type bed struct {
+	farm   *replicatest.Farm
+	table  *endpoints.Table
+	run    *scatter.Runner
+	recent *latency.Recent
+	n      atomic.Int64
+}
+
+func newBed(t *testing.T, slack float64) *bed {
+	b := &bed{farm: replicatest.New(), recent: &latency.Recent{}}
+	t.Cleanup(b.farm.Close)
+	codec := wire.Codec()
+	hosts := func() int { return 1 }
+	b.table = endpoints.New(endpoints.Options{
+		Clock: clock.System{}, Log: logr.Discard(), Zone: "a", Codec: &codec, Dial: b.farm.Dial, Hosts: hosts,
+		Spend: spend.Options{Ratio: 0.2, Slack: slack, Window: 10 * time.Second},
+	})
+	b.run = scatter.New(scatter.Options{Clock: clock.System{}, Hosts: hosts, Draw: func() float64 { return 0 }})
+	return b
+}
+
+// usual makes the route's replies take 30 ms lately.
+func (b *bed) usual() {
+	b.table.Replace(b.farm.Batch(), false)
+	for range 100 {
+		b.recent.Observe(30 * time.Millisecond)
+	}
+}
+
+func (b *bed) ask(ctx context.Context, rt *route.Route) (scatter.Report, time.Duration) {
+	n := b.n.Add(1)
+	began := time.Now()
+	q := scatter.Query{
+		Request: &opaque.Request{ID: fmt.Sprintf("q%d", n), Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{}},
+		Route:   rt, Recent: b.recent, Arrived: began, Deadline: began.Add(rt.Timeout),
+	}
+	for _, name := range rt.Services() {
+		q.Shards = append(q.Shards, b.table.Service(name))
+	}
+	rep := b.run.Run(ctx, q)
+	return rep, time.Since(began)
+}
+
+func overShards(n int, least float64) *route.Route {
+	rt := &route.Route{Idempotent: true, Timeout: 2 * time.Second, Objective: 200 * time.Millisecond, Attempts: 2, TopK: 5, LeastShare: least}
+	for i := range n {
+		rt.Shards = append(rt.Shards, fmt.Sprintf("s%d", i))
+	}
+	return rt
+}
+
+func plain(idempotent bool) *route.Route {
+	return &route.Route{Idempotent: idempotent, Timeout: 2 * time.Second, Objective: 800 * time.Millisecond, Attempts: 2, Split: []route.Share{{Service: "s0", Weight: 1}}}
+}
+
+// One replica of ten pauses for a quarter of a second, as each does every six. The page must not wait for it: a second replica of
+// that shard is asked as soon as the reply is later than nine in ten are.
+func TestPausedReplicaIsHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 50)
+		for i := range 10 {
+			took := 30 * time.Millisecond
+			if i == 4 {
+				took = 280 * time.Millisecond
+			}
+			slow := b.farm.Add(fmt.Sprintf("s%d", i), 1, replicatest.OK("near", took, "x"))
+			other := b.farm.Add(fmt.Sprintf("s%d", i), 2, replicatest.OK("far", 30*time.Millisecond, "x"))
+			slow.Row.Zone, other.Row.Zone = "a", "b"
+		}
+		b.usual()
+		rep, took := b.ask(t.Context(), overShards(10, 0.9))
+		qt.Assert(t, rep.Ending, qt.Equals, scatter.Complete)
+		qt.Assert(t, rep.Hedges, qt.Equals, 1)
+		qt.Assert(t, took < 80*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
+		time.Sleep(time.Second)
+	})
+}
+
+// All replicas of one shard are dark. The page goes out before its objective with nine parts of ten and says so; where the
+// team asks for all ten it is given up only at its end.
+func TestDarkShard(t *testing.T) {
+	tests := []struct {
+		least float64
+		want  scatter.Ending
+		by    time.Duration
+	}{{0.9, scatter.Partial, 200 * time.Millisecond}, {1, scatter.Expired, 2 * time.Second}}
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBed(t, 50)
+			for i := range 10 {
+				for n := range 2 {
+					r := b.farm.Add(fmt.Sprintf("s%d", i), n, replicatest.OK("r", 30*time.Millisecond, "x"))
+					if i == 4 {
+						r.Handle = func(*http.Request, []byte) replicatest.Answer { return replicatest.Answer{Silent: true} }
+					}
+				}
+			}
+			b.usual()
+			rep, took := b.ask(t.Context(), overShards(10, test.least))
+			qt.Check(t, rep.Ending, qt.Equals, test.want)
+			qt.Check(t, rep.Answered, qt.Equals, 9)
+			qt.Check(t, took <= test.by, qt.IsTrue, qt.Commentf("%v", took))
+			time.Sleep(5 * time.Second)
+		})
+	}
+}
+
+// A shard has no replica left at all. Nobody should wait for it: the page goes out as soon as the other parts are there, and a request
+// that can't succeed any more is refused at once, truly not run.
+func TestShardWithoutReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 50)
+		for i := range 9 {
+			b.farm.Add(fmt.Sprintf("s%d", i), 1, replicatest.OK("r", 30*time.Millisecond, "x"))
+		}
+		b.usual()
+		rep, took := b.ask(t.Context(), overShards(10, 0.9))
+		qt.Assert(t, rep.Ending, qt.Equals, scatter.Partial)
+		qt.Assert(t, took, qt.Equals, 30*time.Millisecond)
+		rep, took = b.ask(t.Context(), &route.Route{Idempotent: false, Timeout: time.Second, Attempts: 2, Split: []route.Share{{Service: "none"}}})
+		qt.Assert(t, rep.Ending, qt.Equals, scatter.Lost)
+		qt.Assert(t, rep.Ran, qt.IsFalse)
+		qt.Assert(t, took, qt.Equals, time.Duration(0))
+		time.Sleep(time.Second)
+	})
+}
+
+// A donor's drop-off runs, and the answer is lost with the connection. Sent again it would be recorded twice, and somebody drives
+// out for fabric that is already given away.
+func TestWriteRunsAtMostOnce(t *testing.T) {
+	tests := []struct {
+		name   string
+		first  func(*http.Request, []byte) replicatest.Answer
+		answer bool
+		ran    bool
+		runs   int
+	}{
+		{"the answer is lost", replicatest.Broken(10 * time.Millisecond), false, true, 1},
+		{"the replica is full and says so", replicatest.Full(), true, true, 1},
+		{"no answer ever comes", func(*http.Request, []byte) replicatest.Answer { return replicatest.Answer{Silent: true} }, false, true, 1},
+	}
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBed(t, 50)
+			one := b.farm.Add("s0", 1, test.first)
+			two := b.farm.Add("s0", 2, replicatest.OK("two", 10*time.Millisecond, "x"))
+			two.Row.Zone = "b"
+			b.usual()
+			rep, _ := b.ask(t.Context(), plain(false))
+			qt.Check(t, rep.Answered == 1, qt.Equals, test.answer, qt.Commentf("%s", test.name))
+			qt.Check(t, rep.Ran, qt.Equals, test.ran, qt.Commentf("%s", test.name))
+			qt.Check(t, len(one.Runs())+len(two.Runs()), qt.Equals, test.runs, qt.Commentf("%s", test.name))
+			time.Sleep(3 * time.Second)
+		})
+	}
+}
+
+// Every replica is full. What is refused must say truly that it has not run.
+func TestFullReplicasRanNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 50)
+		for n := range 3 {
+			b.farm.Add("s0", n, replicatest.Full())
+		}
+		b.usual()
+		rep, _ := b.ask(t.Context(), plain(false))
+		qt.Assert(t, rep.Ran, qt.IsFalse)
+		qt.Assert(t, rep.Results[0].Kind, qt.Equals, upstream.KindShed)
+		time.Sleep(time.Second)
+	})
+}
+
+// Every replica of a service breaks what it runs. Each request would be sent twice, which doubles the load on replicas that fail;
+// the budget lets only its share through.
+func TestRetriesStayInTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 10)
+		var replicas []*replicatest.Replica
+		for n := range 3 {
+			replicas = append(replicas, b.farm.Add("s0", n, replicatest.Broken(time.Millisecond)))
+		}
+		b.usual()
+		const requests = 200
+		for range requests {
+			b.ask(t.Context(), plain(true))
+			time.Sleep(20 * time.Millisecond)
+		}
+		arrivals := 0
+		for _, r := range replicas {
+			arrivals += r.Arrivals()
+		}
+		qt.Assert(t, arrivals <= requests*12/10+10, qt.IsTrue, qt.Commentf("%d arrivals", arrivals))
+		qt.Assert(t, arrivals > requests*11/10, qt.IsTrue, qt.Commentf("%d arrivals", arrivals))
+	})
+}
+
+// A client leaves. What may be repeated is cut off at its replicas within half a second, and a write that may be running is left alone.
+func TestClientGone(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBed(t, 50)
+			b.farm.Add("s0", 1, replicatest.OK("r", time.Second, "x"))
+			b.usual()
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			rep, took := b.ask(ctx, plain(idempotent))
+			qt.Check(t, rep.Ending, qt.Equals, scatter.Gone)
+			qt.Check(t, took, qt.Equals, 100*time.Millisecond)
+			time.Sleep(time.Millisecond)
+			s := b.table.Service("s0")
+			free := 0
+			if idempotent {
+				free = 1
+			}
+			qt.Check(t, s.Running(), qt.Equals, 1-free)
+			time.Sleep(3 * time.Second)
+		})
+	}
+}
+
+// Two of three replicas of a shard are taken away, and the one left gets a third more than it can do. Pages must not all wait past
+// their objective for it: those that get a place are whole in time, the others go out without that shard.
+func TestOverloadedShardThinsPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 50)
+		for i := range 10 {
+			for n := range 3 {
+				if i != 4 || n == 0 {
+					b.farm.Add(fmt.Sprintf("s%d", i), n, slots(5, 28*time.Millisecond))
+				}
+			}
+		}
+		b.usual()
+		rt := overShards(10, 0.89)
+		type outcome struct {
+			ending scatter.Ending
+			took   time.Duration
+		}
+		ends := make(chan outcome, 1000)
+		// The replica left runs 5 at a time of 28 ms, which is 178 a second; 240 a second come.
+		const n = 480
+		for range n {
+			go func() {
+				rep, took := b.ask(t.Context(), rt)
+				ends <- outcome{rep.Ending, took}
+			}()
+			time.Sleep(time.Second / 240)
+		}
+		late, complete := 0, 0
+		for range n {
+			o := <-ends
+			if o.took > rt.Objective {
+				late++
+			}
+			if o.ending == scatter.Complete {
+				complete++
+			}
+		}
+		qt.Check(t, late, qt.Equals, 0)
+		qt.Check(t, complete > n*6/10, qt.IsTrue, qt.Commentf("%d of %d complete", complete, n))
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// slots answers as a replica does that runs a number of requests at once and lets the others wait.
+func slots(n int, work time.Duration) func(*http.Request, []byte) replicatest.Answer {
+	free := make(chan struct{}, n)
+	return func(req *http.Request, body []byte) replicatest.Answer {
+		free <- struct{}{}
+		time.Sleep(work)
+		<-free
+		return replicatest.OK("r", 0, "x")(req, body)
+	}
+}
--- /dev/null
+++ b/entry/internal/spend/spend_test.go
@@ -0,0 +1,100 @@
+package spend_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"guavaspring.org/entry/internal/spend"
+)
+
+const window = 10 * time.Second
+
+// Six hosts serve a shard whose replicas fail for a while at random moments, with a load that changes. Whatever the hosts are asked to
+// send again, the shard must not get more extra tries than the bound allows in any ten seconds, wherever they begin.
+func TestNoWindowExceedsTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const hosts = 6
+		opts := spend.Options{Ratio: 0.2, Slack: 52, Window: window}
+		budgets := make([]*spend.Budget, hosts)
+		for i := range budgets {
+			budgets[i] = spend.New(opts)
+		}
+		start := time.Unix(0, 0)
+		type event struct {
+			at    time.Duration
+			extra bool
+		}
+		var events []event
+		at := time.Duration(0)
+		rate := rapid.IntRange(20, 60).Draw(t, "rate")
+		for range 800 {
+			at += time.Duration(rapid.IntRange(0, 2*int(time.Second)/rate).Draw(t, "gap"))
+			b := budgets[rapid.IntRange(0, hosts-1).Draw(t, "host")]
+			now := start.Add(at)
+			b.Request(now)
+			events = append(events, event{at: at})
+			if rapid.Bool().Draw(t, "fails") && b.Retry(now, hosts) {
+				events = append(events, event{at: at, extra: true})
+			}
+		}
+		// The extra tries in each window against the requests of it, the one before it, or half a window before.
+		for _, end := range events {
+			var extra, own, before, half float64
+			for _, e := range events {
+				in := func(from, to time.Duration) bool { return e.at > from && e.at <= to }
+				switch {
+				case e.extra && in(end.at-window, end.at):
+					extra++
+				case !e.extra:
+					if in(end.at-window, end.at) {
+						own++
+					}
+					if in(end.at-2*window, end.at-window) {
+						before++
+					}
+					if in(end.at-window*3/2, end.at-window/2) {
+						half++
+					}
+				}
+			}
+			if allowed := opts.Ratio*max(own, before, half) + opts.Slack; extra > allowed {
+				t.Fatalf("%v extra tries in the window to %v, where %v are allowed", extra, end.at, allowed)
+			}
+			if end.at > 3*window {
+				break
+			}
+		}
+	})
+}
+
+// Second tries beside slow ones must leave room for those after failures.
+func TestHedgesLeaveRoomForRetries(t *testing.T) {
+	b := spend.New(spend.Options{Ratio: 0.2, Slack: 0, Window: window})
+	now := time.Unix(0, 0)
+	for range 1000 {
+		b.Request(now)
+	}
+	hedges, retries := 0, 0
+	for b.Hedge(now, 1) {
+		hedges++
+	}
+	for b.Retry(now, 1) {
+		retries++
+	}
+	qt.Assert(t, hedges, qt.Equals, 135)
+	qt.Assert(t, retries, qt.Equals, 45)
+	qt.Assert(t, b.Retry(now.Add(window+window/20), 1), qt.IsTrue)
+}
+
+// A try that was never sent costs nothing.
+func TestUnsend(t *testing.T) {
+	b := spend.New(spend.Options{Ratio: 0, Slack: 2, Window: window})
+	now := time.Unix(0, 0)
+	qt.Assert(t, b.Retry(now, 1), qt.IsTrue)
+	qt.Assert(t, b.Retry(now, 1), qt.IsFalse)
+	b.Unsend(now)
+	qt.Assert(t, b.Retry(now, 1), qt.IsTrue)
+}
