--- a/entry/internal/spend/spend.go
+++ b/entry/internal/spend/spend.go
@@ -12,10 +12,7 @@
 	// caution is the share of the bound that is used: hosts that join or are replaced count from nothing for a window.
 	caution = 0.9
 	// hedgeFloor is the share of a window's allowance that only retries may use. A retry mends a failure that was seen, a hedge one that is only feared.
-	hedgeFloor = 0.4
-	// hedgePause is how long no hedge is sent after a retry was denied: replicas that refuse or break what they get need all of the
-	// allowance, and a tenth of the tries hedged before has used up half of it.
-	hedgePause = 3 * time.Second
+	hedgeFloor = 0.25
 )
 
 // Options is the bound on extra tries.
@@ -37,8 +34,6 @@
 	// epoch is when the budget was first used: parts are counted from it, since the time of day may jump.
 	epoch    time.Time
 	at       int64
-	// denied is when a retry was last denied.
-	denied   time.Time
 	requests [2 * steps]float64
 	extra    [2 * steps]float64
 }
@@ -54,25 +49,10 @@
 }
 
 // Retry takes one try after a failure, where hosts share the slack, and reports whether it may be sent.
-func (b *Budget) Retry(now time.Time, hosts int) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	ok := b.take(now, hosts, 1)
-	if !ok {
-		b.denied = now
-	}
-	return ok
-}
+func (b *Budget) Retry(now time.Time, hosts int) bool { return b.take(now, hosts, 1) }
 
 // Hedge takes one try beside another, and reports whether it may be sent.
-func (b *Budget) Hedge(now time.Time, hosts int) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.denied.IsZero() && now.Sub(b.denied) < hedgePause {
-		return false
-	}
-	return b.take(now, hosts, 1-hedgeFloor)
-}
+func (b *Budget) Hedge(now time.Time, hosts int) bool { return b.take(now, hosts, 1-hedgeFloor) }
 
 // Unsend gives back a try that was never sent.
 func (b *Budget) Unsend(now time.Time) {
@@ -83,8 +63,9 @@
 	}
 }
 
-// take spends one try where part of what is allowed is not spent yet; b.mu is held.
 func (b *Budget) take(now time.Time, hosts int, part float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	i := b.turn(now)
 	allowed := caution * (b.opts.Ratio*b.known() + b.opts.Slack/float64(max(1, hosts)))
 	if b.spent()+1 > part*allowed {
