--- /dev/null
+++ b/core/event/async_test.go
@@ -0,0 +1,76 @@
+package event_test
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/event"
+)
+
+type hung struct{ never chan struct{} }
+
+func (h hung) Write([]byte) (int, error) { <-h.never; return 0, errors.New("closed") }
+
+// Nobody reads the standard output any more, and its pipe is full. Requests must go on: no log line may wait for the reader, and what is
+// lost is counted.
+func TestHungOutputBlocksNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := hung{never: make(chan struct{})}
+		a := event.NewAsync(out)
+		began := time.Now()
+		for range 5000 {
+			_, err := a.Write([]byte("line\n"))
+			qt.Assert(t, err, qt.IsNil)
+		}
+		qt.Assert(t, time.Since(began), qt.Equals, time.Duration(0))
+		qt.Assert(t, a.Dropped() >= 5000-2048-1, qt.IsTrue)
+		ready := make(chan struct{})
+		time.AfterFunc(time.Second, func() { close(ready) })
+		a.Close(ready)
+		close(out.never)
+	})
+}
+
+// The output was closed. The process goes on, and counts what it could not write.
+func TestClosedOutputIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := hung{never: make(chan struct{})}
+		close(out.never)
+		a := event.NewAsync(out)
+		for range 3 {
+			_, err := a.Write([]byte("line\n"))
+			qt.Assert(t, err, qt.IsNil)
+		}
+		a.Close(nil)
+		qt.Assert(t, a.Dropped(), qt.Equals, uint64(3))
+	})
+}
+
+// What was logged before the end is written.
+func TestCloseWritesWhatWaits(t *testing.T) {
+	var out bytes.Buffer
+	a := event.NewAsync(&out)
+	_, err := a.Write([]byte("stopped\n"))
+	qt.Assert(t, err, qt.IsNil)
+	a.Close(nil)
+	qt.Assert(t, out.String(), qt.Equals, "stopped\n")
+}
+
+// A thousand requests fail within a second. The lines about them stay within the limit, and it is known how many are missing.
+func TestLimit(t *testing.T) {
+	l := event.NewLimit(50)
+	now := time.Unix(0, 0)
+	written := 0
+	for i := range 1000 {
+		if l.Allow(now.Add(time.Duration(i) * time.Millisecond)) {
+			written++
+		}
+	}
+	qt.Assert(t, written >= 98 && written <= 100, qt.IsTrue, qt.Commentf("%d", written))
+	qt.Assert(t, l.Skipped(), qt.Equals, uint64(1000-written))
+}
--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -75,13 +75,21 @@
 	Tried []*Replica
 }
 
-// Pick returns the replica with the least estimate among those that were not tried, and that estimate.
+// Choice is a replica that was chosen, with what decided it.
+type Choice struct {
+	Replica *Replica
+	// Estimate is how long a request there is expected to take.
+	Estimate time.Duration
+	// Seen is what was known of the replica.
+	Seen pick.Replica
+}
+
+// Pick returns the replica with the least estimate among those that were not tried.
 //
 // One that has room but is too slow to be of use is passed over while another is only full: a try there would take one
 // of the few that a request has, where a short wait brings a better one.
-func (s *Service) Pick(now time.Time, need Need, draw func() float64) (*Replica, time.Duration, Verdict) {
-	var best choice
-	var rested choice
+func (s *Service) Pick(now time.Time, need Need, draw func() float64) (Choice, Verdict) {
+	var best, rested Choice
 	busy := time.Duration(-1)
 	for _, r := range s.Replicas() {
 		if contains(need.Tried, r) {
@@ -98,33 +106,27 @@
 				busy = t
 			}
 		case resting:
-			rested.offer(r, t)
+			rested.offer(r, t, v)
 		default:
-			best.offer(r, t)
+			best.offer(r, t, v)
 		}
 	}
-	if best.replica == nil {
+	if best.Replica == nil {
 		// One that could not be reached a moment ago is better than none.
 		best = rested
 	}
 	switch {
-	case best.replica == nil && busy < 0:
-		return nil, 0, None
-	case best.replica == nil, best.estimate > need.Within && busy >= 0 && busy <= need.Within:
-		return nil, 0, Busy
+	case best.Replica == nil && busy < 0:
+		return Choice{}, None
+	case best.Replica == nil, best.Estimate > need.Within && busy >= 0 && busy <= need.Within:
+		return Choice{}, Busy
 	}
-	return best.replica, best.estimate, Found
-}
-
-// choice is the best replica seen so far.
-type choice struct {
-	replica  *Replica
-	estimate time.Duration
+	return best, Found
 }
 
-func (c *choice) offer(r *Replica, t time.Duration) {
-	if c.replica == nil || t < c.estimate {
-		c.replica, c.estimate = r, t
+func (c *Choice) offer(r *Replica, t time.Duration, seen pick.Replica) {
+	if c.Replica == nil || t < c.Estimate {
+		c.Replica, c.Estimate, c.Seen = r, t, seen
 	}
 }
 
--- a/entry/internal/endpoints/table.go
+++ b/entry/internal/endpoints/table.go
@@ -55,6 +55,8 @@
 	replicas map[string]*Replica
 	limits   map[string]route.Service
 	listed   bool
+	// dialed counts the connections to replicas that are gone.
+	dialed uint64
 }
 
 // New returns a table without replicas.
@@ -130,6 +132,17 @@
 	t.publish()
 }
 
+// Dialed returns how many connections were opened to the replicas that are listed.
+func (t *Table) Dialed() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := t.dialed
+	for _, r := range t.replicas {
+		n += r.pool.Dialed()
+	}
+	return n
+}
+
 // Known reports whether a list was ever read.
 func (t *Table) Known() bool {
 	t.mu.Lock()
@@ -187,6 +200,7 @@
 func (t *Table) forget(r *Replica) {
 	r.usable = false
 	delete(t.replicas, r.row.ID)
+	t.dialed += r.pool.Dialed()
 	events.ReplicaGone.Log(t.opts.Log, "replica", r.row.ID, "service", r.row.Service)
 	r.pool.Close()
 }
--- a/entry/internal/forward/forwarder.go
+++ b/entry/internal/forward/forwarder.go
@@ -19,6 +19,7 @@
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/exchange"
 	"guavaspring.org/entry/internal/latency"
+	"guavaspring.org/entry/internal/requestlog"
 	"guavaspring.org/entry/internal/scatter"
 )
 
@@ -33,6 +34,9 @@
 	defaultTimeout = 10 * time.Second
 )
 
+// unknown is why a host that has just started refuses.
+const unknown = "the configuration is not known yet"
+
 // Options configures a Forwarder.
 type Options struct {
 	Clock clock.Clock
@@ -42,6 +46,10 @@
 	Config func() *route.Table
 	Table  *endpoints.Table
 	Runner *scatter.Runner
+	// Requests writes a line about each request.
+	Requests *requestlog.Log
+	// Ended is told of each request that had a route; it fills in what it knows of the host's freshness before the line is written.
+	Ended func(e *requestlog.Entry)
 }
 
 // Forwarder is the HTTP handler of clients' requests.
@@ -58,24 +66,29 @@
 	arrived := f.opts.Clock.Now()
 	table := f.opts.Config()
 	if table == nil || !f.opts.Table.Known() {
-		refuse(w, http.StatusServiceUnavailable, retryUnknown, "the configuration is not known yet")
+		f.opts.Requests.Refused(f.opts.Codec.Decode(r, nil).ID, r.Host, r.URL.Path, http.StatusServiceUnavailable, unknown)
+		refuse(w, http.StatusServiceUnavailable, retryUnknown, unknown)
 		return
 	}
 	body, err := readBody(r, table.Config().Limits.BodyBytes)
 	if err != nil {
-		f.badBody(w, err)
+		f.badBody(w, r, err)
 		return
 	}
 	req := f.opts.Codec.Decode(r, body)
 	rt := table.Find(req.Host, req.Path)
 	if rt == nil {
+		f.opts.Requests.Refused(req.ID, req.Host, req.Path, http.StatusNotFound, "no route of version "+strconv.FormatInt(table.Config().Version, 10)+" matches")
 		http.Error(w, "no route", http.StatusNotFound)
 		return
 	}
 	q := scatter.Query{Request: &req, Route: rt, Shards: f.shards(rt), Recent: f.recentOf(rt), Arrived: arrived, Deadline: deadline(arrived, &req, rt)}
 	rep := f.opts.Runner.Run(r.Context(), q)
-	f.answer(w, rt, &rep)
-	f.log(&q, &rep)
+	e := requestlog.Entry{Query: &q, Report: &rep, ConfigVersion: table.Config().Version}
+	e.Status = f.answer(w, rt, &rep)
+	e.Took = f.opts.Clock.Now().Sub(arrived)
+	f.opts.Ended(&e)
+	f.opts.Requests.Write(&e)
 }
 
 func deadline(arrived time.Time, req *opaque.Request, rt *route.Route) time.Time {
@@ -141,32 +154,35 @@
 	return body, err
 }
 
-func (f *Forwarder) badBody(w http.ResponseWriter, err error) {
+func (f *Forwarder) badBody(w http.ResponseWriter, r *http.Request, err error) {
 	status := http.StatusBadRequest
 	if errors.Is(err, errTooLarge) {
 		status = http.StatusRequestEntityTooLarge
 	}
-	events.Refused.Log(f.opts.Log, "reason", err.Error(), "status", status)
+	f.opts.Requests.Refused(f.opts.Codec.Decode(r, nil).ID, r.Host, r.URL.Path, status, err.Error())
 	http.Error(w, err.Error(), status)
 }
 
-// answer writes what the request came to.
-func (f *Forwarder) answer(w http.ResponseWriter, rt *route.Route, rep *scatter.Report) {
+// answer writes what the request came to and returns the status, zero where nobody reads it.
+func (f *Forwarder) answer(w http.ResponseWriter, rt *route.Route, rep *scatter.Report) int {
 	switch {
 	case rep.Ending == scatter.Gone:
-		// Nobody reads the answer.
+		return 0
 	case len(rt.Shards) > 0 && (rep.Ending == scatter.Complete || rep.Ending == scatter.Partial):
 		f.merged(w, rt, rep)
+		return http.StatusOK
 	case len(rt.Shards) == 0 && passable(&rep.Results[0]):
 		f.pass(w, &rep.Results[0])
+		return rep.Results[0].Status
 	case !rep.Ran:
 		refuse(w, http.StatusServiceUnavailable, retryAfter(rep), "the request did not run")
+		return http.StatusServiceUnavailable
 	case rep.Ending == scatter.Expired:
 		http.Error(w, "the time is up", http.StatusGatewayTimeout)
-	default:
-		w.Header().Set("Retry-After", seconds(retryShed))
-		http.Error(w, "the replicas failed", http.StatusBadGateway)
+		return http.StatusGatewayTimeout
 	}
+	refuse(w, http.StatusBadGateway, retryShed, "the replicas failed")
+	return http.StatusBadGateway
 }
 
 // passable reports whether a replica's reply may go to the client as it is. A status that promises that nothing ran may not, where
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -25,6 +25,8 @@
 	"guavaspring.org/entry/internal/endpoints"
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/forward"
+	"guavaspring.org/entry/internal/frontmetrics"
+	"guavaspring.org/entry/internal/requestlog"
 	"guavaspring.org/entry/internal/scatter"
 	"guavaspring.org/entry/internal/spend"
 )
@@ -81,6 +83,11 @@
 	MaxKeep time.Duration
 	// Apply is how soon a changed configuration has to be in force, and Drain how long a replica that leaves may still be sent requests.
 	Apply, Drain time.Duration
+	// Metrics is where metrics are published; the zero value publishes none.
+	Metrics netip.AddrPort
+	// StoreCalls returns how many calls to the store were made, LinesLost how many log lines the output lost.
+	StoreCalls func() int64
+	LinesLost  func() uint64
 	// Spend bounds the tries beyond the first of each request, of all hosts together.
 	Spend spend.Options
 }
@@ -92,6 +99,8 @@
 	table  *endpoints.Table
 	config atomic.Pointer[route.Table]
 	joined *joined
+	log    *requestlog.Log
+	counts *frontmetrics.Metrics
 }
 
 // New returns a host that does nothing until Run.
@@ -104,6 +113,8 @@
 		return nil, err
 	}
 	f.joined = j
+	f.log = requestlog.New(requestlog.Options{Clock: opts.Clock, Log: opts.Log, Dropped: opts.LinesLost})
+	f.counts = f.newMetrics()
 	return f, nil
 }
 
@@ -135,18 +146,23 @@
 	duties.Go(func() { f.followReplicas(ctx) })
 	duties.Go(func() { f.joined.run(ctx) })
 	duties.Go(func() { f.share(ctx) })
+	duties.Go(func() { f.log.Run(ctx.Done()) })
 }
 
 func (f *Front) servers() []transport.Server {
 	fwd := forward.New(forward.Options{
 		Clock: f.opts.Clock, Log: f.opts.Log, Codec: &f.opts.Codec, Config: f.config.Load, Table: f.table,
-		Runner: scatter.New(scatter.Options{Clock: f.opts.Clock, Hosts: f.hosts}),
+		Runner: scatter.New(scatter.Options{Clock: f.opts.Clock, Hosts: f.hosts}), Requests: f.log, Ended: f.ended,
 	})
-	return []transport.Server{
+	servers := []transport.Server{
 		f.server(f.opts.Front, f.drain.Filter(fwd)),
 		f.server(f.opts.Readiness, f.opts.Ready(f.ready)),
 		f.server(f.opts.Directory, f.opts.Resolve(f.addresses)),
 	}
+	if f.opts.Metrics.IsValid() {
+		servers = append(servers, f.server(f.opts.Metrics, f.counts.Handler()))
+	}
+	return servers
 }
 
 // server returns a kratos server all of whose requests go to h: a router would rewrite paths that must reach replicas unchanged.
--- /dev/null
+++ b/entry/internal/front/metrics.go
@@ -0,0 +1,50 @@
+package front
+
+import (
+	"time"
+
+	"guavaspring.org/entry/internal/frontmetrics"
+	"guavaspring.org/entry/internal/relay"
+	"guavaspring.org/entry/internal/requestlog"
+)
+
+func (f *Front) newMetrics() *frontmetrics.Metrics {
+	return frontmetrics.New(frontmetrics.Options{
+		StoreCalls: f.opts.StoreCalls, ConfigVersion: f.configVersion, ConfigAge: f.configAge, ReplicasAge: f.replicasAge,
+		Hosts: f.joined.count, Running: f.drain.Running, Connections: f.table.Dialed,
+		LinesSkipped: f.log.Skipped, LinesLost: f.opts.LinesLost, More: f.joined.peers.Collectors(),
+	})
+}
+
+// ended counts a request and adds how fresh this host's knowledge was.
+func (f *Front) ended(e *requestlog.Entry) {
+	e.ConfigAge, e.ReplicasAge = f.configAge(), f.replicasAge()
+	f.counts.Forwarded(e)
+}
+
+func (f *Front) configVersion() int64 {
+	if t := f.config.Load(); t != nil {
+		return t.Config().Version
+	}
+	return 0
+}
+
+func (f *Front) configAge() time.Duration {
+	st, _ := f.joined.configs.State()
+	return f.age(st)
+}
+
+func (f *Front) replicasAge() time.Duration {
+	st, _ := f.joined.replicas.State()
+	return f.age(st)
+}
+
+// never is the age of what was never known.
+const never = -time.Second
+
+func (f *Front) age(st relay.State) time.Duration {
+	if st.Confirmed.IsZero() {
+		return never
+	}
+	return f.opts.Clock.Now().Sub(st.Confirmed)
+}
--- /dev/null
+++ b/entry/internal/frontmetrics/metrics.go
@@ -0,0 +1,125 @@
+package frontmetrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"guavaspring.org/entry/internal/requestlog"
+)
+
+// Options holds what is read each time the metrics are.
+type Options struct {
+	// StoreCalls returns how many calls to the store were made.
+	StoreCalls func() int64
+	// ConfigVersion returns the version of the configuration in force, zero for none.
+	ConfigVersion func() int64
+	// ConfigAge and ReplicasAge return how long ago the store was known to hold nothing newer, negative for never.
+	ConfigAge, ReplicasAge func() time.Duration
+	// Hosts returns how many hosts are known, Running how many requests are in flight.
+	Hosts, Running func() int
+	// Connections returns how many connections to replicas were opened.
+	Connections func() uint64
+	// LinesSkipped and LinesLost return how many log lines were left out, and lost by the output.
+	LinesSkipped, LinesLost func() uint64
+	// More holds collectors of other parts.
+	More []prometheus.Collector
+}
+
+// Metrics counts requests.
+type Metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
+	extra    *prometheus.CounterVec
+	missed   prometheus.Counter
+}
+
+// The kinds of requests, as label values.
+const (
+	kindGather = "gather"
+	kindSafe   = "idempotent"
+	kindUnsafe = "non_idempotent"
+)
+
+// buckets spans the objectives and deadlines of routes, a fifth apart near the usual ones, in seconds.
+var buckets = []float64{.005, .01, .02, .03, .04, .05, .06, .08, .1, .12, .15, .2, .3, .5, .8, 1.2, 2, 5, 10}
+
+// New returns metrics in a registry of their own.
+func New(opts Options) *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "guavaspring_forwarded_total", Help: "Requests, by kind, ending and status of the answer."}, []string{"kind", "ending", "status"}),
+		seconds:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "guavaspring_forwarded_seconds", Help: "Time from a request's arrival to its answer.", Buckets: buckets}, []string{"kind"}),
+		extra:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "guavaspring_extra_tries_total", Help: "Tries beyond the first of a shard, and those that the budget denied."}, []string{"what"}),
+		missed:   prometheus.NewCounter(prometheus.CounterOpts{Name: "guavaspring_shards_missed_total", Help: "Shards left out of answers."}),
+	}
+	m.registry.MustRegister(m.requests, m.seconds, m.extra, m.missed, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.registry.MustRegister(opts.More...)
+	for _, c := range []struct {
+		name, help string
+		read       func() float64
+	}{
+		{"store_calls_total", "Calls to the platform's store.", func() float64 { return float64(opts.StoreCalls()) }},
+		{"replica_connections_total", "Connections opened to replicas.", func() float64 { return float64(opts.Connections()) }},
+		{"log_lines_skipped_total", "Log lines left out to keep within the limit.", func() float64 { return float64(opts.LinesSkipped()) }},
+		{"log_lines_lost_total", "Log lines lost, as the output was not read.", func() float64 { return float64(opts.LinesLost()) }},
+	} {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "guavaspring_" + c.name, Help: c.help}, c.read))
+	}
+	for _, g := range []struct {
+		name, help string
+		read       func() float64
+	}{
+		{"config_version", "Version of the configuration in force, 0 for none.", func() float64 { return float64(opts.ConfigVersion()) }},
+		{"config_age_seconds", "How long ago the store was known to hold no newer configuration, negative for never.", func() float64 { return opts.ConfigAge().Seconds() }},
+		{"replicas_age_seconds", "How long ago the store was known to hold no newer list of replicas, negative for never.", func() float64 { return opts.ReplicasAge().Seconds() }},
+		{"known_hosts", "Hosts that are not dead, this one included.", func() float64 { return float64(opts.Hosts()) }},
+		{"requests_in_flight", "Requests in flight.", func() float64 { return float64(opts.Running()) }},
+	} {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "guavaspring_" + g.name, Help: g.help}, g.read))
+	}
+	return m
+}
+
+// Forwarded counts one request.
+func (m *Metrics) Forwarded(e *requestlog.Entry) {
+	kind := kindUnsafe
+	switch {
+	case len(e.Query.Route.Shards) > 0:
+		kind = kindGather
+	case e.Query.Route.Idempotent:
+		kind = kindSafe
+	}
+	m.requests.WithLabelValues(kind, string(e.Report.Ending), statusClass(e.Status)).Inc()
+	m.seconds.WithLabelValues(kind).Observe(e.Took.Seconds())
+	m.extra.WithLabelValues("hedge").Add(float64(e.Report.Hedges))
+	m.extra.WithLabelValues("retry").Add(float64(e.Report.Retries))
+	m.extra.WithLabelValues("denied").Add(float64(e.Report.Denied))
+	if kind == kindGather {
+		m.missed.Add(float64(len(e.Query.Shards) - e.Report.Answered))
+	}
+}
+
+// statusClass bounds the values of the label: replicas may answer with any status.
+func statusClass(status int) string {
+	switch {
+	case status == 0:
+		return "none"
+	case status == http.StatusServiceUnavailable, status == http.StatusBadGateway, status == http.StatusGatewayTimeout:
+		return map[int]string{503: "503", 502: "502", 504: "504"}[status]
+	case status >= 500:
+		return "5xx"
+	case status >= 400:
+		return "4xx"
+	}
+	return "2xx"
+}
+
+// Handler returns the handler that publishes the metrics.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- a/entry/internal/scatter/scatter.go
+++ b/entry/internal/scatter/scatter.go
@@ -22,6 +22,8 @@
 	lookAgain = 25 * time.Millisecond
 	// hedgeAgain is how soon a late shard whose other replicas are full looks at them again.
 	hedgeAgain = 10 * time.Millisecond
+	// spareSteps is the room for decisions beyond the first tries, so that the list of a usual request doesn't grow.
+	spareSteps = 4
 	// unsentTries is how many replicas beyond the allowed ones may be tried where nothing was sent to the others.
 	unsentTries = 2
 	// answerBefore is how long before its deadline a request is given up, so that the answer is there in time.
@@ -83,13 +85,16 @@
 	Results []exchange.Result
 	// Answered counts the shards whose reply was taken.
 	Answered int
-	// Sent counts the tries of which a byte may have left, Hedges and Retries those of them beyond the first of a shard.
-	Sent, Hedges, Retries int
+	// Hedges and Retries count the tries beyond the first of a shard.
+	Hedges, Retries int
 	// Ran says that a replica may have run the request.
 	Ran bool
 	// Denied counts second tries that the budget did not allow.
 	Denied int
-	Steps  []Step
+	// Steps holds what was decided, in order.
+	Steps []Step
+	// Usual and Hedge are the times that the request was measured by: of a healthy replica's reply, and after which a second try is sent.
+	Usual, Hedge time.Duration
 }
 
 // Run sends the request and returns once its end is decided.
@@ -147,6 +152,7 @@
 		Query: q, run: run, timing: timingOf(q.Route, q.Recent), least: 1, now: run.opts.Clock.Now(), shards: make([]shard, n), open: n,
 		ends: make(chan ended, n*(q.Route.Attempts+unsentTries)), room: make(chan int, n),
 	}
+	p.report.Steps = make([]Step, 0, n+spareSteps)
 	if len(q.Route.Shards) > 0 {
 		p.least = q.Route.LeastShards()
 	}
@@ -270,6 +276,7 @@
 
 func (p *plan) finish(end Ending) Report {
 	p.report.Ending = end
+	p.report.Usual, p.report.Hedge = p.timing.usual, p.timing.hedge
 	for i := range p.shards {
 		p.stopWaiting(i)
 	}
--- a/entry/internal/scatter/tries.go
+++ b/entry/internal/scatter/tries.go
@@ -25,36 +25,32 @@
 	Wait What = "wait"
 	// Miss gives a shard up.
 	Miss What = "miss"
+	// Failed says how a try ended that brought no part.
+	Failed What = "failed"
 )
 
-// Step is one decision beyond the first tries.
+// Step is one decision about a shard, with what decided it.
 type Step struct {
 	// At is the time after the request's arrival.
-	At      time.Duration
-	What    What
-	Shard   int
-	Replica string
-	Why     string
+	At    time.Duration
+	What  What
+	Shard int
+	// Choice is the replica that was chosen, or whose try failed; its Replica is nil where there is none.
+	Choice endpoints.Choice
+	Why    string
 }
 
-func (p *plan) note(what What, i int, r *endpoints.Replica, why string) {
-	if what == First {
-		return
-	}
-	st := Step{At: p.now.Sub(p.Arrived), What: what, Shard: i, Why: why}
-	if r != nil {
-		st.Replica = r.ID()
-	}
-	p.report.Steps = append(p.report.Steps, st)
+func (p *plan) note(what What, i int, c endpoints.Choice, why string) {
+	p.report.Steps = append(p.report.Steps, Step{At: p.now.Sub(p.Arrived), What: what, Shard: i, Choice: c, Why: why})
 }
 
 // try sends one try of shard i to the best replica left, waits for room, or gives the shard up.
 func (p *plan) try(i int, what What, why string) {
 	s := &p.shards[i]
-	r, _, verdict := p.Shards[i].Pick(p.now, p.need(i), p.run.opts.Draw)
+	c, verdict := p.Shards[i].Pick(p.now, p.need(i), p.run.opts.Draw)
 	switch {
 	case verdict == endpoints.Found:
-		p.send(i, r, what, why)
+		p.send(i, c, what, why)
 	case s.running > 0:
 		// The try under way may still answer.
 	case verdict == endpoints.Busy && p.now.Add(p.timing.usual).Before(p.end()):
@@ -77,7 +73,7 @@
 func (p *plan) wait(i int, what What) {
 	s := &p.shards[i]
 	if s.waiter == nil {
-		p.note(Wait, i, nil, "every replica has as much work of this host as it may")
+		p.note(Wait, i, endpoints.Choice{}, "every replica has as much work of this host as it may")
 		s.waiter = &endpoints.Waiter{Since: p.now, Due: p.cutoff().Add(-p.timing.late), Wake: func() {
 			select {
 			case p.room <- i:
@@ -129,14 +125,15 @@
 	}
 }
 
-func (p *plan) send(i int, r *endpoints.Replica, what What, why string) {
+func (p *plan) send(i int, c endpoints.Choice, what What, why string) {
+	r := c.Replica
 	s := &p.shards[i]
 	waited := s.waiter != nil
 	p.stopWaiting(i)
 	s.tried = append(s.tried, r)
 	s.sent++
 	s.running++
-	p.note(what, i, r, why)
+	p.note(what, i, c, why)
 	if s.sent < p.Route.Attempts && p.Route.Idempotent {
 		s.hedgeAt = p.now.Add(p.timing.hedge)
 	}
@@ -160,21 +157,21 @@
 		return
 	}
 	need := p.need(i)
-	r, estimate, verdict := p.Shards[i].Pick(p.now, need, p.run.opts.Draw)
+	c, verdict := p.Shards[i].Pick(p.now, need, p.run.opts.Draw)
 	switch {
 	case verdict == endpoints.Busy:
 		s.hedgeAt = p.now.Add(hedgeAgain)
 		return
-	case verdict != endpoints.Found, estimate > need.Within:
+	case verdict != endpoints.Found, c.Estimate > need.Within:
 		return
 	}
 	if !p.Shards[i].Budget.Hedge(p.now, p.run.opts.Hosts()) {
 		p.report.Denied++
-		p.note(Denied, i, r, "the budget of extra tries is spent")
+		p.note(Denied, i, c, "the budget of extra tries is spent")
 		return
 	}
 	p.report.Hedges++
-	p.send(i, r, Hedge, "")
+	p.send(i, c, Hedge, "later than nine in ten replies")
 }
 
 // take takes over how a try ended.
@@ -201,6 +198,7 @@
 		p.open--
 		return
 	}
+	p.note(Failed, e.shard, endpoints.Choice{Replica: e.replica}, string(e.res.Kind)+" after "+e.res.Took.Round(time.Millisecond).String()+": "+e.res.Detail)
 	p.failed(e.shard, e.res)
 }
 
@@ -240,7 +238,7 @@
 	if s.result.Kind == "" {
 		s.result = exchange.Result{Kind: upstream.KindNotSent, Detail: then}
 	}
-	p.note(Miss, i, nil, then)
+	p.note(Miss, i, endpoints.Choice{}, then)
 	p.stopWaiting(i)
 	s.lost = true
 	p.lost++
--- a/entry/main.go
+++ b/entry/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"os"
+	"time"
 
 	klog "github.com/go-kratos/kratos/v2/log"
 
@@ -18,10 +19,7 @@
 func main() {
 	klog.SetLogger(klog.NewStdLogger(io.Discard))
 	if path, ok := platsettings.Path(); ok {
-		log := event.NewLogger(os.Stdout)
-		if err := runOnPlatform(context.Background(), path, log); err != nil {
-			settings.Fail(os.Stderr, "entry", err)
-		}
+		onPlatform(path)
 		return
 	}
 	app := settings.New("entry", "Serves queries and writes of callers over the replicas of the services described on the platform.")
@@ -47,3 +45,26 @@
 		os.Exit(1)
 	}
 }
+
+// logGrace is how long the end of the process waits for the reader of its log.
+const logGrace = 100 * time.Millisecond
+
+// onPlatform runs the host that the settings file at path describes.
+func onPlatform(path string) {
+	s, err := platsettings.Read(path)
+	if err != nil {
+		settings.Fail(os.Stderr, "entry", err)
+	}
+	out := event.NewAsync(os.Stdout)
+	log := event.NewLogger(out)
+	err = runOnPlatform(context.Background(), path, s, log, out.Dropped)
+	if err != nil {
+		log.Error(err, "host ended")
+	}
+	ready := make(chan struct{})
+	time.AfterFunc(logGrace, func() { close(ready) })
+	out.Close(ready)
+	if err != nil {
+		os.Exit(1)
+	}
+}
--- a/entry/onplatform.go
+++ b/entry/onplatform.go
@@ -27,12 +27,11 @@
 	collectAt = 300
 )
 
-// runOnPlatform runs a host that a settings file of the platform describes.
-func runOnPlatform(ctx context.Context, path string, log logr.Logger) error {
-	s, err := settings.Read(path)
-	if err != nil {
-		return err
-	}
+// metricsPort is where metrics are published; deploy/system.toml tells it to those who read them.
+const metricsPort = 9464
+
+// runOnPlatform runs a host that the platform's settings describe; lost counts the log lines that the output lost.
+func runOnPlatform(ctx context.Context, path string, s settings.Settings, log logr.Logger, lost func() uint64) error {
 	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryBytes)))
 	seeds := &atomic.Pointer[[]netip.AddrPort]{}
@@ -48,6 +47,7 @@
 			List: c.List, Get: c.Get, Put: c.Put, Reconnect: c.Reconnect,
 		},
 		Codec: wire.Codec(), Resolve: wire.Resolve, Ready: wire.Ready,
+		Metrics: netip.AddrPortFrom(s.Front.Addr(), metricsPort), StoreCalls: c.Calls, LinesLost: lost,
 		Grace: s.Grace, MaxKeep: s.MaxKeep, Apply: s.ApplyConfig, Drain: s.Drain,
 		Spend: spend.Options{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 	})
