source: Ask neighbours while the store turns this host away

Ruled out: membership (it knew all hosts 0.5 s after its start), the store's outage for all (others had it in 17 ms). Change: after a call to the store that failed a host asks those above it, and the store again every 3 s.

--- /dev/null
+++ b/entry/internal/relay/relay_test.go
@@ -0,0 +1,112 @@
+package relay_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"guavaspring.org/core/feed"
+	"guavaspring.org/entry/internal/member"
+	"guavaspring.org/entry/internal/relay"
+)
+
+// Objects are written and removed at random; a copy follows in batches, is now and then replaced whole, and another host fetches from it at
+// random moments, sometimes long behind. Whatever it missed, it must hold what the copy holds.
+func TestFetchesBringTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		truth := map[string]int64{}
+		from, to := relay.NewCopy[int64](), map[string]int64{}
+		revision, reached := int64(10), int64(0)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0, 1:
+				revision++
+				name := fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "name"))
+				e := feed.Entry[int64]{Name: name, Revision: revision, Value: revision, Deleted: rapid.Bool().Draw(t, "deleted")}
+				if e.Deleted {
+					delete(truth, name)
+				} else {
+					truth[name] = revision
+				}
+				from.Change(feed.Batch[int64]{Revision: revision, Entries: []feed.Entry[int64]{e}}, time.Unix(revision, 0), false)
+			case 2:
+				all := feed.Batch[int64]{Revision: revision}
+				for name, v := range truth {
+					all.Entries = append(all.Entries, feed.Entry[int64]{Name: name, Revision: v, Value: v})
+				}
+				from.Replace(all, time.Unix(revision, 0), false)
+			case 3:
+				b, full, _ := from.Since(reached)
+				if full {
+					clear(to)
+				}
+				for _, e := range b.Entries {
+					if e.Deleted {
+						delete(to, e.Name)
+					} else {
+						to[e.Name] = e.Value
+					}
+				}
+				reached = b.Revision
+				if st, _ := from.State(); st.Revision > 0 && fmt.Sprint(to) != fmt.Sprint(truth) {
+					t.Fatalf("the other host holds %v, the copy %v", to, truth)
+				}
+			}
+		}
+	})
+}
+
+// A host that was cut off brings an old list. What is known already must not go back.
+func TestOldListIsRefused(t *testing.T) {
+	c := relay.NewCopy[int64]()
+	now := time.Unix(100, 0)
+	qt.Assert(t, c.Replace(feed.Batch[int64]{Revision: 9}, now, false), qt.IsTrue)
+	qt.Assert(t, c.Replace(feed.Batch[int64]{Revision: 8}, now, false), qt.IsFalse)
+	qt.Assert(t, c.Change(feed.Batch[int64]{Revision: 8}, now, false), qt.IsFalse)
+	st, _ := c.State()
+	qt.Assert(t, st.Revision, qt.Equals, int64(9))
+}
+
+// Every host but the two that watch has a parent ahead of it, so that news from the store reach all, in few steps, and no host passes
+// on to more than its share.
+func TestTree(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 6, 90, 5600} {
+		hosts := make([]member.Host, n)
+		for i := range hosts {
+			hosts[i] = member.Host{ID: fmt.Sprintf("h%d", i), State: member.StateAlive}
+		}
+		order := member.Ranked(hosts, "watch")
+		place := map[string]int{}
+		for i, h := range order {
+			place[h.ID] = i
+		}
+		watching, children := 0, map[string]int{}
+		depth := make([]int, n)
+		sample := 1 + n/200
+		for i := 0; i < n; i += sample {
+			parents, watches := relay.Parents(hosts, order[i].ID)
+			if watches {
+				watching++
+				continue
+			}
+			qt.Assert(t, len(parents) >= 1, qt.IsTrue)
+			for _, p := range parents {
+				qt.Assert(t, place[p.ID] < i, qt.IsTrue)
+			}
+			children[parents[0].ID]++
+			depth[i] = depth[place[parents[0].ID]] + 1
+		}
+		if sample == 1 {
+			qt.Check(t, watching, qt.Equals, min(n, 2))
+			for id, c := range children {
+				qt.Check(t, c <= 8, qt.IsTrue, qt.Commentf("%s has %d", id, c))
+			}
+			for i := range depth {
+				qt.Check(t, depth[i] <= 3, qt.IsTrue)
+			}
+		}
+	}
+}
--- a/entry/internal/source/follower.go
+++ b/entry/internal/source/follower.go
@@ -28,6 +28,10 @@
 	// second can still apply a configuration in time.
 	firstPause = 100 * time.Millisecond
 	mostPause  = 800 * time.Millisecond
+	// staleAsk bounds the wait for a host that is asked by one that knows nothing fresh.
+	staleAsk = 500 * time.Millisecond
+	// tryAgain is how soon a host that was turned away by the store tries it again while others keep it up to date.
+	tryAgain = 3 * time.Second
 	// returnedFor is how long after an outage what vanishes may be the outage's doing.
 	returnedFor = time.Second
 )
@@ -70,6 +74,8 @@
 	down  bool
 	back  time.Time
 	pause time.Duration
+	// tried is when the store was last called.
+	tried time.Time
 	// next is which parent is asked next, and failed how many in a row brought nothing.
 	next, failed int
 }
@@ -92,11 +98,17 @@
 }
 
 // hearsFirst reports whether another host is asked before the store.
+//
+// The store may turn away some hosts and serve the others. A host that starts meanwhile would refuse every request for as long,
+// though its neighbours know all that it lacks.
 func (f *Follower[T]) hearsFirst(parents []Parent[T], watches bool) bool {
-	if len(parents) == 0 || f.failed >= len(parents) || f.stale() {
+	switch {
+	case len(parents) == 0, f.failed >= len(parents):
 		return false
+	case f.down:
+		return f.opts.Clock.Now().Sub(f.tried) < tryAgain
 	}
-	return !watches || f.down
+	return !watches && !f.stale()
 }
 
 // stale reports whether this host has to ask the store itself.
@@ -117,7 +129,7 @@
 func (f *Follower[T]) hear(ctx context.Context, parents []Parent[T]) {
 	parent := parents[f.next%len(parents)]
 	before, _ := f.opts.Copy.State()
-	left := f.left()
+	left := max(f.left(), staleAsk)
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	rep, err := parent.Ask(ctx, relay.Args{Since: before.Revision, Wait: max(0, left-askMargin)})
@@ -160,6 +172,7 @@
 
 // read makes one call to the store: a list where nothing is known or what is known may have a hole, a watch otherwise.
 func (f *Follower[T]) read(ctx context.Context) {
+	defer func() { f.tried = f.opts.Clock.Now() }()
 	if !f.listed || f.stale() {
 		f.list(ctx)
 		return
