source: Don't hold an early answer without news against a parent

Cause: TestChangesPassThrough failed one time in ten: a parent that answered with what the host had just read itself counted as failed, and the host went to the store for one watch. Change: only an answer that used up its wait counts. 300 runs of the tests pass.

--- a/entry/internal/source/follower.go
+++ b/entry/internal/source/follower.go
@@ -132,13 +132,20 @@
 	left := max(f.left(), staleAsk)
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	rep, err := parent.Ask(ctx, relay.Args{Since: before.Revision, Wait: max(0, left-askMargin)})
+	wait := max(0, left-askMargin)
+	began := f.opts.Clock.Now()
+	rep, err := parent.Ask(ctx, relay.Args{Since: before.Revision, Wait: wait})
 	if err == nil && rep.Age >= 0 && rep.Revision >= before.Revision {
 		f.heard(rep)
 	}
-	if after, _ := f.opts.Copy.State(); err == nil && after.Confirmed.After(before.Confirmed) {
+	after, _ := f.opts.Copy.State()
+	switch {
+	case err == nil && after.Confirmed.After(before.Confirmed):
 		f.failed = 0
 		return
+	case err == nil && rep.Age >= 0 && f.opts.Clock.Now().Sub(began) < wait:
+		// It answered before its time was over, with what this host had read itself meanwhile.
+		return
 	}
 	f.next++
 	f.failed++
