placement: Send clients to the strongest hosts

Ruled out: processor time (0.0043 cores), budget of extra tries, new connections (13 requests on each). Change: hosts tell their capacity; clients are sent to those of at least half of the strongest's, five at least; shares of budgets, connections and places follow.

--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -1,6 +1,7 @@
 package endpoints
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -29,8 +30,8 @@
 	list atomic.Pointer[[]*Replica]
 	// conns is the most connections that this host may hold to each replica.
 	conns atomic.Int64
-	// hosts returns how many hosts send to the replicas.
-	hosts func() int
+	// part returns which part of all requests this host sends.
+	part func() float64
 }
 
 const (
@@ -46,8 +47,7 @@
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	hosts := max(1, s.hosts())
-	return max(1, (depth*slots+hosts-1)/hosts)
+	return max(1, int(math.Ceil(depth*float64(slots)*s.part())))
 }
 
 // Connections returns the most connections that this host may hold to each replica.
--- a/entry/internal/endpoints/table.go
+++ b/entry/internal/endpoints/table.go
@@ -40,8 +40,8 @@
 	Zone  string
 	Codec *opaque.Codec
 	Spend spend.Options
-	// Hosts returns how many hosts share the replicas' connections.
-	Hosts func() int
+	// Share returns the part, 0 to 1, of what all hosts together may do that this host takes.
+	Share func() float64
 	// Dial opens a connection to a replica; nil means TCP.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 }
@@ -74,7 +74,7 @@
 func (t *Table) service(name string) *Service {
 	s := t.services[name]
 	if s == nil {
-		s = &Service{Name: name, Budget: spend.New(t.opts.Spend), hosts: t.opts.Hosts}
+		s = &Service{Name: name, Budget: spend.New(t.opts.Spend), part: t.opts.Share}
 		s.list.Store(&[]*Replica{})
 		s.conns.Store(int64(t.connections(name)))
 		t.services[name] = s
@@ -87,7 +87,7 @@
 	if !ok || limit.MaxConns <= 0 {
 		return defaultConns
 	}
-	return max(leastConns, int(connsPart*float64(limit.MaxConns)/float64(max(1, t.opts.Hosts()))))
+	return max(leastConns, int(connsPart*float64(limit.MaxConns)*t.opts.Share()))
 }
 
 // SetLimits takes over the configured limits of all services; it is called again when the number of hosts changes.
--- a/entry/internal/endpoints/table_test.go
+++ b/entry/internal/endpoints/table_test.go
@@ -21,7 +21,7 @@
 	codec := wire.Codec()
 	return endpoints.New(endpoints.Options{
 		Clock: clock.System{}, Log: logr.Discard(), Zone: "a", Codec: &codec, Dial: f.Dial,
-		Spend: spend.Options{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, Hosts: func() int { return 3 },
+		Spend: spend.Options{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, Share: func() float64 { return 1.0 / 3 },
 	})
 }
 
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -83,6 +83,8 @@
 	MaxKeep time.Duration
 	// Apply is how soon a changed configuration has to be in force, and Drain how long a replica that leaves may still be sent requests.
 	Apply, Drain time.Duration
+	// Capacity is how many queries a second the host can serve.
+	Capacity float64
 	// Metrics is where metrics are published; the zero value publishes none.
 	Metrics netip.AddrPort
 	// StoreCalls returns how many calls to the store were made, LinesLost how many log lines the output lost.
@@ -107,7 +109,7 @@
 func New(opts Options) (*Front, error) {
 	f := &Front{opts: opts}
 	f.drain = drainer.New(drainer.Options{Clock: opts.Clock, Announce: f.announce, Grace: func() time.Duration { return opts.Grace - finishIn }})
-	f.table = endpoints.New(endpoints.Options{Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Hosts: f.hosts})
+	f.table = endpoints.New(endpoints.Options{Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Share: f.part})
 	j, err := join(opts, rand.Text())
 	if err != nil {
 		return nil, err
@@ -152,7 +154,7 @@
 func (f *Front) servers() []transport.Server {
 	fwd := forward.New(forward.Options{
 		Clock: f.opts.Clock, Log: f.opts.Log, Codec: &f.opts.Codec, Config: f.config.Load, Table: f.table,
-		Runner: scatter.New(scatter.Options{Clock: f.opts.Clock, Hosts: f.hosts}), Requests: f.log, Ended: f.ended,
+		Runner: scatter.New(scatter.Options{Clock: f.opts.Clock, Share: f.part}), Requests: f.log, Ended: f.ended,
 	})
 	servers := []transport.Server{
 		f.server(f.opts.Front, f.drain.Filter(fwd)),
@@ -182,8 +184,8 @@
 	}
 }
 
-// hosts returns how many hosts share what is bounded for all together.
-func (f *Front) hosts() int { return max(leastHosts, f.joined.count()) }
+// part returns which part of what all hosts together may do this one takes.
+func (f *Front) part() float64 { return f.joined.share() }
 
 func (f *Front) ready() error {
 	switch {
--- a/entry/internal/front/joined.go
+++ b/entry/internal/front/joined.go
@@ -18,6 +18,7 @@
 	"guavaspring.org/entry/internal/listing"
 	"guavaspring.org/entry/internal/member"
 	"guavaspring.org/entry/internal/peers"
+	"guavaspring.org/entry/internal/placement"
 	"guavaspring.org/entry/internal/relay"
 	"guavaspring.org/entry/internal/rumor"
 	"guavaspring.org/entry/internal/source"
@@ -30,6 +31,11 @@
 	directory *directory.Directory
 	configs   *relay.Copy[route.Config]
 	replicas  *relay.Copy[platform.Replica]
+
+	mu sync.Mutex
+	// shared is this host's share as of the member list that begins at sharedFor.
+	shared    float64
+	sharedFor *member.Host
 }
 
 // join opens the port for other hosts; the host joins once run is called.
@@ -40,7 +46,7 @@
 		return nil, fmt.Errorf("listen for other hosts: %w", err)
 	}
 	j := &joined{configs: relay.NewCopy[route.Config](), replicas: relay.NewCopy[platform.Replica]()}
-	self := member.Host{ID: incarnation, Caller: opts.Front, Peer: opts.Peer, Zone: opts.Zone, Region: opts.Region}
+	self := member.Host{ID: incarnation, Caller: opts.Front, Peer: opts.Peer, Zone: opts.Zone, Region: opts.Region, Capacity: opts.Capacity}
 	j.list = member.New(member.Options{Self: self, Rand: newRand(), Changed: func(old, now member.Host) { logMember(opts, old, now) }})
 	j.directory = directory.New(directory.Options{
 		Clock: opts.Clock, Log: opts.Log, List: opts.Store.List, Get: opts.Store.Get, Put: opts.Store.Put, Self: j.list.Self, Hosts: j.list.Hosts,
@@ -97,21 +103,35 @@
 // another is known: a connection to one that has lost power costs a client a second.
 func (j *joined) addresses(self bool) []netip.AddrPort {
 	own := j.list.Self()
-	var alive, suspect []netip.AddrPort
+	var serving, suspect []netip.AddrPort
+	for _, h := range placement.Serving(j.list.Hosts()) {
+		if h.ID != own.ID || self {
+			serving = append(serving, h.Caller)
+		}
+	}
+	if len(serving) > 0 {
+		return serving
+	}
 	for _, h := range j.list.Hosts() {
-		switch {
-		case h.ID == own.ID && self, h.ID != own.ID && h.State == member.StateAlive:
-			alive = append(alive, h.Caller)
-		case h.ID != own.ID && h.State == member.StateSuspect:
+		if h.ID != own.ID && h.State == member.StateSuspect {
 			suspect = append(suspect, h.Caller)
 		}
 	}
-	if len(alive) > 0 {
-		return alive
-	}
 	return suspect
 }
 
+// share returns which part of what all hosts together may do this one takes. It is kept until the member list changes, since it is
+// asked for at each try.
+func (j *joined) share() float64 {
+	hosts := j.list.Hosts()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.sharedFor != &hosts[0] {
+		j.sharedFor, j.shared = &hosts[0], placement.Share(hosts, j.list.Self().ID, leastHosts)
+	}
+	return j.shared
+}
+
 // newRand needs no secrecy: it only spreads probes and repairs.
 func newRand() *mathrand.Rand {
 	return mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
--- a/entry/internal/member/host.go
+++ b/entry/internal/member/host.go
@@ -31,6 +31,8 @@
 	Peer   netip.AddrPort `json:"peer"`
 	Zone   string         `json:"zone"`
 	Region string         `json:"region"`
+	// Capacity is how many queries a second the host can serve, zero where it doesn't say.
+	Capacity float64 `json:"capacity,omitempty"`
 	// Epoch grows each time the host speaks about its state; the higher one wins.
 	Epoch uint64 `json:"epoch"`
 	State State  `json:"state"`
--- /dev/null
+++ b/entry/internal/placement/placement_test.go
@@ -0,0 +1,55 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"guavaspring.org/entry/internal/member"
+	"guavaspring.org/entry/internal/placement"
+)
+
+func fleet(strong, weak int) []member.Host {
+	var list []member.Host
+	for i := range strong {
+		list = append(list, member.Host{ID: fmt.Sprintf("s%d", i), State: member.StateAlive, Capacity: placement.Capacity(0.8, 140e6)})
+	}
+	for i := range weak {
+		list = append(list, member.Host{ID: fmt.Sprintf("w%d", i), State: member.StateAlive, Capacity: placement.Capacity(0.192, 14e6)})
+	}
+	return list
+}
+
+// A deployment grows by many weak hosts. Clients must be sent to the strong ones as long as those are enough to lose one, and to
+// the weak ones when the strong are gone.
+func TestServing(t *testing.T) {
+	tests := []struct{ strong, weak, want int }{{6, 65, 6}, {8, 82, 8}, {3, 65, 5}, {0, 65, 65}, {6, 0, 6}, {1, 0, 1}, {0, 0, 0}}
+	for _, test := range tests {
+		got := placement.Serving(fleet(test.strong, test.weak))
+		qt.Check(t, len(got), qt.Equals, test.want, qt.Commentf("%d strong, %d weak", test.strong, test.weak))
+	}
+	leaving := fleet(6, 65)
+	leaving[0].State, leaving[1].State = member.StateLeaving, member.StateDead
+	for _, h := range placement.Serving(leaving) {
+		qt.Check(t, h.State, qt.Equals, member.StateAlive)
+	}
+}
+
+// Whatever the fleet, hosts that agree on who is a member must not take more than there is.
+func TestSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := fleet(rapid.IntRange(0, 10).Draw(t, "strong"), rapid.IntRange(0, 100).Draw(t, "weak"))
+		for i := range hosts {
+			hosts[i].State = rapid.SampledFrom([]member.State{member.StateAlive, member.StateSuspect, member.StateLeaving}).Draw(t, "state")
+		}
+		sum := 0.0
+		for _, h := range hosts {
+			sum += placement.Share(hosts, h.ID, rapid.IntRange(1, 3).Draw(t, "least"))
+		}
+		if sum > 1+1e-9 {
+			t.Fatalf("the shares of %d hosts add up to %v", len(hosts), sum)
+		}
+	})
+}
--- a/entry/internal/scatter/scatter.go
+++ b/entry/internal/scatter/scatter.go
@@ -50,8 +50,8 @@
 // Options configures a Runner.
 type Options struct {
 	Clock clock.Clock
-	// Hosts returns how many hosts share the budgets of extra tries.
-	Hosts func() int
+	// Share returns the part, 0 to 1, of the budgets of extra tries that this host takes.
+	Share func() float64
 	// Draw returns a random number between 0 and 1 and must be safe for concurrent use; nil means rand.Float64.
 	Draw func() float64
 }
--- a/entry/internal/scatter/scatter_test.go
+++ b/entry/internal/scatter/scatter_test.go
@@ -37,12 +37,12 @@
 	b := &bed{farm: replicatest.New(), recent: &latency.Recent{}}
 	t.Cleanup(b.farm.Close)
 	codec := wire.Codec()
-	hosts := func() int { return 1 }
+	share := func() float64 { return 1 }
 	b.table = endpoints.New(endpoints.Options{
-		Clock: clock.System{}, Log: logr.Discard(), Zone: "a", Codec: &codec, Dial: b.farm.Dial, Hosts: hosts,
+		Clock: clock.System{}, Log: logr.Discard(), Zone: "a", Codec: &codec, Dial: b.farm.Dial, Share: share,
 		Spend: spend.Options{Ratio: 0.2, Slack: slack, Window: 10 * time.Second},
 	})
-	b.run = scatter.New(scatter.Options{Clock: clock.System{}, Hosts: hosts, Draw: func() float64 { return 0 }})
+	b.run = scatter.New(scatter.Options{Clock: clock.System{}, Share: share, Draw: func() float64 { return 0 }})
 	return b
 }
 
--- a/entry/internal/scatter/tries.go
+++ b/entry/internal/scatter/tries.go
@@ -165,7 +165,7 @@
 	case verdict != endpoints.Found, c.Estimate > need.Within:
 		return
 	}
-	if !p.Shards[i].Budget.Hedge(p.now, p.run.opts.Hosts()) {
+	if !p.Shards[i].Budget.Hedge(p.now, p.run.opts.Share()) {
 		p.report.Denied++
 		p.note(Denied, i, c, "the budget of extra tries is spent")
 		return
@@ -221,7 +221,7 @@
 		p.miss(i, why, "no try is left")
 	case p.now.Add(p.timing.usual).After(p.end()):
 		p.miss(i, why, "too little time is left for another try")
-	case s.sent > 0 && !p.Shards[i].Budget.Retry(p.now, p.run.opts.Hosts()):
+	case s.sent > 0 && !p.Shards[i].Budget.Retry(p.now, p.run.opts.Share()):
 		p.report.Denied++
 		p.miss(i, why, "the budget of extra tries is spent")
 	default:
--- a/entry/internal/spend/spend.go
+++ b/entry/internal/spend/spend.go
@@ -48,11 +48,11 @@
 	b.requests[b.turn(now)]++
 }
 
-// Retry takes one try after a failure, where hosts share the slack, and reports whether it may be sent.
-func (b *Budget) Retry(now time.Time, hosts int) bool { return b.take(now, hosts, 1) }
+// Retry takes one try after a failure, where this host has a share of the slack, and reports whether it may be sent.
+func (b *Budget) Retry(now time.Time, share float64) bool { return b.take(now, share, 1) }
 
 // Hedge takes one try beside another, and reports whether it may be sent.
-func (b *Budget) Hedge(now time.Time, hosts int) bool { return b.take(now, hosts, 1-hedgeFloor) }
+func (b *Budget) Hedge(now time.Time, share float64) bool { return b.take(now, share, 1-hedgeFloor) }
 
 // Unsend gives back a try that was never sent.
 func (b *Budget) Unsend(now time.Time) {
@@ -63,11 +63,11 @@
 	}
 }
 
-func (b *Budget) take(now time.Time, hosts int, part float64) bool {
+func (b *Budget) take(now time.Time, share, part float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	i := b.turn(now)
-	allowed := caution * (b.opts.Ratio*b.known() + b.opts.Slack/float64(max(1, hosts)))
+	allowed := caution * (b.opts.Ratio*b.known() + b.opts.Slack*share)
 	if b.spent()+1 > part*allowed {
 		return false
 	}
--- a/entry/internal/spend/spend_test.go
+++ b/entry/internal/spend/spend_test.go
@@ -36,7 +36,7 @@
 			now := start.Add(at)
 			b.Request(now)
 			events = append(events, event{at: at})
-			if rapid.Bool().Draw(t, "fails") && b.Retry(now, hosts) {
+			if rapid.Bool().Draw(t, "fails") && b.Retry(now, 1.0/hosts) {
 				events = append(events, event{at: at, extra: true})
 			}
 		}
--- a/entry/onplatform.go
+++ b/entry/onplatform.go
@@ -14,6 +14,7 @@
 	"guavaspring.org/core/clock"
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/front"
+	"guavaspring.org/entry/internal/placement"
 	"guavaspring.org/entry/internal/spend"
 	"guavaspring.org/platform/settings"
 	"guavaspring.org/platform/store"
@@ -47,6 +48,7 @@
 			List: c.List, Get: c.Get, Put: c.Put, Reconnect: c.Reconnect,
 		},
 		Codec: wire.Codec(), Resolve: wire.Resolve, Ready: wire.Ready,
+		Capacity: placement.Capacity(s.Cores, s.LinkBits),
 		Metrics: netip.AddrPortFrom(s.Front.Addr(), metricsPort), StoreCalls: c.Calls, LinesLost: lost,
 		Grace: s.Grace, MaxKeep: s.MaxKeep, Apply: s.ApplyConfig, Drain: s.Drain,
 		Spend: spend.Options{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
