source, directory: Spend fewer calls to the store at a start

Change: a host asks those that its settings name first, watches only 1.5 s after its start, and reads the directory only where it has not joined by then.

--- a/entry/internal/directory/directory.go
+++ b/entry/internal/directory/directory.go
@@ -38,6 +38,9 @@
 	List func(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error)
 	Get  func(ctx context.Context, kind platform.Kind, name string) (platform.Object, error)
 	Put  func(ctx context.Context, kind platform.Kind, name string, version int64, body []byte) (platform.Object, error)
+	// Seeded is how long a host waits for the hosts that its settings name before it reads; one that joined by then doesn't read, since in a
+	// fleet that starts at once each read is a call to the platform.
+	Seeded time.Duration
 	// Self and Hosts return this host's row and every host that is not dead.
 	Self  func() member.Host
 	Hosts func() []member.Host
@@ -73,6 +76,9 @@
 // Run keeps the directory until ctx ends. Every host reads once; later only a host that is alone, and the writers, who
 // find in it hosts that joined by other seeds and bring the two fleets together.
 func (d *Directory) Run(ctx context.Context) {
+	if d.opts.Seeded > 0 {
+		clock.Sleep(ctx, d.opts.Clock, d.opts.Seeded)
+	}
 	for ctx.Err() == nil {
 		d.tick(ctx)
 		clock.Sleep(ctx, d.opts.Clock, tickEvery)
@@ -86,7 +92,7 @@
 	if d.started.IsZero() {
 		d.started = now
 	}
-	if d.read.IsZero() || alone || writer && now.Sub(d.read) >= readEvery {
+	if d.read.IsZero() && d.opts.Seeded == 0 || alone || writer && now.Sub(d.read) >= readEvery {
 		d.readAll(ctx, now)
 	}
 	// A host that starts must not write over a fleet that it hasn't met yet.
--- a/entry/internal/front/follow.go
+++ b/entry/internal/front/follow.go
@@ -13,6 +13,8 @@
 	apply := func(batch feed.Batch[route.Config], _ bool) { f.applyConfig(batch) }
 	source.New(source.Options[route.Config]{
 		Clock: f.opts.Clock, Log: f.opts.Log, Name: "config", List: f.opts.Store.ListConfig, Watch: f.opts.Store.WatchConfig,
+		First:   func() []source.Parent[route.Config] { return first[route.Config](f.joined, f.opts.Seeds(), "Configs") },
+		Settled: f.settled,
 		Parents: func() ([]source.Parent[route.Config], bool) { return parents[route.Config](f.joined, "Configs") },
 		Copy:    f.joined.configs, Replace: apply, Change: apply, Reconnect: f.opts.Store.Reconnect, Bound: f.opts.Apply,
 	}).Run(ctx)
@@ -40,6 +42,10 @@
 func (f *Front) followReplicas(ctx context.Context) {
 	source.New(source.Options[platform.Replica]{
 		Clock: f.opts.Clock, Log: f.opts.Log, Name: "replicas", List: f.opts.Store.ListReplicas, Watch: f.opts.Store.WatchReplicas,
+		First: func() []source.Parent[platform.Replica] {
+			return first[platform.Replica](f.joined, f.opts.Seeds(), "Replicas")
+		},
+		Settled: f.settled,
 		Parents: func() ([]source.Parent[platform.Replica], bool) {
 			return parents[platform.Replica](f.joined, "Replicas")
 		},
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -101,13 +101,14 @@
 	table  *endpoints.Table
 	config atomic.Pointer[route.Table]
 	joined *joined
+	began  time.Time
 	log    *requestlog.Log
 	counts *frontmetrics.Metrics
 }
 
 // New returns a host that does nothing until Run.
 func New(opts Options) (*Front, error) {
-	f := &Front{opts: opts}
+	f := &Front{opts: opts, began: opts.Clock.Now()}
 	f.drain = drainer.New(drainer.Options{Clock: opts.Clock, Announce: f.announce, Grace: func() time.Duration { return opts.Grace - finishIn }})
 	f.table = endpoints.New(endpoints.Options{Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Share: f.part})
 	j, err := join(opts, rand.Text())
@@ -184,6 +185,9 @@
 	}
 }
 
+// settled reports whether this host has had the time to meet the others.
+func (f *Front) settled() bool { return f.opts.Clock.Now().Sub(f.began) >= settled }
+
 // part returns which part of what all hosts together may do this one takes.
 func (f *Front) part() float64 { return f.joined.share() }
 
--- a/entry/internal/front/joined.go
+++ b/entry/internal/front/joined.go
@@ -6,6 +6,7 @@
 	mathrand "math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,7 +50,7 @@
 	self := member.Host{ID: incarnation, Caller: opts.Front, Peer: opts.Peer, Zone: opts.Zone, Region: opts.Region, Capacity: opts.Capacity}
 	j.list = member.New(member.Options{Self: self, Rand: newRand(), Changed: func(old, now member.Host) { logMember(opts, old, now) }})
 	j.directory = directory.New(directory.Options{
-		Clock: opts.Clock, Log: opts.Log, List: opts.Store.List, Get: opts.Store.Get, Put: opts.Store.Put, Self: j.list.Self, Hosts: j.list.Hosts,
+		Clock: opts.Clock, Log: opts.Log, List: opts.Store.List, Get: opts.Store.Get, Put: opts.Store.Put, Self: j.list.Self, Hosts: j.list.Hosts, Seeded: seeded,
 	})
 	j.peers, err = peers.New(peers.Options{
 		Clock: opts.Clock, Log: opts.Log, Listener: l, List: j.list, Rand: newRand(),
@@ -62,23 +63,49 @@
 	return j, err
 }
 
+const (
+	// seeded is how long the hosts that the settings name have to answer before others are sought in the store.
+	seeded = time.Second
+	// settled is how long after its start a host knows the others: they answer its first probes within a second.
+	settled = 1500 * time.Millisecond
+)
+
 // relayService is the name under which hosts serve what they read from the store.
 const relayService = "Relay"
 
 // mostAsk bounds a call that waits for news at another host.
 const mostAsk = 30 * time.Second
 
+// first returns how to ask the hosts that the settings name, which answer before this host has joined the others. Those hosts
+// themselves ask nobody, so that somebody reads the store at once.
+func first[T any](j *joined, seeds []netip.AddrPort, method string) []source.Parent[T] {
+	own := j.list.Self().Peer
+	if slices.Contains(seeds, own) {
+		return nil
+	}
+	list := make([]source.Parent[T], len(seeds))
+	for i, addr := range seeds {
+		list[i] = parent[T](j, addr, method)
+	}
+	return list
+}
+
+// parent returns how to ask the host at addr by one method of relay.Methods.
+func parent[T any](j *joined, addr netip.AddrPort, method string) source.Parent[T] {
+	return source.Parent[T]{Name: addr.String(), Ask: func(ctx context.Context, args relay.Args) (relay.Reply[T], error) {
+		var rep relay.Reply[T]
+		// The context ends the call sooner where the answer would come too late.
+		err := j.peers.Call(ctx, addr, mostAsk, relayService+"."+method, &args, &rep)
+		return rep, err
+	}}
+}
+
 // parents returns how to ask the hosts from which this one hears, by one method of relay.Methods.
 func parents[T any](j *joined, method string) ([]source.Parent[T], bool) {
 	hosts, watches := relay.Parents(j.list.Hosts(), j.list.Self().ID)
 	list := make([]source.Parent[T], len(hosts))
 	for i, h := range hosts {
-		list[i] = source.Parent[T]{Name: h.Peer.String(), Ask: func(ctx context.Context, args relay.Args) (relay.Reply[T], error) {
-			var rep relay.Reply[T]
-			// The context ends the call sooner where the answer would come too late.
-			err := j.peers.Call(ctx, h.Peer, mostAsk, relayService+"."+method, &args, &rep)
-			return rep, err
-		}}
+		list[i] = parent[T](j, h.Peer, method)
 	}
 	return list, watches
 }
--- a/entry/internal/source/follower.go
+++ b/entry/internal/source/follower.go
@@ -28,6 +28,10 @@
 	// second can still apply a configuration in time.
 	firstPause = 100 * time.Millisecond
 	mostPause  = 800 * time.Millisecond
+	// firstAsk bounds the wait for other hosts at the start; one that is up answers within a few milliseconds.
+	firstAsk = 100 * time.Millisecond
+	// settleStep is how often a host that has just started looks whether it knows the others.
+	settleStep = 50 * time.Millisecond
 	// staleAsk bounds the wait for a host that is asked by one that knows nothing fresh.
 	staleAsk = 500 * time.Millisecond
 	// tryAgain is how soon a host that was turned away by the store tries it again while others keep it up to date.
@@ -52,6 +56,10 @@
 	Name  string
 	List  func(ctx context.Context) (feed.Batch[T], error)
 	Watch func(ctx context.Context, since int64, wait time.Duration) (feed.Batch[T], error)
+	// First returns the hosts that are asked before the first call to the store; it may be nil.
+	First func() []Parent[T]
+	// Settled reports whether this host knows the others well enough to know whether it has to watch the store; nil means always.
+	Settled func() bool
 	// Parents returns the hosts to hear from, and whether this host watches the store itself.
 	Parents func() (parents []Parent[T], watches bool)
 	// Copy takes what was read, for the other hosts.
@@ -81,12 +89,23 @@
 }
 
 // New returns a follower that does nothing until Run.
-func New[T any](opts Options[T]) *Follower[T] { return &Follower[T]{opts: opts} }
+func New[T any](opts Options[T]) *Follower[T] {
+	if opts.Settled == nil {
+		opts.Settled = func() bool { return true }
+	}
+	return &Follower[T]{opts: opts}
+}
 
 // Run follows until ctx ends. Most hosts hear from another; one that hears nothing fresh asks the store itself, and the few that
 // watch it hear from each other while the store turns them away.
 func (f *Follower[T]) Run(ctx context.Context) {
+	f.first(ctx)
 	for ctx.Err() == nil {
+		if !f.opts.Settled() && !f.stale() {
+			// A host that has just started knows only itself, and would watch the store as if it were the only one.
+			clock.Sleep(ctx, f.opts.Clock, settleStep)
+			continue
+		}
 		parents, watches := f.opts.Parents()
 		if f.hearsFirst(parents, watches) {
 			f.hear(ctx, parents)
@@ -97,6 +116,36 @@
 	}
 }
 
+// first asks other hosts for all there is, all at once, before the store is called.
+//
+// It answers a fleet that starts at once: 5,600 hosts that each list two kinds are more calls than the store takes in a second. A
+// host that doesn't answer at once costs the start firstAsk at the most.
+func (f *Follower[T]) first(ctx context.Context) {
+	if f.opts.First == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, firstAsk)
+	defer cancel()
+	parents := f.opts.First()
+	replies := make(chan relay.Reply[T], len(parents))
+	for _, p := range parents {
+		go func() {
+			rep, err := p.Ask(ctx, relay.Args{Wait: firstAsk})
+			if err != nil {
+				// A host that is not up yet is the usual case; the store is asked then.
+				rep.Age = -1
+			}
+			replies <- rep
+		}()
+	}
+	for range parents {
+		if rep := <-replies; rep.Age >= 0 && rep.Full && rep.Revision > 0 {
+			f.heard(rep)
+			return
+		}
+	}
+}
+
 // hearsFirst reports whether another host is asked before the store.
 //
 // The store may turn away some hosts and serve the others. A host that starts meanwhile would refuse every request for as long,
