--- a/entry/internal/relay/relay_test.go
+++ b/entry/internal/relay/relay_test.go
@@ -110,3 +110,17 @@
 		}
 	}
 }
+
+// A host is told to stop while one other is left. It is no longer ranked, and must go on hearing of changes while it finishes its work; the
+// process once ended here with a panic in the middle of its grace.
+func TestLeavingHostHasParents(t *testing.T) {
+	for others := range 4 {
+		hosts := []member.Host{{ID: "leaving", State: member.StateLeaving}}
+		for i := range others {
+			hosts = append(hosts, member.Host{ID: fmt.Sprintf("h%d", i), State: member.StateAlive})
+		}
+		parents, watches := relay.Parents(hosts, "leaving")
+		qt.Check(t, len(parents), qt.Equals, min(others, 2), qt.Commentf("%d others", others))
+		qt.Check(t, watches, qt.Equals, others < 2)
+	}
+}
--- a/entry/internal/relay/tree.go
+++ b/entry/internal/relay/tree.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"slices"
-
 	"guavaspring.org/entry/internal/member"
 )
 
@@ -20,18 +18,26 @@
 // asks the store itself.
 func Parents(hosts []member.Host, self string) (parents []member.Host, watches bool) {
 	var order []member.Host
+	at := -1
 	for _, h := range member.Ranked(hosts, "watch") {
-		if h.State == member.StateAlive || h.ID == self {
+		if h.ID == self {
+			at = len(order)
+		}
+		if h.ID == self || h.State == member.StateAlive {
 			order = append(order, h)
 		}
 	}
-	at := slices.IndexFunc(order, func(h member.Host) bool { return h.ID == self })
 	if at < 0 {
 		// A host that is leaving is not ranked any more, and hears from those that are.
 		at = len(order)
 	}
 	if at < watchers {
-		return slices.Delete(order[:min(watchers, len(order))], at, at+1), true
+		for _, h := range order[:min(watchers, len(order))] {
+			if h.ID != self {
+				parents = append(parents, h)
+			}
+		}
+		return parents, true
 	}
 	first := (at - watchers) / fanOut
 	parents = []member.Host{order[first]}
--- a/entry/onplatform.go
+++ b/entry/onplatform.go
@@ -49,7 +49,7 @@
 		},
 		Codec: wire.Codec(), Resolve: wire.Resolve, Ready: wire.Ready,
 		Capacity: placement.Capacity(s.Cores, s.LinkBits),
-		Metrics: netip.AddrPortFrom(s.Front.Addr(), metricsPort), StoreCalls: c.Calls, LinesLost: lost,
+		Metrics:  netip.AddrPortFrom(s.Front.Addr(), metricsPort), StoreCalls: c.Calls, LinesLost: lost,
 		Grace: s.Grace, MaxKeep: s.MaxKeep, Apply: s.ApplyConfig, Drain: s.Drain,
 		Spend: spend.Options{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 	})
