--- a/entry/internal/forward/forwarder_test.go
+++ b/entry/internal/forward/forwarder_test.go
@@ -86,7 +86,7 @@
 	})
 	ask := func(body string) *httptest.ResponseRecorder {
 		w := httptest.NewRecorder()
-		f.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://a.example/x/", strings.NewReader(body)))
+		f.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodPost, "http://a.example/x/", strings.NewReader(body)))
 		return w
 	}
 	w := ask("")
--- a/entry/internal/front/follow.go
+++ b/entry/internal/front/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+
 	"guavaspring.org/core/feed"
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/route"
--- a/entry/internal/replicatest/farm.go
+++ b/entry/internal/replicatest/farm.go
@@ -40,7 +40,6 @@
 	mu       sync.Mutex
 	runs     []string
 	arrivals int
-	left     []time.Duration
 }
 
 // Runs returns the ids of the requests that ran, in order.
--- a/entry/internal/scatter/scatter_test.go
+++ b/entry/internal/scatter/scatter_test.go
@@ -68,9 +68,10 @@
 	return rep, time.Since(began)
 }
 
-func overShards(n int, least float64) *route.Route {
+// overShards is a route over ten shards.
+func overShards(least float64) *route.Route {
 	rt := &route.Route{Idempotent: true, Timeout: 2 * time.Second, Objective: 200 * time.Millisecond, Attempts: 2, TopK: 5, LeastShare: least}
-	for i := range n {
+	for i := range 10 {
 		rt.Shards = append(rt.Shards, fmt.Sprintf("s%d", i))
 	}
 	return rt
@@ -95,7 +96,7 @@
 			slow.Row.Zone, other.Row.Zone = "a", "b"
 		}
 		b.usual()
-		rep, took := b.ask(t.Context(), overShards(10, 0.9))
+		rep, took := b.ask(t.Context(), overShards(0.9))
 		qt.Assert(t, rep.Ending, qt.Equals, scatter.Complete)
 		qt.Assert(t, rep.Hedges, qt.Equals, 1)
 		qt.Assert(t, took < 80*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
@@ -123,7 +124,7 @@
 				}
 			}
 			b.usual()
-			rep, took := b.ask(t.Context(), overShards(10, test.least))
+			rep, took := b.ask(t.Context(), overShards(test.least))
 			qt.Check(t, rep.Ending, qt.Equals, test.want)
 			qt.Check(t, rep.Answered, qt.Equals, 9)
 			qt.Check(t, took <= test.by, qt.IsTrue, qt.Commentf("%v", took))
@@ -141,7 +142,7 @@
 			b.farm.Add(fmt.Sprintf("s%d", i), 1, replicatest.OK("r", 30*time.Millisecond, "x"))
 		}
 		b.usual()
-		rep, took := b.ask(t.Context(), overShards(10, 0.9))
+		rep, took := b.ask(t.Context(), overShards(0.9))
 		qt.Assert(t, rep.Ending, qt.Equals, scatter.Partial)
 		qt.Assert(t, took, qt.Equals, 30*time.Millisecond)
 		rep, took = b.ask(t.Context(), &route.Route{Idempotent: false, Timeout: time.Second, Attempts: 2, Split: []route.Share{{Service: "none"}}})
@@ -258,7 +259,7 @@
 			}
 		}
 		b.usual()
-		rt := overShards(10, 0.89)
+		rt := overShards(0.89)
 		type outcome struct {
 			ending scatter.Ending
 			took   time.Duration
--- a/entry/internal/spend/spend_test.go
+++ b/entry/internal/spend/spend_test.go
@@ -23,10 +23,6 @@
 			budgets[i] = spend.New(opts)
 		}
 		start := time.Unix(0, 0)
-		type event struct {
-			at    time.Duration
-			extra bool
-		}
 		var events []event
 		at := time.Duration(0)
 		rate := rapid.IntRange(20, 60).Draw(t, "rate")
@@ -40,36 +36,35 @@
 				events = append(events, event{at: at, extra: true})
 			}
 		}
-		// The extra tries in each window against the requests of it, the one before it, or half a window before.
 		for _, end := range events {
-			var extra, own, before, half float64
-			for _, e := range events {
-				in := func(from, to time.Duration) bool { return e.at > from && e.at <= to }
-				switch {
-				case e.extra && in(end.at-window, end.at):
-					extra++
-				case !e.extra:
-					if in(end.at-window, end.at) {
-						own++
-					}
-					if in(end.at-2*window, end.at-window) {
-						before++
-					}
-					if in(end.at-window*3/2, end.at-window/2) {
-						half++
-					}
-				}
-			}
-			if allowed := opts.Ratio*max(own, before, half) + opts.Slack; extra > allowed {
+			extra, known := around(events, end.at)
+			if allowed := opts.Ratio*known + opts.Slack; extra > allowed {
 				t.Fatalf("%v extra tries in the window to %v, where %v are allowed", extra, end.at, allowed)
 			}
-			if end.at > 3*window {
-				break
-			}
 		}
 	})
 }
 
+type event struct {
+	at    time.Duration
+	extra bool
+}
+
+// around returns the extra tries in the window that ends at end, and the most requests of that window, the one before it, or the one
+// half a window before.
+func around(events []event, end time.Duration) (extra, known float64) {
+	count := func(end time.Duration, extra bool) float64 {
+		n := 0.0
+		for _, e := range events {
+			if e.extra == extra && e.at > end-window && e.at <= end {
+				n++
+			}
+		}
+		return n
+	}
+	return count(end, true), max(count(end, false), count(end-window, false), count(end-window/2, false))
+}
+
 // Second tries beside slow ones must leave room for those after failures.
 func TestHedgesLeaveRoomForRetries(t *testing.T) {
 	b := spend.New(spend.Options{Ratio: 0.2, Slack: 0, Window: window})
--- a/entry/onplatform_test.go
+++ b/entry/onplatform_test.go
@@ -41,7 +41,7 @@
 
 // replica starts a replica that answers each request with records of its own, and registers it.
 func (s *session) replica(id, service, records string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen(s.t, "127.0.0.1:0")
 	qt.Assert(s.t, err, qt.IsNil)
 	s.t.Cleanup(func() { _ = l.Close() })
 	go func() {
@@ -245,6 +245,11 @@
 	qt.Assert(t, s.out.String(), qt.Equals, string(want))
 }
 
+func listen(t *testing.T, addr string) (net.Listener, error) {
+	var cfg net.ListenConfig
+	return cfg.Listen(t.Context(), "tcp", addr)
+}
+
 // freePorts returns the first of four ports that are free on each IP number.
 func freePorts(t *testing.T, ips ...string) int {
 	for first := 21000; first < 32000; first += 4 {
@@ -252,7 +257,7 @@
 		free := true
 		for _, ip := range ips {
 			for i := range 4 {
-				l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, first+i))
+				l, err := listen(t, fmt.Sprintf("%s:%d", ip, first+i))
 				if err != nil {
 					free = false
 					break
