requestlog: Log writes before they are sent, and hedges that are kept back

Change: a line before each request that must not run twice; a step where a second try is kept back as too late.

--- a/entry/internal/forward/forwarder.go
+++ b/entry/internal/forward/forwarder.go
@@ -83,6 +83,7 @@
 		return
 	}
 	q := scatter.Query{Request: &req, Route: rt, Shards: f.shards(rt), Recent: f.recentOf(rt), Arrived: arrived, Deadline: deadline(arrived, &req, rt)}
+	f.opts.Requests.Admitted(&q)
 	rep := f.opts.Runner.Run(r.Context(), q)
 	e := requestlog.Entry{Query: &q, Report: &rep, ConfigVersion: table.Config().Version}
 	e.Status = f.answer(w, rt, &rep)
--- a/entry/internal/requestlog/log.go
+++ b/entry/internal/requestlog/log.go
@@ -19,6 +19,8 @@
 	troubled = 150
 	// usual is the most lines a second about all others, which are only there to compare with.
 	usual = 10
+	// admitted is the most lines a second about requests that are about to be sent and must not run twice.
+	admitted = 100
 	// tellEvery is how often it is said how many lines were left out.
 	tellEvery = 10 * time.Second
 )
@@ -33,13 +35,13 @@
 
 // Log writes the lines.
 type Log struct {
-	opts            Options
-	troubled, usual *event.Limit
+	opts                      Options
+	troubled, usual, admitted *event.Limit
 }
 
 // New returns a log.
 func New(opts Options) *Log {
-	return &Log{opts: opts, troubled: event.NewLimit(troubled), usual: event.NewLimit(usual)}
+	return &Log{opts: opts, troubled: event.NewLimit(troubled), usual: event.NewLimit(usual), admitted: event.NewLimit(admitted)}
 }
 
 // Entry is what is told of one request.
@@ -72,6 +74,14 @@
 		"usual_ms", rep.Usual.Milliseconds(), "hedge_ms", rep.Hedge.Milliseconds(), "steps", Steps(e))
 }
 
+// Admitted writes the line of a request that must not run twice, before it is sent: should this host be lost, the line is what is left
+// to tell that the request had come.
+func (l *Log) Admitted(q *scatter.Query) {
+	if !q.Route.Idempotent && l.admitted.Allow(l.opts.Clock.Now()) {
+		events.Admitted.Log(l.opts.Log, "request", q.Request.ID, "route", q.Route.Name, "service", q.Shards[0].Name, "allowed_ms", q.Deadline.Sub(q.Arrived).Milliseconds())
+	}
+}
+
 // Refused writes the line of a request that was refused before it had a route.
 func (l *Log) Refused(id, host, path string, status int, why string) {
 	if l.troubled.Allow(l.opts.Clock.Now()) {
@@ -100,7 +110,9 @@
 }
 
 // Skipped returns how many lines were left out since the start.
-func (l *Log) Skipped() uint64 { return l.troubled.Skipped() + l.usual.Skipped() }
+func (l *Log) Skipped() uint64 {
+	return l.troubled.Skipped() + l.usual.Skipped() + l.admitted.Skipped()
+}
 
 // Run says from time to time how many lines were left out, until done is closed.
 func (l *Log) Run(done <-chan struct{}) {
@@ -111,7 +123,7 @@
 		case <-done:
 			return
 		}
-		troubledNow, usualNow := l.troubled.Skipped(), l.usual.Skipped()
+		troubledNow, usualNow := l.troubled.Skipped(), l.usual.Skipped()+l.admitted.Skipped()
 		droppedNow := uint64(0)
 		if l.opts.Dropped != nil {
 			droppedNow = l.opts.Dropped()
--- /dev/null
+++ b/entry/internal/requestlog/log_test.go
@@ -0,0 +1,64 @@
+package requestlog_test
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/event"
+	"guavaspring.org/core/opaque"
+	"guavaspring.org/core/route"
+	"guavaspring.org/entry/internal/endpoints"
+	"guavaspring.org/entry/internal/requestlog"
+	"guavaspring.org/entry/internal/scatter"
+)
+
+func entry(id string, ending scatter.Ending) *requestlog.Entry {
+	rt := &route.Route{Name: "bundles", Objective: 200 * time.Millisecond, Idempotent: true}
+	q := &scatter.Query{Request: &opaque.Request{ID: id}, Route: rt, Shards: []*endpoints.Service{{Name: "s1"}}}
+	rep := &scatter.Report{Ending: ending, Steps: []scatter.Step{{At: 12 * time.Millisecond, What: scatter.Miss, Why: "no try is left"}}}
+	return &requestlog.Entry{Query: q, Report: rep, Status: 502, Took: 30 * time.Millisecond}
+}
+
+// A thousand requests go well and one fails, all within a second. The one that an engineer will ask about must be found in the log, with
+// what was decided, though the lines are bounded.
+func TestFailedRequestIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out strings.Builder
+		l := requestlog.New(requestlog.Options{Clock: clock.System{}, Log: event.NewLogger(&out)})
+		for range 1000 {
+			l.Write(entry("fine", scatter.Complete))
+		}
+		l.Write(entry("bad", scatter.Lost))
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		qt.Assert(t, len(lines) <= 11, qt.IsTrue)
+		last := lines[len(lines)-1]
+		qt.Assert(t, last, qt.Contains, `"request":"bad"`)
+		qt.Assert(t, last, qt.Contains, `"ending":"lost"`)
+		qt.Assert(t, last, qt.Contains, `"12ms miss s1: no try is left"`)
+		qt.Assert(t, l.Skipped(), qt.Equals, uint64(990))
+	})
+}
+
+// Everything fails for a second. The log stays within its bound and says how much is missing.
+func TestLinesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out strings.Builder
+		l := requestlog.New(requestlog.Options{Clock: clock.System{}, Log: event.NewLogger(&out)})
+		done := make(chan struct{})
+		go l.Run(done)
+		for range 5000 {
+			l.Write(entry("bad", scatter.Expired))
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		close(done)
+		synctest.Wait()
+		qt.Assert(t, strings.Count(out.String(), "\n") <= 6*150+2, qt.IsTrue)
+		qt.Assert(t, out.String(), qt.Contains, `"msg":"log_lines_skipped"`)
+	})
+}
--- a/entry/internal/scatter/tries.go
+++ b/entry/internal/scatter/tries.go
@@ -25,6 +25,8 @@
 	Wait What = "wait"
 	// Miss gives a shard up.
 	Miss What = "miss"
+	// Skipped keeps a second try back that would come too late.
+	Skipped What = "skipped"
 	// Failed says how a try ended that brought no part.
 	Failed What = "failed"
 )
@@ -162,7 +164,10 @@
 	case verdict == endpoints.Busy:
 		s.hedgeAt = p.now.Add(hedgeAgain)
 		return
-	case verdict != endpoints.Found, c.Estimate > need.Within:
+	case verdict != endpoints.Found:
+		return
+	case c.Estimate > need.Within:
+		p.note(Skipped, i, c, "expected too late to be of use")
 		return
 	}
 	if !p.Shards[i].Budget.Hedge(p.now, p.run.opts.Share()) {
@@ -230,13 +235,18 @@
 	}
 }
 
+// join writes a reason and what follows from it.
+func join(why, then string) string {
+	if why == "" {
+		return then
+	}
+	return why + "; " + then
+}
+
 func (p *plan) miss(i int, why, then string) {
 	s := &p.shards[i]
-	if why != "" {
-		then = why + "; " + then
-	}
 	if s.result.Kind == "" {
-		s.result = exchange.Result{Kind: upstream.KindNotSent, Detail: then}
+		s.result = exchange.Result{Kind: upstream.KindNotSent, Detail: join(why, then)}
 	}
 	p.note(Miss, i, endpoints.Choice{}, then)
 	p.stopWaiting(i)
