scatter: Send second tries that are expected a little too late

Cause: pages of 80 ms went out one shard short with no second try sent, as the median estimate lay just beyond the cutoff. Change: second tries are sent up to half beyond it.

--- a/entry/internal/scatter/tries.go
+++ b/entry/internal/scatter/tries.go
@@ -166,7 +166,7 @@
 		return
 	case verdict != endpoints.Found:
 		return
-	case c.Estimate > need.Within:
+	case c.Estimate > lateEnough(need.Within):
 		p.note(Skipped, i, c, "expected too late to be of use")
 		return
 	}
@@ -179,6 +179,10 @@
 	p.send(i, c, Hedge, "later than nine in ten replies")
 }
 
+// lateEnough returns the estimate above which a second try is not sent: half of all replies are quicker than the estimate, and one
+// that is expected up to half too late still comes in time often enough.
+func lateEnough(within time.Duration) time.Duration { return within * 3 / 2 }
+
 // take takes over how a try ended.
 func (p *plan) take(e ended) {
 	s := &p.shards[e.shard]
