--- a/entry/internal/source/follower.go
+++ b/entry/internal/source/follower.go
@@ -28,8 +28,11 @@
 	// second can still apply a configuration in time.
 	firstPause = 100 * time.Millisecond
 	mostPause  = 800 * time.Millisecond
-	// firstAsk bounds the wait for other hosts at the start; one that is up answers within a few milliseconds.
-	firstAsk = 100 * time.Millisecond
+	// firstAsk bounds the wait for other hosts at the start; one that is up answers within 10 ms, and one that has lost power never, which
+	// is when each moment of a start counts.
+	firstAsk = 40 * time.Millisecond
+	// blindPause is the longest wait after a call that failed while nothing is known: every request is refused meanwhile.
+	blindPause = 250 * time.Millisecond
 	// settleStep is how often a host that has just started looks whether it knows the others.
 	settleStep = 50 * time.Millisecond
 	// staleAsk bounds the wait for a host that is asked by one that knows nothing fresh.
@@ -278,11 +281,19 @@
 		events.PlatformDown.Log(f.opts.Log, "kind", f.opts.Name, "reason", err.Error())
 	}
 	f.down = true
-	f.pause = min(max(firstPause, 2*f.pause), mostPause)
+	f.pause = min(max(firstPause, 2*f.pause), f.longest())
 	f.opts.Reconnect()
 	clock.Sleep(ctx, f.opts.Clock, f.pause)
 }
 
+// longest returns the longest wait after a call that failed.
+func (f *Follower[T]) longest() time.Duration {
+	if st, _ := f.opts.Copy.State(); st.Confirmed.IsZero() {
+		return blindPause
+	}
+	return mostPause
+}
+
 // succeeded notes that the store answered, and reports whether it was away until a moment ago.
 func (f *Follower[T]) succeeded() bool {
 	now := f.opts.Clock.Now()
