soak: Disturb real hosts from outside and check what they promise

Real entry processes, a store and replicas behind loopback proxies; processes killed, stopped and paused by signals, links delayed, silenced, cut one way, refused and reset, the store away or without its history, replicas replaced, configurations changed; rounds of up to three that overlap. Checked: writes at most once, refusals true, answers a request's own, parts of one version, versions that never go back and are in force in time, drains, answers in time.

--- a/Makefile
+++ b/Makefile
@@ -1,15 +1,15 @@
-MODULES := core platform entry gsctl standin load sessions
+MODULES := core platform entry gsctl standin load soak sessions
 BIN := $(CURDIR)/.bin
 LINT := $(BIN)/golangci-lint
 LINT_VERSION := v2.12.2
 
-.PHONY: all build test fmt vet lint unit demo bench capacity clean
+.PHONY: all build test fmt vet lint unit demo bench capacity soak clean
 
 all: build
 
 build:
 	@mkdir -p $(BIN)
-	go build -o $(BIN)/ ./entry ./gsctl ./standin ./load
+	go build -o $(BIN)/ ./entry ./gsctl ./standin ./load ./soak
 
 # test is every check, in the order of the quickest answer; .ci/run calls it and nothing else.
 test: fmt vet lint unit
@@ -44,5 +44,9 @@
 	RUNS="$(RUNS)" scripts/capacity.sh
 	scripts/capacity_queries.sh
 
+# soak disturbs real hosts for 25 s a seed, six seeds at a time: make soak FROM=1 TO=50.
+soak: build
+	scripts/soak.sh $(or $(FROM),1) $(or $(TO),50)
+
 clean:
 	rm -rf $(BIN) .out
--- a/entry/internal/endpoints/replica.go
+++ b/entry/internal/endpoints/replica.go
@@ -158,13 +158,15 @@
 	Connections int
 	// Usual is the time that a healthy replica takes.
 	Usual time.Duration
+	// Once says that the request must not run twice.
+	Once bool
 }
 
 // Send sends one request, unless the replica was found leaving meanwhile, and learns from how it ends.
 func (r *Replica) Send(ctx context.Context, call Call) exchange.Result {
 	n := r.Begin(r.clock.Now())
 	res := r.pool.Do(ctx, &exchange.Call{
-		Request: call.Request, Replica: r.ID(), Deadline: call.Deadline, Connections: call.Connections,
+		Request: call.Request, Replica: r.ID(), Deadline: call.Deadline, Connections: call.Connections, Once: call.Once,
 		// What waited for a connection may have outlived the replica's place in the list.
 		Guard: func() error {
 			if !r.Usable() {
--- a/entry/internal/exchange/conn.go
+++ b/entry/internal/exchange/conn.go
@@ -23,8 +23,8 @@
 type conn struct {
 	tcp  net.Conn
 	pool *Pool
-	// until is when the connection is too old to be used again; the pool's lock guards it.
-	until time.Time
+	// since is when the connection was last used, until when it is too old to be used again; the pool's lock guards both.
+	since, until time.Time
 
 	mu      sync.Mutex
 	waiting *waiting
--- a/entry/internal/exchange/pool.go
+++ b/entry/internal/exchange/pool.go
@@ -30,6 +30,9 @@
 	// since a request that crosses the replica's close is lost without a sign of whether it ran.
 	defaultIdle = 4 * time.Second
 	idleMargin  = time.Second
+	// freshFor is how long a connection may have been unused before it carries a request that must not run twice. A replica, or something on
+	// the way, may have forgotten it without a sign, from a third of a second on; a new connection costs 1 ms.
+	freshFor = 250 * time.Millisecond
 	// writeTimeout bounds the sending of one request to a replica that does not read.
 	writeTimeout = time.Second
 	// MaxReply is the most bytes of one reply that are read.
@@ -59,6 +62,8 @@
 	Guard func() error
 	// Connections bounds the connections to the replica.
 	Connections int
+	// Once says that the request must not run twice, so that a connection that breaks under it leaves its outcome unknown.
+	Once bool
 }
 
 // Result says how a call ended.
@@ -145,7 +150,7 @@
 // Do sends one request and returns its reply; the end of ctx closes the connection, which is how the replica learns of it.
 func (p *Pool) Do(ctx context.Context, call *Call) Result {
 	for {
-		c, err := p.take(ctx, call.Connections)
+		c, err := p.take(ctx, call)
 		if err != nil {
 			return Result{Kind: upstream.KindNotSent, Detail: err.Error(), Busy: errors.Is(err, errBusy)}
 		}
@@ -161,10 +166,10 @@
 var errBusy = errors.New(ErrBusy)
 
 // take returns an unused connection, or opens one.
-func (p *Pool) take(ctx context.Context, most int) (*conn, error) {
+func (p *Pool) take(ctx context.Context, call *Call) (*conn, error) {
 	now := p.opts.Clock.Now()
 	p.mu.Lock()
-	for len(p.idle) > 0 {
+	for len(p.idle) > 0 && !p.mustDial(call, now) {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 		if now.Before(c.until) {
@@ -175,7 +180,7 @@
 		c.close()
 		p.mu.Lock()
 	}
-	if p.open >= most {
+	if p.open >= call.Connections {
 		p.mu.Unlock()
 		return nil, errBusy
 	}
@@ -194,6 +199,12 @@
 	return c, nil
 }
 
+// mustDial reports whether the call needs a new connection though there is one that is unused, the last of which was used last.
+func (p *Pool) mustDial(call *Call, now time.Time) bool {
+	last := p.idle[len(p.idle)-1]
+	return call.Once && p.open < call.Connections && now.Sub(last.since) > freshFor
+}
+
 func (p *Pool) forget() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -214,7 +225,8 @@
 	if p.closed {
 		return false
 	}
-	c.until = p.opts.Clock.Now().Add(keep)
+	c.since = p.opts.Clock.Now()
+	c.until = c.since.Add(keep)
 	p.idle = append(p.idle, c)
 	return true
 }
--- a/entry/internal/exchange/pool_test.go
+++ b/entry/internal/exchange/pool_test.go
@@ -206,3 +206,28 @@
 		qt.Assert(t, r.Arrivals(), qt.Equals, 2)
 	})
 }
+
+// A replica forgets connections that were unused for a third of a second, and resets whatever comes on them. A drop-off that is
+// sent on one is lost without a sign of whether it was recorded; on a new connection it is safe. What may be repeated keeps its connection.
+func TestWriteUsesNoStaleConnection(t *testing.T) {
+	for _, once := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			f := replicatest.New()
+			t.Cleanup(f.Close)
+			r := f.Add("a", 1, replicatest.OK("a-1", 0, "x"))
+			p := newPool(f, r)
+			defer p.Close()
+			for _, wait := range []time.Duration{0, 100 * time.Millisecond, time.Second} {
+				time.Sleep(wait)
+				c := call("one")
+				c.Deadline, c.Once = time.Now().Add(time.Second), once
+				qt.Assert(t, p.Do(t.Context(), c).Kind, qt.Equals, upstream.KindOK)
+			}
+			want := 1
+			if once {
+				want = 2
+			}
+			qt.Assert(t, f.Dials(), qt.Equals, want)
+		})
+	}
+}
--- a/entry/internal/scatter/tries.go
+++ b/entry/internal/scatter/tries.go
@@ -139,7 +139,7 @@
 	if s.sent < p.Route.Attempts && p.Route.Idempotent {
 		s.hedgeAt = p.now.Add(p.timing.hedge)
 	}
-	call := endpoints.Call{Request: p.Request, Deadline: p.Deadline, Connections: p.Shards[i].Connections(), Usual: p.timing.usual}
+	call := endpoints.Call{Request: p.Request, Deadline: p.Deadline, Connections: p.Shards[i].Connections(), Usual: p.timing.usual, Once: !p.Route.Idempotent}
 	go func() {
 		res := r.Send(p.ctx, call)
 		if res.Kind == upstream.KindOK {
--- /dev/null
+++ b/soak/internal/check/check.go
@@ -0,0 +1,194 @@
+package check
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"guavaspring.org/soak/internal/client"
+	"guavaspring.org/soak/internal/world"
+)
+
+const (
+	// calm is how long a host has to be undisturbed before time bounds hold for it.
+	calm = 4 * time.Second
+	// apply is the bound of a configuration, and slack what a busy machine adds to every bound.
+	apply = 3 * time.Second
+	slack = time.Second
+	// rollback is how long after an answer of a version an older one may still be seen at the same host.
+	rollback = 250 * time.Millisecond
+	// topK is how many records a page holds.
+	topK = 3
+)
+
+// Check collects findings.
+type Check struct {
+	world *world.World
+
+	mu       sync.Mutex
+	findings []string
+	counts   map[string]int
+	writes   []client.Seen
+	// newest is, for each incarnation of a host, the newest version seen there and since when.
+	newest map[string]mark
+}
+
+type mark struct {
+	version int
+	at      time.Time
+}
+
+// New returns a check without findings.
+func New(w *world.World) *Check {
+	return &Check{world: w, counts: map[string]int{}, newest: map[string]mark{}}
+}
+
+// Take judges one attempt.
+func (c *Check) Take(s client.Seen) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[outcome(&s)]++
+	if s.Write {
+		c.writes = append(c.writes, s)
+	}
+	c.inTime(&s)
+	if s.Err == nil && s.Status == http.StatusOK && s.Write {
+		c.ownWrite(&s)
+	}
+	if s.Err == nil && s.Status == http.StatusOK && !s.Write {
+		c.page(&s)
+	}
+}
+
+func outcome(s *client.Seen) string {
+	if s.Err != nil {
+		return "broken"
+	}
+	return strconv.Itoa(s.Status)
+}
+
+func (c *Check) find(s *client.Seen, format string, args ...any) {
+	c.findings = append(c.findings, fmt.Sprintf("%s at %s#%d, sent %s: ", s.ID, s.Host.Name(), s.Incarnation, s.Sent.Format("15:04:05.000"))+fmt.Sprintf(format, args...))
+}
+
+// undisturbed reports whether the host was left alone for a while before the attempt, and during it.
+func (c *Check) undisturbed(s *client.Seen, before time.Duration) bool {
+	_, disturbed := s.Host.State()
+	return s.Incarnation == s.Again && s.Sent.Sub(disturbed) > before
+}
+
+func (c *Check) inTime(s *client.Seen) {
+	if took := s.Done.Sub(s.Sent); took > client.Patience+slack && c.undisturbed(s, calm) {
+		c.find(s, "no final answer in time: %v, %v", took.Round(time.Millisecond), s.Err)
+	}
+}
+
+func (c *Check) ownWrite(s *client.Seen) {
+	if !bytes.Equal(s.Body, world.Part(s.ID, "desk")) {
+		c.find(s, "the answer is another request's")
+	}
+}
+
+// page judges the answer to a query over shards: its parts are its own, of one version, and its records the greatest of them.
+func (c *Check) page(s *client.Seen) {
+	parts := map[string]bool{}
+	var records []string
+	for _, stamp := range strings.Split(s.Stamps, ", ") {
+		id, service, _ := strings.Cut(stamp, ".")
+		if id != s.ID || parts[service] {
+			c.find(s, "stamp %q is another request's or comes twice", stamp)
+			return
+		}
+		parts[service] = true
+		for part := world.Part(id, service); len(part) > 0; part = part[world.RecordSize:] {
+			records = append(records, string(part[:world.RecordSize]))
+		}
+	}
+	slices.Sort(records)
+	slices.Reverse(records)
+	if want := strings.Join(records[:min(topK, len(records))], ""); want != string(s.Body) {
+		c.find(s, "the records are not the greatest of the parts named")
+	}
+	missing, err := strconv.Atoi(s.Missed)
+	if err != nil {
+		c.find(s, "missing parts: %v", err)
+		return
+	}
+	oldest, newest := c.versions(parts, missing)
+	if newest == 0 {
+		c.find(s, "parts %v with %d missing are of no version", parts, missing)
+		return
+	}
+	c.fresh(s, oldest, newest)
+}
+
+// versions returns the oldest and the newest version whose shards the parts and the missing ones may be, zero for none. They differ where
+// the shard that tells versions apart is among the missing.
+func (c *Check) versions(parts map[string]bool, missing int) (oldest, newest int) {
+	for v, shards := range c.world.Shards() {
+		in := 0
+		for _, s := range shards {
+			if parts[s] {
+				in++
+			}
+		}
+		if in == len(parts) && len(shards) == in+missing {
+			newest = max(newest, v)
+			if oldest == 0 || v < oldest {
+				oldest = v
+			}
+		}
+	}
+	return oldest, newest
+}
+
+// fresh judges by the newest version that an answer may be of, and remembers the oldest.
+func (c *Check) fresh(s *client.Seen, oldest, newest int) {
+	key := fmt.Sprintf("%s#%d", s.Host.Name(), s.Incarnation)
+	if m := c.newest[key]; newest < m.version && s.Sent.After(m.at.Add(rollback)) && s.Incarnation == s.Again {
+		c.find(s, "version %d after version %d was seen there", newest, m.version)
+	}
+	if s.Incarnation == s.Again && oldest > c.newest[key].version {
+		c.newest[key] = mark{oldest, s.Done}
+	}
+	if now, since := c.world.Config(); newest < now && s.Sent.Sub(since) > apply+slack && c.undisturbed(s, calm+apply+slack) {
+		c.find(s, "version %d, though %d is acknowledged for %v", newest, now, s.Sent.Sub(since).Round(time.Millisecond))
+	}
+}
+
+// Drained judges a replica that announced to leave while nothing was disturbed.
+func (c *Check) Drained(r *world.Replica, bound time.Duration) {
+	if _, late := r.Left(); late > bound+slack/2 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.findings = append(c.findings, fmt.Sprintf("replica %s got a request %v after it announced to leave", r.ID, late))
+	}
+}
+
+// Finish judges what only the end shows, and returns all findings and how often each outcome was seen.
+func (c *Check) Finish() ([]string, map[string]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.writes {
+		s := &c.writes[i]
+		runs := c.world.Runs(s.ID)
+		switch {
+		case runs > 1:
+			c.find(s, "a write ran %d times", runs)
+		case runs > 0 && s.Err == nil && promisesNotRun(s.Status):
+			c.find(s, "a write was answered %d and ran", s.Status)
+		case runs == 0 && s.Status == http.StatusOK:
+			c.find(s, "a write was answered 200 and did not run")
+		}
+	}
+	return c.findings, c.counts
+}
+
+func promisesNotRun(status int) bool {
+	return slices.Contains([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}, status)
+}
--- /dev/null
+++ b/soak/internal/check/check_test.go
@@ -0,0 +1,113 @@
+package check_test
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/soak/internal/check"
+	"guavaspring.org/soak/internal/client"
+	"guavaspring.org/soak/internal/hosts"
+	"guavaspring.org/soak/internal/world"
+)
+
+// page returns a true answer to a query over the shards s1 and s2.
+func page(h *hosts.Host) client.Seen {
+	return client.Seen{ID: "q1", Host: h, Sent: time.Now(), Done: time.Now(), Status: 200, Stamps: "q1.s1, q1.s2", Missed: "0", Body: greatestOf("s1", "s2")}
+}
+
+// A soak that finds nothing proves nothing unless it would have found something: one change at a time to what was seen.
+func TestEachUntruthIsFound(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(s *client.Seen)
+		want   string
+	}{
+		{"nothing", func(*client.Seen) {}, ""},
+		{"another request's part", func(s *client.Seen) { s.Stamps = "q1.s1, q2.s2" }, "another request's"},
+		{"a part twice", func(s *client.Seen) { s.Stamps = "q1.s1, q1.s1" }, "comes twice"},
+		{"lesser records", func(s *client.Seen) { s.Body = s.Body[16:] }, "not the greatest"},
+		{"a shard hidden", func(s *client.Seen) { s.Stamps, s.Body = "q1.s1", nil }, "not the greatest"},
+		{"a set of no version", func(s *client.Seen) { s.Missed = "1" }, "of no version"},
+		{"a write that did not run", func(s *client.Seen) { s.Write, s.Body = true, world.Part("q1", "desk") }, "did not run"},
+		{"another write's answer", func(s *client.Seen) { s.Write, s.Body = true, world.Part("q2", "desk") }, "another request's"},
+		{"no answer", func(s *client.Seen) { s.Err, s.Done = errors.New("none"), s.Sent.Add(time.Minute) }, "no final answer"},
+	}
+	for _, test := range tests {
+		w := world.New()
+		w.SetConfig(1, []string{"s1", "s2"}, "desk")
+		h, err := hosts.New(hosts.Options{Name: "h0", StoreAddr: w.StoreAddr()})
+		qt.Assert(t, err, qt.IsNil)
+		c := check.New(w)
+		s := page(h)
+		test.change(&s)
+		c.Take(s)
+		findings, _ := c.Finish()
+		got := strings.Join(findings, "\n")
+		qt.Check(t, (got == "") == (test.want == "") && strings.Contains(got, test.want), qt.IsTrue, qt.Commentf("%s: %q", test.name, got))
+		h.Store.Close()
+		w.Close()
+	}
+}
+
+// An answer of an older version after one of a newer was seen at the same process.
+func TestVersionThatGoesBackIsFound(t *testing.T) {
+	w := world.New()
+	defer w.Close()
+	w.SetConfig(1, []string{"s1", "s2"}, "desk")
+	h, err := hosts.New(hosts.Options{Name: "h0", StoreAddr: w.StoreAddr()})
+	qt.Assert(t, err, qt.IsNil)
+	defer h.Store.Close()
+	c := check.New(w)
+	c.Take(page(h))
+	w.SetConfig(2, []string{"s1"}, "desk")
+	newer := page(h)
+	newer.Stamps = "q1.s1"
+	newer.Body = greatestOf("s1")
+	newer.Done = newer.Sent
+	c.Take(newer)
+	old := page(h)
+	old.Sent = newer.Done.Add(time.Second)
+	c.Take(old)
+	findings, _ := c.Finish()
+	qt.Assert(t, strings.Join(findings, "\n"), qt.Contains, "version 1 after version 2")
+}
+
+// greatestOf returns the three greatest records of the parts with which services answer.
+func greatestOf(services ...string) []byte {
+	var all []string
+	for _, s := range services {
+		for part := world.Part("q1", s); len(part) > 0; part = part[world.RecordSize:] {
+			all = append(all, string(part[:world.RecordSize]))
+		}
+	}
+	slices.Sort(all)
+	slices.Reverse(all)
+	return []byte(strings.Join(all[:3], ""))
+}
+
+// A page lacks the one shard that tells two versions apart, while the newer is on its way: it may be of either. Taken for one of the newer,
+// it made each later page of the older a finding (seed 102).
+func TestPageThatMayBeOfTwoVersions(t *testing.T) {
+	w := world.New()
+	defer w.Close()
+	w.SetConfig(1, []string{"x1", "s1", "s2"}, "desk")
+	h, err := hosts.New(hosts.Options{Name: "h0", StoreAddr: w.StoreAddr()})
+	qt.Assert(t, err, qt.IsNil)
+	defer h.Store.Close()
+	c := check.New(w)
+	w.SetConfig(2, []string{"x2", "s1", "s2"}, "desk")
+	either := page(h)
+	either.Missed = "1"
+	c.Take(either)
+	old := page(h)
+	old.Sent = either.Done.Add(time.Second)
+	old.Stamps, old.Body = "q1.x1, q1.s1, q1.s2", greatestOf("x1", "s1", "s2")
+	c.Take(old)
+	findings, _ := c.Finish()
+	qt.Assert(t, findings, qt.HasLen, 0)
+}
--- /dev/null
+++ b/soak/internal/check/doc.go
@@ -0,0 +1,2 @@
+// Package check holds what clients and replicas saw against what is promised.
+package check
--- /dev/null
+++ b/soak/internal/client/client.go
@@ -0,0 +1,146 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"guavaspring.org/platform/platformtest"
+	"guavaspring.org/soak/internal/hosts"
+)
+
+const (
+	// keep is how long an answer of a directory is used; one client in four keeps it three times as long.
+	keep = 1500 * time.Millisecond
+	// Patience is how long a client waits, in the header; it listens patienceSlack longer to see whether an answer came at all.
+	Patience      = 2 * time.Second
+	patienceSlack = 4 * time.Second
+	// writeShare is the share of requests that must not run twice.
+	writeShare = 0.3
+	pause      = 20 * time.Millisecond
+)
+
+// Seen is one attempt and what the client saw of it.
+type Seen struct {
+	ID    string
+	Write bool
+	// Host is the host that was asked, Incarnation its number when the attempt left and Again when it ended.
+	Host               *hosts.Host
+	Incarnation, Again int
+	Sent, Done         time.Time
+	// Err is why no whole answer came; Status and what follows are set where one did.
+	Err            error
+	Status         int
+	Stamps, Missed string
+	Body           []byte
+}
+
+// Client sends one attempt after the other over connections that it keeps.
+type Client struct {
+	name  string
+	all   []*hosts.Host
+	http  *http.Client
+	slow  bool
+	addrs []string
+	until time.Time
+	n     int
+	// Report is told of each attempt.
+	report func(Seen)
+}
+
+// New returns a client; report must be safe for concurrent use.
+func New(n int, all []*hosts.Host, report func(Seen)) *Client {
+	return &Client{name: fmt.Sprintf("c%d", n), all: all, http: &http.Client{Transport: &http.Transport{}}, slow: n%4 == 0, report: report}
+}
+
+// Run sends attempts until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if time.Now().After(c.until) {
+			c.resolve(ctx)
+		}
+		if len(c.addrs) > 0 {
+			c.attempt(ctx, c.addrs[rand.IntN(len(c.addrs))])
+		}
+		time.Sleep(pause)
+	}
+}
+
+func (c *Client) resolve(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	h := c.all[rand.IntN(len(c.all))]
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Directory()+platformtest.Resolve("osborne-hall"), nil)
+	if err != nil {
+		return
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		// Another host is asked next time; the old addresses stay.
+		return
+	}
+	defer resp.Body.Close()
+	var ans struct{ Addrs []string }
+	if err := json.NewDecoder(resp.Body).Decode(&ans); err != nil || len(ans.Addrs) == 0 {
+		return
+	}
+	c.addrs, c.until = ans.Addrs, time.Now().Add(keep)
+	if c.slow {
+		c.until = c.until.Add(2 * keep)
+	}
+}
+
+func (c *Client) host(front string) *hosts.Host {
+	for _, h := range c.all {
+		if h.Front() == front {
+			return h
+		}
+	}
+	return nil
+}
+
+func (c *Client) attempt(ctx context.Context, front string) {
+	h := c.host(front)
+	if h == nil {
+		return
+	}
+	c.n++
+	s := Seen{Host: h, Write: rand.Float64() < writeShare, Sent: time.Now()}
+	method, path, kind := http.MethodGet, "/bundles/x", "q"
+	var body []byte
+	if s.Write {
+		method, path, kind, body = http.MethodPost, "/desk/x", "w", []byte("three bags")
+	}
+	s.ID = fmt.Sprintf("%s%s-%d", kind, c.name, c.n)
+	s.Incarnation, _ = h.State()
+	ctx, cancel := context.WithTimeout(ctx, Patience+patienceSlack)
+	defer cancel()
+	s.Err = c.exchange(ctx, &s, method, path, body)
+	s.Done = time.Now()
+	s.Again, _ = h.State()
+	if ctx.Err() == nil || s.Err == nil || time.Since(s.Sent) > Patience {
+		c.report(s)
+	}
+}
+
+func (c *Client) exchange(ctx context.Context, s *Seen, method, path string, body []byte) error {
+	req, err := platformtest.Request(ctx, method, s.Host.Front(), path, s.ID, int(Patience.Milliseconds()), body)
+	if err != nil {
+		return err
+	}
+	// Without it the standard library may send a body again by itself.
+	req.GetBody = nil
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	s.Body, err = io.ReadAll(resp.Body)
+	s.Status = resp.StatusCode
+	s.Stamps, s.Missed = platformtest.Parts(resp.Header)
+	return err
+}
--- /dev/null
+++ b/soak/internal/faults/doc.go
@@ -0,0 +1,2 @@
+// Package faults draws disturbances from a seed and carries them out.
+package faults
--- /dev/null
+++ b/soak/internal/faults/driver.go
@@ -0,0 +1,213 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"guavaspring.org/soak/internal/check"
+	"guavaspring.org/soak/internal/hosts"
+	"guavaspring.org/soak/internal/proxy"
+	"guavaspring.org/soak/internal/world"
+)
+
+const (
+	// most is the longest disturbance, and calm the time without any after a round of them.
+	most = 3 * time.Second
+	calm = 5 * time.Second
+	// overlap is the most disturbances of one round.
+	overlap = 3
+	// drain is how long a replica that leaves may still get requests.
+	drain = 3 * time.Second
+	// grace is the time between SIGTERM and SIGKILL.
+	grace = 2 * time.Second
+)
+
+// Driver disturbs hosts, links, the store and replicas.
+type Driver struct {
+	Rand  *rand.Rand
+	World *world.World
+	Hosts []*hosts.Host
+	Check *check.Check
+	// Say writes down what is done.
+	Say func(format string, args ...any)
+
+	version int
+	shards  []string
+}
+
+// Setup adds the first replicas and writes the first configuration.
+func (d *Driver) Setup() error {
+	for _, service := range []string{"s1", "s2", "s3", "desk"} {
+		for range 3 {
+			if _, err := d.World.Add(service); err != nil {
+				return err
+			}
+		}
+	}
+	d.shards = []string{"s1", "s2", "s3"}
+	d.version = 3
+	d.World.SetConfig(d.version, d.shards, "desk")
+	return nil
+}
+
+// Run plays rounds of disturbances, each followed by a calm time, until ctx ends.
+func (d *Driver) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		var round sync.WaitGroup
+		for range 1 + d.Rand.IntN(overlap) {
+			act := d.draw()
+			round.Go(func() { act(ctx) })
+			sleep(ctx, time.Duration(d.Rand.Int64N(int64(time.Second))))
+		}
+		round.Wait()
+		sleep(ctx, calm)
+		if ctx.Err() == nil {
+			d.planned(ctx)
+		}
+	}
+}
+
+func sleep(ctx context.Context, t time.Duration) {
+	select {
+	case <-time.After(t):
+	case <-ctx.Done():
+	}
+}
+
+// draw returns one disturbance; all that is random is drawn here, so that a seed repeats it.
+func (d *Driver) draw() func(ctx context.Context) {
+	h := d.Hosts[d.Rand.IntN(len(d.Hosts))]
+	list := d.World.Replicas()
+	r := list[d.Rand.IntN(len(list))]
+	t := time.Duration(d.Rand.Int64N(int64(most))) + most/10
+	fault := []proxy.Fault{proxy.Delay, proxy.Silent, proxy.OneWay, proxy.Refuse}[d.Rand.IntN(4)]
+	switch d.Rand.IntN(9) {
+	case 0:
+		return func(ctx context.Context) { d.kill(ctx, h, t) }
+	case 1:
+		return func(ctx context.Context) { d.stop(ctx, h) }
+	case 2:
+		return func(ctx context.Context) { d.pause(ctx, h, t) }
+	case 3, 4:
+		return func(ctx context.Context) { d.link(ctx, h, fault, t) }
+	case 5:
+		return func(ctx context.Context) { d.away(ctx, t) }
+	case 6:
+		return func(context.Context) { d.forget() }
+	default:
+		return func(ctx context.Context) { d.replica(ctx, r, fault, t) }
+	}
+}
+
+func (d *Driver) kill(ctx context.Context, h *hosts.Host, t time.Duration) {
+	d.Say("kill %s, back after %v", h.Name(), t)
+	h.Signal(syscall.SIGKILL)
+	h.Wait(grace)
+	sleep(ctx, t)
+	d.start(ctx, h)
+}
+
+func (d *Driver) stop(ctx context.Context, h *hosts.Host) {
+	d.Say("stop %s", h.Name())
+	h.Signal(syscall.SIGTERM)
+	if !h.Wait(grace) {
+		h.Signal(syscall.SIGKILL)
+		h.Wait(grace)
+	}
+	d.start(ctx, h)
+}
+
+func (d *Driver) start(ctx context.Context, h *hosts.Host) {
+	if ctx.Err() != nil {
+		return
+	}
+	if err := h.Start(context.WithoutCancel(ctx)); err != nil {
+		d.Say("start %s: %v", h.Name(), err)
+	}
+}
+
+func (d *Driver) pause(ctx context.Context, h *hosts.Host, t time.Duration) {
+	d.Say("pause %s for %v", h.Name(), t)
+	h.Signal(syscall.SIGSTOP)
+	sleep(ctx, t)
+	h.Signal(syscall.SIGCONT)
+}
+
+func (d *Driver) link(ctx context.Context, h *hosts.Host, f proxy.Fault, t time.Duration) {
+	d.Say("link of %s to the store: %s for %v", h.Name(), f, t)
+	h.Disturb()
+	h.Store.Set(f)
+	sleep(ctx, t)
+	h.Store.Set(proxy.None)
+	h.Store.Reset()
+	h.Disturb()
+}
+
+func (d *Driver) away(ctx context.Context, t time.Duration) {
+	d.Say("store away for %v", t)
+	d.disturbAll()
+	d.World.Store.Fail(http.StatusServiceUnavailable)
+	sleep(ctx, t)
+	d.World.Store.Fail(0)
+	d.disturbAll()
+}
+
+func (d *Driver) forget() {
+	d.Say("store forgets its history")
+	d.disturbAll()
+	d.World.Store.Forget()
+}
+
+func (d *Driver) replica(ctx context.Context, r *world.Replica, f proxy.Fault, t time.Duration) {
+	d.Say("link to %s: %s for %v", r.ID, f, t)
+	r.Proxy.Set(f)
+	sleep(ctx, t)
+	r.Proxy.Set(proxy.None)
+	r.Proxy.Reset()
+}
+
+func (d *Driver) disturbAll() {
+	for _, h := range d.Hosts {
+		h.Disturb()
+	}
+}
+
+// planned changes the configuration, or replaces a replica, while nothing is disturbed.
+func (d *Driver) planned(ctx context.Context) {
+	if d.Rand.IntN(2) == 0 {
+		d.configure()
+		return
+	}
+	list := d.World.Replicas()
+	r := list[d.Rand.IntN(len(list))]
+	if left, _ := r.Left(); !left.IsZero() {
+		d.configure()
+		return
+	}
+	d.Say("replace %s", r.ID)
+	if _, err := d.World.Add(r.Service); err != nil {
+		d.Say("replace %s: %v", r.ID, err)
+		return
+	}
+	r.Drain()
+	sleep(ctx, drain+time.Second)
+	d.Check.Drained(r, drain)
+	d.World.Store.Delete("servers", r.ID)
+}
+
+// configure writes a version with one shard that no other version has, so that the parts of an answer tell its version.
+func (d *Driver) configure() {
+	d.version += 1 + d.Rand.IntN(4)
+	extra := fmt.Sprintf("x%d", d.version)
+	if _, err := d.World.Add(extra); err != nil {
+		d.Say("configure: %v", err)
+		return
+	}
+	d.Say("version %d", d.version)
+	d.World.SetConfig(d.version, append([]string{extra}, d.shards...), "desk")
+}
--- /dev/null
+++ b/soak/internal/hosts/doc.go
@@ -0,0 +1,2 @@
+// Package hosts runs real host processes and disturbs them by signals.
+package hosts
--- /dev/null
+++ b/soak/internal/proxy/doc.go
@@ -0,0 +1,2 @@
+// Package proxy forwards loopback connections and disturbs them on command.
+package proxy
--- /dev/null
+++ b/soak/internal/world/world.go
@@ -0,0 +1,234 @@
+package world
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"guavaspring.org/platform/platformtest"
+	"guavaspring.org/soak/internal/proxy"
+)
+
+const (
+	// RecordSize is the size of one record of a part.
+	RecordSize = 16
+	// partRecords is how many records a part holds.
+	partRecords = 8
+	// most is the longest work of a replica.
+	most = 40 * time.Millisecond
+)
+
+// World is the store, the replicas, and the record of what they did.
+type World struct {
+	Store *platformtest.Store
+	http  *httptest.Server
+
+	mu       sync.Mutex
+	replicas []*Replica
+	runs     map[string]int
+	versions map[int][]string
+	version  int
+	wrote    time.Time
+}
+
+// Replica is one replica behind a proxy.
+type Replica struct {
+	ID, Service string
+	Proxy       *proxy.Proxy
+	world       *World
+	listener    net.Listener
+
+	mu sync.Mutex
+	// left is when the store knew that it leaves.
+	left time.Time
+	// late is the latest arrival, after left.
+	late time.Duration
+}
+
+// New returns a world with an empty store.
+func New() *World {
+	s := platformtest.NewStore()
+	return &World{Store: s, http: httptest.NewServer(s), runs: map[string]int{}, versions: map[int][]string{}}
+}
+
+// StoreAddr returns the store's own address.
+func (w *World) StoreAddr() string { return w.http.Listener.Addr().String() }
+
+// Close ends the world.
+func (w *World) Close() {
+	for _, r := range w.Replicas() {
+		r.Proxy.Close()
+		_ = r.listener.Close()
+	}
+	w.http.CloseClientConnections()
+}
+
+// Replicas returns all replicas that were ever added.
+func (w *World) Replicas() []*Replica {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]*Replica(nil), w.replicas...)
+}
+
+// Add starts a replica of a service and registers it.
+func (w *World) Add(service string) (*Replica, error) {
+	var cfg net.ListenConfig
+	l, err := cfg.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("replica of %s: %w", service, err)
+	}
+	p, err := proxy.New(l.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	r := &Replica{ID: fmt.Sprintf("i-%s-%d", service, len(w.replicas)), Service: service, Proxy: p, world: w, listener: l}
+	w.replicas = append(w.replicas, r)
+	w.mu.Unlock()
+	go r.accept()
+	w.Store.Set("servers", r.ID, platformtest.Replica(service, p.Addr(), "ready"))
+	return r, nil
+}
+
+// Drain announces that the replica leaves.
+func (r *Replica) Drain() {
+	r.world.Store.Set("servers", r.ID, platformtest.Replica(r.Service, r.Proxy.Addr(), "draining"))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.left = time.Now()
+}
+
+// Left returns when the replica announced that it leaves, and how long after it the last request came.
+func (r *Replica) Left() (time.Time, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.left, r.late
+}
+
+// SetConfig writes a version of the configuration that names shards and the service of writes.
+func (w *World) SetConfig(version int, shards []string, desk string) {
+	w.mu.Lock()
+	w.versions[version] = shards
+	w.mu.Unlock()
+	w.Store.Set("config", "main", platformtest.Config(version, `"`+strings.Join(shards, `","`)+`"`, desk))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version, w.wrote = version, time.Now()
+}
+
+// Config returns the newest version and since when it is acknowledged.
+func (w *World) Config() (version int, since time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version, w.wrote
+}
+
+// Version returns the version that names just these shards, zero where none does; each version names a set of its own.
+func (w *World) Version(shards map[string]bool) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for v, list := range w.versions {
+		same := len(list) == len(shards)
+		for _, s := range list {
+			same = same && shards[s]
+		}
+		if same {
+			return v
+		}
+	}
+	return 0
+}
+
+// Shards returns the shards of each version.
+func (w *World) Shards() map[int][]string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	all := map[int][]string{}
+	for v, list := range w.versions {
+		all[v] = list
+	}
+	return all
+}
+
+// Runs returns how often the request with an id ran.
+func (w *World) Runs(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[id]
+}
+
+func (r *Replica) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(c)
+	}
+}
+
+func (r *Replica) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		reply := r.answer(platformtest.Read(req))
+		if _, err := c.Write(reply); err != nil {
+			return
+		}
+	}
+}
+
+func (r *Replica) answer(seen platformtest.Seen) []byte {
+	if seen.Replica != r.ID {
+		return platformtest.Misdirected(seen.ID)
+	}
+	r.arrived()
+	if rand.IntN(20) == 0 {
+		return platformtest.NotRun(seen.ID)
+	}
+	r.world.mu.Lock()
+	r.world.runs[seen.ID]++
+	r.world.mu.Unlock()
+	time.Sleep(time.Duration(rand.Int64N(int64(most))))
+	return platformtest.Reply(http.StatusOK, seen.ID, Stamp(seen.ID, r.Service), Part(seen.ID, r.Service))
+}
+
+func (r *Replica) arrived() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.left.IsZero() {
+		r.late = max(r.late, time.Since(r.left))
+	}
+}
+
+// Stamp proves that a part of a service answers the request with an id.
+func Stamp(id, service string) string { return id + "." + service }
+
+// Part returns the records with which a service answers the request with an id.
+func Part(id, service string) []byte {
+	var b []byte
+	for i := range partRecords {
+		h := fnv.New128a()
+		// Writing to a hash returns no error.
+		_, _ = h.Write(binary.BigEndian.AppendUint32([]byte(id+"/"+service), uint32(i)))
+		b = h.Sum(b)
+	}
+	return b
+}
--- /dev/null
+++ b/soak/main.go
@@ -0,0 +1,175 @@
+// Command soak runs real hosts as processes, disturbs them from outside, and checks what clients and replicas see.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"guavaspring.org/core/settings"
+	"guavaspring.org/soak/internal/check"
+	"guavaspring.org/soak/internal/client"
+	"guavaspring.org/soak/internal/faults"
+	"guavaspring.org/soak/internal/hosts"
+	"guavaspring.org/soak/internal/world"
+)
+
+const (
+	// ports is where the search for free ports begins; each host has four, all the same on its own loopback address.
+	ports, lastPort, perHost = 23000, 32000, 4
+	// settle is how long hosts have to meet before anything is disturbed.
+	settle = 3 * time.Second
+	// end is how long hosts have to end when the soak does.
+	end = 3 * time.Second
+)
+
+func main() {
+	app := settings.New("soak", "Disturbs real host processes on loopback addresses and checks what they promise.")
+	program := app.Flag("entry", "Path of the entry program.").Required().String()
+	seed := app.Flag("seed", "Seed of the disturbances.").Default("1").Uint64()
+	length := app.Flag("for", "How long to disturb.").Default("30s").Duration()
+	n := app.Flag("hosts", "Number of hosts.").Default("4").Int()
+	clients := app.Flag("clients", "Number of clients.").Default("12").Int()
+	dir := app.Flag("dir", "Where settings and logs are kept; a new folder where empty.").Default("").String()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	s := &soak{program: *program, seed: *seed, length: *length, hosts: *n, clients: *clients, dir: *dir, began: time.Now()}
+	findings, err := s.run(context.Background())
+	if err != nil {
+		settings.Fail(os.Stderr, "soak", err)
+	}
+	if findings > 0 {
+		os.Exit(1)
+	}
+}
+
+type soak struct {
+	program        string
+	seed           uint64
+	length         time.Duration
+	hosts, clients int
+	dir            string
+	began          time.Time
+	mu             sync.Mutex
+}
+
+// say writes one line with the time since the start.
+func (s *soak) say(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fmt.Printf("%7.3f %s\n", time.Since(s.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// run plays one soak and returns the number of findings.
+func (s *soak) run(ctx context.Context) (int, error) {
+	if s.dir == "" {
+		dir, err := os.MkdirTemp("", "soak")
+		if err != nil {
+			return 0, fmt.Errorf("folder for logs: %w", err)
+		}
+		s.dir = dir
+	}
+	w := world.New()
+	defer w.Close()
+	list, err := s.newHosts(w)
+	if err != nil {
+		return 0, err
+	}
+	c := check.New(w)
+	d := &faults.Driver{Rand: rand.New(rand.NewPCG(s.seed, s.seed)), World: w, Hosts: list, Check: c, Say: s.say}
+	if err := d.Setup(); err != nil {
+		return 0, err
+	}
+	for _, h := range list {
+		if err := h.Start(ctx); err != nil {
+			return 0, err
+		}
+	}
+	defer stopAll(list)
+	time.Sleep(settle)
+	s.disturb(ctx, d, list, c)
+	findings, counts := c.Finish()
+	for _, f := range findings {
+		s.say("FINDING %s", f)
+	}
+	s.say("seed %d: %d findings; outcomes %v; logs in %s", s.seed, len(findings), counts, filepath.Clean(s.dir))
+	return len(findings), nil
+}
+
+// disturb lets clients call while the driver disturbs.
+func (s *soak) disturb(ctx context.Context, d *faults.Driver, list []*hosts.Host, c *check.Check) {
+	ctx, cancel := context.WithTimeout(ctx, s.length)
+	defer cancel()
+	var all sync.WaitGroup
+	for i := range s.clients {
+		all.Go(func() { client.New(i, list, c.Take).Run(ctx) })
+	}
+	all.Go(func() { d.Run(ctx) })
+	all.Wait()
+}
+
+func (s *soak) newHosts(w *world.World) ([]*hosts.Host, error) {
+	var ips []string
+	for i := range s.hosts {
+		// Each seed has loopback addresses of its own, so that several soaks can run side by side.
+		ips = append(ips, fmt.Sprintf("127.%d.%d.%d", 1+s.seed%250, 1+i/200, 20+i%200))
+	}
+	first, err := freePorts(ips)
+	if err != nil {
+		return nil, err
+	}
+	var list []*hosts.Host
+	for i, ip := range ips {
+		h, err := hosts.New(hosts.Options{
+			Program: s.program, Dir: s.dir, Name: fmt.Sprintf("h%d", i), IP: ip, Port: first,
+			Seeds: fmt.Sprintf("%q", fmt.Sprintf("%s:%d", ips[0], first+perHost-1)), StoreAddr: w.StoreAddr(),
+		})
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, h)
+	}
+	return list, nil
+}
+
+// stopAll ends the processes that this soak started.
+func stopAll(list []*hosts.Host) {
+	for _, h := range list {
+		h.Signal(syscall.SIGCONT)
+		h.Signal(syscall.SIGKILL)
+	}
+	for _, h := range list {
+		h.Wait(end)
+	}
+}
+
+// freePorts returns the first of perHost ports that are free on every address.
+func freePorts(ips []string) (int, error) {
+	for first := ports; first < lastPort; first += perHost {
+		if free(ips, first) {
+			return first, nil
+		}
+	}
+	return 0, fmt.Errorf("no %d free ports", perHost)
+}
+
+func free(ips []string, first int) bool {
+	var cfg net.ListenConfig
+	for _, ip := range ips {
+		for i := range perHost {
+			l, err := cfg.Listen(context.Background(), "tcp", fmt.Sprintf("%s:%d", ip, first+i))
+			if err != nil {
+				return false
+			}
+			_ = l.Close()
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/soak/main_test.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Four real hosts serve twelve clients while processes are killed, stopped and paused and links fall silent. Seeds that ever found
+// something stay here.
+func TestSeeds(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "entry")
+	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "../entry").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	for _, seed := range []uint64{1} {
+		s := &soak{program: program, seed: seed, length: 15 * time.Second, hosts: 4, clients: 12, dir: t.TempDir(), began: time.Now()}
+		findings, err := s.run(t.Context())
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, findings, qt.Equals, 0, qt.Commentf("seed %d", seed))
+	}
+}
