--- a/entry/internal/scatter/scatter.go
+++ b/entry/internal/scatter/scatter.go
@@ -214,6 +214,19 @@
 	}
 }
 
+// passOn gives room that was announced to this request, which needs it no more, to the next one that waits: otherwise it would stay
+// unused until another reply comes.
+func (p *plan) passOn() {
+	for {
+		select {
+		case i := <-p.room:
+			p.Shards[i].Wake(p.now)
+		default:
+			return
+		}
+	}
+}
+
 // decided reports whether nothing better than what is there can come in time, and how the request ends.
 func (p *plan) decided() (Ending, bool) {
 	have := p.report.Answered
@@ -280,6 +293,7 @@
 	for i := range p.shards {
 		p.stopWaiting(i)
 	}
+	p.passOn()
 	p.report.Results = make([]exchange.Result, len(p.shards))
 	for i := range p.shards {
 		p.report.Results[i] = p.shards[i].result
--- a/entry/internal/scatter/tries.go
+++ b/entry/internal/scatter/tries.go
@@ -122,9 +122,12 @@
 
 // look tries a waiting shard again.
 func (p *plan) look(i int) {
-	if s := &p.shards[i]; s.waiter != nil && !s.answered && !s.lost {
-		p.try(i, s.what, "")
+	s := &p.shards[i]
+	if s.waiter == nil || s.answered || s.lost {
+		p.Shards[i].Wake(p.now)
+		return
 	}
+	p.try(i, s.what, "")
 }
 
 func (p *plan) send(i int, c endpoints.Choice, what What, why string) {
