endpoints: Let a single long reply say less of its replica

Change: a reply over 2.5 times the usual counts with 0.1. Test: TestLongReplyIsNotASlowReplica, failing with 0.3.

--- a/entry/internal/endpoints/replica.go
+++ b/entry/internal/endpoints/replica.go
@@ -19,6 +19,10 @@
 	// slownessWeight and failureWeight are the weights of a new sample; about four samples outweigh what was known before.
 	slownessWeight = 0.3
 	failureWeight  = 0.25
+	// outlier is how many times the usual a reply takes that is a long piece of work more often than a slow replica: one in a hundred takes
+	// five times as long. It counts with outlierWeight; a replica that is ten times slower still stands at twice the usual after one.
+	outlier       = 2.5
+	outlierWeight = 0.1
 	// mostSlowness bounds what one sample can say, so that a replica that was dark is found again soon.
 	mostSlowness = 20
 	// firstPause and mostPause bound how long a replica that can't be reached is left alone; the time doubles with each failure.
@@ -117,7 +121,11 @@
 
 func (r *Replica) learn(now time.Time, took, usual time.Duration, failed float64) {
 	x := min(float64(took)/float64(max(usual, time.Millisecond)), mostSlowness)
-	r.slowness = r.slownessAt(now) + slownessWeight*(x-r.slownessAt(now))
+	weight := slownessWeight
+	if x > outlier {
+		weight = outlierWeight
+	}
+	r.slowness = r.slownessAt(now) + weight*(x-r.slownessAt(now))
 	r.failures = r.failuresAt(now) + failureWeight*(failed-r.failuresAt(now))
 	r.seen = now
 }
--- a/entry/internal/endpoints/table_test.go
+++ b/entry/internal/endpoints/table_test.go
@@ -1,6 +1,7 @@
 package endpoints_test
 
 import (
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,7 +11,9 @@
 
 	"guavaspring.org/core/clock"
 	"guavaspring.org/core/feed"
+	"guavaspring.org/core/opaque"
 	"guavaspring.org/core/platform"
+	"guavaspring.org/core/upstream"
 	"guavaspring.org/entry/internal/endpoints"
 	"guavaspring.org/entry/internal/replicatest"
 	"guavaspring.org/entry/internal/spend"
@@ -102,3 +105,43 @@
 	}
 	qt.Assert(t, order, qt.DeepEquals, []string{"newest", "middle", "oldest"})
 }
+
+// One reply in a hundred takes five times as long, as its work is longer. The replica in the own zone must not be left for seconds for it;
+// one that is ten times slower must be, after the second reply at the latest.
+func TestLongReplyIsNotASlowReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const usual = 30 * time.Millisecond
+		f := replicatest.New()
+		t.Cleanup(f.Close)
+		work := usual
+		near := f.Add("a", 1, func(r *http.Request, b []byte) replicatest.Answer { return replicatest.OK("a-1", work, "x")(r, b) })
+		far := f.Add("a", 2, replicatest.OK("a-2", usual, "x"))
+		far.Row.Zone = "b"
+		table := newTable(f)
+		table.Replace(f.Batch(), false)
+		s := table.Service("a")
+		pick := func() string {
+			c, verdict := s.Pick(time.Now(), endpoints.Need{Usual: usual, Within: time.Second}, func() float64 { return 0.5 })
+			qt.Assert(t, verdict, qt.Equals, endpoints.Found)
+			return c.Replica.ID()
+		}
+		send := func(took time.Duration) {
+			work = took
+			c, _ := s.Pick(time.Now(), endpoints.Need{Usual: usual, Within: time.Second}, func() float64 { return 0.5 })
+			req := &opaque.Request{ID: "q", Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}
+			res := c.Replica.Send(t.Context(), endpoints.Call{Request: req, Deadline: time.Now().Add(time.Minute), Connections: 4, Usual: usual})
+			qt.Assert(t, res.Kind, qt.Equals, upstream.KindOK)
+		}
+		for range 5 {
+			send(usual)
+		}
+		send(5 * usual)
+		qt.Assert(t, pick(), qt.Equals, near.Row.ID)
+		time.Sleep(10 * time.Second)
+		send(10 * usual)
+		if pick() == near.Row.ID {
+			send(10 * usual)
+		}
+		qt.Assert(t, pick(), qt.Equals, far.Row.ID)
+	})
+}
