front: Keep the placement until the member list changes

Sorting 5,600 hosts for each try and each address answer takes about a millisecond; the list is replaced as a whole, so that its first row tells whether it changed.

--- a/entry/internal/front/joined.go
+++ b/entry/internal/front/joined.go
@@ -33,10 +33,17 @@
 	configs   *relay.Copy[route.Config]
 	replicas  *relay.Copy[platform.Replica]
 
-	mu sync.Mutex
-	// shared is this host's share as of the member list that begins at sharedFor.
-	shared    float64
-	sharedFor *member.Host
+	mu     sync.Mutex
+	placed placed
+}
+
+// placed is what was decided for one member list.
+type placed struct {
+	// list is the first row of the member list, which is replaced as a whole with each change.
+	list *member.Host
+	// serving are the hosts that clients are sent to, share is the part of all that this host takes.
+	serving []member.Host
+	share   float64
 }
 
 // join opens the port for other hosts; the host joins once run is called.
@@ -131,7 +138,7 @@
 func (j *joined) addresses(self bool) []netip.AddrPort {
 	own := j.list.Self()
 	var serving, suspect []netip.AddrPort
-	for _, h := range placement.Serving(j.list.Hosts()) {
+	for _, h := range j.place().serving {
 		if h.ID != own.ID || self {
 			serving = append(serving, h.Caller)
 		}
@@ -147,16 +154,19 @@
 	return suspect
 }
 
-// share returns which part of what all hosts together may do this one takes. It is kept until the member list changes, since it is
-// asked for at each try.
-func (j *joined) share() float64 {
+// share returns which part of what all hosts together may do this one takes.
+func (j *joined) share() float64 { return j.place().share }
+
+// place returns what is decided for the member list. It is kept until the list changes: it is asked for at each try and each address
+// answer, and ranking thousands of hosts takes a millisecond.
+func (j *joined) place() placed {
 	hosts := j.list.Hosts()
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.sharedFor != &hosts[0] {
-		j.sharedFor, j.shared = &hosts[0], placement.Share(hosts, j.list.Self().ID, leastHosts)
+	if j.placed.list != &hosts[0] {
+		j.placed = placed{list: &hosts[0], serving: placement.Serving(hosts), share: placement.Share(hosts, j.list.Self().ID, leastHosts)}
 	}
-	return j.shared
+	return j.placed
 }
 
 // newRand needs no secrecy: it only spreads probes and repairs.
