--- a/soak/internal/hosts/host.go
+++ b/soak/internal/hosts/host.go
@@ -60,8 +60,14 @@
 // Directory returns the address for clients that ask which hosts to use.
 func (h *Host) Directory() string { return fmt.Sprintf("%s:%d", h.opts.IP, h.opts.Port+2) }
 
-// Start runs the process.
+// Start runs the process, unless it runs already: disturbances of one host overlap, and a second process would be lost sight of
+// and outlive the soak.
 func (h *Host) Start(ctx context.Context) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.runs() {
+		return nil
+	}
 	path := filepath.Join(h.opts.Dir, h.opts.Name+".toml")
 	text := platformtest.Settings(h.opts.Name, h.opts.IP, "osborne-hall", h.Store.Addr(), h.opts.Port, h.opts.Seeds)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -85,14 +91,25 @@
 		_ = cmd.Wait()
 		close(ended)
 	}()
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	h.cmd, h.ended = cmd, ended
 	h.incarnation++
 	h.disturbed = time.Now()
 	return nil
 }
 
+// runs reports whether the process has been started and has not ended; h.mu is held.
+func (h *Host) runs() bool {
+	if h.ended == nil {
+		return false
+	}
+	select {
+	case <-h.ended:
+		return false
+	default:
+		return true
+	}
+}
+
 // Signal sends a signal to the process.
 func (h *Host) Signal(sig syscall.Signal) {
 	h.mu.Lock()
