--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -1,4 +1,3 @@
-// Package feed holds what a store of objects tells of one kind: a page of all of them, and the changes since.
 package feed
 
 import "errors"
--- a/entry/internal/forward/forwarder.go
+++ b/entry/internal/forward/forwarder.go
@@ -54,7 +54,8 @@
 
 // Forwarder is the HTTP handler of clients' requests.
 type Forwarder struct {
-	opts   Options
+	opts Options
+	// recent holds a *latency.Recent for each route, by host name and prefix; it outlives the configuration's versions.
 	recent sync.Map
 }
 
@@ -164,11 +165,10 @@
 	http.Error(w, err.Error(), status)
 }
 
-// answer writes what the request came to and returns the status, zero where nobody reads it.
+// answer writes what the request came to and returns the status. A client that went away gets a failure like any other: without one the
+// server would answer 200 with nothing, should somebody still read.
 func (f *Forwarder) answer(w http.ResponseWriter, rt *route.Route, rep *scatter.Report) int {
 	switch {
-	case rep.Ending == scatter.Gone:
-		return 0
 	case len(rt.Shards) > 0 && (rep.Ending == scatter.Complete || rep.Ending == scatter.Partial):
 		f.merged(w, rt, rep)
 		return http.StatusOK
--- a/entry/internal/forward/forwarder_test.go
+++ b/entry/internal/forward/forwarder_test.go
@@ -98,6 +98,24 @@
 	qt.Assert(t, ask("1234").Code, qt.Equals, http.StatusRequestEntityTooLarge)
 }
 
+// A client goes away while its page is being made. Should anything still read from the connection, it must not find an empty page that
+// looks like a good answer.
+func TestClientGoneIsNoSuccess(t *testing.T) {
+	for _, ran := range []bool{true, false} {
+		codec := wire.Codec()
+		f := New(Options{Clock: clock.System{}, Log: logr.Discard(), Codec: &codec})
+		w := httptest.NewRecorder()
+		rt := &route.Route{Idempotent: true, Shards: []string{"s1"}}
+		status := f.answer(w, rt, &scatter.Report{Ending: scatter.Gone, Ran: ran, Results: make([]exchange.Result, 1)})
+		qt.Check(t, w.Code, qt.Equals, status)
+		want := http.StatusServiceUnavailable
+		if ran {
+			want = http.StatusBadGateway
+		}
+		qt.Check(t, status, qt.Equals, want)
+	}
+}
+
 // Traffic moves from one service to another by weights. Each gets its part.
 func TestDrawFollowsWeights(t *testing.T) {
 	split := []route.Share{{Service: "old", Weight: 3}, {Service: "new", Weight: 1}, {Service: "off", Weight: 0}}
--- a/entry/internal/frontmetrics/metrics.go
+++ b/entry/internal/frontmetrics/metrics.go
@@ -107,8 +107,6 @@
 // statusClass bounds the values of the label: replicas may answer with any status.
 func statusClass(status int) string {
 	switch {
-	case status == 0:
-		return "none"
 	case status == http.StatusServiceUnavailable, status == http.StatusBadGateway, status == http.StatusGatewayTimeout:
 		return map[int]string{503: "503", 502: "502", 504: "504"}[status]
 	case status >= 500:
--- a/entry/internal/latency/latency.go
+++ b/entry/internal/latency/latency.go
@@ -1,4 +1,3 @@
-// Package latency keeps what is known of how long the replies of one route take.
 package latency
 
 import (
--- /dev/null
+++ b/entry/internal/pick/doc.go
@@ -0,0 +1,2 @@
+// Package pick decides which replica a request is sent to.
+package pick
--- a/entry/internal/pick/pick.go
+++ b/entry/internal/pick/pick.go
@@ -1,4 +1,3 @@
-// Package pick decides which replica a request is sent to.
 package pick
 
 import (
--- a/entry/internal/requestlog/log.go
+++ b/entry/internal/requestlog/log.go
@@ -48,7 +48,7 @@
 type Entry struct {
 	Query  *scatter.Query
 	Report *scatter.Report
-	// Status is the status of the answer, zero where none was written.
+	// Status is the status of the answer.
 	Status int
 	// ConfigVersion is the version of the configuration that the request was pinned to; ConfigAge and ReplicasAge are how long ago
 	// the store was known to hold nothing newer.
