--- a/entry/onplatform.go
+++ b/entry/onplatform.go
@@ -21,19 +21,14 @@
 	"guavaspring.org/platform/wire"
 )
 
-const (
-	// memoryPart is the part of the memory limit at which the collector works harder; the rest is for what it doesn't see.
-	memoryPart = 0.7
-	// collectAt lets the heap grow to four times what is live, which is a few megabytes: less processor time for memory that is there.
-	collectAt = 300
-)
+// memoryPart is the part of the memory limit at which the collector works harder; the rest is for what it doesn't see.
+const memoryPart = 0.7
 
 // metricsPort is where metrics are published; deploy/system.toml tells it to those who read them.
 const metricsPort = 9464
 
 // runOnPlatform runs a host that the platform's settings describe; lost counts the log lines that the output lost.
 func runOnPlatform(ctx context.Context, path string, s settings.Settings, log logr.Logger, lost func() uint64) error {
-	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryBytes)))
 	seeds := &atomic.Pointer[[]netip.AddrPort]{}
 	seeds.Store(&s.Seeds)
