--- a/soak/internal/check/check.go
+++ b/soak/internal/check/check.go
@@ -22,8 +22,8 @@
 	slack = time.Second
 	// rollback is how long after an answer of a version an older one may still be seen at the same host.
 	rollback = 250 * time.Millisecond
-	// topK is how many records a page holds.
-	topK = 3
+	// pageRecords is how many records a page holds.
+	pageRecords = 3
 )
 
 // Check collects findings.
@@ -111,7 +111,7 @@
 	}
 	slices.Sort(records)
 	slices.Reverse(records)
-	if want := strings.Join(records[:min(topK, len(records))], ""); want != string(s.Body) {
+	if want := strings.Join(records[:min(pageRecords, len(records))], ""); want != string(s.Body) {
 		c.find(s, "the records are not the greatest of the parts named")
 	}
 	missing, err := strconv.Atoi(s.Missed)
