quarantine: Guard opaque requests

Cause: a request that crashes each replica that runs it was bounded by its attempts and the budget of extra tries only. Its caller sends it again, at any host: in the new test it takes ten shards of three replicas down for as long as it is sent. Ruled out: counting broken connections as crashes, as the project's own interface does.

Change: scatter sends each try through quarantine.Guard, and front shares what is found with the other hosts. A connection that breaks is followed by a new one, which the pool keeps; only where it is refused has the replica died, and the request is a suspect. Both paths use the same Guard.

--- a/entry/internal/exchange/pool.go
+++ b/entry/internal/exchange/pool.go
@@ -20,6 +20,9 @@
 const (
 	// dialTimeout bounds the wait for a new connection: a replica accepts within about 6 ms, and one that has lost power never answers.
 	dialTimeout = 300 * time.Millisecond
+	// probeTimeout bounds the wait for the connection that tells whether a replica lives whose connection broke; one that has ended refuses it
+	// within a round trip.
+	probeTimeout = 50 * time.Millisecond
 	// unacknowledged is how long sent bytes may stay without an acknowledgement before the kernel breaks the connection. A host that
 	// lost power, or a path that has forgotten the connection, shows no other sign.
 	unacknowledged = 1500 * time.Millisecond
@@ -72,6 +75,8 @@
 	Detail string
 	// Busy says that nothing was sent for want of a connection.
 	Busy bool
+	// Died says that the connection broke and that the replica takes no new one: it ended under the request.
+	Died bool
 	// Reply, Status, Header and Body are set where a whole reply to the request came.
 	Reply  opaque.Reply
 	Status int
@@ -159,10 +164,30 @@
 			// The replica closed it while it was unused, and nothing was sent.
 			continue
 		}
-		return c.run(ctx, call, w)
+		res := c.run(ctx, call, w)
+		res.Died = res.Kind == upstream.KindBroken && p.refuses(ctx, call)
+		return res
 	}
 }
 
+// refuses reports whether the replica takes no new connection, and keeps the one that it got otherwise.
+//
+// A connection breaks for many reasons, of which the end of the replica is one. Only that one accuses the request that it ran. A
+// new connection tells them apart within a round trip, and takes the place of the one that is lost.
+func (p *Pool) refuses(ctx context.Context, call *Call) bool {
+	if !p.reserve(call.Connections) {
+		return false
+	}
+	c, err := p.dial(ctx, probeTimeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	if !p.put(c, 0) {
+		c.close()
+	}
+	return false
+}
+
 var errBusy = errors.New(ErrBusy)
 
 // take returns an unused connection, or opens one.
@@ -180,14 +205,28 @@
 		c.close()
 		p.mu.Lock()
 	}
-	if p.open >= call.Connections {
-		p.mu.Unlock()
+	p.mu.Unlock()
+	if !p.reserve(call.Connections) {
 		return nil, errBusy
 	}
+	return p.dial(ctx, dialTimeout)
+}
+
+// reserve takes the place of one more connection, unless there are most already.
+func (p *Pool) reserve(most int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open >= most {
+		return false
+	}
 	p.open++
 	p.dialed++
-	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	return true
+}
+
+// dial opens a connection whose place is reserved.
+func (p *Pool) dial(ctx context.Context, timeout time.Duration) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	nc, err := p.opts.Dial(ctx, p.opts.Addr)
 	if err != nil {
--- a/entry/internal/forward/forwarder.go
+++ b/entry/internal/forward/forwarder.go
@@ -19,6 +19,7 @@
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/exchange"
 	"guavaspring.org/entry/internal/latency"
+	"guavaspring.org/entry/internal/quarantine"
 	"guavaspring.org/entry/internal/requestlog"
 	"guavaspring.org/entry/internal/scatter"
 )
@@ -34,8 +35,12 @@
 	defaultTimeout = 10 * time.Second
 )
 
-// unknown is why a host that has just started refuses.
-const unknown = "the configuration is not known yet"
+const (
+	// unknown is why a host that has just started refuses.
+	unknown = "the configuration is not known yet"
+	// crashes is why a request is refused that took replicas down, whoever sent it.
+	crashes = "the request is quarantined: replicas crashed under it"
+)
 
 // Options configures a Forwarder.
 type Options struct {
@@ -46,6 +51,8 @@
 	Config func() *route.Table
 	Table  *endpoints.Table
 	Runner *scatter.Runner
+	// Quarantine holds the requests that crash replicas.
+	Quarantine *quarantine.Quarantine
 	// Requests writes a line about each request.
 	Requests *requestlog.Log
 	// Ended is told of each request that had a route; it fills in what it knows of the host's freshness before the line is written.
@@ -83,7 +90,17 @@
 		http.Error(w, "no route", http.StatusNotFound)
 		return
 	}
-	q := scatter.Query{Request: &req, Route: rt, Shards: f.shards(rt), Recent: f.recentOf(rt), Arrived: arrived, Deadline: deadline(arrived, &req, rt)}
+	fp := quarantine.Fingerprint(req.Host, []byte(req.Method), []byte(req.Target), req.Body)
+	verdict := f.opts.Quarantine.Check(fp)
+	if verdict.Refused {
+		f.opts.Requests.Refused(req.ID, req.Host, req.Path, http.StatusServiceUnavailable, crashes+", fingerprint "+fp)
+		refuse(w, http.StatusServiceUnavailable, verdict.RetryAfter, crashes)
+		return
+	}
+	q := scatter.Query{
+		Request: &req, Route: rt, Shards: f.shards(rt), Recent: f.recentOf(rt), Arrived: arrived, Deadline: deadline(arrived, &req, rt),
+		Fingerprint: fp, Suspect: verdict.Suspect,
+	}
 	f.opts.Requests.Admitted(&q)
 	rep := f.opts.Runner.Run(r.Context(), q)
 	e := requestlog.Entry{Query: &q, Report: &rep, ConfigVersion: table.Config().Version}
--- a/entry/internal/forward/forwarder_test.go
+++ b/entry/internal/forward/forwarder_test.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
@@ -20,8 +22,12 @@
 	"guavaspring.org/core/upstream"
 	"guavaspring.org/entry/internal/endpoints"
 	"guavaspring.org/entry/internal/exchange"
+	"guavaspring.org/entry/internal/quarantine"
+	"guavaspring.org/entry/internal/replicatest"
 	"guavaspring.org/entry/internal/requestlog"
+	"guavaspring.org/entry/internal/rumor"
 	"guavaspring.org/entry/internal/scatter"
+	"guavaspring.org/entry/internal/spend"
 	"guavaspring.org/platform/wire"
 )
 
@@ -82,7 +88,7 @@
 	f := New(Options{
 		Clock: clock.System{}, Log: logr.Discard(), Codec: &codec, Table: table, Config: func() *route.Table { return known },
 		Runner: scatter.New(scatter.Options{Clock: clock.System{}, Share: func() float64 { return 1 }}), Ended: func(*requestlog.Entry) {},
-		Requests: requestlog.New(requestlog.Options{Clock: clock.System{}, Log: logr.Discard()}),
+		Requests: requestlog.New(requestlog.Options{Clock: clock.System{}, Log: logr.Discard()}), Quarantine: quarantine.New(quarantine.Options{Clock: clock.System{}}),
 	})
 	ask := func(body string) *httptest.ResponseRecorder {
 		w := httptest.NewRecorder()
@@ -98,6 +104,47 @@
 	qt.Assert(t, ask("1234").Code, qt.Equals, http.StatusRequestEntityTooLarge)
 }
 
+// A drop-off form takes down each desk replica that reads it. The third volunteer who sends it, to a host that only heard of it, is told at
+// once that it did not run and when it may be tried again.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		codec := wire.Codec()
+		farm := replicatest.New()
+		share := func() float64 { return 1 }
+		table := endpoints.New(endpoints.Options{Clock: clock.System{}, Log: logr.Discard(), Codec: &codec, Share: share, Dial: farm.Dial, Spend: spend.Options{Window: time.Second}})
+		for n := range 3 {
+			farm.Add("desk", n, replicatest.Crash(time.Millisecond, time.Second))
+		}
+		table.Replace(farm.Batch(), false)
+		config := route.NewTable(route.Config{Version: 1, Routes: []route.Route{
+			{Host: "desk.example", Prefix: "/", Attempts: 2, Timeout: time.Second, Split: []route.Share{{Service: "desk", Weight: 1}}},
+		}})
+		newHost := func(publish func(rumor.Rumor)) (*Forwarder, *quarantine.Quarantine) {
+			q := quarantine.New(quarantine.Options{Clock: clock.System{}, Service: "opaque", Publish: publish})
+			return New(Options{
+				Clock: clock.System{}, Log: logr.Discard(), Codec: &codec, Table: table, Config: func() *route.Table { return config }, Quarantine: q,
+				Runner: scatter.New(scatter.Options{Clock: clock.System{}, Share: share, Quarantine: q}), Ended: func(*requestlog.Entry) {},
+				Requests: requestlog.New(requestlog.Options{Clock: clock.System{}, Log: logr.Discard()}),
+			}), q
+		}
+		other, heard := newHost(func(rumor.Rumor) {})
+		first, _ := newHost(func(r rumor.Rumor) { heard.Heard(r) })
+		ask := func(f *Forwarder, body string) *httptest.ResponseRecorder {
+			w := httptest.NewRecorder()
+			f.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodPost, "http://desk.example/drop", strings.NewReader(body)))
+			return w
+		}
+		for range 2 {
+			qt.Check(t, ask(first, "odd").Code, qt.Equals, http.StatusBadGateway)
+		}
+		w := ask(other, "odd")
+		qt.Check(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
+		qt.Check(t, w.Header().Get("Retry-After"), qt.Equals, "60")
+		qt.Check(t, ask(other, "another").Code, qt.Equals, http.StatusBadGateway)
+		time.Sleep(3 * time.Second)
+	})
+}
+
 // A client goes away while its page is being made. Should anything still read from the connection, it must not find an empty page that
 // looks like a good answer.
 func TestClientGoneIsNoSuccess(t *testing.T) {
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -26,6 +26,7 @@
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/forward"
 	"guavaspring.org/entry/internal/frontmetrics"
+	"guavaspring.org/entry/internal/quarantine"
 	"guavaspring.org/entry/internal/requestlog"
 	"guavaspring.org/entry/internal/scatter"
 	"guavaspring.org/entry/internal/spend"
@@ -104,6 +105,8 @@
 	began  time.Time
 	log    *requestlog.Log
 	counts *frontmetrics.Metrics
+	// crashers holds the requests that crash replicas.
+	crashers *quarantine.Quarantine
 }
 
 // New returns a host that does nothing until Run.
@@ -118,6 +121,7 @@
 	f.joined = j
 	f.log = requestlog.New(requestlog.Options{Clock: opts.Clock, Log: opts.Log, Dropped: opts.LinesLost})
 	f.counts = f.newMetrics()
+	f.crashers = f.newQuarantine()
 	return f, nil
 }
 
@@ -155,7 +159,8 @@
 func (f *Front) servers() []transport.Server {
 	fwd := forward.New(forward.Options{
 		Clock: f.opts.Clock, Log: f.opts.Log, Codec: &f.opts.Codec, Config: f.config.Load, Table: f.table,
-		Runner: scatter.New(scatter.Options{Clock: f.opts.Clock, Share: f.part}), Requests: f.log, Ended: f.ended,
+		Runner: scatter.New(scatter.Options{Clock: f.opts.Clock, Share: f.part, Quarantine: f.crashers}), Quarantine: f.crashers,
+		Requests: f.log, Ended: f.ended,
 	})
 	servers := []transport.Server{
 		f.server(f.opts.Front, f.drain.Filter(fwd)),
--- a/entry/internal/front/joined.go
+++ b/entry/internal/front/joined.go
@@ -30,6 +30,7 @@
 	list      *member.List
 	peers     *peers.Peers
 	directory *directory.Directory
+	rumors    *rumor.Store
 	configs   *relay.Copy[route.Config]
 	replicas  *relay.Copy[platform.Replica]
 
@@ -59,12 +60,13 @@
 	j.directory = directory.New(directory.Options{
 		Clock: opts.Clock, Log: opts.Log, List: opts.Store.List, Get: opts.Store.Get, Put: opts.Store.Put, Self: j.list.Self, Hosts: j.list.Hosts, Seeded: seeded,
 	})
+	j.rumors = rumor.New(opts.Clock, func() int { return len(j.list.Hosts()) })
 	j.peers, err = peers.New(peers.Options{
 		Clock: opts.Clock, Log: opts.Log, Listener: l, List: j.list, Rand: newRand(),
 		// Documents and replica lists of the project's own interface are not shared here: both come from the platform's store.
 		Store: accepted.New(func(accepted.Generation) {}), Listing: listing.New(opts.Clock), Replicas: func() []platform.Replica { return nil },
 		Services: map[string]any{relayService: &relay.Methods{Clock: opts.Clock, ConfigCopy: j.configs, ReplicaCopy: j.replicas}},
-		Rumors:   rumor.New(opts.Clock, func() int { return len(j.list.Hosts()) }),
+		Rumors:   j.rumors,
 		Contacts: func() []netip.AddrPort { return append(j.directory.Contacts(), opts.Seeds()...) },
 	})
 	return j, err
--- a/entry/internal/quarantine/quarantine.go
+++ b/entry/internal/quarantine/quarantine.go
@@ -95,12 +95,14 @@
 	return &Quarantine{opts: opts, records: map[string]*record{}, carries: map[string]*Try{}, changed: make(chan struct{})}
 }
 
-// Fingerprint names a request by its service and its body as the upstream gets it.
-func Fingerprint(service string, body []byte) string {
+// Fingerprint names a request by its service and its content as the upstream gets it, part by part.
+func Fingerprint(service string, content ...[]byte) string {
 	d := xxhash.New()
 	_, _ = d.WriteString(service)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(body)
+	for _, part := range content {
+		_, _ = d.Write([]byte{0})
+		_, _ = d.Write(part)
+	}
 	return strconv.FormatUint(d.Sum64(), 16)
 }
 
@@ -116,6 +118,36 @@
 	return Verdict{Refused: r.held, RetryAfter: r.until.Sub(now), Suspect: true}
 }
 
+// Outcome says what a try that was sent tells of its request.
+type Outcome string
+
+// The outcomes of a try.
+const (
+	// Broke means that the connection broke under the try.
+	Broke Outcome = "broke"
+	// Answered means that the shard answered.
+	Answered Outcome = "answered"
+	// Left means that the try tells nothing.
+	Left Outcome = "left"
+)
+
+// Guard sends a try of shard n to a replica by send, unless the request is quarantined or may not go there now, and learns from how it ended.
+func (q *Quarantine) Guard(ctx context.Context, fp string, n int, replica string, send func() Outcome) error {
+	try, err := q.Enter(ctx, fp, n, replica)
+	if err != nil {
+		return err
+	}
+	switch send() {
+	case Broke:
+		try.Broke()
+	case Answered:
+		try.Answered()
+	default:
+		try.Left()
+	}
+	return nil
+}
+
 // Try is one try of a request that may be sent; exactly one of Broke, Answered and Left must follow.
 type Try struct {
 	q       *Quarantine
--- a/entry/internal/replicatest/farm.go
+++ b/entry/internal/replicatest/farm.go
@@ -3,13 +3,13 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"guavaspring.org/core/feed"
@@ -30,6 +30,8 @@
 	NotRun, Silent bool
 	// Close ends the connection after the reply.
 	Close bool
+	// CrashFor takes the replica down after the work instead of a reply: all its connections break, and new ones are refused for so long.
+	CrashFor time.Duration
 }
 
 // Replica is one replica that answers as Handle says.
@@ -40,6 +42,10 @@
 	mu       sync.Mutex
 	runs     []string
 	arrivals int
+	crashes  int
+	// downUntil is when a replica that crashed accepts connections again, conns holds those that are open.
+	downUntil time.Time
+	conns     map[net.Conn]bool
 }
 
 // Runs returns the ids of the requests that ran, in order.
@@ -56,6 +62,42 @@
 	return r.arrivals
 }
 
+// Crashes returns how often the replica went down.
+func (r *Replica) Crashes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashes
+}
+
+func (r *Replica) crash(down time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashes++
+	r.downUntil = time.Now().Add(down)
+	for c := range r.conns {
+		_ = c.Close()
+	}
+	clear(r.conns)
+}
+
+// open takes a new connection, unless the replica is down.
+func (r *Replica) open(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Now().Before(r.downUntil) {
+		return false
+	}
+	r.conns[c] = true
+	return true
+}
+
+func (r *Replica) closed(c net.Conn) {
+	_ = c.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, c)
+}
+
 // Farm holds replicas by address.
 type Farm struct {
 	mu       sync.Mutex
@@ -77,7 +119,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(f.replicas) + 1)}), 80)
-	r := &Replica{Row: platform.Replica{ID: fmt.Sprintf("%s-%d", service, n), Service: service, Addr: addr, Zone: "a", State: platform.StateLive, Slots: 5}, Handle: handle}
+	r := &Replica{Row: platform.Replica{ID: fmt.Sprintf("%s-%d", service, n), Service: service, Addr: addr, Zone: "a", State: platform.StateLive, Slots: 5}, Handle: handle, conns: map[net.Conn]bool{}}
 	f.replicas[addr] = r
 	return r
 }
@@ -116,8 +158,6 @@
 	return b
 }
 
-var errRefused = errors.New("connection refused")
-
 // Dial opens a connection to the replica at addr.
 func (f *Farm) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	f.mu.Lock()
@@ -128,11 +168,11 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	if r == nil {
-		return nil, errRefused
-	}
 	time.Sleep(f.DialTime)
 	here, there := net.Pipe()
+	if r == nil || !r.open(there) {
+		return nil, syscall.ECONNREFUSED
+	}
 	f.mu.Lock()
 	f.conns = append(f.conns, there)
 	f.mu.Unlock()
@@ -141,7 +181,7 @@
 }
 
 func (r *Replica) serve(c net.Conn) {
-	defer c.Close()
+	defer r.closed(c)
 	br := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(br)
@@ -155,6 +195,10 @@
 		a := r.Handle(req, body)
 		r.note(req, a)
 		time.Sleep(a.After)
+		if a.CrashFor > 0 {
+			r.crash(a.CrashFor)
+			return
+		}
 		if a.Silent {
 			// The connection stays open and says nothing more.
 			_, _ = io.Copy(io.Discard, br)
@@ -194,6 +238,11 @@
 	return func(*http.Request, []byte) Answer { return Answer{After: after} }
 }
 
+// Crash takes the replica down after some time of work.
+func Crash(after, down time.Duration) func(*http.Request, []byte) Answer {
+	return func(*http.Request, []byte) Answer { return Answer{After: after, CrashFor: down} }
+}
+
 // Full refuses each request without running it.
 func Full() func(*http.Request, []byte) Answer {
 	return func(req *http.Request, _ []byte) Answer {
--- a/entry/internal/scatter/scatter.go
+++ b/entry/internal/scatter/scatter.go
@@ -12,6 +12,7 @@
 	"guavaspring.org/entry/internal/endpoints"
 	"guavaspring.org/entry/internal/exchange"
 	"guavaspring.org/entry/internal/latency"
+	"guavaspring.org/entry/internal/quarantine"
 )
 
 const (
@@ -54,6 +55,8 @@
 	Share func() float64
 	// Draw returns a random number between 0 and 1 and must be safe for concurrent use; nil means rand.Float64.
 	Draw func() float64
+	// Quarantine holds the requests that crash replicas; nil means one of the runner's own.
+	Quarantine *quarantine.Quarantine
 }
 
 // Runner runs requests.
@@ -64,6 +67,9 @@
 	if opts.Draw == nil {
 		opts.Draw = rand.Float64
 	}
+	if opts.Quarantine == nil {
+		opts.Quarantine = quarantine.New(quarantine.Options{Clock: opts.Clock})
+	}
 	return &Runner{opts: opts}
 }
 
@@ -76,6 +82,9 @@
 	// Recent holds how long replies to the route took lately.
 	Recent            *latency.Recent
 	Arrived, Deadline time.Time
+	// Fingerprint names the request by its content, and Suspect says that a replica crashed under it a moment ago.
+	Fingerprint string
+	Suspect     bool
 }
 
 // Report is what a request came to.
--- a/entry/internal/scatter/scatter_test.go
+++ b/entry/internal/scatter/scatter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -18,6 +19,7 @@
 	"guavaspring.org/core/upstream"
 	"guavaspring.org/entry/internal/endpoints"
 	"guavaspring.org/entry/internal/latency"
+	"guavaspring.org/entry/internal/quarantine"
 	"guavaspring.org/entry/internal/replicatest"
 	"guavaspring.org/entry/internal/scatter"
 	"guavaspring.org/entry/internal/spend"
@@ -31,6 +33,8 @@
 	run    *scatter.Runner
 	recent *latency.Recent
 	n      atomic.Int64
+	// crashers holds the requests that take replicas down.
+	crashers *quarantine.Quarantine
 }
 
 func newBed(t *testing.T, slack float64) *bed {
@@ -42,7 +46,8 @@
 		Clock: clock.System{}, Log: logr.Discard(), Zone: "a", Codec: &codec, Dial: b.farm.Dial, Share: share,
 		Spend: spend.Options{Ratio: 0.2, Slack: slack, Window: 10 * time.Second},
 	})
-	b.run = scatter.New(scatter.Options{Clock: clock.System{}, Share: share, Draw: func() float64 { return 0 }})
+	b.crashers = quarantine.New(quarantine.Options{Clock: clock.System{}, Service: "opaque"})
+	b.run = scatter.New(scatter.Options{Clock: clock.System{}, Share: share, Draw: func() float64 { return 0 }, Quarantine: b.crashers})
 	return b
 }
 
@@ -55,12 +60,21 @@
 }
 
 func (b *bed) ask(ctx context.Context, rt *route.Route) (scatter.Report, time.Duration) {
+	return b.askFor(ctx, rt, "/x")
+}
+
+func (b *bed) askFor(ctx context.Context, rt *route.Route, target string) (scatter.Report, time.Duration) {
 	n := b.n.Add(1)
 	began := time.Now()
 	q := scatter.Query{
-		Request: &opaque.Request{ID: fmt.Sprintf("q%d", n), Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{}},
-		Route:   rt, Recent: b.recent, Arrived: began, Deadline: began.Add(rt.Timeout),
+		Request: &opaque.Request{ID: fmt.Sprintf("q%d", n), Method: http.MethodGet, Target: target, Host: "h", Header: http.Header{}},
+		Route:   rt, Recent: b.recent, Arrived: began, Deadline: began.Add(rt.Timeout), Fingerprint: target,
+	}
+	verdict := b.crashers.Check(target)
+	if verdict.Refused {
+		return scatter.Report{Ending: scatter.Lost}, 0
 	}
+	q.Suspect = verdict.Suspect
 	for _, name := range rt.Services() {
 		q.Shards = append(q.Shards, b.table.Service(name))
 	}
@@ -300,3 +314,87 @@
 		return replicatest.OK("r", 0, "x")(req, body)
 	}
 }
+
+const poison = "/poison"
+
+// crashy answers everything but the poison, which takes the replica down for two seconds.
+func crashy(req *http.Request, body []byte) replicatest.Answer {
+	if req.URL.Path == poison {
+		return replicatest.Answer{After: 10 * time.Millisecond, CrashFor: 2 * time.Second}
+	}
+	return replicatest.OK("r", 30*time.Millisecond, "x")(req, body)
+}
+
+// One lookup crashes each replica that runs it, and its caller sends it again and again. Without a stop every shard loses its replicas as
+// fast as they come back, and pages of all others go out with holes for as long as the caller tries. It has to end
+// with the first attempt or two, and lookups that were running beside it must not be taken for it.
+func TestCrashingRequestEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 50)
+		var replicas []*replicatest.Replica
+		for i := range 10 {
+			for n := range 3 {
+				replicas = append(replicas, b.farm.Add(fmt.Sprintf("s%d", i), n, crashy))
+			}
+		}
+		crashes := func() int {
+			n := 0
+			for _, r := range replicas {
+				n += r.Crashes()
+			}
+			return n
+		}
+		b.usual()
+		rt := overShards(0.75)
+		began := time.Now()
+		var callers sync.WaitGroup
+		callers.Go(func() {
+			for time.Since(began) < 20*time.Second {
+				b.askFor(t.Context(), rt, poison)
+				time.Sleep(300 * time.Millisecond)
+			}
+		})
+		var late, failed atomic.Int64
+		atFirst := 0
+		for i := range 1000 {
+			callers.Go(func() {
+				asked := time.Since(began)
+				rep, _ := b.askFor(t.Context(), rt, fmt.Sprintf("/x%d", i))
+				switch {
+				case rep.Ending == scatter.Complete:
+				case asked > 4*time.Second:
+					late.Add(1)
+				case rep.Ending == scatter.Lost:
+					failed.Add(1)
+				}
+			})
+			time.Sleep(20 * time.Millisecond)
+			if i == 200 {
+				atFirst = crashes()
+			}
+		}
+		callers.Wait()
+		qt.Check(t, crashes()-atFirst, qt.Equals, 0, qt.Commentf("%d crashes in the first 4 s", atFirst))
+		qt.Check(t, atFirst <= 12, qt.IsTrue, qt.Commentf("%d crashes in the first 4 s", atFirst))
+		qt.Check(t, late.Load(), qt.Equals, int64(0))
+		qt.Check(t, failed.Load(), qt.Equals, int64(0))
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// Connections to replicas break under what they run, as something between the two ends drops them, and the replicas live. A greeter's
+// lookup that met it twice must not be refused when the tablet sends it again.
+func TestBrokenConnectionsAreNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 50)
+		for n := range 3 {
+			b.farm.Add("s0", n, replicatest.Broken(time.Millisecond))
+		}
+		b.usual()
+		for range 5 {
+			b.ask(t.Context(), plain(true))
+			qt.Check(t, b.crashers.Check("/x").Suspect, qt.IsFalse)
+		}
+		time.Sleep(3 * time.Second)
+	})
+}
--- a/entry/internal/scatter/tries.go
+++ b/entry/internal/scatter/tries.go
@@ -6,6 +6,7 @@
 	"guavaspring.org/core/upstream"
 	"guavaspring.org/entry/internal/endpoints"
 	"guavaspring.org/entry/internal/exchange"
+	"guavaspring.org/entry/internal/quarantine"
 )
 
 // What names a decision about one shard.
@@ -139,12 +140,12 @@
 	s.sent++
 	s.running++
 	p.note(what, i, c, why)
-	if s.sent < p.Route.Attempts && p.Route.Idempotent {
+	if s.sent < p.Route.Attempts && p.Route.Idempotent && !p.Suspect {
 		s.hedgeAt = p.now.Add(p.timing.hedge)
 	}
 	call := endpoints.Call{Request: p.Request, Deadline: p.Deadline, Connections: p.Shards[i].Connections(), Usual: p.timing.usual, Once: !p.Route.Idempotent}
 	go func() {
-		res := r.Send(p.ctx, call)
+		res := p.guarded(i, r, call)
 		if res.Kind == upstream.KindOK {
 			p.Recent.Observe(res.Took)
 		}
@@ -155,6 +156,31 @@
 	}
 }
 
+// guarded sends a try unless its request is known to crash replicas.
+func (p *plan) guarded(i int, r *endpoints.Replica, call endpoints.Call) exchange.Result {
+	var res exchange.Result
+	err := p.run.opts.Quarantine.Guard(p.ctx, p.Fingerprint, i, r.ID(), func() quarantine.Outcome {
+		res = r.Send(p.ctx, call)
+		return outcome(&res)
+	})
+	if err != nil {
+		return exchange.Result{Kind: upstream.KindNotSent, Detail: err.Error()}
+	}
+	return res
+}
+
+// outcome says what the end of a try tells of its request. A connection that broke is not enough: something between the two ends may
+// drop connections of replicas that live, under one request in three for some seconds.
+func outcome(res *exchange.Result) quarantine.Outcome {
+	switch {
+	case res.Kind == upstream.KindOK:
+		return quarantine.Answered
+	case res.Died:
+		return quarantine.Broke
+	}
+	return quarantine.Left
+}
+
 // hedge sends a second try beside one that is late, where the budget allows it.
 func (p *plan) hedge(i int) {
 	s := &p.shards[i]
--- a/entry/internal/service/quarantine.go
+++ b/entry/internal/service/quarantine.go
@@ -38,18 +38,24 @@
 }
 
 func (s *Service) guard(ctx context.Context, r *replica.Replica, shard int, body []byte, send func() upstream.Result) upstream.Result {
-	try, err := s.crashers.Enter(ctx, quarantine.Fingerprint(s.name, body), shard, r.ID)
+	var res upstream.Result
+	err := s.crashers.Guard(ctx, quarantine.Fingerprint(s.name, body), shard, r.ID, func() quarantine.Outcome {
+		res = send()
+		return outcome(res.Kind)
+	})
 	if err != nil {
 		return upstream.Result{Kind: upstream.KindRefused, Detail: err.Error()}
 	}
-	res := send()
-	switch res.Kind {
+	return res
+}
+
+func outcome(kind upstream.Kind) quarantine.Outcome {
+	switch kind {
 	case upstream.KindOK:
-		try.Answered()
+		return quarantine.Answered
 	case upstream.KindBroken:
-		try.Broke()
+		return quarantine.Broke
 	default:
-		try.Left()
+		return quarantine.Left
 	}
-	return res
 }
