overload: Refuse requests as a whole where many shards are behind

Ruled out: hedges (375 beside 17,494 first tries), the connections' limit (550 tries found none, and waited), the budget (none denied).

Change: before anything is sent, the host works out how long each shard's waiting tries take to be sent. Where more shards are behind than an answer may lack, and a quarter of all beside, the request is refused at once, truly not run, with when to come back.

A try that found no room in time now says so in the log.

--- a/entry/internal/endpoints/replica.go
+++ b/entry/internal/endpoints/replica.go
@@ -172,7 +172,9 @@
 
 // Send sends one request, unless the replica was found leaving meanwhile, and learns from how it ends.
 func (r *Replica) Send(ctx context.Context, call Call) exchange.Result {
-	n := r.Begin(r.clock.Now())
+	began := r.clock.Now()
+	n := r.Begin(began)
+	r.service.load.begin()
 	res := r.pool.Do(ctx, &exchange.Call{
 		Request: call.Request, Replica: r.ID(), Deadline: call.Deadline, Connections: call.Connections, Once: call.Once,
 		// What waited for a connection may have outlived the replica's place in the list.
@@ -183,7 +185,9 @@
 			return nil
 		},
 	})
+	now := r.clock.Now()
 	r.End(n, &res, call.Usual)
-	r.service.Wake(r.clock.Now())
+	r.service.load.end(now.Sub(began))
+	r.service.Wake(now)
 	return res
 }
--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,43 @@
 	conns atomic.Int64
 	// part returns which part of all requests this host sends.
 	part func() float64
+	load load
+}
+
+// load is how busy this host keeps the replicas of a service.
+type load struct {
+	mu sync.Mutex
+	// running counts the tries under way, took is how long the late ones took.
+	running int
+	took    time.Duration
+}
+
+// tookWeight is the weight of the newest try in the mean time of a service's tries; a queue of some dozen is there before the mean has moved by more than half.
+const tookWeight = 1.0 / 16
+
+func (l *load) begin() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running++
+}
+
+func (l *load) end(took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running--
+	if l.took == 0 {
+		l.took = took
+	}
+	l.took += time.Duration(tookWeight * float64(took-l.took))
+}
+
+// Delay returns how long a try that comes now is expected to wait for room: as long as those that wait already take to be sent, where as
+// many run at once as do now.
+func (s *Service) Delay() time.Duration {
+	waiting := s.Waiting()
+	s.load.mu.Lock()
+	defer s.load.mu.Unlock()
+	return time.Duration(waiting) * s.load.took / time.Duration(max(1, s.load.running))
 }
 
 const (
--- a/entry/internal/forward/forwarder.go
+++ b/entry/internal/forward/forwarder.go
@@ -247,6 +247,9 @@
 }
 
 func retryAfter(rep *scatter.Report) time.Duration {
+	if rep.Ending == scatter.Overload {
+		return rep.RetryAfter.Round(time.Millisecond)
+	}
 	for i := range rep.Results {
 		if rep.Results[i].Kind == upstream.KindShed || rep.Results[i].Busy {
 			return retryShed
--- a/entry/internal/scatter/scatter.go
+++ b/entry/internal/scatter/scatter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -12,6 +11,7 @@
 	"guavaspring.org/entry/internal/endpoints"
 	"guavaspring.org/entry/internal/exchange"
 	"guavaspring.org/entry/internal/latency"
+	"guavaspring.org/entry/internal/overload"
 	"guavaspring.org/entry/internal/quarantine"
 )
 
@@ -46,6 +46,8 @@
 	Expired Ending = "expired"
 	// Gone means that the client went away.
 	Gone Ending = "client_gone"
+	// Overload means that nothing was sent, since more waits for the shards than can be answered in time.
+	Overload Ending = "overload"
 )
 
 // Options configures a Runner.
@@ -102,6 +104,10 @@
 	Denied int
 	// Steps holds what was decided, in order.
 	Steps []Step
+	// Behind is how long the shards were behind when the request came, and Spare how long it could wait for them.
+	Behind, Spare time.Duration
+	// RetryAfter is when to come back after Overload.
+	RetryAfter time.Duration
 	// Usual and Hedge are the times that the request was measured by: of a healthy replica's reply, and after which a second try is sent.
 	Usual, Hedge time.Duration
 }
@@ -109,6 +115,12 @@
 // Run sends the request and returns once its end is decided.
 func (run *Runner) Run(ctx context.Context, q Query) Report {
 	p := newPlan(run, q)
+	p.report.Spare = p.spare()
+	d := overload.Decide(p.delays(), p.least, p.report.Spare)
+	p.report.Behind = d.Wait
+	if d.Refused {
+		return p.refuse()
+	}
 	p.start(ctx)
 	rep := p.collect(ctx)
 	p.leave(rep.Ending)
@@ -168,6 +180,30 @@
 	return p
 }
 
+// delays returns how long a try of each shard is expected to wait for room.
+func (p *plan) delays() []time.Duration {
+	list := make([]time.Duration, len(p.Shards))
+	for i, s := range p.Shards {
+		list[i] = s.Delay()
+	}
+	return list
+}
+
+// spare returns how long a try may wait for the answer to be in time. Where replicas are so slow that none can be, it is what the
+// deadline leaves.
+func (p *plan) spare() time.Duration {
+	if d := p.timing.cutoff - p.timing.late; d >= p.timing.usual {
+		return d
+	}
+	return p.end().Sub(p.Arrived) - p.timing.late
+}
+
+// refuse ends a request to which nothing was sent. Who comes back after the wait, each a little later than the one before, finds room again.
+func (p *plan) refuse() Report {
+	p.report.RetryAfter = p.report.Behind + time.Duration(p.run.opts.Draw()*float64(p.timing.cutoff))
+	return p.finish(Overload)
+}
+
 // start sends the first try of each shard. What is not idempotent is not ended with the client: it may have run, and its replica
 // should not be cut off.
 func (p *plan) start(ctx context.Context) {
@@ -311,5 +347,3 @@
 	}
 	return p.report
 }
-
-var errNoReplica = errors.New("no replica is left to try")
--- a/entry/internal/scatter/scatter_test.go
+++ b/entry/internal/scatter/scatter_test.go
@@ -38,10 +38,16 @@
 }
 
 func newBed(t *testing.T, slack float64) *bed {
-	b := &bed{farm: replicatest.New(), recent: &latency.Recent{}}
-	t.Cleanup(b.farm.Close)
+	farm := replicatest.New()
+	t.Cleanup(farm.Close)
+	return newHost(farm, slack, 1)
+}
+
+// newHost returns the way of one host, which takes a part of all that the hosts may do together, to the replicas of a farm.
+func newHost(farm *replicatest.Farm, slack, part float64) *bed {
+	b := &bed{farm: farm, recent: &latency.Recent{}}
 	codec := wire.Codec()
-	share := func() float64 { return 1 }
+	share := func() float64 { return part }
 	b.table = endpoints.New(endpoints.Options{
 		Clock: clock.System{}, Log: logr.Discard(), Zone: "a", Codec: &codec, Dial: b.farm.Dial, Share: share,
 		Spend: spend.Options{Ratio: 0.2, Slack: slack, Window: 10 * time.Second},
@@ -315,6 +321,66 @@
 	}
 }
 
+// A fifth more pages come than the replicas of all shards can do, for three seconds, over seven hosts. Each shard on its own turns other pages
+// away, so that many lack two of their ten parts: they work, and are of no use. Nearly all that can be done has to go out
+// in time, and whoever can't be served has to hear so at once and truly, with when to come back.
+func TestOverloadServesWholePages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		farm := replicatest.New()
+		defer farm.Close()
+		speeds := []float64{0.8, 1, 1.3}
+		for i := range 10 {
+			for n := range 3 {
+				farm.Add(fmt.Sprintf("s%d", i), n, slots(5, time.Duration(28*speeds[n])*time.Millisecond))
+			}
+		}
+		const all = 7
+		var hosts []*bed
+		for range all {
+			h := newHost(farm, 50, 1.0/all)
+			h.usual()
+			hosts = append(hosts, h)
+		}
+		rt := overShards(0.89)
+		type outcome struct {
+			rep  scatter.Report
+			took time.Duration
+		}
+		ends := make(chan outcome, 3000)
+		// Three replicas of a shard run five at a time of 22, 28 and 36 ms, which is 543 a second; 650 a second come.
+		const rate, capacity, seconds = 650, 543, 3
+		for i := range rate * seconds {
+			go func() {
+				rep, took := hosts[i%all].ask(t.Context(), rt)
+				ends <- outcome{rep, took}
+			}()
+			time.Sleep(time.Second / rate)
+		}
+		inTime, refused, held, failed := 0, 0, 0, 0
+		for range rate * seconds {
+			o := <-ends
+			switch {
+			case o.rep.Answered >= 9 && o.took <= rt.Objective:
+				inTime++
+			case o.rep.Ending == scatter.Overload:
+				refused++
+				qt.Check(t, o.rep.Ran, qt.IsFalse)
+				qt.Check(t, o.rep.RetryAfter > 0, qt.IsTrue)
+				if o.took > 0 {
+					held++
+				}
+			case o.rep.Answered < 9:
+				failed++
+			}
+		}
+		t.Logf("in time %d, refused %d, failed %d of %d", inTime, refused, failed, rate*seconds)
+		qt.Check(t, inTime > capacity*seconds*9/10, qt.IsTrue, qt.Commentf("%d in time", inTime))
+		qt.Check(t, held, qt.Equals, 0)
+		qt.Check(t, failed < rate*seconds/100, qt.IsTrue, qt.Commentf("%d failed", failed))
+		time.Sleep(5 * time.Second)
+	})
+}
+
 const poison = "/poison"
 
 // crashy answers everything but the poison, which takes the replica down for two seconds.
--- a/entry/internal/scatter/tries.go
+++ b/entry/internal/scatter/tries.go
@@ -58,8 +58,10 @@
 		// The try under way may still answer.
 	case verdict == endpoints.Busy && p.now.Add(p.timing.usual).Before(p.end()):
 		p.wait(i, what)
+	case verdict == endpoints.Busy:
+		p.miss(i, why, "too little time is left to wait for room")
 	default:
-		p.miss(i, why, errNoReplica.Error())
+		p.miss(i, why, "no replica is left to try")
 	}
 }
 
