member, memberlog, exchange, endpoints: Let one copy serve where two stood, and export less

The log of the member list and its generator stood in front and in host. Begin, End and ErrBusy were used by their own packages only, Usable by tests only; Running is now counted where tries begin and end. No behaviour changes.

--- a/entry/internal/endpoints/replica.go
+++ b/entry/internal/endpoints/replica.go
@@ -74,8 +74,8 @@
 	return r.usable && (r.lapsed.IsZero() || now.Before(r.lapsed))
 }
 
-// Begin counts a request as under way and returns its number.
-func (r *Replica) Begin(now time.Time) uint64 {
+// begin counts a request as under way and returns its number.
+func (r *Replica) begin(now time.Time) uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.next++
@@ -83,8 +83,8 @@
 	return r.next
 }
 
-// End counts the request as ended and learns from its result, where usual is the time of a healthy replica.
-func (r *Replica) End(n uint64, res *exchange.Result, usual time.Duration) {
+// end counts the request as ended and learns from its result, where usual is the time of a healthy replica.
+func (r *Replica) end(n uint64, res *exchange.Result, usual time.Duration) {
 	now := r.clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -144,7 +144,7 @@
 
 func (r *Replica) failuresAt(now time.Time) float64 { return r.failures * r.fade(now) }
 
-// view returns what a decision needs; l.mu of the service is not held.
+// view returns what a decision needs, whether the replica is left alone for a while, and whether it may be used at all.
 func (r *Replica) view(now time.Time) (v pick.Replica, resting, usable bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -173,7 +173,7 @@
 // Send sends one request, unless the replica was found leaving meanwhile, and learns from how it ends.
 func (r *Replica) Send(ctx context.Context, call Call) exchange.Result {
 	began := r.clock.Now()
-	n := r.Begin(began)
+	n := r.begin(began)
 	r.service.load.begin()
 	res := r.pool.Do(ctx, &exchange.Call{
 		Request: call.Request, Replica: r.ID(), Deadline: call.Deadline, Connections: call.Connections, Once: call.Once,
@@ -186,7 +186,7 @@
 		},
 	})
 	now := r.clock.Now()
-	r.End(n, &res, call.Usual)
+	r.end(n, &res, call.Usual)
 	r.service.load.end(now.Sub(began))
 	r.service.Wake(now)
 	return res
--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -94,17 +95,6 @@
 // Replicas returns the replicas that are listed; the slice must not be changed.
 func (s *Service) Replicas() []*Replica { return *s.list.Load() }
 
-// Usable returns how many replicas may be sent requests.
-func (s *Service) Usable() int {
-	n := 0
-	for _, r := range s.Replicas() {
-		if r.Usable() {
-			n++
-		}
-	}
-	return n
-}
-
 // Need is what a request asks of a choice.
 type Need struct {
 	// Usual is the time that a healthy replica takes, Within the time in which the reply is of full use.
@@ -130,7 +120,7 @@
 	var best, rested Choice
 	busy := time.Duration(-1)
 	for _, r := range s.Replicas() {
-		if contains(need.Tried, r) {
+		if slices.Contains(need.Tried, r) {
 			continue
 		}
 		v, resting, usable := r.view(now)
@@ -168,22 +158,9 @@
 	}
 }
 
-func contains(list []*Replica, r *Replica) bool {
-	for _, other := range list {
-		if other == r {
-			return true
-		}
-	}
-	return false
-}
-
 // Running returns how many requests of this host are under way at the replicas.
 func (s *Service) Running() int {
-	n := 0
-	for _, r := range s.Replicas() {
-		r.mu.Lock()
-		n += len(r.running)
-		r.mu.Unlock()
-	}
-	return n
+	s.load.mu.Lock()
+	defer s.load.mu.Unlock()
+	return s.load.running
 }
--- a/entry/internal/endpoints/table_test.go
+++ b/entry/internal/endpoints/table_test.go
@@ -32,6 +32,16 @@
 	return feed.Batch[platform.Replica]{Revision: 9, Entries: []feed.Entry[platform.Replica]{{Name: row.ID, Revision: 9, Deleted: deleted, Value: row}}}
 }
 
+func usable(s *endpoints.Service) int {
+	n := 0
+	for _, r := range s.Replicas() {
+		if r.Usable() {
+			n++
+		}
+	}
+	return n
+}
+
 // A replica announces that it leaves, or is taken off the list. From then on nothing is sent to it, as it may end at any moment.
 func TestLeavingReplicaIsNotUsed(t *testing.T) {
 	for _, deleted := range []bool{false, true} {
@@ -40,11 +50,11 @@
 		f.Add("a", 2, replicatest.OK("a-2", 0, "x"))
 		table := newTable(f)
 		table.Replace(f.Batch(), false)
-		qt.Assert(t, table.Service("a").Usable(), qt.Equals, 2)
+		qt.Assert(t, usable(table.Service("a")), qt.Equals, 2)
 		row := r.Row
 		row.State = platform.StateLeaving
 		table.Change(changed(row, deleted), false)
-		qt.Assert(t, table.Service("a").Usable(), qt.Equals, 1)
+		qt.Assert(t, usable(table.Service("a")), qt.Equals, 1)
 	}
 }
 
@@ -58,11 +68,11 @@
 		table := newTable(f)
 		table.Replace(f.Batch(), false)
 		table.Replace(feed.Batch[platform.Replica]{Revision: 5}, true)
-		qt.Assert(t, table.Service("a").Usable(), qt.Equals, 2)
+		qt.Assert(t, usable(table.Service("a")), qt.Equals, 2)
 		time.Sleep(time.Second)
 		table.Change(changed(back.Row, false), false)
 		time.Sleep(2 * time.Second)
-		qt.Assert(t, table.Service("a").Usable(), qt.Equals, 1)
+		qt.Assert(t, usable(table.Service("a")), qt.Equals, 1)
 		qt.Assert(t, table.Service("a").Replicas()[0].ID(), qt.Equals, "a-1")
 	})
 }
--- a/entry/internal/exchange/pool.go
+++ b/entry/internal/exchange/pool.go
@@ -42,9 +42,6 @@
 	MaxReply = 8 << 20
 )
 
-// ErrBusy is the detail of a request that was not sent since every connection allowed to the replica is in use.
-const ErrBusy = "every connection to the replica is in use"
-
 // Options configures a Pool.
 type Options struct {
 	Clock clock.Clock
@@ -188,7 +185,8 @@
 	return false
 }
 
-var errBusy = errors.New(ErrBusy)
+// errBusy is why a request was not sent whose replica allows no further connection.
+var errBusy = errors.New("every connection to the replica is in use")
 
 // take returns an unused connection, or opens one.
 func (p *Pool) take(ctx context.Context, call *Call) (*conn, error) {
--- a/entry/internal/front/joined.go
+++ b/entry/internal/front/joined.go
@@ -3,21 +3,19 @@
 import (
 	"context"
 	"fmt"
-	mathrand "math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
-	"guavaspring.org/core/event"
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/route"
 	"guavaspring.org/entry/internal/accepted"
 	"guavaspring.org/entry/internal/directory"
-	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/listing"
 	"guavaspring.org/entry/internal/member"
+	"guavaspring.org/entry/internal/memberlog"
 	"guavaspring.org/entry/internal/peers"
 	"guavaspring.org/entry/internal/placement"
 	"guavaspring.org/entry/internal/relay"
@@ -56,13 +54,13 @@
 	}
 	j := &joined{configs: relay.NewCopy[route.Config](), replicas: relay.NewCopy[platform.Replica]()}
 	self := member.Host{ID: incarnation, Caller: opts.Front, Peer: opts.Peer, Zone: opts.Zone, Region: opts.Region, Capacity: opts.Capacity}
-	j.list = member.New(member.Options{Self: self, Rand: newRand(), Changed: func(old, now member.Host) { logMember(opts, old, now) }})
+	j.list = member.New(member.Options{Self: self, Rand: member.NewRand(), Changed: memberlog.Changed(opts.Log)})
 	j.directory = directory.New(directory.Options{
 		Clock: opts.Clock, Log: opts.Log, List: opts.Store.List, Get: opts.Store.Get, Put: opts.Store.Put, Self: j.list.Self, Hosts: j.list.Hosts, Seeded: seeded,
 	})
 	j.rumors = rumor.New(opts.Clock, func() int { return len(j.list.Hosts()) })
 	j.peers, err = peers.New(peers.Options{
-		Clock: opts.Clock, Log: opts.Log, Listener: l, List: j.list, Rand: newRand(),
+		Clock: opts.Clock, Log: opts.Log, Listener: l, List: j.list, Rand: member.NewRand(),
 		// Documents and replica lists of the project's own interface are not shared here: both come from the platform's store.
 		Store: accepted.New(func(accepted.Generation) {}), Listing: listing.New(opts.Clock), Replicas: func() []platform.Replica { return nil },
 		Services: map[string]any{relayService: &relay.Methods{Clock: opts.Clock, ConfigCopy: j.configs, ReplicaCopy: j.replicas}},
@@ -170,16 +168,3 @@
 	}
 	return j.placed
 }
-
-// newRand needs no secrecy: it only spreads probes and repairs.
-func newRand() *mathrand.Rand {
-	return mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
-}
-
-func logMember(opts Options, old, now member.Host) {
-	ev := map[member.State]event.Event{
-		member.StateAlive: events.MemberAlive, member.StateSuspect: events.MemberSuspect,
-		member.StateLeaving: events.MemberLeaving, member.StateDead: events.MemberDead,
-	}[now.State]
-	ev.Log(opts.Log, "id", now.ID, "peer", now.Peer.String(), "zone", now.Zone, "epoch", now.Epoch, "was", old.State)
-}
--- a/entry/internal/host/peers.go
+++ b/entry/internal/host/peers.go
@@ -4,23 +4,19 @@
 	"context"
 	"crypto/rand"
 	"fmt"
-	mathrand "math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
 	"sync"
 
-	"github.com/go-logr/logr"
-
-	"guavaspring.org/core/event"
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/ring"
 	"guavaspring.org/entry/internal/accepted"
 	"guavaspring.org/entry/internal/directory"
-	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/follow"
 	"guavaspring.org/entry/internal/listing"
 	"guavaspring.org/entry/internal/member"
+	"guavaspring.org/entry/internal/memberlog"
 	"guavaspring.org/entry/internal/peers"
 	"guavaspring.org/entry/internal/rumor"
 	"guavaspring.org/entry/internal/status"
@@ -48,13 +44,13 @@
 	}
 	j := &joined{opts: opts, drained: ring.New[drained](drainedQueue)}
 	self := member.Host{ID: rand.Text(), Caller: opts.Listen, Peer: opts.Peer, Zone: opts.Zone, Region: opts.Region}
-	j.list = member.New(member.Options{Self: self, Rand: newRand(), Changed: func(old, now member.Host) { logMember(opts.Log, old, now) }})
+	j.list = member.New(member.Options{Self: self, Rand: member.NewRand(), Changed: memberlog.Changed(opts.Log)})
 	j.directory = directory.New(directory.Options{
 		Clock: opts.Clock, Log: opts.Log, List: client.List, Get: client.Get, Put: client.Put, Self: j.list.Self, Hosts: j.list.Hosts,
 	})
 	j.rumors = rumor.New(opts.Clock, func() int { return len(j.list.Hosts()) })
 	j.peers, err = peers.New(peers.Options{
-		Clock: opts.Clock, Log: opts.Log, Listener: l, List: j.list, Store: store, Rumors: j.rumors, Listing: rows, Replicas: replicas, Rand: newRand(),
+		Clock: opts.Clock, Log: opts.Log, Listener: l, List: j.list, Store: store, Rumors: j.rumors, Listing: rows, Replicas: replicas, Rand: member.NewRand(),
 		Contacts: func() []netip.AddrPort { return append(j.directory.Contacts(), opts.Seeds...) },
 	})
 	return j, err
@@ -124,19 +120,6 @@
 // leave tells the other hosts that this one is stopping.
 func (j *joined) leave(ctx context.Context) { j.peers.Leave(ctx) }
 
-// newRand needs no secrecy: it only spreads probes and repairs.
-func newRand() *mathrand.Rand {
-	return mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
-}
-
-func logMember(log logr.Logger, old, now member.Host) {
-	ev := map[member.State]event.Event{
-		member.StateAlive: events.MemberAlive, member.StateSuspect: events.MemberSuspect,
-		member.StateLeaving: events.MemberLeaving, member.StateDead: events.MemberDead,
-	}[now.State]
-	ev.Log(log, "id", now.ID, "peer", now.Peer.String(), "zone", now.Zone, "epoch", now.Epoch, "was", old.State)
-}
-
 // Hosts returns every host that is not dead, this one included.
 func (h *Host) Hosts() []member.Host { return h.joined.list.Hosts() }
 
--- a/entry/internal/member/list.go
+++ b/entry/internal/member/list.go
@@ -89,6 +89,9 @@
 
 type change struct{ old, now Host }
 
+// NewRand returns a generator for Options.Rand. It needs no secrecy: it only spreads probes and repairs.
+func NewRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 // New returns a list that knows only this host.
 func New(opts Options) *List {
 	opts.Self.Epoch, opts.Self.State = 1, StateAlive
