idle, forward: Hold clients to the configuration's limits

Cause: the limits on unused connections and headers were decoded and not used. A host closed unused connections after a minute whatever operators set: over 75 s set, it would close under clients that come back after four fifths. Ruled out: http.Server.IdleTimeout, which the server reads at any time and which must not change while it runs.

Change: idle.Closer ends unused connections by the limit in force as each becomes unused; a header over its limit is answered 431. The time for a header stays fixed at 10 s, over what operators set.

--- a/entry/internal/forward/forwarder.go
+++ b/entry/internal/forward/forwarder.go
@@ -38,6 +38,8 @@
 const (
 	// unknown is why a host that has just started refuses.
 	unknown = "the configuration is not known yet"
+	// largeHeader is why a request is refused whose header is over the configured limit.
+	largeHeader = "the header is over the limit"
 	// crashes is why a request is refused that took replicas down, whoever sent it.
 	crashes = "the request is quarantined: replicas crashed under it"
 )
@@ -78,7 +80,13 @@
 		refuse(w, http.StatusServiceUnavailable, retryUnknown, unknown)
 		return
 	}
-	body, err := readBody(r, table.Config().Limits.BodyBytes)
+	limits := table.Config().Limits
+	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
+		f.opts.Requests.Refused(f.opts.Codec.Decode(r, nil).ID, r.Host, r.URL.Path, http.StatusRequestHeaderFieldsTooLarge, largeHeader)
+		http.Error(w, largeHeader, http.StatusRequestHeaderFieldsTooLarge)
+		return
+	}
+	body, err := readBody(r, limits.BodyBytes)
 	if err != nil {
 		f.badBody(w, r, err)
 		return
@@ -159,6 +167,18 @@
 
 var errTooLarge = errors.New("the body is over the limit")
 
+// headerBytes returns the size of the request line and the header as they came; the line breaks and separators are counted as written by
+// most clients.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host) + len("  \r\nHost: \r\n\r\n")
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
 func readBody(r *http.Request, most int) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
--- a/entry/internal/forward/forwarder_test.go
+++ b/entry/internal/forward/forwarder_test.go
@@ -98,10 +98,15 @@
 	w := ask("")
 	qt.Assert(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
 	qt.Assert(t, w.Header().Get("Retry-After"), qt.Equals, "0.3")
-	known = route.NewTable(route.Config{Version: 1, Limits: route.Limits{BodyBytes: 3}})
+	known = route.NewTable(route.Config{Version: 1, Limits: route.Limits{BodyBytes: 3, HeaderBytes: 200}})
 	table.Replace(feed.Batch[platform.Replica]{Revision: 1}, false)
 	qt.Assert(t, ask("").Code, qt.Equals, http.StatusNotFound)
 	qt.Assert(t, ask("1234").Code, qt.Equals, http.StatusRequestEntityTooLarge)
+	w = httptest.NewRecorder()
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://a.example/x/", nil)
+	r.Header.Set("Cookie", strings.Repeat("c", 200))
+	f.ServeHTTP(w, r)
+	qt.Assert(t, w.Code, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
 }
 
 // A drop-off form takes down each desk replica that reads it. The third volunteer who sends it, to a host that only heard of it, is told at
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -26,6 +26,7 @@
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/forward"
 	"guavaspring.org/entry/internal/frontmetrics"
+	"guavaspring.org/entry/internal/idle"
 	"guavaspring.org/entry/internal/quarantine"
 	"guavaspring.org/entry/internal/requestlog"
 	"guavaspring.org/entry/internal/scatter"
@@ -40,7 +41,7 @@
 	finishIn = 1200 * time.Millisecond
 	// exitIn is the end of the grace that is left for the process to end by itself.
 	exitIn = 200 * time.Millisecond
-	// idleFor is how long an unused connection of a client is kept where the configuration is not known yet; longer is always safe.
+	// idleFor is how long an unused connection of a client is kept where no configuration says; longer is always safe.
 	idleFor = time.Minute
 	// headersIn bounds the wait for the header of a request.
 	headersIn = 10 * time.Second
@@ -162,8 +163,11 @@
 		Runner: scatter.New(scatter.Options{Clock: f.opts.Clock, Share: f.part, Quarantine: f.crashers}), Quarantine: f.crashers,
 		Requests: f.log, Ended: f.ended,
 	})
+	clients := f.server(f.opts.Front, f.drain.Filter(fwd))
+	clients.IdleTimeout = 0
+	clients.ConnState = idle.New(idle.Options{Clock: f.opts.Clock, Limit: f.idleLimit}).State
 	servers := []transport.Server{
-		f.server(f.opts.Front, f.drain.Filter(fwd)),
+		clients,
 		f.server(f.opts.Readiness, f.opts.Ready(f.ready)),
 		f.server(f.opts.Directory, f.opts.Resolve(f.addresses)),
 	}
@@ -174,12 +178,20 @@
 }
 
 // server returns a kratos server all of whose requests go to h: a router would rewrite paths that must reach replicas unchanged.
-func (f *Front) server(addr netip.AddrPort, h http.Handler) transport.Server {
+func (f *Front) server(addr netip.AddrPort, h http.Handler) *khttp.Server {
 	srv := khttp.NewServer(khttp.Address(addr.String()), khttp.Timeout(0), khttp.Filter(func(http.Handler) http.Handler { return h }))
 	srv.IdleTimeout, srv.ReadHeaderTimeout = idleFor, headersIn
 	return srv
 }
 
+// idleLimit returns how long an unused connection of a client is kept.
+func (f *Front) idleLimit() time.Duration {
+	if t := f.config.Load(); t != nil && t.Config().Limits.IdleTimeout > 0 {
+		return t.Config().Limits.IdleTimeout
+	}
+	return idleFor
+}
+
 // share lets the shares of the replicas' connections follow the number of hosts until ctx ends.
 func (f *Front) share(ctx context.Context) {
 	for ctx.Err() == nil {
--- /dev/null
+++ b/entry/internal/idle/doc.go
@@ -0,0 +1,2 @@
+// Package idle closes the connections of clients that have been unused for too long.
+package idle
