hostlog, gsctl: Tell from the hosts' logs what became of a request

gsctl explain asks a host that may be gone; for opaque requests an engineer on call has the id and the logs only. gsctl trace prints the request's lines, one decision a line, what its host came to believe in the seconds before, and whether the host was lost under it.

--- /dev/null
+++ b/gsctl/internal/hostlog/reader.go
@@ -0,0 +1,219 @@
+package hostlog
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// longestLine bounds one line; a line about a query over 100 shards has about 15 KB.
+	longestLine = 1 << 20
+	// mostBeliefs is how many lines about a host's beliefs are shown at most, the last ones.
+	mostBeliefs = 20
+)
+
+// Options configures a Reader.
+type Options struct {
+	// Out receives the account.
+	Out io.Writer
+	// Before is how long before a request's last line a host's changed beliefs are told.
+	Before time.Duration
+}
+
+// Reader tells what became of a request.
+type Reader struct{ opts Options }
+
+// New returns a reader.
+func New(opts Options) *Reader { return &Reader{opts: opts} }
+
+// line is one line of a host's log.
+type line struct {
+	at     time.Time
+	msg    string
+	fields map[string]json.RawMessage
+}
+
+// ErrNotFound says that no line names the request.
+var ErrNotFound = errors.New("no line names the request: it reached none of these hosts, or its host was lost while it ran")
+
+// Trace reads the log of one host and prints what it says of a request, and what the host came to believe just before. Bytes before the
+// first brace of a line are passed over, since collectors put a time or a host's name there.
+func (r *Reader) Trace(name, id string, log io.Reader) error {
+	about, beliefs, err := read(id, log)
+	if err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	if len(about) == 0 {
+		return ErrNotFound
+	}
+	fmt.Fprintf(r.opts.Out, "%s\n", name)
+	near := r.near(about, beliefs)
+	for _, l := range about {
+		r.print(l)
+	}
+	r.believed(near)
+	r.lost(about, beliefs)
+	return nil
+}
+
+const (
+	msgAdmitted = "request_admitted"
+	msgStarted  = "host_started"
+	msgStopped  = "host_stopped"
+)
+
+// lost says where the host was lost under the request: it started again, and neither the request's end nor its own stop came before.
+func (r *Reader) lost(about, beliefs []line) {
+	last := about[len(about)-1]
+	if last.msg != msgAdmitted {
+		return
+	}
+	for _, l := range beliefs {
+		switch {
+		case l.at.Before(last.at):
+		case l.msg == msgStopped:
+			return
+		case l.msg == msgStarted:
+			fmt.Fprintf(r.opts.Out, "  the host was lost while the request ran: it started again at %s\n", clockTime(l.at))
+			return
+		}
+	}
+}
+
+// TraceFiles reads the logs of several hosts; the error is ErrNotFound where none of them names the request.
+func (r *Reader) TraceFiles(id string, paths []string) error {
+	found := false
+	for _, path := range paths {
+		f, err := os.Open(path)
+		if err != nil {
+			return fmt.Errorf("read log: %w", err)
+		}
+		err = r.Trace(filepath.Base(path), id, f)
+		_ = f.Close()
+		switch {
+		case err == nil:
+			found = true
+		case !errors.Is(err, ErrNotFound):
+			return err
+		}
+	}
+	if !found {
+		return fmt.Errorf("%s: %w", id, ErrNotFound)
+	}
+	return nil
+}
+
+// read returns the lines about the request, and those about no request at all.
+func read(id string, log io.Reader) (about, beliefs []line, err error) {
+	sc := bufio.NewScanner(log)
+	sc.Buffer(nil, longestLine)
+	want, _ := json.Marshal(id)
+	for sc.Scan() {
+		l, ok := parse(sc.Bytes())
+		if !ok {
+			continue
+		}
+		request, has := l.fields["request"]
+		switch {
+		case has && bytes.Equal(request, want):
+			about = append(about, l)
+		case !has:
+			beliefs = append(beliefs, l)
+		}
+	}
+	return about, beliefs, sc.Err()
+}
+
+func parse(text []byte) (line, bool) {
+	start := bytes.IndexByte(text, '{')
+	if start < 0 {
+		return line{}, false
+	}
+	var l line
+	if err := json.Unmarshal(text[start:], &l.fields); err != nil {
+		// Other programs write to the same stream; a line that is cut off can't be told from theirs.
+		return line{}, false
+	}
+	if json.Unmarshal(l.fields["msg"], &l.msg) != nil || json.Unmarshal(l.fields["ts"], &l.at) != nil {
+		return line{}, false
+	}
+	for _, key := range []string{"msg", "ts", "event"} {
+		delete(l.fields, key)
+	}
+	return l, true
+}
+
+// print writes a line, its decisions one below the other.
+func (r *Reader) print(l line) {
+	var steps []string
+	if json.Unmarshal(l.fields["steps"], &steps) == nil {
+		delete(l.fields, "steps")
+	}
+	fmt.Fprintf(r.opts.Out, "  %s %s%s\n", clockTime(l.at), l.msg, text(l.fields))
+	for _, s := range steps {
+		fmt.Fprintf(r.opts.Out, "      %s\n", s)
+	}
+}
+
+// near returns how the host's beliefs changed before the last line about the request. Of replicas only those of services that the
+// request was sent to are told.
+func (r *Reader) near(about, beliefs []line) []line {
+	last := about[len(about)-1].at
+	var near []line
+	for _, l := range beliefs {
+		if !l.at.After(last) && last.Sub(l.at) <= r.opts.Before && concerns(l, about) {
+			near = append(near, l)
+		}
+	}
+	return near
+}
+
+func (r *Reader) believed(near []line) {
+	if len(near) == 0 {
+		fmt.Fprintf(r.opts.Out, "  nothing that the host believed changed in the %s before\n", r.opts.Before)
+		return
+	}
+	fmt.Fprintf(r.opts.Out, "  what the host came to believe in the %s before\n", r.opts.Before)
+	if skipped := len(near) - mostBeliefs; skipped > 0 {
+		fmt.Fprintf(r.opts.Out, "      %d earlier lines are left out\n", skipped)
+		near = near[skipped:]
+	}
+	for _, l := range near {
+		fmt.Fprintf(r.opts.Out, "      %s %s%s\n", clockTime(l.at), l.msg, text(l.fields))
+	}
+}
+
+func concerns(l line, about []line) bool {
+	if !strings.HasPrefix(l.msg, "replica_") {
+		return true
+	}
+	var service string
+	if json.Unmarshal(l.fields["service"], &service) != nil {
+		return true
+	}
+	return slices.ContainsFunc(about, func(a line) bool {
+		steps := a.fields["steps"]
+		return bytes.Contains(steps, []byte(" "+service+" ")) || bytes.Contains(steps, []byte(" "+service+":")) || bytes.Contains(a.fields["service"], []byte(service))
+	})
+}
+
+func clockTime(at time.Time) string { return at.UTC().Format("15:04:05.000") }
+
+// text returns the fields in the order of their names.
+func text(fields map[string]json.RawMessage) string {
+	var b strings.Builder
+	for _, key := range slices.Sorted(maps.Keys(fields)) {
+		fmt.Fprintf(&b, " %s=%s", key, fields[key])
+	}
+	return b.String()
+}
--- a/gsctl/main.go
+++ b/gsctl/main.go
@@ -9,12 +9,14 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 
 	klog "github.com/go-kratos/kratos/v2/log"
 
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/settings"
+	"guavaspring.org/gsctl/internal/hostlog"
 	"guavaspring.org/gsctl/internal/operator"
 )
 
@@ -33,6 +35,10 @@
 	statusWatch := status.Flag("watch", "Go on printing every change until interrupted.").Bool()
 	explain := app.Command("explain", "Print why an answer came out as it did.")
 	explainID := explain.Arg("id", "The answer's explanation_id.").Required().String()
+	trace := app.Command("trace", "Print what the hosts' logs say of an opaque request, and what its host believed then.")
+	traceID := trace.Arg("id", "The request's id.").Required().String()
+	traceLogs := trace.Arg("log", "The log of one host; all of them are searched.").Required().Strings()
+	traceBefore := trace.Flag("before", "How long before the request's last line the host's changed beliefs are told.").Default("10s").Duration()
 	cmd, err := app.Parse(os.Args[1:])
 	if err != nil {
 		settings.Fail(os.Stderr, "gsctl", err)
@@ -62,6 +68,8 @@
 		err = o.Status(limited, *statusService)
 	case explain.FullCommand():
 		err = o.Explain(limited, *explainID)
+	case trace.FullCommand():
+		err = hostlog.New(hostlog.Options{Out: os.Stdout, Before: *traceBefore}).TraceFiles(*traceID, *traceLogs)
 	}
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "gsctl: %v\n", err)
@@ -69,12 +77,15 @@
 	}
 }
 
+// local are the commands that don't need the platform.
+var local = []string{"check", "explain", "trace"}
+
 // clientFor returns the platform's client, which only some commands need.
 func clientFor(cmd string, addr netip.AddrPort) (*platform.Client, error) {
 	if addr.IsValid() {
 		return platform.New(addr)
 	}
-	if strings.HasPrefix(cmd, "check") || strings.HasPrefix(cmd, "explain") {
+	if slices.Contains(local, strings.Fields(cmd)[0]) {
 		return nil, nil
 	}
 	return nil, errors.New("--platform is needed for this command; it can be set by GSCTL_PLATFORM")
