--- a/gsctl/internal/hostlog/reader.go
+++ b/gsctl/internal/hostlog/reader.go
@@ -108,7 +108,28 @@
 		}
 	}
 	if !found {
-		return fmt.Errorf("%s: %w", id, ErrNotFound)
+		return errors.Join(fmt.Errorf("%s: %w", id, ErrNotFound), r.starts(paths))
+	}
+	return nil
+}
+
+// starts prints when each host started: a request that is in no log came while its host was away.
+func (r *Reader) starts(paths []string) error {
+	for _, path := range paths {
+		f, err := os.Open(path)
+		if err != nil {
+			return fmt.Errorf("read log: %w", err)
+		}
+		_, beliefs, err := read("", f)
+		_ = f.Close()
+		if err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		for _, l := range beliefs {
+			if l.msg == msgStarted {
+				fmt.Fprintf(r.opts.Out, "%s started at %s\n", filepath.Base(path), clockTime(l.at))
+			}
+		}
 	}
 	return nil
 }
