--- a/entry/internal/endpoints/table_test.go
+++ b/entry/internal/endpoints/table_test.go
@@ -58,6 +58,16 @@
 	}
 }
 
+// A host starts while a replica leaves: the first list that it reads shows it as leaving already.
+func TestReplicaThatLeavesAtTheStart(t *testing.T) {
+	f := replicatest.New()
+	r := f.Add("a", 1, replicatest.OK("a-1", 0, "x"))
+	r.Row.State = platform.StateLeaving
+	table := newTable(f)
+	table.Replace(f.Batch(), false)
+	qt.Assert(t, usable(table.Service("a")), qt.Equals, 0)
+}
+
 // The store is away for some seconds and forgets replicas that could not write to it. They live, and are back in the list within two
 // seconds of its return; taken as gone at once, a whole service would have no replica. One that does not come back is gone.
 func TestLapsedReplicas(t *testing.T) {
--- /dev/null
+++ b/entry/internal/forward/answers_test.go
@@ -0,0 +1,116 @@
+package forward
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/route"
+	"guavaspring.org/entry/internal/endpoints"
+	"guavaspring.org/entry/internal/quarantine"
+	"guavaspring.org/entry/internal/replicatest"
+	"guavaspring.org/entry/internal/requestlog"
+	"guavaspring.org/entry/internal/scatter"
+	"guavaspring.org/entry/internal/spend"
+	"guavaspring.org/platform/platformtest"
+	"guavaspring.org/platform/wire"
+)
+
+// newForwarder returns a forwarder to the replicas of a farm; listed says that their list is known.
+func newForwarder(farm *replicatest.Farm, listed bool, routes ...route.Route) *Forwarder {
+	codec := wire.Codec()
+	share := func() float64 { return 1 }
+	table := endpoints.New(endpoints.Options{
+		Clock: clock.System{}, Log: logr.Discard(), Codec: &codec, Share: share, Dial: farm.Dial, Spend: spend.Options{Ratio: 1, Slack: 50, Window: 10 * time.Second},
+	})
+	if listed {
+		table.Replace(farm.Batch(), false)
+	}
+	config := route.NewTable(route.Config{Version: 1, Routes: routes})
+	q := quarantine.New(quarantine.Options{Clock: clock.System{}})
+	return New(Options{
+		Clock: clock.System{}, Log: logr.Discard(), Codec: &codec, Table: table, Config: func() *route.Table { return config }, Quarantine: q,
+		Runner: scatter.New(scatter.Options{Clock: clock.System{}, Share: share, Quarantine: q}), Ended: func(*requestlog.Entry) {},
+		Requests: requestlog.New(requestlog.Options{Clock: clock.System{}, Log: logr.Discard()}),
+	})
+}
+
+// One shard of three answers a page with a failure that bears its stamp. The page is made of the two others, names them and no more, and
+// says that one is missing: a record of the failed reply would be a lie, and so would a page that looks whole.
+func TestFailedReplyIsNoPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		farm := replicatest.New()
+		defer farm.Close()
+		farm.Add("s0", 1, replicatest.OK("a", time.Millisecond, "aaaaaaaaaaaaaaaa"))
+		farm.Add("s1", 1, func(r *http.Request, _ []byte) replicatest.Answer {
+			id := platformtest.Read(r).ID
+			return replicatest.Answer{Raw: platformtest.Reply(http.StatusInternalServerError, id, "b."+id, []byte("zzzzzzzzzzzzzzzz"))}
+		})
+		farm.Add("s2", 1, replicatest.OK("c", time.Millisecond, "cccccccccccccccc"))
+		f := newForwarder(farm, true, route.Route{
+			Host: "a.example", Prefix: "/", Idempotent: true, Attempts: 1, Timeout: time.Second, Shards: []string{"s0", "s1", "s2"}, TopK: 5, LeastShare: 0.5,
+		})
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://a.example/x/", nil)
+		r.Header.Set("Request-Id", "7")
+		w := httptest.NewRecorder()
+		f.ServeHTTP(w, r)
+		stamps, missing := platformtest.Parts(w.Header())
+		qt.Check(t, w.Code, qt.Equals, http.StatusOK)
+		qt.Check(t, stamps, qt.Equals, "a.7, c.7")
+		qt.Check(t, missing, qt.Equals, "1")
+		qt.Check(t, w.Body.String(), qt.Equals, "ccccccccccccccccaaaaaaaaaaaaaaaa")
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// A replica takes a request and never answers. Whoever waits for it gets the answer when the first of the two times is up, the operator's
+// for the route or the client's own, and not later.
+func TestAnswerComesWhenTheTimeIsUp(t *testing.T) {
+	tests := []struct {
+		route time.Duration
+		own   string
+		want  time.Duration
+	}{
+		{300 * time.Millisecond, "", 300 * time.Millisecond},
+		{300 * time.Millisecond, "5000", 300 * time.Millisecond},
+		{5 * time.Second, "200", 200 * time.Millisecond},
+		{0, "", 10 * time.Second},
+	}
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			farm := replicatest.New()
+			defer farm.Close()
+			farm.Add("desk", 1, func(*http.Request, []byte) replicatest.Answer { return replicatest.Answer{Silent: true} })
+			f := newForwarder(farm, true, route.Route{Host: "a.example", Prefix: "/", Attempts: 1, Timeout: test.route, Split: []route.Share{{Service: "desk", Weight: 1}}})
+			r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "http://a.example/x/", strings.NewReader("x"))
+			if test.own != "" {
+				r.Header.Set("Deadline-Ms", test.own)
+			}
+			w := httptest.NewRecorder()
+			began := time.Now()
+			f.ServeHTTP(w, r)
+			took := time.Since(began)
+			qt.Check(t, w.Code, qt.Equals, http.StatusGatewayTimeout)
+			qt.Check(t, took <= test.want && took > test.want-50*time.Millisecond, qt.IsTrue, qt.Commentf("%v of %v", took, test.want))
+			time.Sleep(time.Minute)
+		})
+	}
+}
+
+// A host that has just started knows the routes and not yet the replicas. It must not take a service for one without replicas, and says when
+// to come back.
+func TestUnknownReplicasAreNotNone(t *testing.T) {
+	farm := replicatest.New()
+	f := newForwarder(farm, false, route.Route{Host: "a.example", Prefix: "/", Attempts: 1, Timeout: time.Second, Split: []route.Share{{Service: "desk", Weight: 1}}})
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://a.example/x/", nil))
+	qt.Assert(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, w.Header().Get("Retry-After"), qt.Equals, "0.3")
+}
--- a/entry/internal/front/config_test.go
+++ b/entry/internal/front/config_test.go
@@ -59,3 +59,18 @@
 	qt.Assert(t, len(list), qt.Equals, 1)
 	qt.Assert(t, keep <= keepFor, qt.IsTrue)
 }
+
+// A host is told to stop. The platform's checks and clients that ask for addresses must not be sent to it any more, though it serves those
+// that still come; where no other host is known it names none.
+func TestLeavingHostIsNotHandedOut(t *testing.T) {
+	f := newFront(t)
+	f.applyConfig(version(1))
+	f.table.Replace(feed.Batch[platform.Replica]{Revision: 1}, false)
+	qt.Assert(t, f.ready(), qt.IsNil)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	qt.Assert(t, f.drain.Leave(ctx), qt.IsNil)
+	qt.Assert(t, f.ready(), qt.ErrorMatches, "the host is leaving.*")
+	_, _, err := f.addresses("r", "a")
+	qt.Assert(t, err, qt.ErrorMatches, "no host is known to serve")
+}
--- a/entry/internal/scatter/scatter_test.go
+++ b/entry/internal/scatter/scatter_test.go
@@ -242,6 +242,47 @@
 	})
 }
 
+// Every replica of a service breaks what it runs. The operator allows two replicas for a request; a third one that is there must be
+// left alone.
+func TestAttemptsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 50)
+		var replicas []*replicatest.Replica
+		for n := range 5 {
+			replicas = append(replicas, b.farm.Add("s0", n, replicatest.Broken(time.Millisecond)))
+		}
+		b.usual()
+		b.ask(t.Context(), plain(true))
+		runs := 0
+		for _, r := range replicas {
+			runs += len(r.Runs())
+		}
+		qt.Assert(t, runs, qt.Equals, 2)
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// All replicas of a service are slow at once. A second try beside each slow one would double their load; the budget lets only its
+// share through.
+func TestHedgesStayInTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 4)
+		for n := range 3 {
+			b.farm.Add("s0", n, replicatest.OK("r", 600*time.Millisecond, "x"))
+		}
+		b.usual()
+		hedges, denied := 0, 0
+		for range 20 {
+			rep, _ := b.ask(t.Context(), plain(true))
+			hedges += rep.Hedges
+			denied += rep.Denied
+		}
+		qt.Check(t, hedges > 0 && hedges <= 4+20/5, qt.IsTrue, qt.Commentf("%d hedges", hedges))
+		qt.Check(t, denied > 0, qt.IsTrue)
+		time.Sleep(3 * time.Second)
+	})
+}
+
 // A client leaves. What may be repeated is cut off at its replicas within half a second, and a write that may be running is left alone.
 func TestClientGone(t *testing.T) {
 	for _, idempotent := range []bool{true, false} {
@@ -261,6 +302,8 @@
 				free = 1
 			}
 			qt.Check(t, s.Running(), qt.Equals, 1-free)
+			time.Sleep(600 * time.Millisecond)
+			qt.Check(t, s.Running(), qt.Equals, 1-free)
 			time.Sleep(3 * time.Second)
 		})
 	}
