--- a/entry/internal/front/config_test.go
+++ b/entry/internal/front/config_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/netip"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
@@ -13,6 +14,7 @@
 	"guavaspring.org/core/feed"
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/route"
+	"guavaspring.org/entry/internal/rumor"
 )
 
 func newFront(t *testing.T) *Front {
@@ -74,3 +76,14 @@
 	_, _, err := f.addresses("r", "a")
 	qt.Assert(t, err, qt.ErrorMatches, "no host is known to serve")
 }
+
+// Another host has found a request that crashes replicas. Its caller turns to this host next, which must know of it.
+func TestQuarantineIsHeardFromOthers(t *testing.T) {
+	f := newFront(t)
+	_, err := f.joined.rumors.Publish(rumor.Rumor{
+		Kind: rumor.KindQuarantine, Service: opaqueRequests, Key: "fp", Number: 1, Expires: time.Now().Add(time.Minute),
+	})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, f.crashers.Check("fp").Refused, qt.IsTrue)
+	qt.Assert(t, f.crashers.Check("other").Refused, qt.IsFalse)
+}
