soak, subnet: Never let two soaks share an address

The clients of one called the other's hosts: each id ran in both worlds.

Change: a soak holds its part of the loopback network by a listener.

--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -45,7 +45,8 @@
 	took    time.Duration
 }
 
-// tookWeight is the weight of the newest try in the mean time of a service's tries; a queue of some dozen is there before the mean has moved by more than half.
+// tookWeight is the weight of the newest try in the mean time of a service's tries: one in a hundred takes five times as long, and must not
+// double what all others are expected to wait.
 const tookWeight = 1.0 / 16
 
 func (l *load) begin() {
--- a/entry/internal/forward/answers_test.go
+++ b/entry/internal/forward/answers_test.go
@@ -17,6 +17,7 @@
 	"guavaspring.org/entry/internal/quarantine"
 	"guavaspring.org/entry/internal/replicatest"
 	"guavaspring.org/entry/internal/requestlog"
+	"guavaspring.org/entry/internal/rumor"
 	"guavaspring.org/entry/internal/scatter"
 	"guavaspring.org/entry/internal/spend"
 	"guavaspring.org/platform/platformtest"
@@ -24,7 +25,7 @@
 )
 
 // newForwarder returns a forwarder to the replicas of a farm; listed says that their list is known.
-func newForwarder(farm *replicatest.Farm, listed bool, routes ...route.Route) *Forwarder {
+func newForwarder(farm *replicatest.Farm, listed bool, q *quarantine.Quarantine, routes ...route.Route) *Forwarder {
 	codec := wire.Codec()
 	share := func() float64 { return 1 }
 	table := endpoints.New(endpoints.Options{
@@ -34,7 +35,6 @@
 		table.Replace(farm.Batch(), false)
 	}
 	config := route.NewTable(route.Config{Version: 1, Routes: routes})
-	q := quarantine.New(quarantine.Options{Clock: clock.System{}})
 	return New(Options{
 		Clock: clock.System{}, Log: logr.Discard(), Codec: &codec, Table: table, Config: func() *route.Table { return config }, Quarantine: q,
 		Runner: scatter.New(scatter.Options{Clock: clock.System{}, Share: share, Quarantine: q}), Ended: func(*requestlog.Entry) {},
@@ -42,6 +42,10 @@
 	})
 }
 
+func newQuarantine(publish func(rumor.Rumor)) *quarantine.Quarantine {
+	return quarantine.New(quarantine.Options{Clock: clock.System{}, Service: "opaque", Publish: publish})
+}
+
 // One shard of three answers a page with a failure that bears its stamp. The page is made of the two others, names them and no more, and
 // says that one is missing: a record of the failed reply would be a lie, and so would a page that looks whole.
 func TestFailedReplyIsNoPart(t *testing.T) {
@@ -54,7 +58,7 @@
 			return replicatest.Answer{Raw: platformtest.Reply(http.StatusInternalServerError, id, "b."+id, []byte("zzzzzzzzzzzzzzzz"))}
 		})
 		farm.Add("s2", 1, replicatest.OK("c", time.Millisecond, "cccccccccccccccc"))
-		f := newForwarder(farm, true, route.Route{
+		f := newForwarder(farm, true, newQuarantine(nil), route.Route{
 			Host: "a.example", Prefix: "/", Idempotent: true, Attempts: 1, Timeout: time.Second, Shards: []string{"s0", "s1", "s2"}, TopK: 5, LeastShare: 0.5,
 		})
 		r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://a.example/x/", nil)
@@ -88,7 +92,7 @@
 			farm := replicatest.New()
 			defer farm.Close()
 			farm.Add("desk", 1, func(*http.Request, []byte) replicatest.Answer { return replicatest.Answer{Silent: true} })
-			f := newForwarder(farm, true, route.Route{Host: "a.example", Prefix: "/", Attempts: 1, Timeout: test.route, Split: []route.Share{{Service: "desk", Weight: 1}}})
+			f := newForwarder(farm, true, newQuarantine(nil), route.Route{Host: "a.example", Prefix: "/", Attempts: 1, Timeout: test.route, Split: []route.Share{{Service: "desk", Weight: 1}}})
 			r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "http://a.example/x/", strings.NewReader("x"))
 			if test.own != "" {
 				r.Header.Set("Deadline-Ms", test.own)
@@ -108,7 +112,7 @@
 // to come back.
 func TestUnknownReplicasAreNotNone(t *testing.T) {
 	farm := replicatest.New()
-	f := newForwarder(farm, false, route.Route{Host: "a.example", Prefix: "/", Attempts: 1, Timeout: time.Second, Split: []route.Share{{Service: "desk", Weight: 1}}})
+	f := newForwarder(farm, false, newQuarantine(nil), route.Route{Host: "a.example", Prefix: "/", Attempts: 1, Timeout: time.Second, Split: []route.Share{{Service: "desk", Weight: 1}}})
 	w := httptest.NewRecorder()
 	f.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://a.example/x/", nil))
 	qt.Assert(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
--- a/entry/internal/forward/forwarder_test.go
+++ b/entry/internal/forward/forwarder_test.go
@@ -25,9 +25,7 @@
 	"guavaspring.org/entry/internal/quarantine"
 	"guavaspring.org/entry/internal/replicatest"
 	"guavaspring.org/entry/internal/requestlog"
-	"guavaspring.org/entry/internal/rumor"
 	"guavaspring.org/entry/internal/scatter"
-	"guavaspring.org/entry/internal/spend"
 	"guavaspring.org/platform/wire"
 )
 
@@ -113,27 +111,15 @@
 // once that it did not run and when it may be tried again.
 func TestCrashingRequestIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		codec := wire.Codec()
 		farm := replicatest.New()
-		share := func() float64 { return 1 }
-		table := endpoints.New(endpoints.Options{Clock: clock.System{}, Log: logr.Discard(), Codec: &codec, Share: share, Dial: farm.Dial, Spend: spend.Options{Window: time.Second}})
+		defer farm.Close()
 		for n := range 3 {
 			farm.Add("desk", n, replicatest.Crash(time.Millisecond, time.Second))
 		}
-		table.Replace(farm.Batch(), false)
-		config := route.NewTable(route.Config{Version: 1, Routes: []route.Route{
-			{Host: "desk.example", Prefix: "/", Attempts: 2, Timeout: time.Second, Split: []route.Share{{Service: "desk", Weight: 1}}},
-		}})
-		newHost := func(publish func(rumor.Rumor)) (*Forwarder, *quarantine.Quarantine) {
-			q := quarantine.New(quarantine.Options{Clock: clock.System{}, Service: "opaque", Publish: publish})
-			return New(Options{
-				Clock: clock.System{}, Log: logr.Discard(), Codec: &codec, Table: table, Config: func() *route.Table { return config }, Quarantine: q,
-				Runner: scatter.New(scatter.Options{Clock: clock.System{}, Share: share, Quarantine: q}), Ended: func(*requestlog.Entry) {},
-				Requests: requestlog.New(requestlog.Options{Clock: clock.System{}, Log: logr.Discard()}),
-			}), q
-		}
-		other, heard := newHost(func(rumor.Rumor) {})
-		first, _ := newHost(func(r rumor.Rumor) { heard.Heard(r) })
+		desk := route.Route{Host: "desk.example", Prefix: "/", Attempts: 2, Timeout: time.Second, Split: []route.Share{{Service: "desk", Weight: 1}}}
+		heard := newQuarantine(nil)
+		other := newForwarder(farm, true, heard, desk)
+		first := newForwarder(farm, true, newQuarantine(heard.Heard), desk)
 		ask := func(f *Forwarder, body string) *httptest.ResponseRecorder {
 			w := httptest.NewRecorder()
 			f.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodPost, "http://desk.example/drop", strings.NewReader(body)))
--- a/entry/internal/scatter/scatter_test.go
+++ b/entry/internal/scatter/scatter_test.go
@@ -88,6 +88,17 @@
 	return rep, time.Since(began)
 }
 
+// shortShard adds ten shards of three replicas that run five at a time of 28 ms; one shard has a single one, which does 178 a second.
+func (b *bed) shortShard() {
+	for i := range 10 {
+		for n := range 3 {
+			if i != 4 || n == 0 {
+				b.farm.Add(fmt.Sprintf("s%d", i), n, slots(5, 28*time.Millisecond))
+			}
+		}
+	}
+}
+
 // overShards is a route over ten shards.
 func overShards(least float64) *route.Route {
 	rt := &route.Route{Idempotent: true, Timeout: 2 * time.Second, Objective: 200 * time.Millisecond, Attempts: 2, TopK: 5, LeastShare: least}
@@ -314,13 +325,7 @@
 func TestOverloadedShardThinsPages(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, 50)
-		for i := range 10 {
-			for n := range 3 {
-				if i != 4 || n == 0 {
-					b.farm.Add(fmt.Sprintf("s%d", i), n, slots(5, 28*time.Millisecond))
-				}
-			}
-		}
+		b.shortShard()
 		b.usual()
 		rt := overShards(0.89)
 		type outcome struct {
@@ -328,7 +333,7 @@
 			took   time.Duration
 		}
 		ends := make(chan outcome, 1000)
-		// The replica left runs 5 at a time of 28 ms, which is 178 a second; 240 a second come.
+		// 240 a second come.
 		const n = 480
 		for range n {
 			go func() {
@@ -370,13 +375,7 @@
 func TestShortShardRefusesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, 50)
-		for i := range 10 {
-			for n := range 3 {
-				if i != 4 || n == 0 {
-					b.farm.Add(fmt.Sprintf("s%d", i), n, slots(5, 28*time.Millisecond))
-				}
-			}
-		}
+		b.shortShard()
 		b.usual()
 		rt := overShards(1)
 		const n = 1200
@@ -394,7 +393,6 @@
 			count[rep.Ending]++
 			qt.Check(t, rep.Ending == scatter.Overload && rep.Ran, qt.IsFalse)
 		}
-		// Five at a time of 28 ms are 178 a second.
 		qt.Check(t, count[scatter.Complete] > 178*3*9/10, qt.IsTrue, qt.Commentf("%v", count))
 		qt.Check(t, count[scatter.Complete]+count[scatter.Overload] > n*99/100, qt.IsTrue, qt.Commentf("%v", count))
 		time.Sleep(5 * time.Second)
--- a/entry/internal/source/follower.go
+++ b/entry/internal/source/follower.go
@@ -16,7 +16,7 @@
 const (
 	// listPart bounds a list, as a part of the bound, and mostList in time. The store answers in milliseconds, and in a third of a second
 	// when it is slow. One that was silent never answers what it was asked before: the list that hangs and the rest after it are
-	// what its return may cost, and leave a fifth of the bound.
+	// what its return may cost, and leave a third of the bound.
 	listPart = 0.4
 	mostList = 2 * time.Second
 	// watchMargin is how long after its wait a watch may still answer; one that says nothing then sits on a silent connection.
--- /dev/null
+++ b/soak/internal/subnet/doc.go
@@ -0,0 +1,2 @@
+// Package subnet gives each soak that runs on a machine loopback addresses of its own.
+package subnet
--- a/soak/main.go
+++ b/soak/main.go
@@ -19,6 +19,7 @@
 	"guavaspring.org/soak/internal/client"
 	"guavaspring.org/soak/internal/faults"
 	"guavaspring.org/soak/internal/hosts"
+	"guavaspring.org/soak/internal/subnet"
 	"guavaspring.org/soak/internal/world"
 )
 
@@ -78,7 +79,12 @@
 	}
 	w := world.New()
 	defer w.Close()
-	list, err := s.newHosts(w)
+	addrs, err := subnet.Reserve(ctx, s.seed)
+	if err != nil {
+		return 0, err
+	}
+	defer addrs.Close()
+	list, err := s.newHosts(w, addrs)
 	if err != nil {
 		return 0, err
 	}
@@ -115,11 +121,10 @@
 	all.Wait()
 }
 
-func (s *soak) newHosts(w *world.World) ([]*hosts.Host, error) {
+func (s *soak) newHosts(w *world.World, addrs *subnet.Subnet) ([]*hosts.Host, error) {
 	var ips []string
 	for i := range s.hosts {
-		// Each seed has loopback addresses of its own, so that several soaks can run side by side.
-		ips = append(ips, fmt.Sprintf("127.%d.%d.%d", 1+s.seed%250, 1+i/200, 20+i%200))
+		ips = append(ips, addrs.IP(i))
 	}
 	first, err := freePorts(ips)
 	if err != nil {
