requestlog, frontmetrics: Count refusals by cause, and shards only where an answer lacks them

A request that was refused before it was sent anywhere had a log line and no metric. Five places wrote line and answer; one does now. Shards of requests that failed, or were refused for overload, counted as left out of answers. The metrics have a test.

--- a/entry/internal/forward/forwarder.go
+++ b/entry/internal/forward/forwarder.go
@@ -38,6 +38,8 @@
 const (
 	// unknown is why a host that has just started refuses.
 	unknown = "the configuration is not known yet"
+	// noRoute is why a request is refused that no route matches.
+	noRoute = "no route"
 	// largeHeader is why a request is refused whose header is over the configured limit.
 	largeHeader = "the header is over the limit"
 	// crashes is why a request is refused that took replicas down, whoever sent it.
@@ -59,6 +61,8 @@
 	Requests *requestlog.Log
 	// Ended is told of each request that had a route; it fills in what it knows of the host's freshness before the line is written.
 	Ended func(e *requestlog.Entry)
+	// Refused is told of each request that was refused before it was sent anywhere.
+	Refused func(cause requestlog.Cause)
 }
 
 // Forwarder is the HTTP handler of clients' requests.
@@ -76,14 +80,12 @@
 	arrived := f.opts.Clock.Now()
 	table := f.opts.Config()
 	if table == nil || !f.opts.Table.Known() {
-		f.opts.Requests.Refused(f.opts.Codec.Decode(r, nil).ID, r.Host, r.URL.Path, http.StatusServiceUnavailable, unknown)
-		refuse(w, http.StatusServiceUnavailable, retryUnknown, unknown)
+		f.turnAway(w, r, refusal{status: http.StatusServiceUnavailable, after: retryUnknown, cause: requestlog.CauseUnknown, why: unknown})
 		return
 	}
 	limits := table.Config().Limits
 	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
-		f.opts.Requests.Refused(f.opts.Codec.Decode(r, nil).ID, r.Host, r.URL.Path, http.StatusRequestHeaderFieldsTooLarge, largeHeader)
-		http.Error(w, largeHeader, http.StatusRequestHeaderFieldsTooLarge)
+		f.turnAway(w, r, refusal{status: http.StatusRequestHeaderFieldsTooLarge, cause: requestlog.CauseHeader, why: largeHeader})
 		return
 	}
 	body, err := readBody(r, limits.BodyBytes)
@@ -94,15 +96,17 @@
 	req := f.opts.Codec.Decode(r, body)
 	rt := table.Find(req.Host, req.Path)
 	if rt == nil {
-		f.opts.Requests.Refused(req.ID, req.Host, req.Path, http.StatusNotFound, "no route of version "+strconv.FormatInt(table.Config().Version, 10)+" matches")
-		http.Error(w, "no route", http.StatusNotFound)
+		f.turnAway(w, r, refusal{
+			status: http.StatusNotFound, cause: requestlog.CauseNoRoute, why: noRoute, detail: "version " + strconv.FormatInt(table.Config().Version, 10),
+		})
 		return
 	}
 	fp := quarantine.Fingerprint(req.Host, []byte(req.Method), []byte(req.Target), req.Body)
 	verdict := f.opts.Quarantine.Check(fp)
 	if verdict.Refused {
-		f.opts.Requests.Refused(req.ID, req.Host, req.Path, http.StatusServiceUnavailable, crashes+", fingerprint "+fp)
-		refuse(w, http.StatusServiceUnavailable, verdict.RetryAfter, crashes)
+		f.turnAway(w, r, refusal{
+			status: http.StatusServiceUnavailable, after: verdict.RetryAfter, cause: requestlog.CauseCrashes, why: crashes, detail: "fingerprint " + fp,
+		})
 		return
 	}
 	q := scatter.Query{
@@ -198,8 +202,33 @@
 	if errors.Is(err, errTooLarge) {
 		status = http.StatusRequestEntityTooLarge
 	}
-	f.opts.Requests.Refused(f.opts.Codec.Decode(r, nil).ID, r.Host, r.URL.Path, status, err.Error())
-	http.Error(w, err.Error(), status)
+	f.turnAway(w, r, refusal{status: status, cause: requestlog.CauseBody, why: err.Error()})
+}
+
+// refusal is how a request is refused before it is sent anywhere.
+type refusal struct {
+	status int
+	// after is when the client may come back, zero where that would change nothing.
+	after time.Duration
+	cause requestlog.Cause
+	// why is told to the client; detail only the log holds.
+	why, detail string
+}
+
+func (f *Forwarder) turnAway(w http.ResponseWriter, r *http.Request, ref refusal) {
+	reason := ref.why
+	if ref.detail != "" {
+		reason += "; " + ref.detail
+	}
+	f.opts.Requests.Refused(requestlog.Refusal{
+		ID: f.opts.Codec.Decode(r, nil).ID, Host: r.Host, Path: r.URL.Path, Status: ref.status, Cause: ref.cause, Reason: reason,
+	})
+	f.opts.Refused(ref.cause)
+	if ref.after > 0 {
+		refuse(w, ref.status, ref.after, ref.why)
+		return
+	}
+	http.Error(w, ref.why, ref.status)
 }
 
 // answer writes what the request came to and returns the status. A client that went away gets a failure like any other: without one the
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -161,7 +161,7 @@
 	fwd := forward.New(forward.Options{
 		Clock: f.opts.Clock, Log: f.opts.Log, Codec: &f.opts.Codec, Config: f.config.Load, Table: f.table,
 		Runner: scatter.New(scatter.Options{Clock: f.opts.Clock, Share: f.part, Quarantine: f.crashers}), Quarantine: f.crashers,
-		Requests: f.log, Ended: f.ended,
+		Requests: f.log, Ended: f.ended, Refused: f.counts.Refused,
 	})
 	clients := f.server(f.opts.Front, f.drain.Filter(fwd))
 	clients.IdleTimeout = 0
--- a/entry/internal/frontmetrics/metrics.go
+++ b/entry/internal/frontmetrics/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"guavaspring.org/entry/internal/requestlog"
+	"guavaspring.org/entry/internal/scatter"
 )
 
 // Options holds what is read each time the metrics are.
@@ -36,6 +37,7 @@
 	seconds  *prometheus.HistogramVec
 	extra    *prometheus.CounterVec
 	missed   prometheus.Counter
+	refused  *prometheus.CounterVec
 }
 
 // The kinds of requests, as label values.
@@ -56,8 +58,9 @@
 		seconds:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "guavaspring_forwarded_seconds", Help: "Time from a request's arrival to its answer.", Buckets: buckets}, []string{"kind"}),
 		extra:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "guavaspring_extra_tries_total", Help: "Tries beyond the first of a shard, and those that the budget denied."}, []string{"what"}),
 		missed:   prometheus.NewCounter(prometheus.CounterOpts{Name: "guavaspring_shards_missed_total", Help: "Shards left out of answers."}),
+		refused:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "guavaspring_refused_total", Help: "Requests refused before they were sent anywhere, by cause; those refused for overload count as forwarded."}, []string{"cause"}),
 	}
-	m.registry.MustRegister(m.requests, m.seconds, m.extra, m.missed, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.registry.MustRegister(m.requests, m.seconds, m.extra, m.missed, m.refused, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registry.MustRegister(opts.More...)
 	for _, c := range []struct {
 		name, help string
@@ -99,11 +102,14 @@
 	m.extra.WithLabelValues("hedge").Add(float64(e.Report.Hedges))
 	m.extra.WithLabelValues("retry").Add(float64(e.Report.Retries))
 	m.extra.WithLabelValues("denied").Add(float64(e.Report.Denied))
-	if kind == kindGather {
+	if e.Report.Ending == scatter.Partial {
 		m.missed.Add(float64(len(e.Query.Shards) - e.Report.Answered))
 	}
 }
 
+// Refused counts a request that was refused before it was sent anywhere.
+func (m *Metrics) Refused(cause requestlog.Cause) { m.refused.WithLabelValues(string(cause)).Inc() }
+
 // statusClass bounds the values of the label: replicas may answer with any status.
 func statusClass(status int) string {
 	switch {
--- /dev/null
+++ b/entry/internal/frontmetrics/metrics_test.go
@@ -0,0 +1,61 @@
+package frontmetrics_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/route"
+	"guavaspring.org/entry/internal/endpoints"
+	"guavaspring.org/entry/internal/frontmetrics"
+	"guavaspring.org/entry/internal/requestlog"
+	"guavaspring.org/entry/internal/scatter"
+)
+
+func newMetrics() *frontmetrics.Metrics {
+	none := func() uint64 { return 0 }
+	age := func() time.Duration { return 2 * time.Second }
+	return frontmetrics.New(frontmetrics.Options{
+		StoreCalls: func() int64 { return 3 }, ConfigVersion: func() int64 { return 7 }, ConfigAge: age, ReplicasAge: age,
+		Hosts: func() int { return 6 }, Running: func() int { return 1 }, Connections: none, LinesSkipped: none, LinesLost: none,
+	})
+}
+
+// Pages went out whole, thin and not at all, and others were refused. An engineer on call reads from the metrics which of these it was; shards
+// count as left out where an answer lacked them, and not where there was no answer.
+func TestWhatHappenedIsCounted(t *testing.T) {
+	m := newMetrics()
+	page := &scatter.Query{Route: &route.Route{Shards: []string{"a", "b", "c"}}, Shards: make([]*endpoints.Service, 3)}
+	for _, e := range []struct {
+		rep    scatter.Report
+		status int
+	}{
+		{scatter.Report{Ending: scatter.Complete, Answered: 3}, http.StatusOK},
+		{scatter.Report{Ending: scatter.Partial, Answered: 2, Hedges: 1, Denied: 1}, http.StatusOK},
+		{scatter.Report{Ending: scatter.Lost, Answered: 1}, http.StatusBadGateway},
+		{scatter.Report{Ending: scatter.Overload}, http.StatusServiceUnavailable},
+	} {
+		m.Forwarded(&requestlog.Entry{Query: page, Report: &e.rep, Status: e.status})
+	}
+	m.Refused(requestlog.CauseCrashes)
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/metrics", nil))
+	got := strings.Split(w.Body.String(), "\n")
+	for _, want := range []string{
+		`guavaspring_forwarded_total{ending="complete",kind="gather",status="2xx"} 1`,
+		`guavaspring_forwarded_total{ending="lost",kind="gather",status="502"} 1`,
+		`guavaspring_forwarded_total{ending="overload",kind="gather",status="503"} 1`,
+		`guavaspring_shards_missed_total 1`,
+		`guavaspring_extra_tries_total{what="denied"} 1`,
+		`guavaspring_refused_total{cause="quarantined"} 1`,
+		`guavaspring_config_version 7`,
+		`guavaspring_config_age_seconds 2`,
+		`guavaspring_store_calls_total 3`,
+	} {
+		qt.Check(t, got, qt.Contains, want)
+	}
+}
--- a/entry/internal/requestlog/log.go
+++ b/entry/internal/requestlog/log.go
@@ -83,10 +83,35 @@
 	}
 }
 
-// Refused writes the line of a request that was refused before it had a route.
-func (l *Log) Refused(id, host, path string, status int, why string) {
+// Cause says why a request was refused before it was sent anywhere.
+type Cause string
+
+// The causes of refusals.
+const (
+	// CauseUnknown means that the host has just started and doesn't know the configuration or the replicas yet.
+	CauseUnknown Cause = "unknown_config"
+	// CauseNoRoute means that no route of the configuration in force matches.
+	CauseNoRoute Cause = "no_route"
+	// CauseHeader means that the header is over the configured limit.
+	CauseHeader Cause = "large_header"
+	// CauseBody means that the body is over the configured limit, or could not be read.
+	CauseBody Cause = "bad_body"
+	// CauseCrashes means that replicas crashed under the request.
+	CauseCrashes Cause = "quarantined"
+)
+
+// Refusal is what is told of a request that was refused before it was sent anywhere.
+type Refusal struct {
+	ID, Host, Path string
+	Status         int
+	Cause          Cause
+	Reason         string
+}
+
+// Refused writes the line of a request that was refused before it was sent anywhere.
+func (l *Log) Refused(r Refusal) {
 	if l.troubled.Allow(l.opts.Clock.Now()) {
-		events.Refused.Log(l.opts.Log, "request", id, "host", host, "path", path, "status", status, "reason", why)
+		events.Refused.Log(l.opts.Log, "request", r.ID, "host", r.Host, "path", r.Path, "status", r.Status, "cause", r.Cause, "reason", r.Reason)
 	}
 }
 
