--- a/entry/internal/forward/answers_test.go
+++ b/entry/internal/forward/answers_test.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,6 +45,14 @@
 	return quarantine.New(quarantine.Options{Clock: clock.System{}, Service: "opaque", Publish: publish})
 }
 
+// request returns a client's attempt "7", as a server reads it.
+func request(t *testing.T, method string, deadline int) *http.Request {
+	r, err := platformtest.Request(t.Context(), method, "search.example", "/x/", "7", deadline, nil)
+	qt.Assert(t, err, qt.IsNil)
+	r.RequestURI = r.URL.Path
+	return r
+}
+
 // One shard of three answers a page with a failure that bears its stamp. The page is made of the two others, names them and no more, and
 // says that one is missing: a record of the failed reply would be a lie, and so would a page that looks whole.
 func TestFailedReplyIsNoPart(t *testing.T) {
@@ -59,12 +66,10 @@
 		})
 		farm.Add("s2", 1, replicatest.OK("c", time.Millisecond, "cccccccccccccccc"))
 		f := newForwarder(farm, true, newQuarantine(nil), route.Route{
-			Host: "a.example", Prefix: "/", Idempotent: true, Attempts: 1, Timeout: time.Second, Shards: []string{"s0", "s1", "s2"}, TopK: 5, LeastShare: 0.5,
+			Host: "search.example", Prefix: "/", Idempotent: true, Attempts: 1, Timeout: time.Second, Shards: []string{"s0", "s1", "s2"}, TopK: 5, LeastShare: 0.5,
 		})
-		r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://a.example/x/", nil)
-		r.Header.Set("Request-Id", "7")
 		w := httptest.NewRecorder()
-		f.ServeHTTP(w, r)
+		f.ServeHTTP(w, request(t, http.MethodGet, 0))
 		stamps, missing := platformtest.Parts(w.Header())
 		qt.Check(t, w.Code, qt.Equals, http.StatusOK)
 		qt.Check(t, stamps, qt.Equals, "a.7, c.7")
@@ -79,27 +84,24 @@
 func TestAnswerComesWhenTheTimeIsUp(t *testing.T) {
 	tests := []struct {
 		route time.Duration
-		own   string
-		want  time.Duration
+		// own is the client's own time in milliseconds, zero for none.
+		own  int
+		want time.Duration
 	}{
-		{300 * time.Millisecond, "", 300 * time.Millisecond},
-		{300 * time.Millisecond, "5000", 300 * time.Millisecond},
-		{5 * time.Second, "200", 200 * time.Millisecond},
-		{0, "", 10 * time.Second},
+		{300 * time.Millisecond, 0, 300 * time.Millisecond},
+		{300 * time.Millisecond, 5000, 300 * time.Millisecond},
+		{5 * time.Second, 200, 200 * time.Millisecond},
+		{0, 0, 10 * time.Second},
 	}
 	for _, test := range tests {
 		synctest.Test(t, func(t *testing.T) {
 			farm := replicatest.New()
 			defer farm.Close()
 			farm.Add("desk", 1, func(*http.Request, []byte) replicatest.Answer { return replicatest.Answer{Silent: true} })
-			f := newForwarder(farm, true, newQuarantine(nil), route.Route{Host: "a.example", Prefix: "/", Attempts: 1, Timeout: test.route, Split: []route.Share{{Service: "desk", Weight: 1}}})
-			r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "http://a.example/x/", strings.NewReader("x"))
-			if test.own != "" {
-				r.Header.Set("Deadline-Ms", test.own)
-			}
+			f := newForwarder(farm, true, newQuarantine(nil), route.Route{Host: "search.example", Prefix: "/", Attempts: 1, Timeout: test.route, Split: []route.Share{{Service: "desk", Weight: 1}}})
 			w := httptest.NewRecorder()
 			began := time.Now()
-			f.ServeHTTP(w, r)
+			f.ServeHTTP(w, request(t, http.MethodPost, test.own))
 			took := time.Since(began)
 			qt.Check(t, w.Code, qt.Equals, http.StatusGatewayTimeout)
 			qt.Check(t, took <= test.want && took > test.want-50*time.Millisecond, qt.IsTrue, qt.Commentf("%v of %v", took, test.want))
@@ -112,9 +114,9 @@
 // to come back.
 func TestUnknownReplicasAreNotNone(t *testing.T) {
 	farm := replicatest.New()
-	f := newForwarder(farm, false, newQuarantine(nil), route.Route{Host: "a.example", Prefix: "/", Attempts: 1, Timeout: time.Second, Split: []route.Share{{Service: "desk", Weight: 1}}})
+	f := newForwarder(farm, false, newQuarantine(nil), route.Route{Host: "search.example", Prefix: "/", Attempts: 1, Timeout: time.Second, Split: []route.Share{{Service: "desk", Weight: 1}}})
 	w := httptest.NewRecorder()
-	f.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://a.example/x/", nil))
+	f.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://search.example/x/", nil))
 	qt.Assert(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
 	qt.Assert(t, w.Header().Get("Retry-After"), qt.Equals, "0.3")
 }
