store, endpoints, relay, source: Tell replicas that start again from those before, and entries of other writers from replicas'

Cause: every word but "draining" counted as a replica that takes work; a struct took a missing field for zero; an entry that became unreadable left the replica in use as it was, and one item with a broken meta made the whole reply unreadable. A replica that came back under its id kept the failures, rest, 421 and connections of its former process, and a late write of that process brought it back.

Change: fields are read one by one with their bounds; what can't be read takes the place of what it overwrote (for a configuration the last good one stays, also for hosts that start). Rows are ordered by start and by the count of what the process wrote; a row of an earlier start is believed only after 3.6 s without a newer one, for hosts whose clock was set back. A new process gets a new record, and what is under way at the old one ends as lost. Unreadable objects are logged once, eight lines a reply, and counted (guavaspring_objects_unreadable_total).

Ruled out: order by the store's revision alone, as a late write stands there as the newest word; believing any row of another start, for the same reason.

Seen red on a scratch copy, each guard out by itself: unknown state taken as live, unreadable entries left out of changes, ignored, or treated as vanished; older rows taken; start not looked at; sequence not looked at; connections of the old process kept; rows of gone replicas forgotten; clock set back never believed; a start in the future taken; older change after a newer page; last good configuration dropped. Not seen red: a page of a list without any name (it would loop without end).

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -11,7 +11,9 @@
 	// Revision is the store's revision at the object's last change.
 	Revision int64
 	Deleted  bool
-	// Value is the zero value where the object is deleted.
+	// Unreadable says that the object is there and can't be read. It stands for nothing, and what was known of the name no longer holds.
+	Unreadable bool
+	// Value is the zero value where the object is deleted or unreadable.
 	Value T
 }
 
@@ -20,6 +22,14 @@
 	Entries []Entry[T]
 	// Revision is where the next changes continue.
 	Revision int64
-	// Unreadable says of each object that could not be read why; it is left out of Entries.
-	Unreadable []error
+	// Rejected says of each object that could not be read why.
+	Rejected []Rejected
+}
+
+// Rejected is an object that could not be read.
+type Rejected struct {
+	// Name is empty where not even that could be read.
+	Name     string
+	Revision int64
+	Reason   error
 }
--- a/entry/internal/directory/directory.go
+++ b/entry/internal/directory/directory.go
@@ -140,6 +140,7 @@
 			events.DirectoryUnreadable.Log(d.opts.Log, "object", obj.Name, "reason", err.Error())
 			continue
 		}
+		b.Hosts = slices.DeleteFunc(b.Hosts, func(a netip.AddrPort) bool { return !a.IsValid() || a.Port() == 0 })
 		contacts = append(contacts, b.Hosts[:min(listed, len(b.Hosts))]...)
 		if obj.Name == d.name() {
 			own = b.Hosts
--- a/entry/internal/endpoints/replica.go
+++ b/entry/internal/endpoints/replica.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"strconv"
 	"sync"
 	"time"
 
@@ -63,6 +64,16 @@
 	return r.row.ID
 }
 
+// Process names the replica's process: a replica that starts again keeps its id, and what its former process did doesn't count against it.
+func (r *Replica) Process() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.row.Born.IsZero() {
+		return r.row.ID
+	}
+	return r.row.ID + "@" + strconv.FormatInt(r.row.Born.UnixMilli(), 10)
+}
+
 // Usable reports whether new requests may be sent to the replica: it is listed and does not leave.
 func (r *Replica) Usable() bool {
 	r.mu.Lock()
--- /dev/null
+++ b/entry/internal/endpoints/restart_test.go
@@ -0,0 +1,213 @@
+package endpoints_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/feed"
+	"guavaspring.org/core/opaque"
+	"guavaspring.org/core/platform"
+	"guavaspring.org/core/upstream"
+	"guavaspring.org/entry/internal/endpoints"
+	"guavaspring.org/entry/internal/exchange"
+	"guavaspring.org/entry/internal/replicatest"
+)
+
+// restarted returns a replica's row after it has started again.
+func restarted(row platform.Replica, after time.Duration, sequence int64) platform.Replica {
+	row.Born, row.Sequence = row.Born.Add(after), sequence
+	return row
+}
+
+func born(r *replicatest.Replica) platform.Replica {
+	r.Row.Born, r.Row.Sequence = time.Now().Add(-time.Hour).UTC().Truncate(time.Millisecond), 40
+	return r.Row
+}
+
+func send(t *testing.T, r *endpoints.Replica, once bool) exchange.Result {
+	req := &opaque.Request{ID: "q", Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}
+	return r.Send(t.Context(), endpoints.Call{Request: req, Deadline: time.Now().Add(10 * time.Second), Connections: 4, Usual: 30 * time.Millisecond, Once: once})
+}
+
+// A replica crashes while its requests fail and its address refuses, and starts again under its id. The new process must not wait out the rest
+// and the failures of the old one: its shard would stay short for seconds.
+func TestRestartedReplicaIsNewToAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := replicatest.New()
+		t.Cleanup(f.Close)
+		handle := replicatest.Broken(time.Millisecond)
+		r := f.Add("a", 1, func(req *http.Request, b []byte) replicatest.Answer { return handle(req, b) })
+		born(r)
+		other := f.Add("a", 2, replicatest.OK("a-2", 30*time.Millisecond, "x"))
+		other.Row.Zone = "b"
+		table := newTable(f)
+		table.Replace(f.Batch(), false)
+		s := table.Service("a")
+		pick := func(tried ...*endpoints.Replica) endpoints.Choice {
+			c, _ := s.Pick(time.Now(), endpoints.Need{Usual: 30 * time.Millisecond, Within: time.Second, Tried: tried}, func() float64 { return 0 })
+			return c
+		}
+		old := pick().Replica
+		for range 4 {
+			send(t, old, false)
+		}
+		beside := pick().Replica
+		qt.Assert(t, beside.ID(), qt.Equals, "a-2")
+		handle = replicatest.OK("a-1", 30*time.Millisecond, "x")
+		table.Change(changed(restarted(r.Row, time.Hour, 1), false), false)
+		qt.Assert(t, old.Usable(), qt.IsFalse)
+		c := pick(beside)
+		qt.Assert(t, c.Replica.ID(), qt.Equals, "a-1")
+		qt.Assert(t, c.Seen.Cold, qt.IsTrue)
+		qt.Assert(t, c.Seen.Failures, qt.Equals, 0.0)
+		qt.Assert(t, c.Replica.Process() == old.Process(), qt.IsFalse)
+		qt.Assert(t, send(t, c.Replica, false).Kind, qt.Equals, upstream.KindOK)
+		time.Sleep(time.Second)
+	})
+}
+
+// An address answers that it belongs to another replica, since one of another service had it for a while. The replica then starts again
+// under its id and address; what the old address said must not keep the new process out for good.
+func TestRestartEndsMisdirection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := replicatest.New()
+		t.Cleanup(f.Close)
+		handle := replicatest.Misdirected()
+		r := f.Add("a", 1, func(req *http.Request, b []byte) replicatest.Answer { return handle(req, b) })
+		born(r)
+		table := newTable(f)
+		table.Replace(f.Batch(), false)
+		qt.Assert(t, send(t, table.Service("a").Replicas()[0], false).Kind, qt.Equals, upstream.KindRefused)
+		qt.Assert(t, usable(table.Service("a")), qt.Equals, 0)
+		handle = replicatest.OK("a-1", 0, "x")
+		table.Change(changed(restarted(r.Row, time.Hour, 1), false), false)
+		qt.Assert(t, usable(table.Service("a")), qt.Equals, 1)
+		qt.Assert(t, send(t, table.Service("a").Replicas()[0], false).Kind, qt.Equals, upstream.KindOK)
+		time.Sleep(time.Second)
+	})
+}
+
+// A write is under way at a replica whose host loses power, so that its connection says nothing more; the replica starts again under its id.
+// The write is lost at that moment, not at the deadline, its outcome is not known, and the new process never gets it.
+func TestRestartEndsWhatIsUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := replicatest.New()
+		t.Cleanup(f.Close)
+		r := f.Add("a", 1, func(*http.Request, []byte) replicatest.Answer { return replicatest.Answer{Silent: true} })
+		born(r)
+		table := newTable(f)
+		table.Replace(f.Batch(), false)
+		done := make(chan exchange.Result, 1)
+		go func() { done <- send(t, table.Service("a").Replicas()[0], true) }()
+		time.Sleep(100 * time.Millisecond)
+		table.Change(changed(restarted(r.Row, time.Hour, 1), false), false)
+		began := time.Now()
+		res := <-done
+		qt.Assert(t, time.Since(began), qt.Equals, time.Duration(0))
+		qt.Assert(t, res.Kind, qt.Equals, upstream.KindBroken)
+		qt.Assert(t, res.Kind.NotRun(), qt.IsFalse)
+		qt.Assert(t, res.Died, qt.IsFalse)
+		qt.Assert(t, r.Runs(), qt.HasLen, 1)
+		time.Sleep(time.Second)
+	})
+}
+
+// A write that a replica had given up reaches the store late: it says that the replica is ready, after it has said that it leaves, has started
+// again, or is gone. Believed, it would bring back a process that ended, or send requests to one that is about to.
+func TestLateRowBringsNothingBack(t *testing.T) {
+	first := platform.Replica{}
+	leaving := func(r platform.Replica) platform.Replica {
+		r.State = platform.StateLeaving
+		return r
+	}
+	tests := []struct {
+		name string
+		rows func() []platform.Replica
+		// gone says that the last of rows is the row of a replica that is taken off the list.
+		gone   bool
+		late   func() platform.Replica
+		usable int
+		born   func() time.Time
+	}{
+		{"after it said that it leaves", func() []platform.Replica { return []platform.Replica{first, leaving(restarted(first, 0, 42))} }, false, func() platform.Replica { return restarted(first, 0, 41) }, 0, nil},
+		{"after it started again", func() []platform.Replica { return []platform.Replica{first, restarted(first, time.Minute, 1)} }, false, func() platform.Replica { return restarted(first, 0, 41) }, 1, func() time.Time { return first.Born.Add(time.Minute) }},
+		{"after the new process said that it leaves", func() []platform.Replica { return []platform.Replica{first, leaving(restarted(first, time.Minute, 7))} }, false, func() platform.Replica { return restarted(first, 0, 41) }, 0, nil},
+		{"after the new process is gone", func() []platform.Replica { return []platform.Replica{first, restarted(first, time.Minute, 7)} }, true, func() platform.Replica { return restarted(first, 0, 41) }, 0, nil},
+		{"after it was taken off the list", func() []platform.Replica { return []platform.Replica{restarted(first, 0, 42)} }, true, func() platform.Replica { return restarted(first, 0, 41) }, 0, nil},
+	}
+	for _, test := range tests {
+		for _, whole := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				f := replicatest.New()
+				t.Cleanup(f.Close)
+				first = born(f.Add("a", 1, replicatest.OK("a-1", 0, "x")))
+				table := newTable(f)
+				table.Replace(feed.Batch[platform.Replica]{Revision: 1}, false)
+				rows := test.rows()
+				for _, row := range rows {
+					table.Change(changed(row, false), false)
+				}
+				if test.gone {
+					table.Change(changed(rows[len(rows)-1], true), false)
+				}
+				late := changed(test.late(), false)
+				if whole {
+					table.Replace(late, false)
+				} else {
+					table.Change(late, false)
+				}
+				comment := qt.Commentf("%s, in a list: %v", test.name, whole)
+				qt.Assert(t, usable(table.Service("a")), qt.Equals, test.usable, comment)
+				if test.born != nil {
+					qt.Assert(t, table.Service("a").Replicas()[0].Process(), qt.Equals, fmt.Sprintf("a-1@%d", test.born().UnixMilli()), comment)
+				}
+			})
+		}
+	}
+}
+
+// The clock of a replica's host is set back, and the replica starts again: by its clock it started before its former process. It writes again
+// and again; left out for good, its shard would have a replica less for as long as the process lives.
+func TestRestartOnAClockThatWasSetBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := replicatest.New()
+		t.Cleanup(f.Close)
+		row := born(f.Add("a", 1, replicatest.OK("a-1", 0, "x")))
+		table := newTable(f)
+		table.Replace(f.Batch(), false)
+		old := table.Service("a").Replicas()[0].Process()
+		table.Change(changed(restarted(row, -time.Second, 1), false), false)
+		qt.Assert(t, table.Service("a").Replicas()[0].Process(), qt.Equals, old)
+		time.Sleep(4 * time.Second)
+		qt.Assert(t, usable(table.Service("a")), qt.Equals, 1)
+		qt.Assert(t, table.Service("a").Replicas()[0].Process() == old, qt.IsFalse)
+	})
+}
+
+// An entry is overwritten with nonsense, or claims to have started tomorrow. It names no replica from then on, also right after an outage of the
+// store, when what vanished is still used for a while; once it is good again the replica is used again.
+func TestEntryThatCannotBeBelieved(t *testing.T) {
+	for _, returned := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := replicatest.New()
+			t.Cleanup(f.Close)
+			row := born(f.Add("a", 1, replicatest.OK("a-1", 0, "x")))
+			table := newTable(f)
+			table.Replace(f.Batch(), false)
+			broken := feed.Entry[platform.Replica]{Name: row.ID, Revision: 9, Unreadable: true}
+			table.Change(feed.Batch[platform.Replica]{Revision: 9, Entries: []feed.Entry[platform.Replica]{broken}}, returned)
+			qt.Assert(t, usable(table.Service("a")), qt.Equals, 0)
+			table.Change(changed(restarted(row, 0, 41), false), returned)
+			qt.Assert(t, usable(table.Service("a")), qt.Equals, 1)
+			table.Change(changed(restarted(row, 48*time.Hour, 1), false), returned)
+			qt.Assert(t, usable(table.Service("a")), qt.Equals, 0)
+			table.Change(changed(restarted(row, 0, 42), false), returned)
+			qt.Assert(t, usable(table.Service("a")), qt.Equals, 1)
+		})
+	}
+}
--- a/entry/internal/events/events.go
+++ b/entry/internal/events/events.go
@@ -29,7 +29,11 @@
 
 	HistoryGone      = event.New(1204, "history_gone", "The platform no longer keeps the changes since the last watch; all objects of the kind are listed again.")
 	ParentLost       = event.New(1206, "parent_lost", "The host from which this one hears of configurations or replicas did not answer; another is asked next.")
-	ObjectUnreadable = event.New(1205, "object_unreadable", "An object of the platform could not be read and was left out.")
+	ObjectUnreadable = event.New(1205, "object_unreadable", "An object of the platform can't be read and is left out; what it said before no longer holds, but for a configuration. Told once for each of its revisions.")
+
+	ObjectsUnreadable = event.New(1207, "objects_unreadable", "A reply of the platform held more objects that can't be read than are logged one by one; more says how many.")
+	ReplicaRestarted  = event.New(1208, "replica_restarted", "A replica started again under the id that it had; what was known of the process before is dropped, with its connections.")
+	ReplicaRowOld     = event.New(1209, "replica_row_old", "A row of a replica is older than the one in use and is ignored; one of another process is believed if nothing newer comes.")
 )
 
 // Events of requests, 1300 to 1399.
--- a/entry/internal/exchange/pool.go
+++ b/entry/internal/exchange/pool.go
@@ -95,11 +95,15 @@
 type Pool struct {
 	opts Options
 
-	mu     sync.Mutex
-	idle   []*conn
+	mu   sync.Mutex
+	idle []*conn
+	// all holds the open connections, those in use included.
+	all    map[*conn]bool
 	open   int
 	dialed uint64
 	closed bool
+	// ended says that the replica's process is known to be gone.
+	ended bool
 }
 
 // New returns a pool without connections.
@@ -107,7 +111,7 @@
 	if opts.Dial == nil {
 		opts.Dial = dialTCP
 	}
-	return &Pool{opts: opts}
+	return &Pool{opts: opts, all: map[*conn]bool{}}
 }
 
 func dialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
@@ -149,6 +153,21 @@
 	}
 }
 
+// End closes all connections, those in use included: the process at their other end is known to be gone. What was sent on them breaks now
+// rather than once the kernel finds out, which takes unacknowledged where nothing answers any more.
+func (p *Pool) End() {
+	p.mu.Lock()
+	conns := make([]*conn, 0, len(p.all))
+	for c := range p.all {
+		conns = append(conns, c)
+	}
+	p.idle, p.closed, p.ended = nil, true, true
+	p.mu.Unlock()
+	for _, c := range conns {
+		c.close()
+	}
+}
+
 // Do sends one request and returns its reply; the end of ctx closes the connection, which is how the replica learns of it.
 func (p *Pool) Do(ctx context.Context, call *Call) Result {
 	for {
@@ -172,7 +191,7 @@
 // A connection breaks for many reasons, of which the end of the replica is one. Only that one accuses the request that it ran. A
 // new connection tells them apart within a round trip, and takes the place of the one that is lost.
 func (p *Pool) refuses(ctx context.Context, call *Call) bool {
-	if !p.reserve(call.Connections) {
+	if p.gone() || !p.reserve(call.Connections) {
 		return false
 	}
 	c, err := p.dial(ctx, probeTimeout)
@@ -185,6 +204,16 @@
 	return false
 }
 
+// gone reports whether the replica's process is known to have ended: what broke then was cut by this host.
+func (p *Pool) gone() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
+}
+
+// errEnded is why a request was not sent whose replica has ended meanwhile.
+var errEnded = errors.New("the replica's process has ended")
+
 // errBusy is why a request was not sent whose replica allows no further connection.
 var errBusy = errors.New("every connection to the replica is in use")
 
@@ -232,6 +261,15 @@
 		return nil, fmt.Errorf("connect to %s: %w", p.opts.Addr, err)
 	}
 	c := &conn{tcp: nc, pool: p}
+	p.mu.Lock()
+	p.all[c] = true
+	ended := p.ended
+	p.mu.Unlock()
+	if ended {
+		// The address may belong to the next process already, which is not the one that the request was meant for.
+		c.close()
+		return nil, errEnded
+	}
 	go c.read()
 	return c, nil
 }
@@ -268,10 +306,11 @@
 	return true
 }
 
-// drop removes a connection that was closed while it was unused.
+// drop removes a connection that is closed.
 func (p *Pool) drop(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.all, c)
 	for i, other := range p.idle {
 		if other == c {
 			p.idle = append(p.idle[:i], p.idle[i+1:]...)
--- a/entry/internal/front/follow.go
+++ b/entry/internal/front/follow.go
@@ -18,6 +18,7 @@
 		Settled: f.settled,
 		Parents: func() ([]source.Parent[route.Config], bool) { return parents[route.Config](f.joined, "Configs") },
 		Copy:    f.joined.configs, Replace: apply, Change: apply, Reconnect: f.opts.Store.Reconnect, Bound: f.opts.Apply,
+		Rejected: f.counts.Unreadable("config"),
 	}).Run(ctx)
 }
 
@@ -26,7 +27,7 @@
 	for _, e := range batch.Entries {
 		old := f.config.Load()
 		switch {
-		case e.Deleted || e.Value.Version == 0:
+		case e.Deleted || e.Unreadable || e.Value.Version == 0:
 			continue
 		case old != nil && e.Value.Version <= old.Config().Version:
 			if e.Value.Version < old.Config().Version {
@@ -51,5 +52,6 @@
 			return parents[platform.Replica](f.joined, "Replicas")
 		},
 		Copy: f.joined.replicas, Replace: f.table.Replace, Change: f.table.Change, Reconnect: f.opts.Store.Reconnect, Bound: f.opts.Drain,
+		Rejected: f.counts.Unreadable("replicas"),
 	}).Run(ctx)
 }
--- a/entry/internal/front/joined.go
+++ b/entry/internal/front/joined.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for other hosts: %w", err)
 	}
-	j := &joined{configs: relay.NewCopy[route.Config](), replicas: relay.NewCopy[platform.Replica]()}
+	j := &joined{configs: relay.NewLastGoodCopy[route.Config](), replicas: relay.NewCopy[platform.Replica]()}
 	self := member.Host{ID: incarnation, Caller: opts.Front, Peer: opts.Peer, Zone: opts.Zone, Region: opts.Region, Capacity: opts.Capacity}
 	j.list = member.New(member.Options{Self: self, Rand: member.NewRand(), Changed: memberlog.Changed(opts.Log)})
 	j.directory = directory.New(directory.Options{
--- a/entry/internal/frontmetrics/metrics.go
+++ b/entry/internal/frontmetrics/metrics.go
@@ -38,6 +38,7 @@
 	extra    *prometheus.CounterVec
 	missed   prometheus.Counter
 	refused  *prometheus.CounterVec
+	rejected *prometheus.CounterVec
 }
 
 // The kinds of requests, as label values.
@@ -60,7 +61,8 @@
 		missed:   prometheus.NewCounter(prometheus.CounterOpts{Name: "guavaspring_shards_missed_total", Help: "Shards left out of answers."}),
 		refused:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "guavaspring_refused_total", Help: "Requests refused before they were sent anywhere, by cause; those refused for overload count as forwarded."}, []string{"cause"}),
 	}
-	m.registry.MustRegister(m.requests, m.seconds, m.extra, m.missed, m.refused, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.rejected = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "guavaspring_objects_unreadable_total", Help: "Objects of the store that can't be read, once for each revision, by kind."}, []string{"kind"})
+	m.registry.MustRegister(m.requests, m.seconds, m.extra, m.missed, m.refused, m.rejected, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registry.MustRegister(opts.More...)
 	for _, c := range []struct {
 		name, help string
@@ -110,6 +112,12 @@
 // Refused counts a request that was refused before it was sent anywhere.
 func (m *Metrics) Refused(cause requestlog.Cause) { m.refused.WithLabelValues(string(cause)).Inc() }
 
+// Unreadable returns what counts objects of a kind that can't be read.
+func (m *Metrics) Unreadable(kind string) func(n int) {
+	c := m.rejected.WithLabelValues(kind)
+	return func(n int) { c.Add(float64(n)) }
+}
+
 // statusClass bounds the values of the label: replicas may answer with any status.
 func statusClass(status int) string {
 	switch {
--- a/entry/internal/relay/copy.go
+++ b/entry/internal/relay/copy.go
@@ -22,6 +22,8 @@
 	confirmed time.Time
 	returned  bool
 	changed   chan struct{}
+	// lastGood says that an object that became unreadable is kept as it was.
+	lastGood bool
 }
 
 // NewCopy returns an empty copy that was never confirmed.
@@ -29,6 +31,14 @@
 	return &Copy[T]{entries: map[string]feed.Entry[T]{}, changed: make(chan struct{})}
 }
 
+// NewLastGoodCopy returns a copy that keeps what an object was while it can't be read. It is for objects that stay in force until a newer one
+// is known: a host that starts meanwhile hears the last one from here, where the store has nothing for it.
+func NewLastGoodCopy[T any]() *Copy[T] {
+	c := NewCopy[T]()
+	c.lastGood = true
+	return c
+}
+
 // State is what a copy is as of one moment.
 type State struct {
 	// Revision is the store's revision that the copy has reached, zero where it never held anything.
@@ -51,8 +61,12 @@
 	if batch.Revision < c.revision {
 		return false
 	}
-	clear(c.entries)
+	before := c.entries
+	c.entries = make(map[string]feed.Entry[T], len(batch.Entries))
 	for _, e := range batch.Entries {
+		if old, ok := before[e.Name]; ok && e.Unreadable && c.lastGood {
+			e = old
+		}
 		c.entries[e.Name] = e
 	}
 	c.log, c.from = nil, batch.Revision
@@ -60,29 +74,38 @@
 	return true
 }
 
-// Change takes over what changed up to the batch's revision as of at, and reports whether it is at least as new as the copy.
-func (c *Copy[T]) Change(batch feed.Batch[T], at time.Time, returned bool) bool {
+// Change takes over what changed up to the batch's revision as of at. It returns what of it is news, and reports whether the batch is at least as
+// new as the copy.
+//
+// A list is read page by page, and the changes since its first page are told again: one that is older than what a later page showed is
+// no news.
+func (c *Copy[T]) Change(batch feed.Batch[T], at time.Time, returned bool) (feed.Batch[T], bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if batch.Revision < c.revision {
-		return false
+		return feed.Batch[T]{}, false
 	}
+	news := feed.Batch[T]{Revision: batch.Revision}
 	for _, e := range batch.Entries {
+		if e.Revision < c.entries[e.Name].Revision || e.Unreadable && c.lastGood {
+			continue
+		}
+		news.Entries = append(news.Entries, e)
 		if e.Deleted {
 			delete(c.entries, e.Name)
 		} else {
 			c.entries[e.Name] = e
 		}
 	}
-	if len(batch.Entries) > 0 {
-		c.log = append(c.log, batch)
+	if len(news.Entries) > 0 {
+		c.log = append(c.log, news)
 	}
 	if len(c.log) > keptBatches {
 		c.from = c.log[0].Revision
 		c.log = c.log[1:]
 	}
 	c.confirm(batch.Revision, at, returned)
-	return true
+	return news, true
 }
 
 func (c *Copy[T]) confirm(revision int64, at time.Time, returned bool) {
--- a/entry/internal/relay/relay_test.go
+++ b/entry/internal/relay/relay_test.go
@@ -65,7 +65,8 @@
 	now := time.Unix(100, 0)
 	qt.Assert(t, c.Replace(feed.Batch[int64]{Revision: 9}, now, false), qt.IsTrue)
 	qt.Assert(t, c.Replace(feed.Batch[int64]{Revision: 8}, now, false), qt.IsFalse)
-	qt.Assert(t, c.Change(feed.Batch[int64]{Revision: 8}, now, false), qt.IsFalse)
+	_, ok := c.Change(feed.Batch[int64]{Revision: 8}, now, false)
+	qt.Assert(t, ok, qt.IsFalse)
 	st, _ := c.State()
 	qt.Assert(t, st.Revision, qt.Equals, int64(9))
 }
--- a/entry/internal/replicatest/farm.go
+++ b/entry/internal/replicatest/farm.go
@@ -249,3 +249,10 @@
 		return Answer{NotRun: true, Raw: platformtest.NotRun(platformtest.Read(req).ID)}
 	}
 }
+
+// Misdirected answers that another replica has the address.
+func Misdirected() func(*http.Request, []byte) Answer {
+	return func(req *http.Request, _ []byte) Answer {
+		return Answer{NotRun: true, Raw: platformtest.Misdirected(platformtest.Read(req).ID)}
+	}
+}
--- a/entry/internal/scatter/tries.go
+++ b/entry/internal/scatter/tries.go
@@ -161,7 +161,7 @@
 // guarded sends a try unless its request is known to crash replicas.
 func (p *plan) guarded(i int, r *endpoints.Replica, call endpoints.Call) exchange.Result {
 	var res exchange.Result
-	err := p.run.opts.Quarantine.Guard(p.ctx, p.Fingerprint, i, r.ID(), func() quarantine.Outcome {
+	err := p.run.opts.Quarantine.Guard(p.ctx, p.Fingerprint, i, r.Process(), func() quarantine.Outcome {
 		res = r.Send(p.ctx, call)
 		return outcome(&res)
 	})
--- a/entry/internal/source/follower.go
+++ b/entry/internal/source/follower.go
@@ -77,6 +77,8 @@
 	Replace, Change func(batch feed.Batch[T], returned bool)
 	// Reconnect drops the unused connections to the store.
 	Reconnect func()
+	// Rejected is told how many objects were found that can't be read, each once; it may be nil.
+	Rejected func(n int)
 	// Bound is how soon a change has to be known here. A watch may hear nothing while its history is being dropped, and tells so only at its
 	// end: its wait has to be well under the bound.
 	Bound time.Duration
@@ -95,6 +97,7 @@
 	tried time.Time
 	// next is which parent is asked next, and failed how many in a row brought nothing.
 	next, failed int
+	rejects      *rejects
 }
 
 // New returns a follower that does nothing until Run.
@@ -102,7 +105,10 @@
 	if opts.Settled == nil {
 		opts.Settled = func() bool { return true }
 	}
-	return &Follower[T]{opts: opts}
+	if opts.Rejected == nil {
+		opts.Rejected = func(int) {}
+	}
+	return &Follower[T]{opts: opts, rejects: newRejects(opts.Log, opts.Name, opts.Rejected)}
 }
 
 // Run follows until ctx ends. Most hosts hear from another; one that hears nothing fresh asks the store itself, and the few that
@@ -245,8 +251,8 @@
 }
 
 func (f *Follower[T]) change(batch feed.Batch[T], at time.Time, returned bool) {
-	if f.opts.Copy.Change(batch, at, returned) && len(batch.Entries) > 0 {
-		f.opts.Change(batch, returned)
+	if news, ok := f.opts.Copy.Change(batch, at, returned); ok && len(news.Entries) > 0 {
+		f.opts.Change(news, returned)
 	}
 }
 
@@ -271,7 +277,7 @@
 	}
 	f.listed = true
 	f.replace(batch, began, f.succeeded())
-	f.unreadable(batch)
+	f.rejects.report(batch.Rejected)
 }
 
 func (f *Follower[T]) watch(ctx context.Context) {
@@ -289,7 +295,7 @@
 		f.lost(ctx, err)
 	default:
 		f.change(batch, f.opts.Clock.Now(), f.succeeded())
-		f.unreadable(batch)
+		f.rejects.report(batch.Rejected)
 	}
 }
 
@@ -327,9 +333,3 @@
 	}
 	return !f.back.IsZero() && now.Sub(f.back) < returnedFor
 }
-
-func (f *Follower[T]) unreadable(batch feed.Batch[T]) {
-	for _, err := range batch.Unreadable {
-		events.ObjectUnreadable.Log(f.opts.Log, "kind", f.opts.Name, "reason", err.Error())
-	}
-}
--- a/entry/onplatform_test.go
+++ b/entry/onplatform_test.go
@@ -39,8 +39,8 @@
 	runs map[string]int
 }
 
-// replica starts a replica that answers each request with records of its own, and registers it.
-func (s *session) replica(id, service, records string) {
+// replica starts a replica that answers each request with records of its own, registers it, and returns its address.
+func (s *session) replica(id, service, records string) string {
 	l, err := listen(s.t, "127.0.0.1:0")
 	qt.Assert(s.t, err, qt.IsNil)
 	s.t.Cleanup(func() { _ = l.Close() })
@@ -54,6 +54,7 @@
 		}
 	}()
 	s.store.Set("servers", id, platformtest.Replica(service, l.Addr().String(), "ready"))
+	return l.Addr().String()
 }
 
 func (s *session) answer(c net.Conn, id, records string) {
@@ -236,13 +237,62 @@
 	s.until("the host that stopped is not told", func() bool { return len(s.resolve(directory)) == 1 })
 	s.say("clients are told %d host", len(s.resolve(directory)))
 
-	const golden = "testdata/platform_session.txt"
+	s.compare("testdata/platform_session.txt")
+}
+
+// Another program writes nonsense beside the replicas' entries and then over one of them, and over the configuration. Clients get whole pages
+// all the while, but for the shard whose only entry can't be read, which is named as missing until it is good again. At last a replica
+// starts again under its id and address, and is used as the new one that it is.
+func TestSessionWithForgedEntries(t *testing.T) {
+	s := &session{t: t, store: platformtest.NewStore(), runs: map[string]int{}}
+	srv := httptest.NewServer(s.store)
+	t.Cleanup(srv.Close)
+	s.addrs = []string{srv.Listener.Addr().String()}
+	for i := range 200 {
+		s.store.SetRaw("servers", fmt.Sprintf("a-forged-%03d", i), fmt.Sprintf(`{"meta":{"name":"a-forged-%03d","rev":$rev},"spec":{"service":"s1"}}`, i))
+	}
+	addrs := map[string]string{}
+	for _, n := range []string{"1", "2", "3"} {
+		addrs[n] = s.replica("i-"+n, "s"+n, n+"_______________")
+	}
+	s.store.SetRaw("servers", "z-nameless", `{"meta":{"name":17,"rev":$rev},"spec":null}`)
+	s.store.Set("config", "main", platformtest.Config(3, `"s1","s2","s3"`, "desk"))
+
+	const ip = "127.0.0.13"
+	first := freePorts(t, ip)
+	s.host("host-1", ip, first, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", ip, first+3)))
+	front := fmt.Sprintf("%s:%d", ip, first)
+	ask := func() string {
+		_, line := s.call(front, http.MethodGet, "/bundles/blue", "")
+		return line
+	}
+	s.show("query beside forged entries", front, http.MethodGet, "/bundles/blue", "")
+
+	s.store.SetRaw("servers", "i-2", `{"meta":{"name":"i-2","rev":$rev},"spec":"\ufffd\ufffd"}`)
+	s.until("the entry that can't be read is not used", func() bool { return strings.Contains(ask(), "missing=1") })
+	s.show("query while an entry can't be read", front, http.MethodGet, "/bundles/blue", "")
+	s.store.Set("servers", "i-2", platformtest.Replica("s2", addrs["2"], "ready"))
+	s.until("the entry is good again", func() bool { return strings.Contains(ask(), "missing=0") })
+
+	s.store.SetRaw("config", "main", `{"meta":{"name":"main","rev":$rev},"spec":{"version":"eight"}}`)
+	s.store.Set("servers", "i-3", platformtest.Replica("s3", addrs["3"], "draining"))
+	s.until("what comes after the nonsense is known", func() bool { return strings.Contains(ask(), "missing=1") })
+	s.show("query under the last good configuration", front, http.MethodGet, "/bundles/blue", "")
+
+	s.store.Set("servers", "i-3", platformtest.ReplicaBorn("s3", addrs["3"], "ready", time.Now().UnixMilli(), 1))
+	s.until("the replica that started again is used", func() bool { return strings.Contains(ask(), "missing=0") })
+	s.show("query after a replica started again", front, http.MethodGet, "/bundles/blue", "")
+	s.compare("testdata/platform_forged.txt")
+}
+
+// compare holds what clients saw against a golden file.
+func (s *session) compare(golden string) {
 	if *update {
-		qt.Assert(t, os.WriteFile(golden, []byte(s.out.String()), 0o600), qt.IsNil)
+		qt.Assert(s.t, os.WriteFile(golden, []byte(s.out.String()), 0o600), qt.IsNil)
 	}
 	want, err := os.ReadFile(golden)
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, s.out.String(), qt.Equals, string(want))
+	qt.Assert(s.t, err, qt.IsNil)
+	qt.Assert(s.t, s.out.String(), qt.Equals, string(want))
 }
 
 func listen(t *testing.T, addr string) (net.Listener, error) {
--- a/soak/internal/faults/driver.go
+++ b/soak/internal/faults/driver.go
@@ -33,6 +33,8 @@
 	World *world.World
 	Hosts []*hosts.Host
 	Check *check.Check
+	// Restarts lets replicas be killed that return under their id; without it a seed plays as it did before there were any.
+	Restarts bool
 	// Say writes down what is done.
 	Say func(format string, args ...any)
 
@@ -99,6 +101,11 @@
 		return func(ctx context.Context) { d.away(ctx, t) }
 	case 6:
 		return func(context.Context) { d.forget() }
+	case 7:
+		if d.Restarts {
+			return func(context.Context) { d.restart(r, t) }
+		}
+		fallthrough
 	default:
 		return func(ctx context.Context) { d.replica(ctx, r, fault, t) }
 	}
@@ -171,6 +178,15 @@
 	r.Proxy.Reset()
 }
 
+// restart kills a replica, which returns under its id.
+func (d *Driver) restart(r *world.Replica, t time.Duration) {
+	if left, _ := r.Left(); !left.IsZero() {
+		return
+	}
+	d.Say("kill %s, back under its id after %v", r.ID, t)
+	r.Restart(t)
+}
+
 func (d *Driver) disturbAll() {
 	for _, h := range d.Hosts {
 		h.Disturb()
--- a/soak/internal/world/world.go
+++ b/soak/internal/world/world.go
@@ -49,6 +49,8 @@
 	listener    net.Listener
 
 	mu sync.Mutex
+	// born is when the replica's process started, in milliseconds since 1970, and sequence counts its entries.
+	born, sequence int64
 	// left is when the store knew that it leaves.
 	left time.Time
 	// late is the latest arrival, after left.
@@ -96,18 +98,49 @@
 	w.replicas = append(w.replicas, r)
 	w.mu.Unlock()
 	go r.accept()
-	w.Store.Set("servers", r.ID, platformtest.Replica(service, p.Addr(), "ready"))
+	r.start()
 	return r, nil
 }
 
+// start registers a process of the replica that starts now.
+func (r *Replica) start() {
+	r.mu.Lock()
+	r.born, r.sequence = time.Now().UnixMilli(), 0
+	r.mu.Unlock()
+	r.tell("ready")
+}
+
+// tell writes the replica's entry.
+func (r *Replica) tell(state string) {
+	r.mu.Lock()
+	r.sequence++
+	entry := platformtest.ReplicaBorn(r.Service, r.Proxy.Addr(), state, r.born, r.sequence)
+	r.mu.Unlock()
+	r.world.Store.Set("servers", r.ID, entry)
+}
+
 // Drain announces that the replica leaves.
 func (r *Replica) Drain() {
-	r.world.Store.Set("servers", r.ID, platformtest.Replica(r.Service, r.Proxy.Addr(), "draining"))
+	r.tell("draining")
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.left = time.Now()
 }
 
+// Restart kills the replica's process, and starts it again under its id after some time; a write that the old process had given up comes last.
+func (r *Replica) Restart(down time.Duration) {
+	r.mu.Lock()
+	late := platformtest.ReplicaBorn(r.Service, r.Proxy.Addr(), "ready", r.born, r.sequence+1)
+	r.mu.Unlock()
+	r.Proxy.Set(proxy.Refuse)
+	r.Proxy.Reset()
+	time.Sleep(down)
+	r.Proxy.Set(proxy.None)
+	r.start()
+	r.world.Store.Set("servers", r.ID, late)
+	r.tell("ready")
+}
+
 // Left returns when the replica announced that it leaves, and how long after it the last request came.
 func (r *Replica) Left() (time.Time, time.Duration) {
 	r.mu.Lock()
--- a/soak/main.go
+++ b/soak/main.go
@@ -39,9 +39,10 @@
 	length := app.Flag("for", "How long to disturb.").Default("30s").Duration()
 	n := app.Flag("hosts", "Number of hosts.").Default("4").Int()
 	clients := app.Flag("clients", "Number of clients.").Default("12").Int()
+	restarts := app.Flag("restarts", "Kill replicas too, which return under their id.").Bool()
 	dir := app.Flag("dir", "Where settings and logs are kept; a new folder where empty.").Default("").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	s := &soak{program: *program, seed: *seed, length: *length, hosts: *n, clients: *clients, dir: *dir, began: time.Now()}
+	s := &soak{program: *program, seed: *seed, length: *length, hosts: *n, clients: *clients, restarts: *restarts, dir: *dir, began: time.Now()}
 	findings, err := s.run(context.Background())
 	if err != nil {
 		settings.Fail(os.Stderr, "soak", err)
@@ -56,6 +57,7 @@
 	seed           uint64
 	length         time.Duration
 	hosts, clients int
+	restarts       bool
 	dir            string
 	began          time.Time
 	mu             sync.Mutex
@@ -89,7 +91,7 @@
 		return 0, err
 	}
 	c := check.New(w)
-	d := &faults.Driver{Rand: rand.New(rand.NewPCG(s.seed, s.seed)), World: w, Hosts: list, Check: c, Say: s.say}
+	d := &faults.Driver{Rand: rand.New(rand.NewPCG(s.seed, s.seed)), World: w, Hosts: list, Check: c, Restarts: s.restarts, Say: s.say}
 	if err := d.Setup(); err != nil {
 		return 0, err
 	}
--- a/soak/main_test.go
+++ b/soak/main_test.go
@@ -15,10 +15,14 @@
 	program := filepath.Join(t.TempDir(), "entry")
 	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "../entry").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
-	for _, seed := range []uint64{1} {
-		s := &soak{program: program, seed: seed, length: 15 * time.Second, hosts: 4, clients: 12, dir: t.TempDir(), began: time.Now()}
+	tests := []struct {
+		seed     uint64
+		restarts bool
+	}{{1, false}, {2, true}}
+	for _, test := range tests {
+		s := &soak{program: program, seed: test.seed, length: 15 * time.Second, hosts: 4, clients: 12, restarts: test.restarts, dir: t.TempDir(), began: time.Now()}
 		findings, err := s.run(t.Context())
 		qt.Assert(t, err, qt.IsNil)
-		qt.Check(t, findings, qt.Equals, 0, qt.Commentf("seed %d", seed))
+		qt.Check(t, findings, qt.Equals, 0, qt.Commentf("seed %d", test.seed))
 	}
 }
