overload, queueing, learned, patience, unloaded: Refuse with a chance that follows the queues at the replicas

Cause: a host saw only its own waiting tries, and took the whole deadline as bearable once replies were later than the objective allows. Six hosts at six times the load put 18 tries of a shard where 6 run; half of what replicas did went into late answers (349 of 943 a second), and lookups with half the objective were always late. Clients that come back took the places of those that could still be in time.

Change: replies tell the wait at the replicas (their time less that without queues, three in ten of the newest), the newest of all shards together tell of a burst at once; the chance of a refusal grows with the wait, from 0.45 to 0.9 of what the least patient route to the shards can spare. Who was refused before is let in where nothing waits; Retry-After is a sixth to a third of the time left. Late replies count only where the replicas are about as full as they can be.

--- a/entry/internal/endpoints/replica.go
+++ b/entry/internal/endpoints/replica.go
@@ -175,8 +175,8 @@
 	Deadline time.Time
 	// Connections is the most connections that this host may hold to the replica.
 	Connections int
-	// Usual is the time that a healthy replica takes.
-	Usual time.Duration
+	// Usual is the time that a healthy replica takes, Unloaded the time while nothing queues there, zero for unknown.
+	Usual, Unloaded time.Duration
 	// Once says that the request must not run twice.
 	Once bool
 }
@@ -185,7 +185,7 @@
 func (r *Replica) Send(ctx context.Context, call Call) exchange.Result {
 	began := r.clock.Now()
 	n := r.begin(began)
-	r.service.load.begin()
+	r.service.load.begin(began)
 	res := r.pool.Do(ctx, &exchange.Call{
 		Request: call.Request, Replica: r.ID(), Deadline: call.Deadline, Connections: call.Connections, Once: call.Once,
 		// What waited for a connection may have outlived the replica's place in the list.
@@ -198,7 +198,10 @@
 	})
 	now := r.clock.Now()
 	r.end(n, &res, call.Usual)
-	r.service.load.end(now.Sub(began))
+	r.service.load.end(now, now.Sub(began))
+	if res.Kind == upstream.KindOK {
+		r.service.queued.Observe(now, res.Took, call.Unloaded)
+	}
 	r.service.Wake(now)
 	return res
 }
--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -3,11 +3,11 @@
 import (
 	"math"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"guavaspring.org/entry/internal/pick"
+	"guavaspring.org/entry/internal/queueing"
 	"guavaspring.org/entry/internal/spend"
 )
 
@@ -35,45 +35,45 @@
 	// part returns which part of all requests this host sends.
 	part func() float64
 	load load
+	// slots is how many requests all replicas that don't leave run at once.
+	slots atomic.Int64
+	// queued is how long requests queue at the replicas, by all hosts; spare is the least time that a route lets them.
+	queued queueing.Delay
+	spare  spare
 }
 
-// load is how busy this host keeps the replicas of a service.
-type load struct {
-	mu sync.Mutex
-	// running counts the tries under way, took is how long the late ones took.
-	running int
-	took    time.Duration
+// Delay returns how long a try that comes now is expected to wait for room: at this host as long as those that wait already take to be sent, where
+// as many run at once as do now, and at the replica as long as others waited there lately. together is the wait at all services of the query.
+func (s *Service) Delay(now time.Time, together time.Duration) time.Duration {
+	here := s.load.wait(s.Waiting())
+	if !s.occupied(now) {
+		return here
+	}
+	return here + max(time.Duration(togetherPart*float64(together)), s.queued.At(now))
 }
 
-// tookWeight is the weight of the newest try in the mean time of a service's tries: one in a hundred takes five times as long, and must not
-// double what all others are expected to wait.
-const tookWeight = 1.0 / 16
+// Newest returns how long the newest reply waited at its replica, and whether that is fresh.
+func (s *Service) Newest(now time.Time) (time.Duration, bool) { return s.queued.Newest(now) }
 
-func (l *load) begin() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.running++
-}
+// togetherPart is how much of the wait that the newest replies of all services show counts for each of them. One reply of a service may have met a
+// replica that pauses, and of ten often one or two have; counted whole, 620 of 664 requests a second came in time where 634 do. But
+// it tells of a burst ten times sooner than the replies of one service do.
+const togetherPart = 0.5
 
-func (l *load) end(took time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.running--
-	if l.took == 0 {
-		l.took = took
-	}
-	l.took += time.Duration(tookWeight * float64(took-l.took))
-}
+// occupiedFrom is the share of the replicas' slots that are in use from which on late replies are taken for a sign of queues. Part of a host's
+// estimate is chance: where each host has nine requests a second, it is a third off as often as not.
+const occupiedFrom = 0.6
 
-// Delay returns how long a try that comes now is expected to wait for room: as long as those that wait already take to be sent, where as
-// many run at once as do now.
-func (s *Service) Delay() time.Duration {
-	waiting := s.Waiting()
-	s.load.mu.Lock()
-	defer s.load.mu.Unlock()
-	return time.Duration(waiting) * s.load.took / time.Duration(max(1, s.load.running))
+// occupied reports whether the replicas may have queues: whether all hosts together have them work on about as many requests as they run at once,
+// where this host does its part. Replicas that are slow and have little to do are late, too, and refusing requests would not make them
+// any quicker.
+func (s *Service) occupied(now time.Time) bool {
+	return s.load.mean(now) >= occupiedFrom*float64(s.slots.Load())*s.part()
 }
 
+// Spare takes over how long a route lets its tries wait for room, and returns the least that any route to the service said lately.
+func (s *Service) Spare(now time.Time, d time.Duration) time.Duration { return s.spare.least(now, d) }
+
 const (
 	// depth is how many requests all hosts together may have at a replica, in times of what it runs at once: what runs, and as much again
 	// that is there when a slot becomes free. More only makes the replica's queue longer, which keeps no order.
@@ -84,10 +84,15 @@
 
 // share returns how many requests this host may have at a replica that runs a number of them at once.
 func (s *Service) share(slots int) int {
-	if slots <= 0 {
-		slots = defaultSlots
+	return max(1, int(math.Ceil(depth*float64(slotsOf(slots))*s.part())))
+}
+
+// slotsOf returns how many requests a replica runs at once that says so, or doesn't.
+func slotsOf(said int) int {
+	if said <= 0 {
+		return defaultSlots
 	}
-	return max(1, int(math.Ceil(depth*float64(slots)*s.part())))
+	return said
 }
 
 // Connections returns the most connections that this host may hold to each replica.
@@ -160,8 +165,4 @@
 }
 
 // Running returns how many requests of this host are under way at the replicas.
-func (s *Service) Running() int {
-	s.load.mu.Lock()
-	defer s.load.mu.Unlock()
-	return s.load.running
-}
+func (s *Service) Running() int { return s.load.count() }
--- a/entry/internal/endpoints/table.go
+++ b/entry/internal/endpoints/table.go
@@ -317,9 +317,12 @@
 
 // publish gives each service the list of its replicas.
 func (t *Table) publish() {
-	lists := map[string][]*Replica{}
+	lists, slots := map[string][]*Replica{}, map[string]int64{}
 	for _, r := range t.replicas {
 		lists[r.row.Service] = append(lists[r.row.Service], r)
+		if r.row.State != platform.StateLeaving {
+			slots[r.row.Service] += int64(slotsOf(r.row.Slots))
+		}
 	}
 	for name := range lists {
 		t.service(name)
@@ -327,6 +330,7 @@
 	for name, s := range t.services {
 		list := lists[name]
 		s.list.Store(&list)
+		s.slots.Store(slots[name])
 		s.Wake(t.opts.Clock.Now())
 	}
 }
--- a/entry/internal/forward/forwarder.go
+++ b/entry/internal/forward/forwarder.go
@@ -18,7 +18,7 @@
 	"guavaspring.org/entry/internal/endpoints"
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/exchange"
-	"guavaspring.org/entry/internal/latency"
+	"guavaspring.org/entry/internal/learned"
 	"guavaspring.org/entry/internal/quarantine"
 	"guavaspring.org/entry/internal/requestlog"
 	"guavaspring.org/entry/internal/scatter"
@@ -68,8 +68,8 @@
 // Forwarder is the HTTP handler of clients' requests.
 type Forwarder struct {
 	opts Options
-	// recent holds a *latency.Recent for each route, by host name and prefix; it outlives the configuration's versions.
-	recent sync.Map
+	// routes holds a *learned.Route for each route, by host name and prefix; it outlives the configuration's versions.
+	routes sync.Map
 }
 
 // New returns a forwarder.
@@ -110,7 +110,7 @@
 		return
 	}
 	q := scatter.Query{
-		Request: &req, Route: rt, Shards: f.shards(rt), Recent: f.recentOf(rt), Arrived: arrived, Deadline: deadline(arrived, &req, rt),
+		Request: &req, Route: rt, Shards: f.shards(rt), Learned: f.learnedOf(rt), Arrived: arrived, Deadline: deadline(arrived, &req, rt),
 		Fingerprint: fp, Suspect: verdict.Suspect,
 	}
 	f.opts.Requests.Admitted(&q)
@@ -160,13 +160,13 @@
 	return split[len(split)-1].Service
 }
 
-func (f *Forwarder) recentOf(rt *route.Route) *latency.Recent {
+func (f *Forwarder) learnedOf(rt *route.Route) *learned.Route {
 	key := rt.Host + rt.Prefix
-	if r, ok := f.recent.Load(key); ok {
-		return r.(*latency.Recent)
+	if r, ok := f.routes.Load(key); ok {
+		return r.(*learned.Route)
 	}
-	r, _ := f.recent.LoadOrStore(key, &latency.Recent{})
-	return r.(*latency.Recent)
+	r, _ := f.routes.LoadOrStore(key, &learned.Route{})
+	return r.(*learned.Route)
 }
 
 var errTooLarge = errors.New("the body is over the limit")
--- a/entry/internal/latency/latency.go
+++ b/entry/internal/latency/latency.go
@@ -46,3 +46,13 @@
 	}
 	return r.sorted[min(len(r.sorted)-1, int(q*float64(len(r.sorted))))]
 }
+
+// Median returns the median, and whether there are samples enough to trust it.
+func (r *Recent) Median() (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.n < sortEvery {
+		return 0, false
+	}
+	return r.sorted[len(r.sorted)/2], true
+}
--- a/entry/internal/overload/overload.go
+++ b/entry/internal/overload/overload.go
@@ -2,31 +2,78 @@
 
 import "time"
 
-// part is the share of the time that a request could wait which the tries before it may take. What waits longer comes back just in
-// time, and the next pause of a replica makes it late. With 0.35, 0.5 and 0.6, requests served were worth 0.811, 0.795 and 0.797, and
-// 0.718, 0.708 and 0.694, of what was owed at four times the usual load on two deployments; 0.740, 0.749 and 0.749 with two
-// short shards of ten.
-const part = 0.5
+const (
+	// free is the share of the time that a request could wait which the tries before it may take without any being refused, and full the share at
+	// which all are. Between them the chance of a refusal grows evenly, so that hosts which know nothing of each other refuse their parts of
+	// what is too much, and nobody waits for a host that refuses all and then none.
+	//
+	// Requests a second answered in time of 664, 884 and 1,328 that came, three seeds each, capacity 760 (worked out):
+	// 0.35 to 0.7: 624, 698, 830; 0.45 to 0.9: 631, 711, 831; 0.6 to 1: 633, 705, 822; 0.6 to 1.2: 633, 702, 807.
+	free, full = 0.45, 0.9
+	// most is the greatest chance. The few that are let in tell when the queues are gone; without them all hosts wait until what they know is
+	// too old, and then all let everything in at once.
+	most = 0.95
+	// again is the share of the time that a request could wait within which a client that has waited before counts as coming for the first time,
+	// and quiet the share that tries before it may take where it doesn't.
+	again, quiet = 0.25, 0.1
+)
+
+// Load is what is known where a request comes.
+type Load struct {
+	// Delays are how long a try of each shard is expected to wait for room, at the host and at the replica; Least of them have to answer.
+	Delays []time.Duration
+	Least  int
+	// Spare is how long a request may wait there for its answer to be in time, the least of all routes to the shards.
+	Spare time.Duration
+	// Waited is how long the client has waited already, since it was refused before.
+	Waited time.Duration
+	// Draw is a random number between 0 and 1.
+	Draw float64
+}
 
 // Decision says whether a request is let in.
 type Decision struct {
-	// Refused says that the request would not be answered in time.
+	// Refused says that the request would not be answered in time, or that its place is needed for one that would.
 	Refused bool
 	// Wait is how long the request is expected to wait for the shards that are behind.
 	Wait time.Duration
+	// Chance is the chance with which it was refused.
+	Chance float64
+	// Crowded says that nearly all requests are refused.
+	Crowded bool
 }
 
-// Decide decides about a request over shards of which least have to answer, where delays are how long a try of each shard is expected to
-// wait for room, and spare is how long it may wait there for its answer to be in time.
+// Decide decides about a request.
 //
 // It answers more load than the replicas of some or all shards can do. Each shard has its own queue, and left alone each turns
 // other requests away: with one try in six turned away at each of ten shards, half of the pages lack two parts, and all the
 // work of their other eight is lost. With a few short shards, requests wait for them to their deadline and fail. One that is turned
 // away as a whole, before anything is sent, costs the replicas nothing and its client no time.
 //
+// The wait is held against the route that can wait least, and not against the request's own: where each kind of request had its own bound, the
+// patient kind would fill the queues up to its bound, at which the other kind is always late. At six times the load lookups
+// with half the objective got 0.118 of what they were worth beside 0.456 for the others, and 0.487 beside 0.553 with one bound.
+//
+// Who was refused and comes back is let in where nothing waits. While more comes than can be done, each place that it gets is taken
+// from one that would be answered in time; it would not. Requests a second in time at four and six times the load: 568 and 569 where
+// those that come back are like all others, 713 and 795 where they are not.
+func Decide(l Load) Decision {
+	wait := expected(l.Delays, l.Least)
+	spare := max(l.Spare, time.Millisecond)
+	x := float64(wait) / float64(spare)
+	chance := min(most, max(0, (x-free)/(full-free)))
+	crowded := chance >= most
+	if back := float64(l.Waited) > again*float64(spare); back && x > quiet {
+		chance = 1
+	}
+	return Decision{Wait: wait, Chance: chance, Refused: chance > l.Draw, Crowded: crowded}
+}
+
+// expected returns how long a request is expected to wait for the shards that are behind, where least of all have to answer.
+//
 // All that wait for the shards that are behind need only some of them, as an answer may lack the others: of two short shards of
 // which one may be missing, each request takes the first that has room, so that their queues are half as long as they look.
-func Decide(delays []time.Duration, least int, spare time.Duration) Decision {
+func expected(delays []time.Duration, least int) time.Duration {
 	behind, sum := 0, time.Duration(0)
 	for _, d := range delays {
 		if d > 0 {
@@ -36,9 +83,8 @@
 	}
 	needed := behind - (len(delays) - least)
 	if needed <= 0 {
-		return Decision{}
+		return 0
 	}
 	mean := sum / time.Duration(behind)
-	wait := mean * time.Duration(needed) / time.Duration(behind)
-	return Decision{Wait: wait, Refused: wait > time.Duration(part*float64(max(0, spare)))}
+	return mean * time.Duration(needed) / time.Duration(behind)
 }
--- /dev/null
+++ b/entry/internal/scatter/burst_test.go
@@ -0,0 +1,253 @@
+package scatter_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/opaque"
+	"guavaspring.org/core/route"
+	"guavaspring.org/entry/internal/learned"
+	"guavaspring.org/entry/internal/replicatest"
+	"guavaspring.org/entry/internal/scatter"
+)
+
+// kind is one kind of request over the same shards.
+type kind struct {
+	path                string
+	objective, deadline time.Duration
+	work                time.Duration
+	least               float64
+	// weight is its part of what comes.
+	weight int
+}
+
+// kinds are pages, and lookups that have half the time and a third of the work.
+var kinds = []kind{
+	{"/page", 100 * time.Millisecond, 600 * time.Millisecond, 11 * time.Millisecond, 0.89, 3},
+	{"/lookup", 50 * time.Millisecond, 300 * time.Millisecond, 4 * time.Millisecond, 0.75, 1},
+}
+
+// tally is what the callers of one kind got.
+type tally struct {
+	asked, inTime, late, refused, failed int
+	// held counts refusals that did not come at once.
+	held int
+}
+
+// crowd plays callers that come in a steady stream and come back once, when they are told.
+type crowd struct {
+	hosts []*bed
+	// routes and learned are by host and kind.
+	routes  []*route.Route
+	learned [][]*learned.Route
+	mu      sync.Mutex
+	tallies []tally
+	next    int
+}
+
+// newCrowd returns callers of a number of hosts before ten shards of three replicas, each of which runs some requests at once.
+func newCrowd(farm *replicatest.Farm, hosts, slots int) *crowd {
+	c := &crowd{tallies: make([]tally, len(kinds))}
+	for _, k := range kinds {
+		rt := &route.Route{Idempotent: true, Timeout: k.deadline, Objective: k.objective, Attempts: 2, TopK: 5, LeastShare: k.least}
+		for i := range 10 {
+			rt.Shards = append(rt.Shards, fmt.Sprintf("s%d", i))
+		}
+		c.routes = append(c.routes, rt)
+	}
+	for i := range 10 {
+		for n := range 3 {
+			farm.Add(fmt.Sprintf("s%d", i), n, worker(slots)).Row.Slots = slots
+		}
+	}
+	for range hosts {
+		h := newHost(farm, 52, 1/float64(hosts))
+		h.table.Replace(farm.Batch(), false)
+		h.run = scatter.New(scatter.Options{Clock: clock.System{}, Share: func() float64 { return 1 / float64(hosts) }, Draw: seeded(uint64(len(c.hosts))), Quarantine: h.crashers})
+		c.hosts = append(c.hosts, h)
+		var list []*learned.Route
+		for _, k := range kinds {
+			l := &learned.Route{}
+			for range 100 {
+				l.Replied(time.Now(), k.work)
+			}
+			list = append(list, l)
+		}
+		c.learned = append(c.learned, list)
+	}
+	return c
+}
+
+// worker answers as a replica that runs a number of requests at once, each for the work of its kind, and lets the others wait.
+func worker(slots int) func(*http.Request, []byte) replicatest.Answer {
+	free := make(chan struct{}, slots)
+	return func(req *http.Request, body []byte) replicatest.Answer {
+		free <- struct{}{}
+		defer func() { <-free }()
+		for _, k := range kinds {
+			if k.path == req.URL.Path {
+				time.Sleep(k.work)
+			}
+		}
+		return replicatest.OK("r", 0, "x")(req, body)
+	}
+}
+
+func seeded(seed uint64) func() float64 {
+	var mu sync.Mutex
+	r := rand.New(rand.NewPCG(seed, seed))
+	return func() float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return r.Float64()
+	}
+}
+
+// play lets rate callers a second come for some time and returns what those that came after the first half second got, by kind.
+func (c *crowd) play(t *testing.T, rate int, span time.Duration) []tally {
+	var all sync.WaitGroup
+	mix := kindOf()
+	arrivals := rand.New(rand.NewPCG(7, 7))
+	for began := time.Now(); time.Since(began) < span; {
+		k, h, counts := mix[arrivals.IntN(len(mix))], arrivals.IntN(len(c.hosts)), time.Since(began) > 500*time.Millisecond
+		all.Go(func() { c.visit(t, k, h, counts) })
+		time.Sleep(time.Duration(arrivals.ExpFloat64() * float64(time.Second) / float64(rate)))
+	}
+	all.Wait()
+	return c.tallies
+}
+
+// kindOf returns the kinds, each as often as its weight says.
+func kindOf() []int {
+	var list []int
+	for i, k := range kinds {
+		for range k.weight {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// visit plays one caller of kind k: it asks a host, and where it is refused comes back once to any host.
+func (c *crowd) visit(t *testing.T, k, h int, counts bool) {
+	came := time.Now()
+	var rep scatter.Report
+	held := 0
+	for range 2 {
+		asked := time.Now()
+		rep = c.ask(t, k, h, kinds[k].deadline-asked.Sub(came))
+		if rep.Ending != scatter.Overload {
+			break
+		}
+		if time.Since(asked) > 0 {
+			held++
+		}
+		time.Sleep(min(rep.RetryAfter, (kinds[k].deadline-time.Since(came))/3))
+		h = (h + 1) % len(c.hosts)
+	}
+	if !counts {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := &c.tallies[k]
+	n.asked++
+	n.held += held
+	switch {
+	case rep.Ending == scatter.Overload:
+		n.refused++
+	case rep.Answered < c.routes[k].LeastShards():
+		n.failed++
+	case time.Since(came) > kinds[k].objective:
+		n.late++
+	default:
+		n.inTime++
+	}
+}
+
+func (c *crowd) ask(t *testing.T, k, h int, left time.Duration) scatter.Report {
+	c.mu.Lock()
+	c.next++
+	id := fmt.Sprintf("q%d", c.next)
+	c.mu.Unlock()
+	host, now := c.hosts[h], time.Now()
+	q := scatter.Query{
+		Request: &opaque.Request{ID: id, Method: http.MethodGet, Target: kinds[k].path, Host: "h", Header: http.Header{}, Patience: left},
+		Route:   c.routes[k], Learned: c.learned[h][k], Arrived: now, Deadline: now.Add(left), Fingerprint: id,
+	}
+	for _, name := range c.routes[k].Shards {
+		q.Shards = append(q.Shards, host.table.Service(name))
+	}
+	return host.run.Run(t.Context(), q)
+}
+
+// Twice as many callers come as the replicas of all shards can answer, and for seconds: users that watch a page turn slow press again. What is let in
+// beyond what can be done makes all wait, until most of the work goes into answers that come too late. Nearly as many as
+// can be have to be answered in time, the others have to hear so at once, and neither kind may be starved. With few hosts and
+// with so many that none of them ever has two requests at a replica.
+func TestBurstIsAnsweredInTime(t *testing.T) {
+	tests := []struct {
+		hosts, slots int
+		// rate is what comes a second, capacity what can be done: three replicas of a shard run slots at once, for 9.25 ms in the mean.
+		rate, capacity int
+		// least is the part of what can be done that has to come in time, late the part of that which may come late besides. Five runs gave 0.96 to
+		// 0.99 and 0.59 to 0.68, and 0.06 to 0.08 and 0.35 to 0.49. Refused by the tries that wait at each host alone, 0.53 and 0 came in
+		// time over two seconds, and 514 and 3,068 requests were late or failed.
+		least, late float64
+	}{{6, 2, 1300, 648, 0.8, 0.3}, {84, 4, 2600, 1297, 0.45, 0.6}}
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			farm := replicatest.New()
+			defer farm.Close()
+			c := newCrowd(farm, test.hosts, test.slots)
+			sum := tally{}
+			got := c.play(t, test.rate, 1500*time.Millisecond)
+			for i, n := range got {
+				sum.inTime += n.inTime
+				sum.late += n.late
+				sum.failed += n.failed
+				sum.held += n.held
+				qt.Check(t, n.inTime > n.asked/6, qt.IsTrue, qt.Commentf("%s: %+v", kinds[i].path, n))
+			}
+			t.Logf("%d hosts: %+v", test.hosts, got)
+			// The first half second is not counted.
+			can := test.capacity
+			qt.Check(t, float64(sum.inTime) > test.least*float64(can), qt.IsTrue, qt.Commentf("%d hosts: %+v, %d could be in time", test.hosts, sum, can))
+			qt.Check(t, float64(sum.late) < test.late*float64(sum.inTime), qt.IsTrue, qt.Commentf("%d hosts: %+v", test.hosts, sum))
+			qt.Check(t, sum.failed < sum.inTime/50, qt.IsTrue, qt.Commentf("%d hosts: %+v", test.hosts, sum))
+			qt.Check(t, sum.held, qt.Equals, 0)
+			time.Sleep(5 * time.Second)
+		})
+	}
+}
+
+// All replicas are four times slower than before, and hardly anybody comes. Nothing queues there: whoever comes must be answered, though
+// replies take as long as if many waited.
+func TestSlowReplicasWithoutLoadRefuseNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		farm := replicatest.New()
+		defer farm.Close()
+		c := newCrowd(farm, 6, 2)
+		for _, list := range c.learned {
+			for i, k := range kinds {
+				*list[i] = learned.Route{}
+				for range 100 {
+					list[i].Replied(time.Now(), k.work/4)
+				}
+			}
+		}
+		for i, n := range c.play(t, 60, 3*time.Second) {
+			qt.Check(t, n.refused, qt.Equals, 0, qt.Commentf("%s: %+v", kinds[i].path, n))
+			qt.Check(t, n.inTime > n.asked*19/20, qt.IsTrue, qt.Commentf("%s: %+v", kinds[i].path, n))
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/entry/internal/scatter/scatter.go
+++ b/entry/internal/scatter/scatter.go
@@ -10,9 +10,10 @@
 	"guavaspring.org/core/route"
 	"guavaspring.org/entry/internal/endpoints"
 	"guavaspring.org/entry/internal/exchange"
-	"guavaspring.org/entry/internal/latency"
+	"guavaspring.org/entry/internal/learned"
 	"guavaspring.org/entry/internal/overload"
 	"guavaspring.org/entry/internal/quarantine"
+	"guavaspring.org/entry/internal/queueing"
 )
 
 const (
@@ -27,6 +28,8 @@
 	spareSteps = 4
 	// unsentTries is how many replicas beyond the allowed ones may be tried where nothing was sent to the others.
 	unsentTries = 2
+	// backWithin is the part of the time that a client has left within which it comes back.
+	backWithin = 1.0 / 3
 	// answerBefore is how long before its deadline a request is given up, so that the answer is there in time.
 	answerBefore = 5 * time.Millisecond
 )
@@ -81,8 +84,8 @@
 	Route   *route.Route
 	// Shards are the services that it is sent to, one replica each.
 	Shards []*endpoints.Service
-	// Recent holds how long replies to the route took lately.
-	Recent            *latency.Recent
+	// Learned holds what was learned from the route's requests.
+	Learned           *learned.Route
 	Arrived, Deadline time.Time
 	// Fingerprint names the request by its content, and Suspect says that a replica crashed under it a moment ago.
 	Fingerprint string
@@ -104,8 +107,11 @@
 	Denied int
 	// Steps holds what was decided, in order.
 	Steps []Step
-	// Behind is how long the shards were behind when the request came, and Spare how long it could wait for them.
-	Behind, Spare time.Duration
+	// Behind is how long the shards were behind when the request came, Spare how long it could wait for them, and Waited how long its client has
+	// waited before it came.
+	Behind, Spare, Waited time.Duration
+	// Chance is the chance of a refusal that it had.
+	Chance float64
 	// RetryAfter is when to come back after Overload.
 	RetryAfter time.Duration
 	// Usual and Hedge are the times that the request was measured by: of a healthy replica's reply, and after which a second try is sent.
@@ -115,10 +121,7 @@
 // Run sends the request and returns once its end is decided.
 func (run *Runner) Run(ctx context.Context, q Query) Report {
 	p := newPlan(run, q)
-	p.report.Spare = p.spare()
-	d := overload.Decide(p.delays(), p.least, p.report.Spare)
-	p.report.Behind = d.Wait
-	if d.Refused {
+	if p.overloaded() {
 		return p.refuse()
 	}
 	p.start(ctx)
@@ -132,9 +135,11 @@
 	Query
 	run    *Runner
 	timing timing
-	least  int
-	now    time.Time
-	shards []shard
+	// unloaded is how long a reply takes while nothing queues, zero for unknown.
+	unloaded time.Duration
+	least    int
+	now      time.Time
+	shards   []shard
 	// ctx ends the tries; it is not the client's, since a try that lost is left to end by itself for a while.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -170,7 +175,7 @@
 func newPlan(run *Runner, q Query) *plan {
 	n := len(q.Shards)
 	p := &plan{
-		Query: q, run: run, timing: timingOf(q.Route, q.Recent), least: 1, now: run.opts.Clock.Now(), shards: make([]shard, n), open: n,
+		Query: q, run: run, timing: timingOf(q.Route, &q.Learned.Recent), unloaded: q.Learned.Unloaded.Get(), least: 1, now: run.opts.Clock.Now(), shards: make([]shard, n), open: n,
 		ends: make(chan ended, n*(q.Route.Attempts+unsentTries)), room: make(chan int, n),
 	}
 	p.report.Steps = make([]Step, 0, n+spareSteps)
@@ -180,27 +185,69 @@
 	return p
 }
 
+// overloaded decides whether the request is refused as a whole.
+func (p *plan) overloaded() bool {
+	p.report.Spare = p.spare()
+	p.report.Waited = p.Learned.Patience.Waited(p.Request.Patience)
+	d := overload.Decide(overload.Load{
+		Delays: p.delays(), Least: p.least, Spare: p.report.Spare, Waited: p.report.Waited, Draw: p.run.opts.Draw(),
+	})
+	p.report.Behind, p.report.Chance = d.Wait, d.Chance
+	if d.Crowded {
+		p.Learned.Unloaded.Refused(p.now)
+	}
+	return d.Refused
+}
+
 // delays returns how long a try of each shard is expected to wait for room.
 func (p *plan) delays() []time.Duration {
 	list := make([]time.Duration, len(p.Shards))
+	together := p.together()
 	for i, s := range p.Shards {
-		list[i] = s.Delay()
+		list[i] = s.Delay(p.now, together)
 	}
 	return list
 }
 
-// spare returns how long a try may wait for the answer to be in time. Where replicas are so slow that none can be, it is what the
-// deadline leaves.
+// together returns how long the newest replies of all shards waited.
+//
+// It answers a burst over a large fleet: a host that sends each shard thirty requests a second learns from its replies in a few tenths of one that
+// they queue, and by then all hosts have filled the queues and refuse everything, until those are empty and all let everything
+// in. The ten or more shards of a page tell it ten times sooner. At twice what the replicas can do, over 84 hosts, 346 requests came
+// in time without it, 1,791 with it, of 2,594 that could (test).
+func (p *plan) together() time.Duration {
+	waits := make([]time.Duration, 0, len(p.Shards))
+	for _, s := range p.Shards {
+		if wait, ok := s.Newest(p.now); ok {
+			waits = append(waits, wait)
+		}
+	}
+	return queueing.Quantile(waits)
+}
+
+// slowest is how many times as long as the usual one the slowest reply takes that a page over shards waits for while nothing queues.
+const slowest = 2
+
+// spare returns how long a try may wait for the answer to be in time, the least of all routes that go to the same shards. Where the work alone
+// takes longer than that, as much again as the work.
 func (p *plan) spare() time.Duration {
-	if d := p.timing.cutoff - p.timing.late; d >= p.timing.usual {
-		return d
+	work := p.unloaded
+	if work == 0 {
+		work = p.timing.usual
+	}
+	own := max(p.timing.cutoff-slowest*work, work)
+	least := own
+	for _, s := range p.Shards {
+		least = min(least, s.Spare(p.now, own))
 	}
-	return p.end().Sub(p.Arrived) - p.timing.late
+	return least
 }
 
-// refuse ends a request to which nothing was sent. Who comes back after the wait, each a little later than the one before, finds room again.
+// refuse ends a request to which nothing was sent. Clients come back once or twice, and within a third of the time that they have left: those
+// that come back late in it, each at another moment, find the burst over more often than those that come at once.
 func (p *plan) refuse() Report {
-	p.report.RetryAfter = p.report.Behind + time.Duration(p.run.opts.Draw()*float64(p.timing.cutoff))
+	left := p.end().Sub(p.now)
+	p.report.RetryAfter = p.report.Behind + time.Duration((1+p.run.opts.Draw())*backWithin/2*float64(left))
 	return p.finish(Overload)
 }
 
--- a/entry/internal/scatter/tries.go
+++ b/entry/internal/scatter/tries.go
@@ -145,11 +145,11 @@
 	if s.sent < p.Route.Attempts && p.Route.Idempotent && !p.Suspect {
 		s.hedgeAt = p.now.Add(p.timing.hedge)
 	}
-	call := endpoints.Call{Request: p.Request, Deadline: p.Deadline, Connections: p.Shards[i].Connections(), Usual: p.timing.usual, Once: !p.Route.Idempotent}
+	call := endpoints.Call{Request: p.Request, Deadline: p.Deadline, Connections: p.Shards[i].Connections(), Usual: p.timing.usual, Unloaded: p.unloaded, Once: !p.Route.Idempotent}
 	go func() {
 		res := p.guarded(i, r, call)
 		if res.Kind == upstream.KindOK {
-			p.Recent.Observe(res.Took)
+			p.Learned.Replied(p.run.opts.Clock.Now(), res.Took)
 		}
 		p.ends <- ended{shard: i, replica: r, res: res}
 	}()
