source: Let the followers of a host tell each other that the store is back

The store was down from 0.7 s to 8 s while the index was cut anew. At its return the hosts read the configuration, which named 54 new shards, and each left the list of replicas alone until its own next try: 0.4 s in which every page failed ("no replica is left to try", 5,076 times). Ruled out: a list that is out of date for longer, or a parent that is behind; the age of the list at those requests is that of the outage.

Change: each kind of object keeps its follower and its rests; one that reaches the store after a failure ends the rest of the other one.

--- a/entry/internal/front/follow.go
+++ b/entry/internal/front/follow.go
@@ -18,7 +18,7 @@
 		Settled: f.settled,
 		Parents: func() ([]source.Parent[route.Config], bool) { return parents[route.Config](f.joined, "Configs") },
 		Copy:    f.joined.configs, Replace: apply, Change: apply, Reconnect: f.opts.Store.Reconnect, Bound: f.opts.Apply,
-		Rejected: f.counts.Unreadable("config"),
+		Rejected: f.counts.Unreadable("config"), Outage: f.outage,
 	}).Run(ctx)
 }
 
@@ -52,6 +52,6 @@
 			return parents[platform.Replica](f.joined, "Replicas")
 		},
 		Copy: f.joined.replicas, Replace: f.table.Replace, Change: f.table.Change, Reconnect: f.opts.Store.Reconnect, Bound: f.opts.Drain,
-		Rejected: f.counts.Unreadable("replicas"),
+		Rejected: f.counts.Unreadable("replicas"), Outage: f.outage,
 	}).Run(ctx)
 }
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -30,6 +30,7 @@
 	"guavaspring.org/entry/internal/quarantine"
 	"guavaspring.org/entry/internal/requestlog"
 	"guavaspring.org/entry/internal/scatter"
+	"guavaspring.org/entry/internal/source"
 	"guavaspring.org/entry/internal/spend"
 )
 
@@ -106,13 +107,15 @@
 	began  time.Time
 	log    *requestlog.Log
 	counts *frontmetrics.Metrics
+	// outage tells the followers of configuration and replicas that the store is back.
+	outage *source.Outage
 	// crashers holds the requests that crash replicas.
 	crashers *quarantine.Quarantine
 }
 
 // New returns a host that does nothing until Run.
 func New(opts Options) (*Front, error) {
-	f := &Front{opts: opts, began: opts.Clock.Now()}
+	f := &Front{opts: opts, began: opts.Clock.Now(), outage: source.NewOutage()}
 	f.drain = drainer.New(drainer.Options{Clock: opts.Clock, Announce: f.announce, Grace: func() time.Duration { return opts.Grace - finishIn }})
 	f.table = endpoints.New(endpoints.Options{Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Share: f.part})
 	j, err := join(opts, rand.Text())
--- a/entry/internal/source/follower.go
+++ b/entry/internal/source/follower.go
@@ -77,6 +77,8 @@
 	Replace, Change func(batch feed.Batch[T], returned bool)
 	// Reconnect drops the unused connections to the store.
 	Reconnect func()
+	// Outage is shared by the followers of one host; nil means one of its own.
+	Outage *Outage
 	// Rejected is told how many objects were found that can't be read, each once; it may be nil.
 	Rejected func(n int)
 	// Bound is how soon a change has to be known here. A watch may hear nothing while its history is being dropped, and tells so only at its
@@ -105,6 +107,9 @@
 	if opts.Settled == nil {
 		opts.Settled = func() bool { return true }
 	}
+	if opts.Outage == nil {
+		opts.Outage = NewOutage()
+	}
 	if opts.Rejected == nil {
 		opts.Rejected = func(int) {}
 	}
@@ -121,17 +126,48 @@
 			clock.Sleep(ctx, f.opts.Clock, settleStep)
 			continue
 		}
-		parents, watches := f.opts.Parents()
-		rest := f.rest(watches)
-		switch {
-		case len(parents) > 0 && (rest > 0 || f.hearsFirst(parents, watches)):
-			f.hear(ctx, parents)
-		case rest > 0:
+		f.step(ctx)
+	}
+}
+
+// step hears from another host, waits, or calls the store.
+func (f *Follower[T]) step(ctx context.Context) {
+	parents, watches := f.opts.Parents()
+	rest := f.rest(watches)
+	switch {
+	case rest > 0:
+		f.untilBack(ctx, func(ctx context.Context) {
+			if len(parents) > 0 {
+				f.hear(ctx, parents)
+				return
+			}
 			clock.Sleep(ctx, f.opts.Clock, rest)
-		default:
-			f.failed = 0
-			f.read(ctx)
+		})
+	case len(parents) > 0 && f.hearsFirst(parents, watches):
+		f.hear(ctx, parents)
+	default:
+		f.failed = 0
+		f.read(ctx)
+	}
+}
+
+// untilBack does something while the store is left alone, and ends that once another follower of this host has reached it.
+func (f *Follower[T]) untilBack(ctx context.Context, do func(ctx context.Context)) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	back := f.opts.Outage.Back()
+	go func() {
+		select {
+		case <-back:
+			cancel()
+		case <-ctx.Done():
 		}
+	}()
+	do(ctx)
+	select {
+	case <-back:
+		f.tried = time.Time{}
+	default:
 	}
 }
 
@@ -329,6 +365,7 @@
 	now := f.opts.Clock.Now()
 	if f.down {
 		f.down, f.pause, f.back = false, 0, now
+		f.opts.Outage.over()
 		events.PlatformUp.Log(f.opts.Log, "kind", f.opts.Name)
 	}
 	return !f.back.IsZero() && now.Sub(f.back) < returnedFor
--- a/entry/internal/source/follower_test.go
+++ b/entry/internal/source/follower_test.go
@@ -119,9 +119,15 @@
 
 // follow starts a host that hears from parents, and watches the store itself where it has none.
 func (w *world) follow(ctx context.Context, name string, parents ...*host) *host {
+	return w.followBeside(ctx, name, source.NewOutage(), parents...)
+}
+
+// followBeside starts a host that shares what it knows of outages with another kind of object.
+func (w *world) followBeside(ctx context.Context, name string, outage *source.Outage, parents ...*host) *host {
 	h := &host{name: name, copy: relay.NewCopy[int64](), parents: parents, watches: len(parents) == 0}
 	f := source.New(source.Options[int64]{
-		Clock: clock.System{}, Log: logr.Discard(), Name: "config", Bound: bound, Copy: h.copy, Replace: h.apply, Change: h.apply, Reconnect: func() {},
+		Outage: outage,
+		Clock:  clock.System{}, Log: logr.Discard(), Name: "config", Bound: bound, Copy: h.copy, Replace: h.apply, Change: h.apply, Reconnect: func() {},
 		Parents: h.sources,
 		List: func(ctx context.Context) (feed.Batch[int64], error) {
 			revision, _, _, err := w.call(ctx, name)
@@ -271,3 +277,39 @@
 		})
 	}
 }
+
+// The store is away while the index is cut anew, and comes back. A host reads the configuration, which names new shards, and the list of replicas
+// only at its own next try, up to a second later: until then every page fails. Both have to be known together, whenever the store
+// comes back, on a host that hears from another one too.
+func TestKindsReturnTogether(t *testing.T) {
+	for i := range 40 {
+		for _, lonely := range []bool{true, false} {
+			play(t, func(ctx context.Context) {
+				configs, replicas := newWorld(), newWorld()
+				outage := source.NewOutage()
+				config := configs.followBeside(ctx, "host", outage)
+				time.Sleep(137 * time.Millisecond)
+				replica := replicas.followBeside(ctx, "host", outage)
+				if !lonely {
+					replica.hear(replicas.follow(ctx, "other"))
+				}
+				time.Sleep(5 * time.Second)
+				for _, w := range []*world{configs, replicas} {
+					w.set(func() { w.away["host"], w.away["other"] = true, true })
+				}
+				time.Sleep(6*time.Second + time.Duration(i)*37*time.Millisecond)
+				for _, w := range []*world{configs, replicas} {
+					w.write()
+					w.set(func() { w.away["host"] = false })
+				}
+				end := time.Now().Add(2 * time.Second)
+				for config.value() != 2 && time.Now().Before(end) {
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(5 * time.Millisecond)
+				qt.Check(t, config.value(), qt.Equals, int64(2), qt.Commentf("moment %d", i))
+				qt.Check(t, replica.value(), qt.Equals, int64(2), qt.Commentf("moment %d, lonely %v", i, lonely))
+			})
+		}
+	}
+}
