--- a/entry/internal/endpoints/table.go
+++ b/entry/internal/endpoints/table.go
@@ -15,7 +15,6 @@
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/route"
 	"guavaspring.org/entry/internal/events"
-	"guavaspring.org/entry/internal/exchange"
 	"guavaspring.org/entry/internal/spend"
 )
 
@@ -26,12 +25,6 @@
 	// connsPart is the part of a replica's connections that the hosts share; the rest is for those that join, and for connections that
 	// the replica still counts while they close.
 	connsPart = 0.8
-	// doubtFor is how long a row of an earlier start is not believed: a replica that lives writes every 1.2 s, and the third write that
-	// changes nothing says that no later process is there.
-	doubtFor = 3600 * time.Millisecond
-	// mostAhead is how far the clock of a replica's host may be ahead of this one's. Clocks jump by seconds; a start that is further ahead
-	// would make every true row an old one.
-	mostAhead = time.Minute
 	// leastConns is what each host may always hold: one for a request and one for a second try.
 	leastConns = 2
 	// defaultConns stands in for a service whose limit is not configured.
@@ -168,106 +161,6 @@
 	return t.listed
 }
 
-func (t *Table) set(row platform.Replica) {
-	now := t.opts.Clock.Now()
-	if row.Born.Sub(now) > mostAhead {
-		events.ReplicaRowOld.Log(t.opts.Log, "replica", row.ID, "born", row.Born, "reason", "it starts in the future")
-		t.remove(row.ID, false)
-		return
-	}
-	if old, ok := t.last(row.ID, now); ok && row.OlderThan(old) {
-		t.doubt(row, old)
-		return
-	}
-	delete(t.doubted, row.ID)
-	t.put(row, now)
-}
-
-// last returns the newest row that was known of a replica.
-func (t *Table) last(id string, now time.Time) (platform.Replica, bool) {
-	if r := t.replicas[id]; r != nil {
-		return r.row, true
-	}
-	return t.ended.row(id, now)
-}
-
-// doubt leaves out a row that is older than the one known.
-//
-// A row of the same process is old for good. One of another process is a late write of a process that ended, or else the clock of the
-// replica's host was set back between two starts. Then the replica lives and writes again and again what is refused here, so that
-// the row is believed once nothing newer has come for some heartbeats.
-func (t *Table) doubt(row, old platform.Replica) {
-	events.ReplicaRowOld.Log(t.opts.Log, "replica", row.ID, "born", row.Born, "sequence", row.Sequence, "known_born", old.Born, "known_sequence", old.Sequence)
-	if row.Born.Equal(old.Born) {
-		return
-	}
-	t.doubted[row.ID] = row
-	t.opts.Clock.AfterFunc(doubtFor, func() { t.believe(row, old) })
-}
-
-// believe takes over a row that was doubted, unless another one has come since.
-func (t *Table) believe(row, old platform.Replica) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.opts.Clock.Now()
-	if known, ok := t.last(row.ID, now); t.doubted[row.ID] != row || ok && known != old {
-		return
-	}
-	delete(t.doubted, row.ID)
-	t.put(row, now)
-	t.publish()
-}
-
-// put takes over a row, of a known replica or of a new one.
-func (t *Table) put(row platform.Replica, now time.Time) {
-	r := t.replicas[row.ID]
-	if r != nil && r.row.SameProcess(row) {
-		t.update(r, row)
-		return
-	}
-	if r != nil {
-		t.restart(r, row)
-	}
-	t.add(row, now)
-}
-
-func (t *Table) update(r *Replica, row platform.Replica) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if row.State != r.row.State {
-		events.ReplicaDraining.Log(t.opts.Log, "replica", row.ID, "service", row.Service, "state", row.State)
-	}
-	if row.State != r.row.State || !r.lapsed.IsZero() {
-		r.usable = row.State != platform.StateLeaving
-	}
-	r.row, r.lapsed = row, time.Time{}
-}
-
-// restart drops a process whose replica has started again. What is under way there is lost, and nobody waits for it: where the host of
-// the old process had lost power, its connections would stay silent.
-func (t *Table) restart(r *Replica, row platform.Replica) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.usable = false
-	delete(t.replicas, row.ID)
-	t.dialed += r.pool.Dialed()
-	events.ReplicaRestarted.Log(t.opts.Log, "replica", row.ID, "service", row.Service, "addr", row.Addr.String(), "born", row.Born, "running", len(r.running))
-	r.pool.End()
-}
-
-func (t *Table) add(row platform.Replica, now time.Time) {
-	r := &Replica{
-		clock: t.opts.Clock, service: t.service(row.Service), near: row.Zone == t.opts.Zone, row: row, usable: row.State != platform.StateLeaving,
-		running: map[uint64]time.Time{}, slowness: 1, seen: now,
-		pool: exchange.New(exchange.Options{Clock: t.opts.Clock, Addr: row.Addr, Codec: t.opts.Codec, Dial: t.opts.Dial}),
-	}
-	if t.listed {
-		r.coldEnd = now.Add(coldFor)
-	}
-	t.replicas[row.ID] = r
-	events.ReplicaSeen.Log(t.opts.Log, "replica", row.ID, "service", row.Service, "addr", row.Addr.String(), "state", row.State)
-}
-
 // remove takes a replica out. One that vanished while the store was away may live: the store forgets those that could not write to it.
 func (t *Table) remove(id string, returned bool) {
 	r := t.replicas[id]
@@ -289,14 +182,19 @@
 
 // forget drops a replica whose lock is held.
 func (t *Table) forget(r *Replica) {
-	r.usable = false
-	delete(t.replicas, r.row.ID)
+	t.drop(r)
 	t.ended.add(r.row, t.opts.Clock.Now())
-	t.dialed += r.pool.Dialed()
 	events.ReplicaGone.Log(t.opts.Log, "replica", r.row.ID, "service", r.row.Service)
 	r.pool.Close()
 }
 
+// drop takes a replica whose lock is held out of use.
+func (t *Table) drop(r *Replica) {
+	r.usable = false
+	delete(t.replicas, r.row.ID)
+	t.dialed += r.pool.Dialed()
+}
+
 func (t *Table) expire(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
