--- a/core/platform/client.go
+++ b/core/platform/client.go
@@ -66,15 +66,15 @@
 	State   ReplicaState   `json:"state"`
 	// Slots is how many requests the replica runs at once, zero where it did not say.
 	Slots int `json:"slots,omitempty"`
-	// Born is when the replica's process started, by the replica's own clock; the zero value where it did not say.
-	Born time.Time `json:"born,omitzero"`
+	// Started is when the replica's process started, by the replica's own clock; the zero value where it did not say.
+	Started time.Time `json:"started,omitzero"`
 	// Sequence counts what the process has written of itself, from its start on; zero where it did not say.
 	Sequence int64 `json:"sequence,omitempty"`
 }
 
 // SameProcess reports whether both rows tell of one process: a replica that starts again keeps its id and has another start.
 func (r Replica) SameProcess(other Replica) bool {
-	return r.ID == other.ID && r.Service == other.Service && r.Addr == other.Addr && r.Born.Equal(other.Born)
+	return r.ID == other.ID && r.Service == other.Service && r.Addr == other.Addr && r.Started.Equal(other.Started)
 }
 
 // OlderThan reports whether r was written before other, by the same process or by one that started earlier.
@@ -82,8 +82,8 @@
 // A write may reach the store seconds after its writer has given it up. It then stands there as the newest word, and would bring
 // back a process that is gone, or take back that a replica leaves.
 func (r Replica) OlderThan(other Replica) bool {
-	if !r.Born.Equal(other.Born) {
-		return r.Born.Before(other.Born)
+	if !r.Started.Equal(other.Started) {
+		return r.Started.Before(other.Started)
 	}
 	return r.Sequence < other.Sequence
 }
--- a/entry/internal/endpoints/replica.go
+++ b/entry/internal/endpoints/replica.go
@@ -68,10 +68,10 @@
 func (r *Replica) Process() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.row.Born.IsZero() {
+	if r.row.Started.IsZero() {
 		return r.row.ID
 	}
-	return r.row.ID + "@" + strconv.FormatInt(r.row.Born.UnixMilli(), 10)
+	return r.row.ID + "@" + strconv.FormatInt(r.row.Started.UnixMilli(), 10)
 }
 
 // Usable reports whether new requests may be sent to the replica: it is listed and does not leave.
--- a/entry/internal/endpoints/restart_test.go
+++ b/entry/internal/endpoints/restart_test.go
@@ -20,12 +20,12 @@
 
 // restarted returns a replica's row after it has started again.
 func restarted(row platform.Replica, after time.Duration, sequence int64) platform.Replica {
-	row.Born, row.Sequence = row.Born.Add(after), sequence
+	row.Started, row.Sequence = row.Started.Add(after), sequence
 	return row
 }
 
-func born(r *replicatest.Replica) platform.Replica {
-	r.Row.Born, r.Row.Sequence = time.Now().Add(-time.Hour).UTC().Truncate(time.Millisecond), 40
+func started(r *replicatest.Replica) platform.Replica {
+	r.Row.Started, r.Row.Sequence = time.Now().Add(-time.Hour).UTC().Truncate(time.Millisecond), 40
 	return r.Row
 }
 
@@ -42,7 +42,7 @@
 		t.Cleanup(f.Close)
 		handle := replicatest.Broken(time.Millisecond)
 		r := f.Add("a", 1, func(req *http.Request, b []byte) replicatest.Answer { return handle(req, b) })
-		born(r)
+		started(r)
 		other := f.Add("a", 2, replicatest.OK("a-2", 30*time.Millisecond, "x"))
 		other.Row.Zone = "b"
 		table := newTable(f)
@@ -79,7 +79,7 @@
 		t.Cleanup(f.Close)
 		handle := replicatest.Misdirected()
 		r := f.Add("a", 1, func(req *http.Request, b []byte) replicatest.Answer { return handle(req, b) })
-		born(r)
+		started(r)
 		table := newTable(f)
 		table.Replace(f.Batch(), false)
 		qt.Assert(t, send(t, table.Service("a").Replicas()[0], false).Kind, qt.Equals, upstream.KindRefused)
@@ -99,7 +99,7 @@
 		f := replicatest.New()
 		t.Cleanup(f.Close)
 		r := f.Add("a", 1, func(*http.Request, []byte) replicatest.Answer { return replicatest.Answer{Silent: true} })
-		born(r)
+		started(r)
 		table := newTable(f)
 		table.Replace(f.Batch(), false)
 		done := make(chan exchange.Result, 1)
@@ -132,10 +132,10 @@
 		gone   bool
 		late   func() platform.Replica
 		usable int
-		born   func() time.Time
+		started   func() time.Time
 	}{
 		{"after it said that it leaves", func() []platform.Replica { return []platform.Replica{first, leaving(restarted(first, 0, 42))} }, false, func() platform.Replica { return restarted(first, 0, 41) }, 0, nil},
-		{"after it started again", func() []platform.Replica { return []platform.Replica{first, restarted(first, time.Minute, 1)} }, false, func() platform.Replica { return restarted(first, 0, 41) }, 1, func() time.Time { return first.Born.Add(time.Minute) }},
+		{"after it started again", func() []platform.Replica { return []platform.Replica{first, restarted(first, time.Minute, 1)} }, false, func() platform.Replica { return restarted(first, 0, 41) }, 1, func() time.Time { return first.Started.Add(time.Minute) }},
 		{"after the new process said that it leaves", func() []platform.Replica { return []platform.Replica{first, leaving(restarted(first, time.Minute, 7))} }, false, func() platform.Replica { return restarted(first, 0, 41) }, 0, nil},
 		{"after the new process is gone", func() []platform.Replica { return []platform.Replica{first, restarted(first, time.Minute, 7)} }, true, func() platform.Replica { return restarted(first, 0, 41) }, 0, nil},
 		{"after it was taken off the list", func() []platform.Replica { return []platform.Replica{restarted(first, 0, 42)} }, true, func() platform.Replica { return restarted(first, 0, 41) }, 0, nil},
@@ -145,7 +145,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := replicatest.New()
 				t.Cleanup(f.Close)
-				first = born(f.Add("a", 1, replicatest.OK("a-1", 0, "x")))
+				first = started(f.Add("a", 1, replicatest.OK("a-1", 0, "x")))
 				table := newTable(f)
 				table.Replace(feed.Batch[platform.Replica]{Revision: 1}, false)
 				rows := test.rows()
@@ -163,8 +163,8 @@
 				}
 				comment := qt.Commentf("%s, in a list: %v", test.name, whole)
 				qt.Assert(t, usable(table.Service("a")), qt.Equals, test.usable, comment)
-				if test.born != nil {
-					qt.Assert(t, table.Service("a").Replicas()[0].Process(), qt.Equals, fmt.Sprintf("a-1@%d", test.born().UnixMilli()), comment)
+				if test.started != nil {
+					qt.Assert(t, table.Service("a").Replicas()[0].Process(), qt.Equals, fmt.Sprintf("a-1@%d", test.started().UnixMilli()), comment)
 				}
 			})
 		}
@@ -177,7 +177,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := replicatest.New()
 		t.Cleanup(f.Close)
-		row := born(f.Add("a", 1, replicatest.OK("a-1", 0, "x")))
+		row := started(f.Add("a", 1, replicatest.OK("a-1", 0, "x")))
 		table := newTable(f)
 		table.Replace(f.Batch(), false)
 		old := table.Service("a").Replicas()[0].Process()
@@ -196,7 +196,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := replicatest.New()
 			t.Cleanup(f.Close)
-			row := born(f.Add("a", 1, replicatest.OK("a-1", 0, "x")))
+			row := started(f.Add("a", 1, replicatest.OK("a-1", 0, "x")))
 			table := newTable(f)
 			table.Replace(f.Batch(), false)
 			broken := feed.Entry[platform.Replica]{Name: row.ID, Revision: 9, Unreadable: true}
--- a/entry/internal/endpoints/rows.go
+++ b/entry/internal/endpoints/rows.go
@@ -20,8 +20,8 @@
 // set takes over a row, unless it is older than what is known.
 func (t *Table) set(row platform.Replica) {
 	now := t.opts.Clock.Now()
-	if row.Born.Sub(now) > mostAhead {
-		events.ReplicaRowOld.Log(t.opts.Log, "replica", row.ID, "born", row.Born, "reason", "it starts in the future")
+	if row.Started.Sub(now) > mostAhead {
+		events.ReplicaRowOld.Log(t.opts.Log, "replica", row.ID, "started", row.Started, "reason", "it starts in the future")
 		t.remove(row.ID, false)
 		return
 	}
@@ -47,8 +47,8 @@
 // replica's host was set back between two starts. Then the replica lives and writes again and again what is refused here, so that
 // the row is believed once nothing newer has come for some heartbeats.
 func (t *Table) doubt(row, old platform.Replica) {
-	events.ReplicaRowOld.Log(t.opts.Log, "replica", row.ID, "born", row.Born, "sequence", row.Sequence, "known_born", old.Born, "known_sequence", old.Sequence)
-	if row.Born.Equal(old.Born) {
+	events.ReplicaRowOld.Log(t.opts.Log, "replica", row.ID, "started", row.Started, "sequence", row.Sequence, "known_started", old.Started, "known_sequence", old.Sequence)
+	if row.Started.Equal(old.Started) {
 		return
 	}
 	t.doubted[row.ID] = row
@@ -99,7 +99,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t.drop(r)
-	events.ReplicaRestarted.Log(t.opts.Log, "replica", row.ID, "service", row.Service, "addr", row.Addr.String(), "born", row.Born, "running", len(r.running))
+	events.ReplicaRestarted.Log(t.opts.Log, "replica", row.ID, "service", row.Service, "addr", row.Addr.String(), "started", row.Started, "running", len(r.running))
 	r.pool.End()
 }
 
--- a/entry/onplatform_test.go
+++ b/entry/onplatform_test.go
@@ -279,7 +279,7 @@
 	s.until("what comes after the nonsense is known", func() bool { return strings.Contains(ask(), "missing=1") })
 	s.show("query under the last good configuration", front, http.MethodGet, "/bundles/blue", "")
 
-	s.store.Set("servers", "i-3", platformtest.ReplicaBorn("s3", addrs["3"], "ready", time.Now().UnixMilli(), 1))
+	s.store.Set("servers", "i-3", platformtest.ReplicaStarted("s3", addrs["3"], "ready", time.Now().UnixMilli(), 1))
 	s.until("the replica that started again is used", func() bool { return strings.Contains(ask(), "missing=0") })
 	s.show("query after a replica started again", front, http.MethodGet, "/bundles/blue", "")
 	s.compare("testdata/platform_forged.txt")
--- a/soak/internal/world/world.go
+++ b/soak/internal/world/world.go
@@ -49,8 +49,8 @@
 	listener    net.Listener
 
 	mu sync.Mutex
-	// born is when the replica's process started, in milliseconds since 1970, and sequence counts its entries.
-	born, sequence int64
+	// started is when the replica's process started, in milliseconds since 1970, and sequence counts its entries.
+	started, sequence int64
 	// left is when the store knew that it leaves.
 	left time.Time
 	// late is the latest arrival, after left.
@@ -105,7 +105,7 @@
 // start registers a process of the replica that starts now.
 func (r *Replica) start() {
 	r.mu.Lock()
-	r.born, r.sequence = time.Now().UnixMilli(), 0
+	r.started, r.sequence = time.Now().UnixMilli(), 0
 	r.mu.Unlock()
 	r.tell("ready")
 }
@@ -114,7 +114,7 @@
 func (r *Replica) tell(state string) {
 	r.mu.Lock()
 	r.sequence++
-	entry := platformtest.ReplicaBorn(r.Service, r.Proxy.Addr(), state, r.born, r.sequence)
+	entry := platformtest.ReplicaStarted(r.Service, r.Proxy.Addr(), state, r.started, r.sequence)
 	r.mu.Unlock()
 	r.world.Store.Set("servers", r.ID, entry)
 }
@@ -130,7 +130,7 @@
 // Restart kills the replica's process, and starts it again under its id after some time; a write that the old process had given up comes last.
 func (r *Replica) Restart(down time.Duration) {
 	r.mu.Lock()
-	late := platformtest.ReplicaBorn(r.Service, r.Proxy.Addr(), "ready", r.born, r.sequence+1)
+	late := platformtest.ReplicaStarted(r.Service, r.Proxy.Addr(), "ready", r.started, r.sequence+1)
 	r.mu.Unlock()
 	r.Proxy.Set(proxy.Refuse)
 	r.Proxy.Reset()
