--- a/entry/internal/endpoints/restart_test.go
+++ b/entry/internal/endpoints/restart_test.go
@@ -129,10 +129,10 @@
 		name string
 		rows func() []platform.Replica
 		// gone says that the last of rows is the row of a replica that is taken off the list.
-		gone   bool
-		late   func() platform.Replica
-		usable int
-		started   func() time.Time
+		gone    bool
+		late    func() platform.Replica
+		usable  int
+		started func() time.Time
 	}{
 		{"after it said that it leaves", func() []platform.Replica { return []platform.Replica{first, leaving(restarted(first, 0, 42))} }, false, func() platform.Replica { return restarted(first, 0, 41) }, 0, nil},
 		{"after it started again", func() []platform.Replica { return []platform.Replica{first, restarted(first, time.Minute, 1)} }, false, func() platform.Replica { return restarted(first, 0, 41) }, 1, func() time.Time { return first.Started.Add(time.Minute) }},
