--- a/entry/internal/endpoints/restart_test.go
+++ b/entry/internal/endpoints/restart_test.go
@@ -29,6 +29,16 @@
 	return r.Row
 }
 
+// oneReplica returns a table that has listed one replica, and its row.
+func oneReplica(t *testing.T) (*endpoints.Table, platform.Replica) {
+	f := replicatest.New()
+	t.Cleanup(f.Close)
+	row := started(f.Add("a", 1, replicatest.OK("a-1", 0, "x")))
+	table := newTable(f)
+	table.Replace(f.Batch(), false)
+	return table, row
+}
+
 func send(t *testing.T, r *endpoints.Replica, once bool) exchange.Result {
 	req := &opaque.Request{ID: "q", Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}
 	return r.Send(t.Context(), endpoints.Call{Request: req, Deadline: time.Now().Add(10 * time.Second), Connections: 4, Usual: 30 * time.Millisecond, Once: once})
@@ -120,42 +130,46 @@
 // A write that a replica had given up reaches the store late: it says that the replica is ready, after it has said that it leaves, has started
 // again, or is gone. Believed, it would bring back a process that ended, or send requests to one that is about to.
 func TestLateRowBringsNothingBack(t *testing.T) {
-	first := platform.Replica{}
 	leaving := func(r platform.Replica) platform.Replica {
 		r.State = platform.StateLeaving
 		return r
 	}
 	tests := []struct {
 		name string
-		rows func() []platform.Replica
+		// rows returns what is known when the late row comes, after the first one.
+		rows func(first platform.Replica) []platform.Replica
 		// gone says that the last of rows is the row of a replica that is taken off the list.
-		gone    bool
-		late    func() platform.Replica
-		usable  int
-		started func() time.Time
+		gone   bool
+		usable int
+		// started is how long after the first process the one started that is in use then.
+		started time.Duration
 	}{
-		{"after it said that it leaves", func() []platform.Replica { return []platform.Replica{first, leaving(restarted(first, 0, 42))} }, false, func() platform.Replica { return restarted(first, 0, 41) }, 0, nil},
-		{"after it started again", func() []platform.Replica { return []platform.Replica{first, restarted(first, time.Minute, 1)} }, false, func() platform.Replica { return restarted(first, 0, 41) }, 1, func() time.Time { return first.Started.Add(time.Minute) }},
-		{"after the new process said that it leaves", func() []platform.Replica { return []platform.Replica{first, leaving(restarted(first, time.Minute, 7))} }, false, func() platform.Replica { return restarted(first, 0, 41) }, 0, nil},
-		{"after the new process is gone", func() []platform.Replica { return []platform.Replica{first, restarted(first, time.Minute, 7)} }, true, func() platform.Replica { return restarted(first, 0, 41) }, 0, nil},
-		{"after it was taken off the list", func() []platform.Replica { return []platform.Replica{restarted(first, 0, 42)} }, true, func() platform.Replica { return restarted(first, 0, 41) }, 0, nil},
+		{"after it said that it leaves", func(r platform.Replica) []platform.Replica {
+			return []platform.Replica{r, leaving(restarted(r, 0, 42))}
+		}, false, 0, 0},
+		{"after it started again", func(r platform.Replica) []platform.Replica {
+			return []platform.Replica{r, restarted(r, time.Minute, 1)}
+		}, false, 1, time.Minute},
+		{"after the new process said that it leaves", func(r platform.Replica) []platform.Replica {
+			return []platform.Replica{r, leaving(restarted(r, time.Minute, 7))}
+		}, false, 0, 0},
+		{"after the new process is gone", func(r platform.Replica) []platform.Replica {
+			return []platform.Replica{r, restarted(r, time.Minute, 7)}
+		}, true, 0, 0},
+		{"after it was taken off the list", func(r platform.Replica) []platform.Replica { return []platform.Replica{restarted(r, 0, 42)} }, true, 0, 0},
 	}
 	for _, test := range tests {
 		for _, whole := range []bool{false, true} {
 			synctest.Test(t, func(t *testing.T) {
-				f := replicatest.New()
-				t.Cleanup(f.Close)
-				first = started(f.Add("a", 1, replicatest.OK("a-1", 0, "x")))
-				table := newTable(f)
-				table.Replace(feed.Batch[platform.Replica]{Revision: 1}, false)
-				rows := test.rows()
+				table, first := oneReplica(t)
+				rows := test.rows(first)
 				for _, row := range rows {
 					table.Change(changed(row, false), false)
 				}
 				if test.gone {
 					table.Change(changed(rows[len(rows)-1], true), false)
 				}
-				late := changed(test.late(), false)
+				late := changed(restarted(first, 0, 41), false)
 				if whole {
 					table.Replace(late, false)
 				} else {
@@ -163,8 +177,9 @@
 				}
 				comment := qt.Commentf("%s, in a list: %v", test.name, whole)
 				qt.Assert(t, usable(table.Service("a")), qt.Equals, test.usable, comment)
-				if test.started != nil {
-					qt.Assert(t, table.Service("a").Replicas()[0].Process(), qt.Equals, fmt.Sprintf("a-1@%d", test.started().UnixMilli()), comment)
+				if test.usable > 0 {
+					process := fmt.Sprintf("a-1@%d", first.Started.Add(test.started).UnixMilli())
+					qt.Assert(t, table.Service("a").Replicas()[0].Process(), qt.Equals, process, comment)
 				}
 			})
 		}
@@ -175,11 +190,7 @@
 // and again; left out for good, its shard would have a replica less for as long as the process lives.
 func TestRestartOnAClockThatWasSetBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := replicatest.New()
-		t.Cleanup(f.Close)
-		row := started(f.Add("a", 1, replicatest.OK("a-1", 0, "x")))
-		table := newTable(f)
-		table.Replace(f.Batch(), false)
+		table, row := oneReplica(t)
 		old := table.Service("a").Replicas()[0].Process()
 		table.Change(changed(restarted(row, -time.Second, 1), false), false)
 		qt.Assert(t, table.Service("a").Replicas()[0].Process(), qt.Equals, old)
@@ -194,11 +205,7 @@
 func TestEntryThatCannotBeBelieved(t *testing.T) {
 	for _, returned := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			f := replicatest.New()
-			t.Cleanup(f.Close)
-			row := started(f.Add("a", 1, replicatest.OK("a-1", 0, "x")))
-			table := newTable(f)
-			table.Replace(f.Batch(), false)
+			table, row := oneReplica(t)
 			broken := feed.Entry[platform.Replica]{Name: row.ID, Revision: 9, Unreadable: true}
 			table.Change(feed.Batch[platform.Replica]{Revision: 9, Entries: []feed.Entry[platform.Replica]{broken}}, returned)
 			qt.Assert(t, usable(table.Service("a")), qt.Equals, 0)
