traffic, store, front: Count bytes by cause and zone border, and calls to the store by purpose

Bytes of all connections that a host opens are counted by cause (replicas, members, relay, store), inside its availability zone and across the border; calls to the store by what they are for. Both are metrics, and a line every 15 s (1006, host_costs).

Ruled out: that each shard has a replica in each of the same three zones, as was thought. Each shard's three are in another three of the five zones, so that any host has a near one for 54 of 90, and sending clients to some zones only can save nothing.

--- a/entry/internal/endpoints/rows.go
+++ b/entry/internal/endpoints/rows.go
@@ -1,6 +1,7 @@
 package endpoints
 
 import (
+	"net"
 	"time"
 
 	"guavaspring.org/core/platform"
@@ -104,10 +105,14 @@
 }
 
 func (t *Table) add(row platform.Replica, now time.Time) {
+	near := row.Zone == t.opts.Zone
 	r := &Replica{
-		clock: t.opts.Clock, service: t.service(row.Service), near: row.Zone == t.opts.Zone, row: row, usable: row.State != platform.StateLeaving,
+		clock: t.opts.Clock, service: t.service(row.Service), near: near, row: row, usable: row.State != platform.StateLeaving,
 		running: map[uint64]time.Time{}, slowness: 1, seen: now,
-		pool: exchange.New(exchange.Options{Clock: t.opts.Clock, Addr: row.Addr, Codec: t.opts.Codec, Dial: t.opts.Dial}),
+		pool: exchange.New(exchange.Options{
+			Clock: t.opts.Clock, Addr: row.Addr, Codec: t.opts.Codec, Dial: t.opts.Dial,
+			Opened: func(c net.Conn) net.Conn { return t.opts.Opened(c, near) },
+		}),
 	}
 	if t.listed {
 		r.coldEnd = now.Add(coldFor)
--- a/entry/internal/endpoints/table.go
+++ b/entry/internal/endpoints/table.go
@@ -43,6 +43,8 @@
 	Share func() float64
 	// Dial opens a connection to a replica; nil means TCP.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	// Opened returns what is used in place of a new connection to a replica in the own zone, or in another; nil means the connection itself.
+	Opened func(c net.Conn, near bool) net.Conn
 }
 
 // Table holds the replicas of all services.
@@ -64,6 +66,9 @@
 
 // New returns a table without replicas.
 func New(opts Options) *Table {
+	if opts.Opened == nil {
+		opts.Opened = func(c net.Conn, _ bool) net.Conn { return c }
+	}
 	return &Table{opts: opts, services: map[string]*Service{}, replicas: map[string]*Replica{}, ended: ended{rows: map[string]endedRow{}}, doubted: map[string]platform.Replica{}}
 }
 
--- a/entry/internal/events/events.go
+++ b/entry/internal/events/events.go
@@ -9,6 +9,7 @@
 	Stopping        = event.New(1001, "host_stopping", "The host was told to stop: it is no longer handed out and finishes what is in flight.")
 	SettingsRead    = event.New(1004, "settings_read", "The settings file was read again and its changes are in force.")
 	SettingsRefused = event.New(1005, "settings_refused", "The settings file could not be read again; what was read before stays in force.")
+	Costs           = event.New(1006, "host_costs", "What the host has sent and received since its start, by cause and inside its zone or across its border, and its calls to the platform by what they are for.")
 	Stopped         = event.New(1002, "host_stopped", "The host has finished every request in flight and ends.")
 )
 
--- a/entry/internal/exchange/pool.go
+++ b/entry/internal/exchange/pool.go
@@ -49,6 +49,8 @@
 	Codec *opaque.Codec
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	// Opened returns what is used in place of a new connection, such as one that counts its bytes; nil means the connection itself.
+	Opened func(net.Conn) net.Conn
 }
 
 // Call is one request to be sent to one replica.
@@ -111,6 +113,9 @@
 	if opts.Dial == nil {
 		opts.Dial = dialTCP
 	}
+	if opts.Opened == nil {
+		opts.Opened = func(c net.Conn) net.Conn { return c }
+	}
 	return &Pool{opts: opts, all: map[*conn]bool{}}
 }
 
@@ -260,7 +265,7 @@
 		p.forget()
 		return nil, fmt.Errorf("connect to %s: %w", p.opts.Addr, err)
 	}
-	c := &conn{tcp: nc, pool: p}
+	c := &conn{tcp: p.opts.Opened(nc), pool: p}
 	p.mu.Lock()
 	p.all[c] = true
 	ended := p.ended
--- a/entry/internal/front/config_test.go
+++ b/entry/internal/front/config_test.go
@@ -14,6 +14,7 @@
 	"guavaspring.org/core/feed"
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/route"
+	"guavaspring.org/entry/internal/frontmetrics"
 	"guavaspring.org/entry/internal/rumor"
 )
 
@@ -21,7 +22,7 @@
 	f, err := New(Options{
 		Clock: clock.System{}, Log: logr.Discard(), Zone: "a", Region: "r", Peer: netip.MustParseAddrPort("127.0.0.1:0"),
 		Front: netip.MustParseAddrPort("127.0.0.1:1"), Seeds: func() []netip.AddrPort { return nil },
-		StoreCalls: func() int64 { return 0 }, LinesLost: func() uint64 { return 0 },
+		StoreCalls: func() []frontmetrics.StoreCalls { return nil }, LinesLost: func() uint64 { return 0 },
 		Store: Store{List: func(context.Context, platform.Kind) ([]platform.Object, int64, error) {
 			return nil, 0, errors.New("away")
 		}},
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -32,6 +33,7 @@
 	"guavaspring.org/entry/internal/scatter"
 	"guavaspring.org/entry/internal/source"
 	"guavaspring.org/entry/internal/spend"
+	"guavaspring.org/entry/internal/traffic"
 )
 
 const (
@@ -90,9 +92,11 @@
 	Capacity float64
 	// Metrics is where metrics are published; the zero value publishes none.
 	Metrics netip.AddrPort
-	// StoreCalls returns how many calls to the store were made, LinesLost how many log lines the output lost.
-	StoreCalls func() int64
+	// StoreCalls returns how many calls to the store were made, by what they are for; LinesLost how many log lines the output lost.
+	StoreCalls func() []frontmetrics.StoreCalls
 	LinesLost  func() uint64
+	// Traffic counts the bytes of the host's connections; nil means one of its own.
+	Traffic *traffic.Meter
 	// Spend bounds the tries beyond the first of each request, of all hosts together.
 	Spend spend.Options
 }
@@ -115,9 +119,15 @@
 
 // New returns a host that does nothing until Run.
 func New(opts Options) (*Front, error) {
+	if opts.Traffic == nil {
+		opts.Traffic = &traffic.Meter{}
+	}
 	f := &Front{opts: opts, began: opts.Clock.Now(), outage: source.NewOutage()}
 	f.drain = drainer.New(drainer.Options{Clock: opts.Clock, Announce: f.announce, Grace: func() time.Duration { return opts.Grace - finishIn }})
-	f.table = endpoints.New(endpoints.Options{Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Share: f.part})
+	f.table = endpoints.New(endpoints.Options{
+		Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Share: f.part,
+		Opened: func(c net.Conn, near bool) net.Conn { return opts.Traffic.Conn(c, traffic.Replicas, !near) },
+	})
 	j, err := join(opts, rand.Text())
 	if err != nil {
 		return nil, err
@@ -158,6 +168,7 @@
 	duties.Go(func() { f.joined.run(ctx) })
 	duties.Go(func() { f.share(ctx) })
 	duties.Go(func() { f.log.Run(ctx.Done()) })
+	duties.Go(func() { f.tellCosts(ctx) })
 }
 
 func (f *Front) servers() []transport.Server {
--- a/entry/internal/front/joined.go
+++ b/entry/internal/front/joined.go
@@ -21,6 +21,7 @@
 	"guavaspring.org/entry/internal/relay"
 	"guavaspring.org/entry/internal/rumor"
 	"guavaspring.org/entry/internal/source"
+	"guavaspring.org/entry/internal/traffic"
 )
 
 // joined is what makes this host one of many: the list of hosts and the traffic with them.
@@ -65,11 +66,29 @@
 		Store: accepted.New(func(accepted.Generation) {}), Listing: listing.New(opts.Clock), Replicas: func() []platform.Replica { return nil },
 		Services: map[string]any{relayService: &relay.Methods{Clock: opts.Clock, ConfigCopy: j.configs, ReplicaCopy: j.replicas}},
 		Rumors:   j.rumors,
+		Opened: func(c net.Conn, addr netip.AddrPort, waits bool) net.Conn {
+			return opts.Traffic.Conn(c, causeOf(waits), j.crosses(addr))
+		},
 		Contacts: func() []netip.AddrPort { return append(j.directory.Contacts(), opts.Seeds()...) },
 	})
 	return j, err
 }
 
+// causeOf says what a connection to another host is for, whose calls wait for long or not.
+func causeOf(waits bool) traffic.Cause {
+	if waits {
+		return traffic.Relay
+	}
+	return traffic.Members
+}
+
+// crosses reports whether a host is in another availability zone, as far as the member list knows it.
+func (j *joined) crosses(peer netip.AddrPort) bool {
+	hosts := j.list.Hosts()
+	i := slices.IndexFunc(hosts, func(h member.Host) bool { return h.Peer == peer })
+	return i < 0 || hosts[i].Zone != j.list.Self().Zone
+}
+
 const (
 	// seeded is how long the hosts that the settings name have to answer before others are sought in the store.
 	seeded = time.Second
--- a/entry/internal/front/metrics.go
+++ b/entry/internal/front/metrics.go
@@ -1,8 +1,11 @@
 package front
 
 import (
+	"context"
 	"time"
 
+	"guavaspring.org/core/clock"
+	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/frontmetrics"
 	"guavaspring.org/entry/internal/relay"
 	"guavaspring.org/entry/internal/requestlog"
@@ -12,7 +15,7 @@
 	return frontmetrics.New(frontmetrics.Options{
 		StoreCalls: f.opts.StoreCalls, ConfigVersion: f.configVersion, ConfigAge: f.configAge, ReplicasAge: f.replicasAge,
 		Hosts: f.joined.count, Running: f.drain.Running, Connections: f.table.Dialed,
-		LinesSkipped: f.log.Skipped, LinesLost: f.opts.LinesLost, More: f.joined.peers.Collectors(),
+		LinesSkipped: f.log.Skipped, LinesLost: f.opts.LinesLost, More: append(f.joined.peers.Collectors(), f.opts.Traffic.Collectors()...),
 	})
 }
 
@@ -48,3 +51,18 @@
 	}
 	return f.opts.Clock.Now().Sub(st.Confirmed)
 }
+
+// costsEvery is how often the log says what the host costs: often enough to tell the start of a host from what follows.
+const costsEvery = 15 * time.Second
+
+// tellCosts writes what the host costs until ctx ends, and then once more.
+func (f *Front) tellCosts(ctx context.Context) {
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, f.opts.Clock, costsEvery)
+		kv := f.opts.Traffic.Fields()
+		for _, n := range f.opts.StoreCalls() {
+			kv = append(kv, "store_"+n.For, n.Calls)
+		}
+		events.Costs.Log(f.opts.Log, kv...)
+	}
+}
--- a/entry/internal/frontmetrics/metrics.go
+++ b/entry/internal/frontmetrics/metrics.go
@@ -14,8 +14,8 @@
 
 // Options holds what is read each time the metrics are.
 type Options struct {
-	// StoreCalls returns how many calls to the store were made.
-	StoreCalls func() int64
+	// StoreCalls returns how many calls to the store were made, by what they are for, always in the same order.
+	StoreCalls func() []StoreCalls
 	// ConfigVersion returns the version of the configuration in force, zero for none.
 	ConfigVersion func() int64
 	// ConfigAge and ReplicasAge return how long ago the store was known to hold nothing newer, negative for never.
@@ -30,6 +30,12 @@
 	More []prometheus.Collector
 }
 
+// StoreCalls is how many calls to the store were made for one purpose.
+type StoreCalls struct {
+	For   string
+	Calls int64
+}
+
 // Metrics counts requests.
 type Metrics struct {
 	registry *prometheus.Registry
@@ -68,13 +74,17 @@
 		name, help string
 		read       func() float64
 	}{
-		{"store_calls_total", "Calls to the platform's store.", func() float64 { return float64(opts.StoreCalls()) }},
 		{"replica_connections_total", "Connections opened to replicas.", func() float64 { return float64(opts.Connections()) }},
 		{"log_lines_skipped_total", "Log lines left out to keep within the limit.", func() float64 { return float64(opts.LinesSkipped()) }},
 		{"log_lines_lost_total", "Log lines lost, as the output was not read.", func() float64 { return float64(opts.LinesLost()) }},
 	} {
 		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "guavaspring_" + c.name, Help: c.help}, c.read))
 	}
+	for i, n := range opts.StoreCalls() {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "guavaspring_store_calls_total", Help: "Calls to the platform's store, by what they are for.", ConstLabels: prometheus.Labels{"for": n.For},
+		}, func() float64 { return float64(opts.StoreCalls()[i].Calls) }))
+	}
 	for _, g := range []struct {
 		name, help string
 		read       func() float64
--- a/entry/internal/frontmetrics/metrics_test.go
+++ b/entry/internal/frontmetrics/metrics_test.go
@@ -20,7 +20,7 @@
 	none := func() uint64 { return 0 }
 	age := func() time.Duration { return 2 * time.Second }
 	return frontmetrics.New(frontmetrics.Options{
-		StoreCalls: func() int64 { return 3 }, ConfigVersion: func() int64 { return 7 }, ConfigAge: age, ReplicasAge: age,
+		StoreCalls: func() []frontmetrics.StoreCalls { return []frontmetrics.StoreCalls{{For: "list_config", Calls: 3}} }, ConfigVersion: func() int64 { return 7 }, ConfigAge: age, ReplicasAge: age,
 		Hosts: func() int { return 6 }, Running: func() int { return 1 }, Connections: none, LinesSkipped: none, LinesLost: none,
 	})
 }
@@ -54,7 +54,7 @@
 		`guavaspring_refused_total{cause="quarantined"} 1`,
 		`guavaspring_config_version 7`,
 		`guavaspring_config_age_seconds 2`,
-		`guavaspring_store_calls_total 3`,
+		`guavaspring_store_calls_total{for="list_config"} 3`,
 	} {
 		qt.Check(t, got, qt.Contains, want)
 	}
--- a/entry/internal/peers/peers.go
+++ b/entry/internal/peers/peers.go
@@ -48,6 +48,9 @@
 	Services map[string]any
 	// Dial opens a connection to another host; New takes TCP where it is nil.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	// Opened returns what is used in place of a new connection to another host, whose calls wait for long or not; nil means the connection
+	// itself.
+	Opened func(c net.Conn, addr netip.AddrPort, waits bool) net.Conn
 }
 
 // Peers exchanges probes and news with the other hosts.
@@ -77,8 +80,11 @@
 func New(opts Options) (*Peers, error) {
 	p := &Peers{opts: opts, news: ring.New[item](newsQueue), changed: ring.New[listing.Row](rowsQueue), repaired: map[Table]time.Time{}, fetching: map[accepted.Mark]bool{}}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	p.pool = newPool(opts.Clock, &p.traffic, opts.Dial)
-	p.waits = newPool(opts.Clock, &p.traffic, opts.Dial)
+	if opts.Opened == nil {
+		opts.Opened = func(c net.Conn, _ netip.AddrPort, _ bool) net.Conn { return c }
+	}
+	p.pool = newPool(opts.Clock, &p.traffic, dialer(opts, false))
+	p.waits = newPool(opts.Clock, &p.traffic, dialer(opts, true))
 	srv, err := newServer(&Methods{p: p}, &p.traffic)
 	if err != nil {
 		return nil, err
@@ -92,6 +98,21 @@
 	return p, nil
 }
 
+// dialer returns how connections are opened whose calls wait for long, or not.
+func dialer(opts Options, waits bool) func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	dial := opts.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	return func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+		c, err := dial(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		return opts.Opened(c, addr, waits), nil
+	}
+}
+
 // Run serves and probes until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	defer p.pool.close()
--- a/entry/internal/peers/pool.go
+++ b/entry/internal/peers/pool.go
@@ -35,9 +35,6 @@
 }
 
 func newPool(c clock.Clock, t *traffic, dial func(context.Context, netip.AddrPort) (net.Conn, error)) *pool {
-	if dial == nil {
-		dial = dialTCP
-	}
 	return &pool{clock: c, t: t, dial: dial, clients: map[netip.AddrPort]*client{}}
 }
 
--- a/entry/onplatform.go
+++ b/entry/onplatform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -14,8 +15,10 @@
 	"guavaspring.org/core/clock"
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/front"
+	"guavaspring.org/entry/internal/frontmetrics"
 	"guavaspring.org/entry/internal/placement"
 	"guavaspring.org/entry/internal/spend"
+	"guavaspring.org/entry/internal/traffic"
 	"guavaspring.org/platform/settings"
 	"guavaspring.org/platform/store"
 	"guavaspring.org/platform/wire"
@@ -33,7 +36,8 @@
 	seeds := &atomic.Pointer[[]netip.AddrPort]{}
 	seeds.Store(&s.Seeds)
 	go reload(ctx, path, seeds, log)
-	c := store.New(s.Store)
+	meter := &traffic.Meter{}
+	c := store.New(s.Store, func(conn net.Conn) net.Conn { return meter.Conn(conn, traffic.Store, true) })
 	f, err := front.New(front.Options{
 		Clock: clock.System{}, Log: log, Zone: s.Zone, Region: s.Region,
 		Front: s.Front, Readiness: s.Readiness, Directory: s.Directory, Peer: s.Peer,
@@ -44,7 +48,7 @@
 		},
 		Codec: wire.Codec(), Resolve: wire.Resolve, Ready: wire.Ready,
 		Capacity: placement.Capacity(s.Cores, s.LinkBits),
-		Metrics:  netip.AddrPortFrom(s.Front.Addr(), metricsPort), StoreCalls: c.Calls, LinesLost: lost,
+		Metrics:  netip.AddrPortFrom(s.Front.Addr(), metricsPort), StoreCalls: func() []frontmetrics.StoreCalls { return storeCalls(c) }, LinesLost: lost, Traffic: meter,
 		Grace: s.Grace, MaxKeep: s.MaxKeep, Apply: s.ApplyConfig, Drain: s.Drain,
 		Spend: spend.Options{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 	})
@@ -54,6 +58,15 @@
 	return f.Run(ctx)
 }
 
+// storeCalls returns how many calls were made to the store, by what they are for.
+func storeCalls(c *store.Client) []frontmetrics.StoreCalls {
+	list := make([]frontmetrics.StoreCalls, len(store.AllCalls))
+	for i, what := range store.AllCalls {
+		list[i] = frontmetrics.StoreCalls{For: string(what), Calls: c.CallsFor(what)}
+	}
+	return list
+}
+
 // reload reads the settings again at each SIGHUP until ctx ends. Of what may change while a process runs, only the addresses of
 // other hosts matter to it; the signal would otherwise end the process.
 func reload(ctx context.Context, path string, seeds *atomic.Pointer[[]netip.AddrPort], log logr.Logger) {
