room: Let a host fill half of a replica's slots while nothing queues

Cause: the bound of two requests a slot over all hosts was divided among them whatever the load: one request a replica for each of 15 hosts, where a replica of seven slots has three quarters of one to do. One try in four found the near replica taken by this host's own request. Change: the bound holds where queues may be; otherwise half of the slots are free to each.

--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -1,13 +1,13 @@
 package endpoints
 
 import (
-	"math"
 	"slices"
 	"sync/atomic"
 	"time"
 
 	"guavaspring.org/entry/internal/pick"
 	"guavaspring.org/entry/internal/queueing"
+	"guavaspring.org/entry/internal/room"
 	"guavaspring.org/entry/internal/spend"
 )
 
@@ -76,27 +76,6 @@
 // Spare takes over how long a route lets its tries wait for room, and returns the least that any route to the service said lately.
 func (s *Service) Spare(now time.Time, d time.Duration) time.Duration { return s.spare.least(now, d) }
 
-const (
-	// depth is how many requests all hosts together may have at a replica, in times of what it runs at once: what runs, and as much again
-	// that is there when a slot becomes free. More only makes the replica's queue longer, which keeps no order.
-	depth = 2
-	// defaultSlots stands in for a replica that does not say how many requests it runs at once.
-	defaultSlots = 4
-)
-
-// share returns how many requests this host may have at a replica that runs a number of them at once.
-func (s *Service) share(slots int) int {
-	return max(1, int(math.Ceil(depth*float64(slotsOf(slots))*s.part())))
-}
-
-// slotsOf returns how many requests a replica runs at once that says so, or doesn't.
-func slotsOf(said int) int {
-	if said <= 0 {
-		return defaultSlots
-	}
-	return said
-}
-
 // Connections returns the most connections that this host may hold to each replica.
 func (s *Service) Connections() int { return int(s.conns.Load()) }
 
@@ -126,6 +105,7 @@
 func (s *Service) Pick(now time.Time, need Need, draw func() float64) (Choice, Verdict) {
 	var best, rested Choice
 	busy := time.Duration(-1)
+	queues, part := s.occupied(now), s.part()
 	for _, r := range s.Replicas() {
 		if slices.Contains(need.Tried, r) {
 			continue
@@ -136,7 +116,7 @@
 		}
 		t := pick.Estimate(v, need.Usual, draw())
 		switch {
-		case v.Running >= s.share(v.Slots) || !r.pool.Free(s.Connections()):
+		case v.Running >= room.Most(v.Slots, part, queues) || !r.pool.Free(s.Connections()):
 			if busy < 0 || t < busy {
 				busy = t
 			}
--- a/entry/internal/endpoints/table.go
+++ b/entry/internal/endpoints/table.go
@@ -15,6 +15,7 @@
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/route"
 	"guavaspring.org/entry/internal/events"
+	"guavaspring.org/entry/internal/room"
 	"guavaspring.org/entry/internal/spend"
 )
 
@@ -224,7 +225,7 @@
 	for _, r := range t.replicas {
 		lists[r.row.Service] = append(lists[r.row.Service], r)
 		if r.row.State != platform.StateLeaving {
-			slots[r.row.Service] += int64(slotsOf(r.row.Slots))
+			slots[r.row.Service] += int64(room.Slots(r.row.Slots))
 		}
 	}
 	for name := range lists {
