placement: Rank hosts by cores and link beside the strongest, without a query's cost

On the large one, 90 shards and 0.3 ms a shard, that rates a core at a tenth of what it carries beside a link: hosts with many cores and a slow link would have served first. Change: a host is as good as the strongest if it has at least half of both; rows carry cores and link. Ruled out: a cost observed by each host (hosts that rate each other by their own figures disagree on who serves, and their shares of the bounds no longer add up).

--- a/entry/internal/member/host.go
+++ b/entry/internal/member/host.go
@@ -31,8 +31,9 @@
 	Peer   netip.AddrPort `json:"peer"`
 	Zone   string         `json:"zone"`
 	Region string         `json:"region"`
-	// Capacity is how many queries a second the host can serve, zero where it doesn't say.
-	Capacity float64 `json:"capacity,omitempty"`
+	// Cores and LinkBits are the processor cores, and the bits a second of its link, that the host has; zero where it doesn't say.
+	Cores    float64 `json:"cores,omitempty"`
+	LinkBits float64 `json:"link_bits,omitempty"`
 	// Epoch grows each time the host speaks about its state; the higher one wins.
 	Epoch uint64 `json:"epoch"`
 	State State  `json:"state"`
--- a/entry/internal/placement/placement.go
+++ b/entry/internal/placement/placement.go
@@ -8,11 +8,7 @@
 )
 
 const (
-	// queryCores and queryBits are what a query over 36 shards costs a host: 5 ms of a core, and parts of 1.2 KB each. On a link of 14 Mbit/s
-	// its parts alone take 25 ms of an objective of 80, on one of 140 Mbit/s they take 2.5.
-	queryCores = 0.005
-	queryBits  = 36 * 1200 * 8
-	// tier is the part of the strongest host's capacity from which a host is as good as that one.
+	// tier is the part of what the strongest host has, of cores and of its link, from which a host is as good as that one.
 	tier = 0.5
 	// leastServing is how many hosts clients are sent to at least, so that the loss of one is the loss of a fifth.
 	leastServing = 5
@@ -20,8 +16,20 @@
 	reserve = 0.1
 )
 
-// Capacity returns how many queries a second a host can serve with some cores and a link of some bits a second.
-func Capacity(cores, bits float64) float64 { return min(cores/queryCores, bits/queryBits) }
+// strength returns how strong a host is beside the most cores and the fastest link that any host has, 0 to 1, by what it has least of. What a query
+// needs more of, cores or bits, differs between deployments and days: with 36 shards of 1.2 KB, 14 Mbit/s are worth 0.2 cores, and with 90 that
+// cost a third of the time, 2. A host that is weak in either is slow where that binds.
+func strength(h, most member.Host) float64 {
+	return min(part(h.Cores, most.Cores), part(h.LinkBits, most.LinkBits))
+}
+
+// part returns has as a part of most; where no host says what it has, all are alike.
+func part(has, most float64) float64 {
+	if most <= 0 {
+		return 1
+	}
+	return has / most
+}
 
 // Serving returns the hosts that clients are sent to: the strongest, and weaker ones only where those are too few.
 //
@@ -29,20 +37,28 @@
 // host sees too little of a replica to know that it is slow, and the connections of a replica are shared among ninety.
 func Serving(hosts []member.Host) []member.Host {
 	var alive []member.Host
+	var most member.Host
 	for _, h := range hosts {
 		if h.State == member.StateAlive {
 			alive = append(alive, h)
+			most.Cores, most.LinkBits = max(most.Cores, h.Cores), max(most.LinkBits, h.LinkBits)
 		}
 	}
 	slices.SortFunc(alive, func(a, b member.Host) int {
-		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(strength(b, most), strength(a, most)), cmp.Compare(a.ID, b.ID))
 	})
+	var list []member.Host
 	for i, h := range alive {
-		if i >= leastServing && h.Capacity < tier*alive[0].Capacity {
-			return alive[:i]
+		if i < leastServing || asGood(h, alive[0]) {
+			list = append(list, h)
 		}
 	}
-	return alive
+	return list
+}
+
+// asGood reports whether a host has nearly as much of both as the strongest one.
+func asGood(h, strongest member.Host) bool {
+	return h.Cores >= tier*strongest.Cores && h.LinkBits >= tier*strongest.LinkBits
 }
 
 // Share returns the part, 0 to 1, that the host with an id takes of what all hosts together may do, where there are at least some
--- a/entry/internal/placement/placement_test.go
+++ b/entry/internal/placement/placement_test.go
@@ -14,10 +14,10 @@
 func fleet(strong, weak int) []member.Host {
 	var list []member.Host
 	for i := range strong {
-		list = append(list, member.Host{ID: fmt.Sprintf("s%d", i), State: member.StateAlive, Capacity: placement.Capacity(0.8, 140e6)})
+		list = append(list, member.Host{ID: fmt.Sprintf("s%d", i), State: member.StateAlive, Cores: 0.8, LinkBits: 140e6})
 	}
 	for i := range weak {
-		list = append(list, member.Host{ID: fmt.Sprintf("w%d", i), State: member.StateAlive, Capacity: placement.Capacity(0.192, 14e6)})
+		list = append(list, member.Host{ID: fmt.Sprintf("w%d", i), State: member.StateAlive, Cores: 0.192, LinkBits: 14e6})
 	}
 	return list
 }
@@ -37,6 +37,25 @@
 	}
 }
 
+// A deployment has hosts with many cores and slow links beside some that have both. Its pages are large: on a slow link the parts alone take longer than
+// the objective, whatever the cores. And where nobody knows what the hosts have, all are alike.
+func TestStrongInBothServe(t *testing.T) {
+	var hosts []member.Host
+	for i := range 6 {
+		hosts = append(hosts,
+			member.Host{ID: fmt.Sprintf("both%d", i), State: member.StateAlive, Cores: 0.8, LinkBits: 200e6},
+			member.Host{ID: fmt.Sprintf("cores%d", i), State: member.StateAlive, Cores: 4, LinkBits: 20e6},
+			member.Host{ID: fmt.Sprintf("unknown%d", i), State: member.StateAlive})
+	}
+	for _, h := range placement.Serving(hosts) {
+		qt.Check(t, h.LinkBits, qt.Equals, 200e6, qt.Commentf(h.ID))
+	}
+	for i := range hosts {
+		hosts[i].Cores, hosts[i].LinkBits = 0, 0
+	}
+	qt.Check(t, placement.Serving(hosts), qt.HasLen, len(hosts))
+}
+
 // Whatever the fleet, hosts that agree on who is a member must not take more than there is.
 func TestSharesAddUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/entry/onplatform.go
+++ b/entry/onplatform.go
@@ -16,7 +16,6 @@
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/front"
 	"guavaspring.org/entry/internal/frontmetrics"
-	"guavaspring.org/entry/internal/placement"
 	"guavaspring.org/entry/internal/spend"
 	"guavaspring.org/entry/internal/traffic"
 	"guavaspring.org/platform/settings"
@@ -47,7 +46,7 @@
 			List: c.List, Get: c.Get, Put: c.Put, Reconnect: c.Reconnect,
 		},
 		Codec: wire.Codec(), Resolve: wire.Resolve, Ready: wire.Ready,
-		Capacity: placement.Capacity(s.Cores, s.LinkBits),
+		Cores: s.Cores, LinkBits: s.LinkBits,
 		Metrics:  netip.AddrPortFrom(s.Front.Addr(), metricsPort), StoreCalls: func() []frontmetrics.StoreCalls { return storeCalls(c) }, LinesLost: lost, Traffic: meter,
 		Grace: s.Grace, MaxKeep: s.MaxKeep, Apply: s.ApplyConfig, Drain: s.Drain,
 		Spend: spend.Options{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
