--- a/entry/internal/endpoints/replica.go
+++ b/entry/internal/endpoints/replica.go
@@ -64,6 +64,13 @@
 	return r.row.ID
 }
 
+// Zone returns the replica's availability zone.
+func (r *Replica) Zone() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.row.Zone
+}
+
 // Process names the replica's process: a replica that starts again keeps its id, and what its former process did doesn't count against it.
 func (r *Replica) Process() string {
 	r.mu.Lock()
@@ -179,13 +186,17 @@
 	Usual, Unloaded time.Duration
 	// Once says that the request must not run twice.
 	Once bool
+	// ForOther says that the request came to another host, which counts it as its own.
+	ForOther bool
 }
 
 // Send sends one request, unless the replica was found leaving meanwhile, and learns from how it ends.
 func (r *Replica) Send(ctx context.Context, call Call) exchange.Result {
 	began := r.clock.Now()
 	n := r.begin(began)
-	r.service.load.begin(began)
+	if !call.ForOther {
+		r.service.Begin(began)
+	}
 	res := r.pool.Do(ctx, &exchange.Call{
 		Request: call.Request, Replica: r.ID(), Deadline: call.Deadline, Connections: call.Connections, Once: call.Once,
 		// What waited for a connection may have outlived the replica's place in the list.
@@ -198,9 +209,11 @@
 	})
 	now := r.clock.Now()
 	r.end(n, &res, call.Usual)
-	r.service.load.end(now, now.Sub(began))
+	if !call.ForOther {
+		r.service.End(now, now.Sub(began))
+	}
 	if res.Kind == upstream.KindOK {
-		r.service.queued.Observe(now, res.Took, call.Unloaded)
+		r.service.Replied(now, res.Took, call.Unloaded)
 	}
 	r.service.Wake(now)
 	return res
--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -30,6 +30,8 @@
 	Budget *spend.Budget
 	queue
 	list atomic.Pointer[[]*Replica]
+	// zones are the availability zones that hold a replica which does not leave.
+	zones atomic.Pointer[zones]
 	// conns is the most connections that this host may hold to each replica.
 	conns atomic.Int64
 	// part returns which part of all requests this host sends.
@@ -52,6 +54,18 @@
 	return here + max(time.Duration(togetherPart*float64(together)), s.queued.At(now))
 }
 
+// Begin counts a try of a request that came to this host, whichever host sends it, and End its end and how long it took: how busy the replicas are is
+// worked out from what came here, which is this host's part of all, and not from what it sends for others.
+func (s *Service) Begin(now time.Time) { s.load.begin(now) }
+
+// End counts the end of a try that Begin counted.
+func (s *Service) End(now time.Time, took time.Duration) { s.load.end(now, took) }
+
+// Replied takes over how long a reply took, where unloaded is how long it takes while nothing queues, zero for unknown.
+func (s *Service) Replied(now time.Time, took, unloaded time.Duration) {
+	s.queued.Observe(now, took, unloaded)
+}
+
 // Newest returns how long the newest reply waited at its replica, and whether that is fresh.
 func (s *Service) Newest(now time.Time) (time.Duration, bool) { return s.queued.Newest(now) }
 
@@ -79,6 +93,19 @@
 // Connections returns the most connections that this host may hold to each replica.
 func (s *Service) Connections() int { return int(s.conns.Load()) }
 
+// zones is where a service's replicas are; near says that one is in the host's own zone.
+type zones struct {
+	near  bool
+	names []string
+}
+
+// Zones returns the availability zones that hold a replica which does not leave, and whether the host's own is one of them; the slice must not be
+// changed.
+func (s *Service) Zones() (near bool, names []string) {
+	z := s.zones.Load()
+	return z.near, z.names
+}
+
 // Replicas returns the replicas that are listed; the slice must not be changed.
 func (s *Service) Replicas() []*Replica { return *s.list.Load() }
 
--- a/entry/internal/endpoints/table.go
+++ b/entry/internal/endpoints/table.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -85,6 +86,7 @@
 	if s == nil {
 		s = &Service{Name: name, Budget: spend.New(t.opts.Spend), part: t.opts.Share}
 		s.list.Store(&[]*Replica{})
+		s.zones.Store(&zones{})
 		s.conns.Store(int64(t.connections(name)))
 		t.services[name] = s
 	}
@@ -221,11 +223,12 @@
 
 // publish gives each service the list of its replicas.
 func (t *Table) publish() {
-	lists, slots := map[string][]*Replica{}, map[string]int64{}
+	lists, slots, places := map[string][]*Replica{}, map[string]int64{}, map[string]*zones{}
 	for _, r := range t.replicas {
 		lists[r.row.Service] = append(lists[r.row.Service], r)
 		if r.row.State != platform.StateLeaving {
 			slots[r.row.Service] += int64(room.Slots(r.row.Slots))
+			addZone(places, r)
 		}
 	}
 	for name := range lists {
@@ -235,6 +238,23 @@
 		list := lists[name]
 		s.list.Store(&list)
 		s.slots.Store(slots[name])
+		if places[name] == nil {
+			places[name] = &zones{}
+		}
+		s.zones.Store(places[name])
 		s.Wake(t.opts.Clock.Now())
 	}
 }
+
+// addZone notes the availability zone of a replica among those of its service.
+func addZone(places map[string]*zones, r *Replica) {
+	z := places[r.row.Service]
+	if z == nil {
+		z = &zones{}
+		places[r.row.Service] = z
+	}
+	z.near = z.near || r.near
+	if !slices.Contains(z.names, r.row.Zone) {
+		z.names = append(z.names, r.row.Zone)
+	}
+}
--- a/entry/internal/events/events.go
+++ b/entry/internal/events/events.go
@@ -39,9 +39,10 @@
 
 // Events of requests, 1300 to 1399.
 var (
-	Routed   = event.New(1300, "query_routed", "A query was pinned to a snapshot and each shard's first replica chosen.")
-	Retried  = event.New(1301, "shard_retried", "A shard was tried again at another replica after a failure.")
-	Hedged   = event.New(1302, "shard_hedged", "A shard was tried at a second replica while the first still ran.")
-	Answered = event.New(1303, "query_answered", "A query was answered; coverage, time and extra tries are in the line.")
-	Refused  = event.New(1304, "request_refused", "A request was refused before anything was sent upstream.")
+	Routed       = event.New(1300, "query_routed", "A query was pinned to a snapshot and each shard's first replica chosen.")
+	Retried      = event.New(1301, "shard_retried", "A shard was tried again at another replica after a failure.")
+	Hedged       = event.New(1302, "shard_hedged", "A shard was tried at a second replica while the first still ran.")
+	Answered     = event.New(1303, "query_answered", "A query was answered; coverage, time and extra tries are in the line.")
+	SubqueryLost = event.New(1305, "subquery_lost", "Another host that gathers parts of this host's queries did not answer, and gets none for two seconds; the shards are tried again as the budget allows.")
+	Refused      = event.New(1304, "request_refused", "A request was refused before anything was sent upstream.")
 )
--- a/entry/internal/forward/forwarder.go
+++ b/entry/internal/forward/forwarder.go
@@ -21,6 +21,7 @@
 	"guavaspring.org/entry/internal/exchange"
 	"guavaspring.org/entry/internal/learned"
 	"guavaspring.org/entry/internal/quarantine"
+	"guavaspring.org/entry/internal/records"
 	"guavaspring.org/entry/internal/requestlog"
 	"guavaspring.org/entry/internal/scatter"
 )
@@ -123,7 +124,7 @@
 	}
 	q := scatter.Query{
 		Request: &req, Route: rt, Shards: f.shards(rt), Learned: f.learnedOf(rt), Arrived: arrived, Deadline: deadline(arrived, &req, rt),
-		Fingerprint: fp, Suspect: verdict.Suspect,
+		Version: table.Config().Version, Fingerprint: fp, Suspect: verdict.Suspect,
 	}
 	f.opts.Requests.Admitted(&q)
 	rep := f.opts.Runner.Run(r.Context(), q)
@@ -293,7 +294,7 @@
 			stamps = append(stamps, res.Reply.Stamp)
 		}
 	}
-	body := merge(parts, rt.TopK)
+	body := records.Top(parts, rt.TopK)
 	f.opts.Codec.SetParts(w.Header(), stamps, len(rep.Results)-len(parts))
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/entry/internal/forward/forwarder_test.go
+++ b/entry/internal/forward/forwarder_test.go
@@ -1,11 +1,8 @@
 package forward
 
 import (
-	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
-	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -13,7 +10,6 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
-	"pgregory.net/rapid"
 
 	"guavaspring.org/core/clock"
 	"guavaspring.org/core/feed"
@@ -29,30 +25,6 @@
 	"guavaspring.org/platform/wire"
 )
 
-// A page is the greatest records of all its parts, whatever their order, equal ones counted each, and bytes that are no record left out.
-func TestMerge(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		k := rapid.IntRange(0, 8).Draw(t, "k")
-		var parts [][]byte
-		var all []string
-		for range rapid.IntRange(0, 4).Draw(t, "parts") {
-			part := ""
-			for range rapid.IntRange(0, 6).Draw(t, "records") {
-				record := rapid.StringMatching(`[ab]{16}`).Draw(t, "record")
-				part += record
-				all = append(all, record)
-			}
-			parts = append(parts, []byte(part+strings.Repeat("z", rapid.IntRange(0, 15).Draw(t, "rest"))))
-		}
-		slices.Sort(all)
-		slices.Reverse(all)
-		want := strings.Join(all[:min(k, len(all))], "")
-		if got := string(merge(parts, k)); got != want {
-			t.Fatalf("got %q, want %q", got, want)
-		}
-	})
-}
-
 // A replica fails with a status that promises that nothing ran, and does not promise it itself. Passed on, it would let a client send a
 // drop-off again that is recorded already.
 func TestPassable(t *testing.T) {
@@ -164,18 +136,3 @@
 	qt.Assert(t, got["off"], qt.Equals, 0)
 	qt.Assert(t, got["new"] > 2200 && got["new"] < 2800, qt.IsTrue, qt.Commentf("%v", got))
 }
-
-func BenchmarkMerge(b *testing.B) {
-	r := rand.New(rand.NewPCG(1, 2))
-	var parts [][]byte
-	for range 36 {
-		part := make([]byte, 0, 1000)
-		for range 62 {
-			part = append(part, fmt.Sprintf("%016x", r.Uint64())...)
-		}
-		parts = append(parts, part)
-	}
-	for b.Loop() {
-		merge(parts, 50)
-	}
-}
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -30,10 +30,12 @@
 	"guavaspring.org/entry/internal/idle"
 	"guavaspring.org/entry/internal/quarantine"
 	"guavaspring.org/entry/internal/requestlog"
+	"guavaspring.org/entry/internal/rumor"
 	"guavaspring.org/entry/internal/scatter"
 	"guavaspring.org/entry/internal/source"
 	"guavaspring.org/entry/internal/spend"
 	"guavaspring.org/entry/internal/startup"
+	"guavaspring.org/entry/internal/subquery"
 	"guavaspring.org/entry/internal/traffic"
 )
 
@@ -89,8 +91,8 @@
 	MaxKeep time.Duration
 	// Apply is how soon a changed configuration has to be in force, and Drain how long a replica that leaves may still be sent requests.
 	Apply, Drain time.Duration
-	// Capacity is how many queries a second the host can serve.
-	Capacity float64
+	// Cores and LinkBits are the processor cores, and the bits a second of its link, that the host has.
+	Cores, LinkBits float64
 	// Metrics is where metrics are published; the zero value publishes none.
 	Metrics netip.AddrPort
 	// StoreCalls returns how many calls to the store were made, by what they are for; LinesLost how many log lines the output lost.
@@ -118,6 +120,8 @@
 	startup *startup.Startup
 	// crashers holds the requests that crash replicas.
 	crashers *quarantine.Quarantine
+	// gathers takes parts of other hosts' queries.
+	gathers *subquery.Server
 }
 
 // New returns a host that does nothing until Run.
@@ -131,14 +135,16 @@
 		Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Share: f.part,
 		Opened: func(c net.Conn, near bool) net.Conn { return opts.Traffic.Conn(c, traffic.Replicas, !near) },
 	})
-	j, err := join(opts, rand.Text())
+	f.crashers = f.newQuarantine()
+	f.gathers = f.newSubqueryServer()
+	j, err := join(opts, rand.Text(), f.gathers)
 	if err != nil {
 		return nil, err
 	}
 	f.joined = j
+	j.rumors.Subscribe(rumor.KindQuarantine, f.crashers.Heard)
 	f.log = requestlog.New(requestlog.Options{Clock: opts.Clock, Log: opts.Log, Dropped: opts.LinesLost})
 	f.counts = f.newMetrics()
-	f.crashers = f.newQuarantine()
 	return f, nil
 }
 
@@ -177,7 +183,7 @@
 func (f *Front) servers() []transport.Server {
 	fwd := forward.New(forward.Options{
 		Clock: f.opts.Clock, Log: f.opts.Log, Codec: &f.opts.Codec, Config: f.config.Load, Table: f.table, Await: f.startup.Await,
-		Runner: scatter.New(scatter.Options{Clock: f.opts.Clock, Share: f.part, Quarantine: f.crashers}), Quarantine: f.crashers,
+		Runner: scatter.New(scatter.Options{Clock: f.opts.Clock, Share: f.part, Quarantine: f.crashers, Subqueries: f.subqueries()}), Quarantine: f.crashers,
 		Requests: f.log, Ended: f.ended, Refused: f.counts.Refused,
 	})
 	clients := f.server(f.opts.Front, f.drain.Filter(fwd))
--- a/entry/internal/front/joined.go
+++ b/entry/internal/front/joined.go
@@ -21,6 +21,7 @@
 	"guavaspring.org/entry/internal/relay"
 	"guavaspring.org/entry/internal/rumor"
 	"guavaspring.org/entry/internal/source"
+	"guavaspring.org/entry/internal/subquery"
 	"guavaspring.org/entry/internal/traffic"
 )
 
@@ -44,17 +45,19 @@
 	// serving are the hosts that clients are sent to, share is the part of all that this host takes.
 	serving []member.Host
 	share   float64
+	// zones holds the serving hosts of other zones.
+	zones zoneHosts
 }
 
 // join opens the port for other hosts; the host joins once run is called.
-func join(opts Options, incarnation string) (*joined, error) {
+func join(opts Options, incarnation string, subqueries *subquery.Server) (*joined, error) {
 	var cfg net.ListenConfig
 	l, err := cfg.Listen(context.Background(), "tcp", opts.Peer.String())
 	if err != nil {
 		return nil, fmt.Errorf("listen for other hosts: %w", err)
 	}
 	j := &joined{configs: relay.NewLastGoodCopy[route.Config](), replicas: relay.NewCopy[platform.Replica]()}
-	self := member.Host{ID: incarnation, Caller: opts.Front, Peer: opts.Peer, Zone: opts.Zone, Region: opts.Region, Capacity: opts.Capacity}
+	self := member.Host{ID: incarnation, Caller: opts.Front, Peer: opts.Peer, Zone: opts.Zone, Region: opts.Region, Cores: opts.Cores, LinkBits: opts.LinkBits}
 	j.list = member.New(member.Options{Self: self, Rand: member.NewRand(), Changed: memberlog.Changed(opts.Log)})
 	j.directory = directory.New(directory.Options{
 		Clock: opts.Clock, Log: opts.Log, List: opts.Store.List, Get: opts.Store.Get, Put: opts.Store.Put, Self: j.list.Self, Hosts: j.list.Hosts, Seeded: seeded,
@@ -64,23 +67,18 @@
 		Clock: opts.Clock, Log: opts.Log, Listener: l, List: j.list, Rand: member.NewRand(),
 		// Documents and replica lists of the project's own interface are not shared here: both come from the platform's store.
 		Store: accepted.New(func(accepted.Generation) {}), Listing: listing.New(opts.Clock), Replicas: func() []platform.Replica { return nil },
-		Services: map[string]any{relayService: &relay.Methods{Clock: opts.Clock, ConfigCopy: j.configs, ReplicaCopy: j.replicas}},
+		Services: map[string]any{relayService: &relay.Methods{Clock: opts.Clock, ConfigCopy: j.configs, ReplicaCopy: j.replicas}, subqueryService: subqueries},
 		Rumors:   j.rumors,
-		Opened: func(c net.Conn, addr netip.AddrPort, waits bool) net.Conn {
-			return opts.Traffic.Conn(c, causeOf(waits), j.crosses(addr))
+		Opened: func(c net.Conn, addr netip.AddrPort, use peers.Use) net.Conn {
+			return opts.Traffic.Conn(c, causes[use], j.crosses(addr))
 		},
 		Contacts: func() []netip.AddrPort { return append(j.directory.Contacts(), opts.Seeds()...) },
 	})
 	return j, err
 }
 
-// causeOf says what a connection to another host is for, whose calls wait for long or not.
-func causeOf(waits bool) traffic.Cause {
-	if waits {
-		return traffic.Relay
-	}
-	return traffic.Members
-}
+// causes says what the bytes of a connection to another host are counted as.
+var causes = map[peers.Use]traffic.Cause{peers.Probes: traffic.Members, peers.Waits: traffic.Relay, peers.Works: traffic.Subqueries}
 
 // crosses reports whether a host is in another availability zone, as far as the member list knows it.
 func (j *joined) crosses(peer netip.AddrPort) bool {
@@ -185,7 +183,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.placed.list != &hosts[0] {
-		j.placed = placed{list: &hosts[0], serving: placement.Serving(hosts), share: placement.Share(hosts, j.list.Self().ID, leastHosts)}
+		self := j.list.Self()
+		serving := placement.Serving(hosts)
+		j.placed = placed{list: &hosts[0], serving: serving, share: placement.Share(hosts, self.ID, leastHosts), zones: byZone(self, serving)}
 	}
 	return j.placed
 }
--- a/entry/internal/front/metrics.go
+++ b/entry/internal/front/metrics.go
@@ -14,7 +14,7 @@
 func (f *Front) newMetrics() *frontmetrics.Metrics {
 	return frontmetrics.New(frontmetrics.Options{
 		StoreCalls: f.opts.StoreCalls, ConfigVersion: f.configVersion, ConfigAge: f.configAge, ReplicasAge: f.replicasAge,
-		Hosts: f.joined.count, Running: f.drain.Running, Connections: f.table.Dialed,
+		Hosts: f.joined.count, Running: f.drain.Running, Gathers: f.gathers.Running, Connections: f.table.Dialed,
 		LinesSkipped: f.log.Skipped, LinesLost: f.opts.LinesLost, More: append(f.joined.peers.Collectors(), f.opts.Traffic.Collectors()...),
 	})
 }
--- a/entry/internal/front/quarantine.go
+++ b/entry/internal/front/quarantine.go
@@ -11,14 +11,12 @@
 
 // newQuarantine returns the quarantine of opaque requests, which all hosts share.
 func (f *Front) newQuarantine() *quarantine.Quarantine {
-	q := quarantine.New(quarantine.Options{
+	return quarantine.New(quarantine.Options{
 		Clock: f.opts.Clock, Service: opaqueRequests, Publish: f.tellQuarantine,
 		Judged: func(fp, why string) {
 			events.Quarantined.Log(f.opts.Log, "service", opaqueRequests, "fingerprint", fp, "why", why)
 		},
 	})
-	f.joined.rumors.Subscribe(rumor.KindQuarantine, q.Heard)
-	return q
 }
 
 // tellQuarantine tells the other hosts of a request that crashes replicas: its caller may turn to any of them next.
--- /dev/null
+++ b/entry/internal/front/subqueries_test.go
@@ -0,0 +1,67 @@
+package front
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/entry/internal/member"
+)
+
+func inZones(n int, zones ...string) []member.Host {
+	list := make([]member.Host, n)
+	for i := range list {
+		list[i] = member.Host{ID: fmt.Sprintf("h%d", i), Zone: zones[i%len(zones)], Region: "r", State: member.StateAlive}
+	}
+	return list
+}
+
+// Hundreds of hosts send parts of their queries to others. Each uses a few of a zone, so that connections stay in use, and not all the same ones.
+func TestSubqueriesGoToFewHosts(t *testing.T) {
+	for _, n := range []int{6, 15, 84, 295} {
+		hosts := inZones(n, "a", "b", "c")
+		used := map[string]int{}
+		for _, self := range hosts {
+			z := byZone(self, hosts)
+			qt.Check(t, len(z.names), qt.Equals, 2)
+			for name, list := range z.hosts {
+				qt.Check(t, name, qt.Not(qt.Equals), self.Zone)
+				qt.Check(t, len(list) <= fewPeers && len(list) > 0, qt.IsTrue)
+				for _, h := range list {
+					qt.Check(t, h.Zone, qt.Equals, name)
+					used[h.ID]++
+				}
+			}
+		}
+		qt.Check(t, len(used) > n/2, qt.IsTrue, qt.Commentf("%d of %d hosts are used", len(used), n))
+	}
+	elsewhere := inZones(3, "b")
+	elsewhere[0].Region = "other"
+	qt.Check(t, byZone(member.Host{ID: "self", Zone: "a", Region: "r"}, elsewhere).hosts["b"], qt.HasLen, 2)
+}
+
+// A host does not answer. Parts of queries go to others of its zone until it has had time to be found out, and then to it again.
+func TestHostThatDidNotAnswerRests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := byZone(member.Host{ID: "self", Zone: "a", Region: "r"}, inZones(2, "b"))
+		s := &subqueryPeers{clock: clock.System{}, resting: map[string]time.Time{}, hosts: func() zoneHosts { return z }}
+		s.failed("h0")
+		for range 20 {
+			p, ok := s.peer("b")
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Assert(t, p.ID, qt.Equals, "h1")
+		}
+		s.failed("h1")
+		_, ok := s.peer("b")
+		qt.Check(t, ok, qt.IsFalse)
+		time.Sleep(peerRest)
+		_, ok = s.peer("b")
+		qt.Check(t, ok, qt.IsTrue)
+		_, ok = s.peer("c")
+		qt.Check(t, ok, qt.IsFalse)
+	})
+}
--- a/entry/internal/frontmetrics/metrics.go
+++ b/entry/internal/frontmetrics/metrics.go
@@ -20,8 +20,8 @@
 	ConfigVersion func() int64
 	// ConfigAge and ReplicasAge return how long ago the store was known to hold nothing newer, negative for never.
 	ConfigAge, ReplicasAge func() time.Duration
-	// Hosts returns how many hosts are known, Running how many requests are in flight.
-	Hosts, Running func() int
+	// Hosts returns how many hosts are known, Running how many requests are in flight, Gathers how many parts of other hosts' requests.
+	Hosts, Running, Gathers func() int
 	// Connections returns how many connections to replicas were opened.
 	Connections func() uint64
 	// LinesSkipped and LinesLost return how many log lines were left out, and lost by the output.
@@ -43,6 +43,7 @@
 	seconds  *prometheus.HistogramVec
 	extra    *prometheus.CounterVec
 	missed   prometheus.Counter
+	through  prometheus.Counter
 	refused  *prometheus.CounterVec
 	rejected *prometheus.CounterVec
 }
@@ -65,10 +66,11 @@
 		seconds:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "guavaspring_forwarded_seconds", Help: "Time from a request's arrival to its answer.", Buckets: buckets}, []string{"kind"}),
 		extra:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "guavaspring_extra_tries_total", Help: "Tries beyond the first of a shard, and those that the budget denied."}, []string{"what"}),
 		missed:   prometheus.NewCounter(prometheus.CounterOpts{Name: "guavaspring_shards_missed_total", Help: "Shards left out of answers."}),
+		through:  prometheus.NewCounter(prometheus.CounterOpts{Name: "guavaspring_shards_through_total", Help: "Shards of requests that another host asked, in its availability zone."}),
 		refused:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "guavaspring_refused_total", Help: "Requests refused before they were sent anywhere, by cause; those refused for overload count as forwarded."}, []string{"cause"}),
 	}
 	m.rejected = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "guavaspring_objects_unreadable_total", Help: "Objects of the store that can't be read, once for each revision, by kind."}, []string{"kind"})
-	m.registry.MustRegister(m.requests, m.seconds, m.extra, m.missed, m.refused, m.rejected, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.registry.MustRegister(m.requests, m.seconds, m.extra, m.missed, m.through, m.refused, m.rejected, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registry.MustRegister(opts.More...)
 	for _, c := range []struct {
 		name, help string
@@ -93,6 +95,7 @@
 		{"config_age_seconds", "How long ago the store was known to hold no newer configuration, negative for never.", func() float64 { return opts.ConfigAge().Seconds() }},
 		{"replicas_age_seconds", "How long ago the store was known to hold no newer list of replicas, negative for never.", func() float64 { return opts.ReplicasAge().Seconds() }},
 		{"known_hosts", "Hosts that are not dead, this one included.", func() float64 { return float64(opts.Hosts()) }},
+		{"subqueries_in_flight", "Parts of other hosts' requests that this host gathers.", func() float64 { return float64(opts.Gathers()) }},
 		{"requests_in_flight", "Requests in flight.", func() float64 { return float64(opts.Running()) }},
 	} {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "guavaspring_" + g.name, Help: g.help}, g.read))
@@ -111,6 +114,7 @@
 	}
 	m.requests.WithLabelValues(kind, string(e.Report.Ending), statusClass(e.Status)).Inc()
 	m.seconds.WithLabelValues(kind).Observe(e.Took.Seconds())
+	m.through.Add(float64(e.Report.Through))
 	m.extra.WithLabelValues("hedge").Add(float64(e.Report.Hedges))
 	m.extra.WithLabelValues("retry").Add(float64(e.Report.Retries))
 	m.extra.WithLabelValues("denied").Add(float64(e.Report.Denied))
--- a/entry/internal/frontmetrics/metrics_test.go
+++ b/entry/internal/frontmetrics/metrics_test.go
@@ -21,7 +21,7 @@
 	age := func() time.Duration { return 2 * time.Second }
 	return frontmetrics.New(frontmetrics.Options{
 		StoreCalls: func() []frontmetrics.StoreCalls { return []frontmetrics.StoreCalls{{For: "list_config", Calls: 3}} }, ConfigVersion: func() int64 { return 7 }, ConfigAge: age, ReplicasAge: age,
-		Hosts: func() int { return 6 }, Running: func() int { return 1 }, Connections: none, LinesSkipped: none, LinesLost: none,
+		Hosts: func() int { return 6 }, Running: func() int { return 1 }, Gathers: func() int { return 4 }, Connections: none, LinesSkipped: none, LinesLost: none,
 	})
 }
 
@@ -34,7 +34,7 @@
 		rep    scatter.Report
 		status int
 	}{
-		{scatter.Report{Ending: scatter.Complete, Answered: 3}, http.StatusOK},
+		{scatter.Report{Ending: scatter.Complete, Answered: 3, Through: 2}, http.StatusOK},
 		{scatter.Report{Ending: scatter.Partial, Answered: 2, Hedges: 1, Denied: 1}, http.StatusOK},
 		{scatter.Report{Ending: scatter.Lost, Answered: 1}, http.StatusBadGateway},
 		{scatter.Report{Ending: scatter.Overload}, http.StatusServiceUnavailable},
@@ -50,6 +50,8 @@
 		`guavaspring_forwarded_total{ending="lost",kind="gather",status="502"} 1`,
 		`guavaspring_forwarded_total{ending="overload",kind="gather",status="503"} 1`,
 		`guavaspring_shards_missed_total 1`,
+		`guavaspring_shards_through_total 2`,
+		`guavaspring_subqueries_in_flight 4`,
 		`guavaspring_extra_tries_total{what="denied"} 1`,
 		`guavaspring_refused_total{cause="quarantined"} 1`,
 		`guavaspring_config_version 7`,
--- a/entry/internal/peers/conn.go
+++ b/entry/internal/peers/conn.go
@@ -35,14 +35,33 @@
 	most int64
 	// pending counts the bytes read since the last write.
 	pending atomic.Int64
+	// used is when bytes last came or went, in nanoseconds of the monotonic clock since began; ended says that no more can be read.
+	used  atomic.Int64
+	ended atomic.Bool
 }
 
+// began is a fixed moment from which the use of connections is told.
+var began = time.Now()
+
+// newCounted returns a connection that has just been opened.
+func newCounted(c net.Conn, t *traffic, most int64) *counted {
+	n := &counted{Conn: c, t: t, most: most}
+	n.touch()
+	return n
+}
+
+func (c *counted) touch() { c.used.Store(int64(time.Since(began))) }
+
 // Read counts what arrives and moves the idle limit on.
 func (c *counted) Read(b []byte) (int, error) {
 	if err := c.SetReadDeadline(time.Now().Add(idleLimit)); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(b)
+	c.touch()
+	if err != nil {
+		c.ended.Store(true)
+	}
 	c.t.in.Add(int64(n))
 	c.t.reads.Add(1)
 	if c.pending.Add(int64(n)) > c.most {
@@ -58,6 +77,7 @@
 	}
 	c.pending.Store(0)
 	n, err := c.Conn.Write(b)
+	c.touch()
 	c.t.out.Add(int64(n))
 	c.t.writes.Add(1)
 	return n, err
--- a/entry/internal/peers/peers.go
+++ b/entry/internal/peers/peers.go
@@ -28,6 +28,19 @@
 	indirectProbes = 3
 )
 
+// Use says what a connection to another host is for.
+type Use string
+
+// The uses of connections.
+const (
+	// Probes is for probes, news and repairs.
+	Probes Use = "probes"
+	// Waits is for Call, whose calls wait for long.
+	Waits Use = "waits"
+	// Works is for Work.
+	Works Use = "works"
+)
+
 // Options configures Peers.
 type Options struct {
 	Clock clock.Clock
@@ -48,9 +61,8 @@
 	Services map[string]any
 	// Dial opens a connection to another host; New takes TCP where it is nil.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
-	// Opened returns what is used in place of a new connection to another host, whose calls wait for long or not; nil means the connection
-	// itself.
-	Opened func(c net.Conn, addr netip.AddrPort, waits bool) net.Conn
+	// Opened returns what is used in place of a new connection to another host; nil means the connection itself.
+	Opened func(c net.Conn, addr netip.AddrPort, use Use) net.Conn
 }
 
 // Peers exchanges probes and news with the other hosts.
@@ -60,7 +72,9 @@
 	pool    *pool
 	// waits holds the connections of Call, whose calls wait for long: a call that is late closes its connection, which must not
 	// break the probes.
-	waits   *pool
+	waits *pool
+	// works holds the connections of Work, whose calls come many at a time and end when their callers do.
+	works   *pool
 	server  *server
 	news    *ring.Ring[item]
 	changed *ring.Ring[listing.Row]
@@ -81,10 +95,11 @@
 	p := &Peers{opts: opts, news: ring.New[item](newsQueue), changed: ring.New[listing.Row](rowsQueue), repaired: map[Table]time.Time{}, fetching: map[accepted.Mark]bool{}}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	if opts.Opened == nil {
-		opts.Opened = func(c net.Conn, _ netip.AddrPort, _ bool) net.Conn { return c }
+		opts.Opened = func(c net.Conn, _ netip.AddrPort, _ Use) net.Conn { return c }
 	}
-	p.pool = newPool(opts.Clock, &p.traffic, dialer(opts, false))
-	p.waits = newPool(opts.Clock, &p.traffic, dialer(opts, true))
+	p.pool = newPool(opts.Clock, &p.traffic, dialer(opts, Probes))
+	p.waits = newPool(opts.Clock, &p.traffic, dialer(opts, Waits))
+	p.works = newPool(opts.Clock, &p.traffic, dialer(opts, Works))
 	srv, err := newServer(&Methods{p: p}, &p.traffic)
 	if err != nil {
 		return nil, err
@@ -98,8 +113,8 @@
 	return p, nil
 }
 
-// dialer returns how connections are opened whose calls wait for long, or not.
-func dialer(opts Options, waits bool) func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+// dialer returns how connections for a use are opened.
+func dialer(opts Options, use Use) func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	dial := opts.Dial
 	if dial == nil {
 		dial = dialTCP
@@ -109,7 +124,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return opts.Opened(c, addr, waits), nil
+		return opts.Opened(c, addr, use), nil
 	}
 }
 
@@ -117,6 +132,7 @@
 func (p *Peers) Run(ctx context.Context) {
 	defer p.pool.close()
 	defer p.waits.close()
+	defer p.works.close()
 	var duties sync.WaitGroup
 	duties.Go(func() { p.server.serve(ctx, p.opts.Listener) })
 	duties.Go(func() { p.every(ctx, tickEvery, func() { p.opts.List.Tick(p.opts.Clock.Now()) }) })
@@ -137,6 +153,11 @@
 	return p.waits.invoke(ctx, addr, timeout, method, args, reply)
 }
 
+// Work runs a method like Call does. Many may run at once on one connection, which the end of ctx leaves to the others; one that is late closes it.
+func (p *Peers) Work(ctx context.Context, addr netip.AddrPort, timeout time.Duration, method string, args, reply any) error {
+	return p.works.run(ctx, addr, callOptions{timeout: timeout, keep: true}, method, args, reply)
+}
+
 // Leave tells the neighbours at once that this host is stopping, and returns once they have answered; each passes it on.
 func (p *Peers) Leave(ctx context.Context) {
 	p.opts.List.Leave()
--- a/entry/internal/peers/peers_test.go
+++ b/entry/internal/peers/peers_test.go
@@ -168,3 +168,34 @@
 		c.Assert(len(hosts[0].peers.pool.clients) <= maxClients, qt.IsTrue)
 	})
 }
+
+// Story: hundreds of hosts start and turn to the few that their settings name, by connections that they then hardly use. Later a host that works with
+// one of these every second must get a connection to it, and its earlier one must have been kept; a host whose unused connection
+// made room for it must not notice.
+func TestNewcomersFindRoom(t *testing.T) {
+	play(t, 2, func(f *fleet, hosts []*testHost) {
+		c := qt.New(t)
+		ctx := f.t.Context()
+		ask := func(h *testHost) error {
+			return h.peers.Work(ctx, hosts[0].addr, time.Second, "Peers.Number", &GenerationArgs{}, &NumberReply{})
+		}
+		early, busy := f.start(30), f.start(31)
+		c.Assert(ask(early), qt.IsNil)
+		time.Sleep(time.Second)
+		c.Assert(ask(busy), qt.IsNil)
+		for i := range maxServed {
+			_, err := f.dial(ctx, hosts[0].addr)
+			c.Assert(err, qt.IsNil)
+			time.Sleep(time.Millisecond)
+			if i%20 == 0 {
+				c.Assert(ask(busy), qt.IsNil)
+			}
+		}
+		before := busy.peers.traffic.connections.Load()
+		late := f.start(32)
+		c.Check(ask(late), qt.IsNil)
+		c.Check(ask(busy), qt.IsNil)
+		c.Check(ask(early), qt.IsNil)
+		c.Check(busy.peers.traffic.connections.Load(), qt.Equals, before)
+	})
+}
--- a/entry/internal/peers/pool.go
+++ b/entry/internal/peers/pool.go
@@ -19,6 +19,9 @@
 	callTimeout = 2 * time.Second
 )
 
+// ErrUnreached means that no connection to a host could be had, so that nothing of a call was sent.
+var ErrUnreached = errors.New("peers: the host can't be reached")
+
 // pool is a bounded cache of net/rpc clients; the one used longest ago gives way.
 type pool struct {
 	clock clock.Clock
@@ -31,6 +34,7 @@
 
 type client struct {
 	rpc  *rpc.Client
+	conn *counted
 	used time.Time
 }
 
@@ -51,11 +55,22 @@
 // invoke runs one method at addr. A call that fails or is late closes its connection: the connection may have gone
 // silent for good while a new one would work, and a late reply is then never taken for a later one.
 func (p *pool) invoke(ctx context.Context, addr netip.AddrPort, timeout time.Duration, method string, args, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	return p.run(ctx, addr, callOptions{timeout: timeout}, method, args, reply)
+}
+
+// callOptions says how one call is made.
+type callOptions struct {
+	timeout time.Duration
+	// keep says that the end of the caller's context, other than the timeout, leaves the connection to the calls beside it.
+	keep bool
+}
+
+func (p *pool) run(caller context.Context, addr netip.AddrPort, opts callOptions, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(caller, opts.timeout)
 	defer cancel()
 	c, err := p.get(ctx, addr)
 	if err != nil {
-		return err
+		return fmt.Errorf("%w: %w", ErrUnreached, err)
 	}
 	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
@@ -69,25 +84,30 @@
 		}
 		return nil
 	case <-ctx.Done():
-		p.drop(addr, c)
+		if !opts.keep || caller.Err() == nil {
+			p.drop(addr, c)
+		}
 		return fmt.Errorf("peer %s: %s: %w", addr, method, ctx.Err())
 	}
 }
 
 func (p *pool) get(ctx context.Context, addr netip.AddrPort) (*rpc.Client, error) {
 	p.mu.Lock()
-	if c := p.clients[addr]; c != nil {
+	if c := p.clients[addr]; c != nil && !c.conn.ended.Load() {
 		c.used = p.clock.Now()
 		p.mu.Unlock()
 		return c.rpc, nil
 	}
+	// The other host closes connections that were not used for the longest time; a call on such a one would fail though nothing is wrong.
+	delete(p.clients, addr)
 	p.mu.Unlock()
 	conn, err := p.dial(ctx, addr)
 	if err != nil {
 		return nil, fmt.Errorf("peer %s: %w", addr, err)
 	}
 	p.t.connections.Add(1)
-	fresh := &client{rpc: rpc.NewClient(&counted{Conn: conn, t: p.t, most: maxReply}), used: p.clock.Now()}
+	nc := newCounted(conn, p.t, maxReply)
+	fresh := &client{rpc: rpc.NewClient(nc), conn: nc, used: p.clock.Now()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c := p.clients[addr]; c != nil {
--- a/entry/internal/peers/server.go
+++ b/entry/internal/peers/server.go
@@ -10,7 +10,8 @@
 	"time"
 )
 
-// maxServed bounds the connections that other hosts hold here; a host has about eight probers and a few that repair.
+// maxServed bounds the connections that other hosts hold here. A host has about eight probers, eight that hear from it and as many that send it
+// parts of queries; all that start turn to the hosts that the settings name.
 const maxServed = 256
 
 // acceptPause is how long to wait after a connection could not be accepted.
@@ -22,12 +23,12 @@
 	t   *traffic
 
 	mu    sync.Mutex
-	conns map[net.Conn]bool
+	conns map[*counted]bool
 	done  sync.WaitGroup
 }
 
 func newServer(methods any, t *traffic) (*server, error) {
-	s := &server{rpc: rpc.NewServer(), t: t, conns: map[net.Conn]bool{}}
+	s := &server{rpc: rpc.NewServer(), t: t, conns: map[*counted]bool{}}
 	if err := s.rpc.RegisterName("Peers", methods); err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
@@ -48,12 +49,11 @@
 			s.pause(ctx)
 			continue
 		}
-		if !s.admit(conn) {
-			continue
-		}
+		c := newCounted(conn, s.t, maxRequest)
+		s.admit(c)
 		s.done.Go(func() {
-			s.rpc.ServeConn(&counted{Conn: conn, t: s.t, most: maxRequest})
-			s.forget(conn)
+			s.rpc.ServeConn(c)
+			s.forget(c)
 		})
 	}
 	s.closeAll()
@@ -67,23 +67,39 @@
 	}
 }
 
-// admit refuses a connection over the bound, so that a broken or hostile peer can't exhaust the host's memory.
-func (s *server) admit(conn net.Conn) bool {
+// admit takes a connection in, and closes the one that was not used for the longest time where there are too many, so that a broken or hostile host
+// can't exhaust this one's memory.
+//
+// It guards against a large fleet that starts: each of 295 hosts turns to the three that the settings name, by two connections that it then hardly
+// uses. Where newcomers were refused, those three were out of reach for hosts that had work for them until the old ones were two
+// minutes old, and 54 parts of queries of one quiet half minute failed with them.
+func (s *server) admit(c *counted) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.conns) >= maxServed {
-		_ = conn.Close()
-		return false
+		oldest := s.oldest()
+		delete(s.conns, oldest)
+		_ = oldest.Close()
+	}
+	s.conns[c] = true
+}
+
+// oldest returns the connection that was not used for the longest time.
+func (s *server) oldest() *counted {
+	var oldest *counted
+	for c := range s.conns {
+		if oldest == nil || c.used.Load() < oldest.used.Load() {
+			oldest = c
+		}
 	}
-	s.conns[conn] = true
-	return true
+	return oldest
 }
 
-func (s *server) forget(conn net.Conn) {
+func (s *server) forget(c *counted) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.conns, conn)
-	_ = conn.Close()
+	delete(s.conns, c)
+	_ = c.Close()
 }
 
 func (s *server) closeAll() {
--- a/entry/internal/pick/pick.go
+++ b/entry/internal/pick/pick.go
@@ -11,10 +11,11 @@
 	// zoneDelay is what the way to another availability zone and back takes.
 	zoneDelay = 2 * time.Millisecond
 	// nearTimes and nearPart bound the expected time at which the replica in the own zone goes first whatever the others would take: in times of
-	// the usual reply, which leaves out a replica that is slow, pauses or has a queue, and as a part of the time in which the reply is of use, which
-	// leaves room for a second try.
-	nearTimes = 2
-	nearPart  = 0.4
+	// the usual reply, which leaves out a replica that is slow or overdue, though not one after a single pause, and as a part of the time in which the
+	// reply is of use, which leaves room for a second try. nearRunning is how many requests of this host make a queue there.
+	nearTimes   = 2.5
+	nearPart    = 0.4
+	nearRunning = 3
 	// Forget is the time in which what was learned of a replica's speed loses two thirds of its weight. A disruption lasts for seconds;
 	// a replica that was slow is tried again about as long after.
 	Forget = 3 * time.Second
@@ -87,5 +88,5 @@
 }
 
 func (n Need) nearEnough(r Replica, estimate time.Duration) bool {
-	return r.Near && !r.Cold && estimate <= min(nearTimes*n.Usual, time.Duration(nearPart*float64(n.Within)))
+	return r.Near && !r.Cold && r.Running < nearRunning && estimate <= min(time.Duration(nearTimes*float64(n.Usual)), time.Duration(nearPart*float64(n.Within)))
 }
--- a/entry/internal/forward/merge.go
+++ b/entry/internal/records/records.go
@@ -1,22 +1,22 @@
-package forward
+package records
 
 import (
 	"bytes"
 	"slices"
 )
 
-// recordSize is the size of one record of a part; a shorter remainder is none.
-const recordSize = 16
+// size is the size of one record of a part; a shorter remainder is none.
+const size = 16
 
-// merge returns the k greatest records of all parts, greatest first.
+// Top returns the k greatest records of 16 bytes of all parts, greatest first. The greatest of some parts stand for those parts in a further call.
 //
 // Only the k greatest so far are kept in order: of 36 parts with 62 records each most are smaller than all of those, and cost one
 // comparison. That takes 0.04 ms where sorting all records took 0.38.
-func merge(parts [][]byte, k int) []byte {
+func Top(parts [][]byte, k int) []byte {
 	greatest := make([][]byte, 0, k+1)
 	for _, part := range parts {
-		for ; len(part) >= recordSize; part = part[recordSize:] {
-			record := part[:recordSize]
+		for ; len(part) >= size; part = part[size:] {
+			record := part[:size]
 			if len(greatest) == k && (k == 0 || bytes.Compare(record, greatest[k-1]) <= 0) {
 				continue
 			}
--- /dev/null
+++ b/entry/internal/records/records_test.go
@@ -0,0 +1,52 @@
+package records_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"guavaspring.org/entry/internal/records"
+)
+
+// A page is the greatest records of all its parts, whatever their order, equal ones counted each, and bytes that are no record left out.
+func TestMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := rapid.IntRange(0, 8).Draw(t, "k")
+		var parts [][]byte
+		var all []string
+		for range rapid.IntRange(0, 4).Draw(t, "parts") {
+			part := ""
+			for range rapid.IntRange(0, 6).Draw(t, "records") {
+				record := rapid.StringMatching(`[ab]{16}`).Draw(t, "record")
+				part += record
+				all = append(all, record)
+			}
+			parts = append(parts, []byte(part+strings.Repeat("z", rapid.IntRange(0, 15).Draw(t, "rest"))))
+		}
+		slices.Sort(all)
+		slices.Reverse(all)
+		want := strings.Join(all[:min(k, len(all))], "")
+		if got := string(records.Top(parts, k)); got != want {
+			t.Fatalf("got %q, want %q", got, want)
+		}
+	})
+}
+
+func BenchmarkTop(b *testing.B) {
+	r := rand.New(rand.NewPCG(1, 2))
+	var parts [][]byte
+	for range 36 {
+		part := make([]byte, 0, 1000)
+		for range 62 {
+			part = append(part, fmt.Sprintf("%016x", r.Uint64())...)
+		}
+		parts = append(parts, part)
+	}
+	for b.Loop() {
+		records.Top(parts, 50)
+	}
+}
--- a/entry/internal/scatter/scatter.go
+++ b/entry/internal/scatter/scatter.go
@@ -59,6 +59,8 @@
 	Draw func() float64
 	// Quarantine holds the requests that crash replicas; nil means one of the runner's own.
 	Quarantine *quarantine.Quarantine
+	// Subqueries is how parts of queries are asked through other hosts; the zero value asks all shards directly.
+	Subqueries Subqueries
 }
 
 // Runner runs requests.
@@ -84,6 +86,8 @@
 	// Learned holds what was learned from the route's requests.
 	Learned           *learned.Route
 	Arrived, Deadline time.Time
+	// Version is the configuration that names the shards.
+	Version int64
 	// Fingerprint names the request by its content, and Suspect says that a replica crashed under it a moment ago.
 	Fingerprint string
 	Suspect     bool
@@ -100,6 +104,8 @@
 	Hedges, Retries int
 	// Ran says that a replica may have run the request.
 	Ran bool
+	// Through counts the shards whose first try another host sent.
+	Through int
 	// Denied counts second tries that the budget did not allow.
 	Denied int
 	// Steps holds what was decided, in order.
@@ -139,7 +145,9 @@
 	cancel context.CancelFunc
 	ends   chan ended
 	// room receives the shards whose wait for room may be over.
-	room    chan int
+	room chan int
+	// told receives what hosts tell that gather parts of the request.
+	told    chan told
 	report  Report
 	lost    int
 	open    int
@@ -157,6 +165,8 @@
 	waiter *endpoints.Waiter
 	what   What
 	result exchange.Result
+	// through is the part of the request that holds the shard, where another host has sent its first try.
+	through *part
 }
 
 // ended is a try that came to its end.
@@ -170,7 +180,7 @@
 	n := len(q.Shards)
 	p := &plan{
 		Query: q, run: run, timing: timingOf(q.Route, &q.Learned.Recent), unloaded: q.Learned.Unloaded.Get(), least: 1, now: run.opts.Clock.Now(), shards: make([]shard, n), open: n,
-		ends: make(chan ended, n*(q.Route.Attempts+unsentTries)), room: make(chan int, n),
+		ends: make(chan ended, n*(q.Route.Attempts+unsentTries)), room: make(chan int, n), told: make(chan told),
 	}
 	p.report.Steps = make([]Step, 0, n+spareSteps)
 	if len(q.Route.Shards) > 0 {
@@ -183,9 +193,14 @@
 // should not be cut off.
 func (p *plan) start(ctx context.Context) {
 	p.ctx, p.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	for i, s := range p.Shards {
+	for _, s := range p.Shards {
 		s.Budget.Request(p.now)
-		p.try(i, First, "")
+	}
+	through := p.throughOthers()
+	for i := range p.Shards {
+		if !through[i] {
+			p.try(i, First, "")
+		}
 	}
 }
 
@@ -221,6 +236,9 @@
 		case e := <-p.ends:
 			p.now = p.run.opts.Clock.Now()
 			p.take(e)
+		case t := <-p.told:
+			p.now = p.run.opts.Clock.Now()
+			p.hear(t)
 		case i := <-p.room:
 			p.now = p.run.opts.Clock.Now()
 			p.look(i)
@@ -308,6 +326,7 @@
 }
 
 func (p *plan) finish(end Ending) Report {
+	p.forget()
 	p.report.Ending = end
 	p.report.Usual, p.report.Hedge = p.timing.usual, p.timing.hedge
 	for i := range p.shards {
--- a/entry/internal/scatter/scatter_test.go
+++ b/entry/internal/scatter/scatter_test.go
@@ -45,15 +45,20 @@
 
 // newHost returns the way of one host, which takes a part of all that the hosts may do together, to the replicas of a farm.
 func newHost(farm *replicatest.Farm, slack, part float64) *bed {
+	return newHostIn("a", farm, slack, part, scatter.Subqueries{})
+}
+
+// newHostIn returns the way of one host in an availability zone, which asks other hosts for parts of its queries.
+func newHostIn(zone string, farm *replicatest.Farm, slack, part float64, sub scatter.Subqueries) *bed {
 	b := &bed{farm: farm, learned: &learned.Route{}}
 	codec := wire.Codec()
 	share := func() float64 { return part }
 	b.table = endpoints.New(endpoints.Options{
-		Clock: clock.System{}, Log: logr.Discard(), Zone: "a", Codec: &codec, Dial: b.farm.Dial, Share: share,
+		Clock: clock.System{}, Log: logr.Discard(), Zone: zone, Codec: &codec, Dial: b.farm.Dial, Share: share,
 		Spend: spend.Options{Ratio: 0.2, Slack: slack, Window: 10 * time.Second},
 	})
 	b.crashers = quarantine.New(quarantine.Options{Clock: clock.System{}, Service: "opaque"})
-	b.run = scatter.New(scatter.Options{Clock: clock.System{}, Share: share, Draw: func() float64 { return 0 }, Quarantine: b.crashers})
+	b.run = scatter.New(scatter.Options{Clock: clock.System{}, Share: share, Draw: func() float64 { return 0 }, Quarantine: b.crashers, Subqueries: sub})
 	return b
 }
 
--- a/entry/internal/scatter/tries.go
+++ b/entry/internal/scatter/tries.go
@@ -6,8 +6,8 @@
 	"guavaspring.org/core/upstream"
 	"guavaspring.org/entry/internal/endpoints"
 	"guavaspring.org/entry/internal/exchange"
+	"guavaspring.org/entry/internal/guarded"
 	"guavaspring.org/entry/internal/pick"
-	"guavaspring.org/entry/internal/quarantine"
 )
 
 // What names a decision about one shard.
@@ -17,6 +17,8 @@
 const (
 	// First sends the first try.
 	First What = "first"
+	// Through lets another host send the first try of some shards.
+	Through What = "through"
 	// Retry sends a try after one that failed.
 	Retry What = "retry"
 	// Hedge sends a try beside one that is late.
@@ -148,7 +150,7 @@
 	}
 	call := endpoints.Call{Request: p.Request, Deadline: p.Deadline, Connections: p.Shards[i].Connections(), Usual: p.timing.usual, Unloaded: p.unloaded, Once: !p.Route.Idempotent}
 	go func() {
-		res := p.guarded(i, r, call)
+		res := guarded.Send(p.ctx, p.run.opts.Quarantine, guarded.Try{Fingerprint: p.Fingerprint, Shard: i, Replica: r, Call: call})
 		if res.Kind == upstream.KindOK {
 			p.Learned.Replied(p.run.opts.Clock.Now(), res.Took)
 		}
@@ -159,37 +161,15 @@
 	}
 }
 
-// guarded sends a try unless its request is known to crash replicas.
-func (p *plan) guarded(i int, r *endpoints.Replica, call endpoints.Call) exchange.Result {
-	var res exchange.Result
-	err := p.run.opts.Quarantine.Guard(p.ctx, p.Fingerprint, i, r.Process(), func() quarantine.Outcome {
-		res = r.Send(p.ctx, call)
-		return outcome(&res)
-	})
-	if err != nil {
-		return exchange.Result{Kind: upstream.KindNotSent, Detail: err.Error()}
-	}
-	return res
-}
-
-// outcome says what the end of a try tells of its request. A connection that broke is not enough: something between the two ends may
-// drop connections of replicas that live, under one request in three for some seconds.
-func outcome(res *exchange.Result) quarantine.Outcome {
-	switch {
-	case res.Kind == upstream.KindOK:
-		return quarantine.Answered
-	case res.Died:
-		return quarantine.Broke
-	}
-	return quarantine.Left
-}
-
 // hedge sends a second try beside one that is late, where the budget allows it.
 func (p *plan) hedge(i int) {
 	s := &p.shards[i]
 	if s.running == 0 || s.sent >= p.Route.Attempts || p.now.Add(p.timing.usual).After(p.end()) {
 		return
 	}
+	if s.through != nil && !s.through.told {
+		p.excludeZone(i, s.through.peer.Zone)
+	}
 	need := p.need(i)
 	c, verdict := p.Shards[i].Pick(p.now, need, p.run.opts.Draw)
 	switch {
--- a/entry/internal/source/follower_test.go
+++ b/entry/internal/source/follower_test.go
@@ -82,6 +82,8 @@
 	// parents are the hosts that it hears from; one that watches the store too hears from them only while the store turns it away.
 	parents []*host
 	watches bool
+	// down says that it takes no connections.
+	down bool
 }
 
 func (h *host) sources() ([]source.Parent[int64], bool) {
@@ -178,6 +180,12 @@
 }
 
 func ask(ctx context.Context, h *host, args relay.Args) (relay.Reply[int64], error) {
+	h.mu.Lock()
+	down := h.down
+	h.mu.Unlock()
+	if down {
+		return relay.Reply[int64]{}, errors.New("connection refused")
+	}
 	st, changed := h.copy.State()
 	if st.Revision <= args.Since {
 		select {
@@ -270,6 +278,24 @@
 	}
 }
 
+// The host that the settings name is not up yet and refuses connections; it comes 0.15 s later and knows all there is. It has to be asked again before
+// the store is.
+func TestStartBeforeTheNamedHostListens(t *testing.T) {
+	play(t, func(ctx context.Context) {
+		w := newWorld()
+		named := &host{name: "named", copy: relay.NewCopy[int64](), watches: true, down: true}
+		named.copy.Replace(batch(1), time.Now(), false)
+		started := w.start(ctx, "new", nil, named)
+		time.Sleep(150 * time.Millisecond)
+		named.mu.Lock()
+		named.down = false
+		named.mu.Unlock()
+		time.Sleep(50 * time.Millisecond)
+		qt.Check(t, started.value(), qt.Equals, int64(1))
+		w.set(func() { qt.Check(t, w.calls["new"], qt.Equals, 0) })
+	})
+}
+
 // A power cut took the hosts that the settings name, and they don't return. A host that starts must know all there is within half a second more than
 // the store takes.
 func TestStartWithoutTheNamedHosts(t *testing.T) {
--- a/entry/internal/startup/startup.go
+++ b/entry/internal/startup/startup.go
@@ -8,8 +8,8 @@
 	"guavaspring.org/core/clock"
 )
 
-// HoldFor is the time after a host's start in which requests wait for the configuration and the replicas. The store answers in milliseconds, and in
-// 20 ms both are known. Later, what is not known is not to be had: the store is away, and waiting would only keep clients from other hosts.
+// HoldFor is how long requests wait for the configuration and the replicas, from the first one on. That one has the host call the store, which answers in
+// milliseconds; what is not known after this time is not to be had, and waiting would only keep clients from other hosts.
 const HoldFor = 150 * time.Millisecond
 
 // Startup is the start of one host.
@@ -18,19 +18,19 @@
 // sends each of them away for longer than the calls take.
 type Startup struct {
 	clock clock.Clock
-	until time.Time
 
-	once          sync.Once
-	wanted, known chan struct{}
+	first         sync.Once
+	until         time.Time
 	done          sync.Once
+	wanted, known chan struct{}
 }
 
 // New returns the start of a host that begins now.
 func New(c clock.Clock) *Startup {
-	return &Startup{clock: c, until: c.Now().Add(HoldFor), wanted: make(chan struct{}), known: make(chan struct{})}
+	return &Startup{clock: c, wanted: make(chan struct{}), known: make(chan struct{})}
 }
 
-// Wanted is closed once a request waits, or came too late to wait.
+// Wanted is closed once a request waits.
 func (s *Startup) Wanted() <-chan struct{} { return s.wanted }
 
 // Known says that the host knows all that requests need.
@@ -38,7 +38,10 @@
 
 // Await waits until the host knows what requests need, and reports whether it does.
 func (s *Startup) Await(ctx context.Context) bool {
-	s.once.Do(func() { close(s.wanted) })
+	s.first.Do(func() {
+		s.until = s.clock.Now().Add(HoldFor)
+		close(s.wanted)
+	})
 	left := s.until.Sub(s.clock.Now())
 	if left <= 0 {
 		select {
--- a/entry/internal/startup/startup_test.go
+++ b/entry/internal/startup/startup_test.go
@@ -21,8 +21,8 @@
 		answered     time.Duration
 	}{
 		{"the store answers", 20 * time.Millisecond, 5 * time.Millisecond, true, 20 * time.Millisecond},
-		{"the store is away", time.Hour, 5 * time.Millisecond, false, startup.HoldFor},
-		{"the store is away, and the host is up for a while", time.Hour, time.Second, false, time.Second},
+		{"the store is away", time.Hour, 5 * time.Millisecond, false, 5*time.Millisecond + startup.HoldFor},
+		{"the host has asked nobody yet", 620 * time.Millisecond, 600 * time.Millisecond, true, 620 * time.Millisecond},
 		{"it is known already", time.Millisecond, time.Second, true, time.Second},
 	}
 	for _, test := range tests {
@@ -39,6 +39,11 @@
 			qt.Check(t, s.Await(t.Context()), qt.Equals, test.served, qt.Commentf(test.name))
 			qt.Check(t, time.Since(began), qt.Equals, test.answered, qt.Commentf(test.name))
 			<-s.Wanted()
+			// Nobody waits for long again.
+			time.Sleep(startup.HoldFor)
+			before := time.Now()
+			qt.Check(t, s.Await(t.Context()), qt.Equals, test.served, qt.Commentf(test.name))
+			qt.Check(t, time.Since(before), qt.Equals, time.Duration(0), qt.Commentf(test.name))
 		})
 	}
 }
--- /dev/null
+++ b/entry/internal/subquery/server.go
@@ -0,0 +1,185 @@
+package subquery
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/upstream"
+	"guavaspring.org/entry/internal/endpoints"
+	"guavaspring.org/entry/internal/exchange"
+	"guavaspring.org/entry/internal/guarded"
+	"guavaspring.org/entry/internal/pick"
+	"guavaspring.org/entry/internal/quarantine"
+)
+
+const (
+	// lingerFor is how long tries go on after the last call about them, as long as a host leaves its own tries alone once its answer has left. A host
+	// that asked and is gone asks no more.
+	lingerFor = 300 * time.Millisecond
+	// mostShards and mostJobs bound what other hosts can make this one hold.
+	mostShards = 1024
+	mostJobs   = 4096
+)
+
+// Options configures a Server.
+type Options struct {
+	Clock clock.Clock
+	// Service returns the replicas of a shard.
+	Service func(name string) *endpoints.Service
+	// Version returns the configuration in force, zero for none.
+	Version func() int64
+	// Leaving reports whether the host has been told to stop.
+	Leaving    func() bool
+	Quarantine *quarantine.Quarantine
+	// Draw returns a random number between 0 and 1 and must be safe for concurrent use; nil means rand.Float64.
+	Draw func() float64
+}
+
+// Server is the net/rpc service that other hosts call.
+//
+// It sends one try of each shard and never a second one: which shards are worth one, and whether the budget allows it, is for the host to decide
+// that knows the whole query, and the tries of one request stay within what its route allows.
+type Server struct {
+	opts Options
+
+	mu   sync.Mutex
+	jobs map[uint64]*job
+}
+
+// NewServer returns a server without subqueries.
+func NewServer(opts Options) *Server {
+	if opts.Draw == nil {
+		opts.Draw = rand.Float64
+	}
+	return &Server{opts: opts, jobs: map[uint64]*job{}}
+}
+
+// Gather sends the tries and replies once all have ended, or after Args.First.
+func (s *Server) Gather(args *Args, reply *Reply) error {
+	if reply.Declined = s.declines(args); reply.Declined != "" {
+		return nil
+	}
+	j := s.begin(args)
+	if j == nil {
+		reply.Declined = "a subquery of that name is under way"
+		return nil
+	}
+	s.answer(args.Job, j, args.First, true, reply)
+	return nil
+}
+
+// Rest replies with the parts that have come since the last reply, once there is one or after a wait.
+func (s *Server) Rest(args *RestArgs, reply *Reply) error {
+	s.mu.Lock()
+	j := s.jobs[args.Job]
+	s.mu.Unlock()
+	if j != nil {
+		s.answer(args.Job, j, args.Wait, false, reply)
+	}
+	return nil
+}
+
+// Drop ends the tries of a subquery.
+func (s *Server) Drop(args *DropArgs, _ *struct{}) error {
+	s.end(args.Job)
+	return nil
+}
+
+// declines returns why a subquery is not taken, or nothing.
+func (s *Server) declines(args *Args) string {
+	switch {
+	case s.opts.Leaving():
+		return "the host is leaving"
+	case s.opts.Version() != args.Version:
+		return "another configuration is in force"
+	case len(args.Shards) > mostShards:
+		return "too many shards"
+	case args.Left <= 0:
+		return "the deadline has passed"
+	}
+	return ""
+}
+
+// begin sends the tries; it returns nil where the name is taken, or too many subqueries are under way.
+func (s *Server) begin(args *Args) *job {
+	ctx, cancel := context.WithCancel(context.Background())
+	j := &job{ctx: ctx, cancel: cancel, top: args.Top, ends: make(chan ended, len(args.Shards)), replicas: map[int]string{}}
+	s.mu.Lock()
+	if s.jobs[args.Job] != nil || len(s.jobs) >= mostJobs {
+		s.mu.Unlock()
+		cancel()
+		return nil
+	}
+	s.jobs[args.Job] = j
+	s.mu.Unlock()
+	now := s.opts.Clock.Now()
+	for i := range args.Shards {
+		s.try(j, args, i, now)
+	}
+	return j
+}
+
+// try sends one try to the best replica of a shard.
+func (s *Server) try(j *job, args *Args, i int, now time.Time) {
+	svc := s.opts.Service(args.Shards[i])
+	c, verdict := svc.Pick(now, endpoints.Need{Need: pick.Need{Usual: args.Usual, Within: args.Within}}, s.opts.Draw)
+	if verdict != endpoints.Found {
+		j.untold = append(j.untold, ended{shard: i, res: exchange.Result{Kind: upstream.KindNotSent, Detail: "replicas at the other host: " + string(verdict)}})
+		return
+	}
+	id := c.Replica.ID()
+	j.replicas[i] = id
+	call := endpoints.Call{Request: &args.Request, Deadline: now.Add(args.Left), Connections: svc.Connections(), Usual: args.Usual, Unloaded: args.Unloaded, ForOther: true}
+	go func() {
+		res := guarded.Send(j.ctx, s.opts.Quarantine, guarded.Try{Fingerprint: args.Fingerprint, Shard: i, Replica: c.Replica, Call: call})
+		j.ends <- ended{shard: i, replica: id, res: res}
+	}()
+}
+
+// answer waits for the tries and writes what has come of them.
+func (s *Server) answer(name uint64, j *job, wait time.Duration, merged bool, reply *Reply) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.calls++
+	calls := j.calls
+	j.wait(s.opts.Clock.After(wait), !merged)
+	j.tell(reply, merged)
+	if len(reply.Pending) == 0 || j.ctx.Err() != nil {
+		s.end(name)
+		return
+	}
+	s.opts.Clock.AfterFunc(lingerFor, func() { s.expire(name, j, calls) })
+}
+
+// expire ends a subquery after which nobody has asked since one of its calls.
+func (s *Server) expire(name uint64, j *job, calls int) {
+	if !j.mu.TryLock() {
+		// A call waits for the rest, and is followed by another look.
+		return
+	}
+	last := j.calls == calls
+	j.mu.Unlock()
+	if last {
+		s.end(name)
+	}
+}
+
+func (s *Server) end(name uint64) {
+	s.mu.Lock()
+	j := s.jobs[name]
+	delete(s.jobs, name)
+	s.mu.Unlock()
+	if j != nil {
+		j.cancel()
+	}
+}
+
+// Running returns how many subqueries are under way.
+func (s *Server) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.jobs)
+}
--- a/entry/internal/traffic/meter.go
+++ b/entry/internal/traffic/meter.go
@@ -18,18 +18,20 @@
 	Members Cause = "members"
 	// Relay is for configurations and replicas that hosts hear from each other.
 	Relay Cause = "relay"
+	// Subqueries is for parts of queries that other hosts gather.
+	Subqueries Cause = "subqueries"
 	// Store is for calls to the platform's store.
 	Store Cause = "store"
 )
 
-var causes = []Cause{Replicas, Members, Relay, Store}
+var causes = [...]Cause{Replicas, Members, Relay, Subqueries, Store}
 
 // Bytes is what was sent and received, without TCP and IP headers.
 type Bytes struct{ Sent, Received int64 }
 
 // Meter counts the bytes of connections; the zero value is ready.
 type Meter struct {
-	counts [2][4]count
+	counts [2][len(causes)]count
 }
 
 type count struct{ sent, received, opened atomic.Int64 }
--- a/entry/internal/traffic/meter_test.go
+++ b/entry/internal/traffic/meter_test.go
@@ -37,5 +37,5 @@
 	}
 	n, err := testutil.GatherAndCount(r, "guavaspring_traffic_sent_bytes_total")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, n, qt.Equals, 8)
+	qt.Assert(t, n, qt.Equals, 10)
 }
