room, pick: Hold hosts to their part from half of the slots on, and pass the near replica by where there are queues; source: One call for both kinds in an outage

Change: one request more, and only while less than half of what the replicas run at once is in use. The preference ends where replicas may have queues.

--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -83,8 +83,15 @@
 // occupied reports whether the replicas may have queues: whether all hosts together have more requests there than they run at once, where this
 // host does its part. Replicas that are slow and have little to do are late, too, and refusing requests would not make them
 // any quicker.
-func (s *Service) occupied(now time.Time) bool {
-	return s.load.mean(now) >= occupiedFrom*float64(s.slots.Load())*s.part()
+func (s *Service) occupied(now time.Time) bool { return s.use(now) >= occupiedFrom }
+
+// use returns how many requests are at the replicas, as a share of those that they run at once, where this host does its part of all.
+func (s *Service) use(now time.Time) float64 {
+	can := float64(s.slots.Load()) * s.part()
+	if can <= 0 {
+		return 0
+	}
+	return s.load.mean(now) / can
 }
 
 // Spare takes over how long a route lets its tries wait for room, and returns the least that any route to the service said lately.
@@ -132,7 +139,8 @@
 func (s *Service) Pick(now time.Time, need Need, draw func() float64) (Choice, Verdict) {
 	var best, rested Choice
 	busy := time.Duration(-1)
-	queues, part := s.occupied(now), s.part()
+	use, part := s.use(now), s.part()
+	need.Queues = use >= occupiedFrom
 	for _, r := range s.Replicas() {
 		if slices.Contains(need.Tried, r) {
 			continue
@@ -143,7 +151,7 @@
 		}
 		t := pick.Estimate(v, need.Usual, draw())
 		switch {
-		case v.Running >= room.Most(v.Slots, part, queues) || !r.pool.Free(s.Connections()):
+		case v.Running >= room.Most(v.Slots, part, use) || !r.pool.Free(s.Connections()):
 			if busy < 0 || t < busy {
 				busy = t
 			}
--- a/entry/internal/pick/pick.go
+++ b/entry/internal/pick/pick.go
@@ -72,6 +72,8 @@
 type Need struct {
 	// Usual is the time that a healthy replica takes, Within the time in which the reply is of use.
 	Usual, Within time.Duration
+	// Queues says that the replicas may have queues, so that the usual time holds a wait.
+	Queues bool
 }
 
 // Before reports whether a replica with an estimate goes before another one: the quicker one, and before all others one in the host's own zone that
@@ -79,7 +81,8 @@
 //
 // It answers the bytes between zones, which are paid for, and are most of what a page over many shards moves. Where their price was added to the
 // estimate, a request or two under way and the random part of it outweighed the price, and a host with near replicas for three in
-// five shards fetched three parts in four from elsewhere.
+// five shards fetched three parts in four from elsewhere. Where replicas have queues the shortest one goes first: whether a request is answered in time
+// is worth more than the bytes.
 func (n Need) Before(a Replica, estimate time.Duration, b Replica, other time.Duration) bool {
 	if near := n.nearEnough(a, estimate); near != n.nearEnough(b, other) {
 		return near
@@ -88,5 +91,5 @@
 }
 
 func (n Need) nearEnough(r Replica, estimate time.Duration) bool {
-	return r.Near && !r.Cold && r.Running < nearRunning && estimate <= min(time.Duration(nearTimes*float64(n.Usual)), time.Duration(nearPart*float64(n.Within)))
+	return !n.Queues && r.Near && !r.Cold && r.Running < nearRunning && estimate <= min(time.Duration(nearTimes*float64(n.Usual)), time.Duration(nearPart*float64(n.Within)))
 }
--- a/entry/internal/pick/pick_test.go
+++ b/entry/internal/pick/pick_test.go
@@ -53,3 +53,13 @@
 	slightly := pick.Replica{Slowness: 1.05, Near: true}
 	qt.Assert(t, pick.Estimate(r, usual, 0.9) > pick.Estimate(slightly, usual, 0.1), qt.IsTrue)
 }
+
+// More comes than the replicas can do. The replica in the own zone is usable, and another has a shorter queue: the pages that wait behind the first
+// would be late for the sake of bytes.
+func TestShortestQueueGoesFirstUnderLoad(t *testing.T) {
+	near, far := pick.Replica{Slowness: 1.5, Near: true, Running: 1}, pick.Replica{Slowness: 1}
+	for _, queues := range []bool{false, true} {
+		n := pick.Need{Usual: usual, Within: 200 * time.Millisecond, Queues: queues}
+		qt.Check(t, n.Before(near, estimate(near), far, estimate(far)), qt.Equals, !queues)
+	}
+}
--- a/entry/internal/source/follower.go
+++ b/entry/internal/source/follower.go
@@ -27,10 +27,10 @@
 	stalePart = 0.75
 	// askMargin is how much sooner a parent answers than this host gives up on it.
 	askMargin = 150 * time.Millisecond
-	// firstPause and watchPause bound the wait after a call that failed: each call is paid for, and a host that hears nothing for a
-	// second can still apply a configuration in time.
+	// firstPause and watchPause bound the wait after a call that failed, the second that of the two hosts that watch. Each call is paid for, though theirs are
+	// few whatever the number of hosts, and until they find the store again all others go on to call it by themselves.
 	firstPause = 100 * time.Millisecond
-	watchPause = 800 * time.Millisecond
+	watchPause = 250 * time.Millisecond
 	// hearPause is the longest wait of a host that the watching hosts tell when the store is back: its own calls are for the case
 	// that those are cut off, and would all come at once at the end of an outage.
 	hearPause = 2 * time.Second
@@ -146,6 +146,7 @@
 // step hears from another host, waits, or calls the store.
 func (f *Follower[T]) step(ctx context.Context) {
 	parents, watches := f.opts.Parents()
+	failed, _ := f.opts.Outage.failedAt()
 	rest := f.rest(watches)
 	switch {
 	case rest > 0:
@@ -158,6 +159,8 @@
 		})
 	case len(parents) > 0 && f.hearsFirst(parents, watches):
 		f.hear(ctx, parents)
+	case !watches && !f.opts.Outage.claim(failed, f.opts.Clock.Now()):
+		// Another follower of this host is calling the store.
 	default:
 		f.failed = 0
 		f.read(ctx)
@@ -239,14 +242,18 @@
 // though its neighbours know all that it lacks. Where it is away for all, the first host that reaches it again has all others
 // know within one call.
 func (f *Follower[T]) rest(watches bool) time.Duration {
-	if !f.down {
+	down, tried, pause := f.down, f.tried, f.pause
+	if at, away := f.opts.Outage.failedAt(); away && !watches && at.After(tried) {
+		down, tried, pause = true, at, hearPause
+	}
+	if !down {
 		return 0
 	}
-	pause := min(f.pause, f.longest(watches))
+	pause = min(pause, f.longest(watches))
 	if !f.stale() {
 		pause = tryAgain
 	}
-	return pause - f.opts.Clock.Now().Sub(f.tried)
+	return pause - f.opts.Clock.Now().Sub(tried)
 }
 
 // stale reports whether this host has to ask the store itself.
@@ -385,6 +392,7 @@
 		events.PlatformDown.Log(f.opts.Log, "kind", f.opts.Name, "reason", err.Error())
 	}
 	f.down = true
+	f.opts.Outage.lost(f.opts.Clock.Now())
 	f.pause = min(max(firstPause, 2*f.pause), hearPause)
 	f.opts.Reconnect()
 }
@@ -404,7 +412,8 @@
 // succeeded notes that the store answered, and reports whether it was away until a moment ago.
 func (f *Follower[T]) succeeded() bool {
 	now := f.opts.Clock.Now()
-	if f.down {
+	_, away := f.opts.Outage.failedAt()
+	if f.down || away {
 		f.down, f.pause, f.back = false, 0, now
 		f.opts.Outage.over()
 		events.PlatformUp.Log(f.opts.Log, "kind", f.opts.Name)
--- a/entry/internal/source/follower_test.go
+++ b/entry/internal/source/follower_test.go
@@ -383,6 +383,38 @@
 	}
 }
 
+// The store is away for long. A host that hears nothing fresh has to try it, but not for each kind of object by itself: in a fleet of hundreds that is
+// most of what an outage costs. Its pause grows to two seconds in five calls.
+func TestOutageCostsOneCallARound(t *testing.T) {
+	play(t, func(ctx context.Context) {
+		configs, replicas := newWorld(), newWorld()
+		outage := source.NewOutage()
+		cut := &host{name: "cut", copy: relay.NewCopy[int64]()}
+		config := configs.followBeside(ctx, "host", outage, cut)
+		replica := replicas.followBeside(ctx, "host", outage, cut)
+		time.Sleep(5 * time.Second)
+		calls := 0
+		for _, w := range []*world{configs, replicas} {
+			w.set(func() {
+				w.away["host"] = true
+				calls -= w.calls["host"]
+			})
+		}
+		time.Sleep(30 * time.Second)
+		for _, w := range []*world{configs, replicas} {
+			w.set(func() { calls += w.calls["host"] })
+		}
+		qt.Check(t, calls <= 30/2+5, qt.IsTrue, qt.Commentf("%d calls in 30 s", calls))
+		for _, w := range []*world{configs, replicas} {
+			w.set(func() { w.away["host"] = false })
+			w.write()
+		}
+		time.Sleep(bound)
+		qt.Check(t, config.value(), qt.Equals, int64(2))
+		qt.Check(t, replica.value(), qt.Equals, int64(2))
+	})
+}
+
 // The store is away while the index is cut anew, and comes back. A host reads the configuration, which names new shards, and the list of replicas
 // only at its own next try, up to a second later: until then every page fails. Both have to be known together, whenever the store
 // comes back, on a host that hears from another one too.
--- a/entry/internal/source/outage.go
+++ b/entry/internal/source/outage.go
@@ -1,14 +1,21 @@
 package source
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
-// Outage tells the followers of one host that the store is back.
+// Outage tells the followers of one host that the store is away, and that it is back.
+//
+// A call that failed says so for all kinds of objects: of 295 hosts that heard nothing fresh in an outage of six seconds, each asked for both kinds every two.
 //
 // Each kind of object has its own follower, and each leaves the store alone for up to a second after a call that failed. Where the configuration was
 // read at the store's return and named new shards, their replicas were read 0.4 s later, and every page of 84 hosts failed until then.
 type Outage struct {
 	mu   sync.Mutex
 	back chan struct{}
+	// failed is when a call failed last, zero where one succeeded after it.
+	failed time.Time
 }
 
 // NewOutage returns an outage that nobody has seen the end of.
@@ -25,6 +32,36 @@
 func (o *Outage) over() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.failed = time.Time{}
 	close(o.back)
 	o.back = make(chan struct{})
 }
+
+// lost says that a call failed.
+func (o *Outage) lost(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.failed = now
+}
+
+// failedAt returns when a call failed last, and whether none has succeeded since.
+func (o *Outage) failedAt() (time.Time, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.failed, !o.failed.IsZero()
+}
+
+// claim reports whether a follower may call the store, and keeps the others from it for a while where it is away. seen is what failedAt returned when
+// the follower decided: two whose rests end at once must not both call.
+func (o *Outage) claim(seen, now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.failed.IsZero() {
+		return true
+	}
+	if !o.failed.Equal(seen) {
+		return false
+	}
+	o.failed = now
+	return true
+}
