--- a/entry/internal/scatter/subqueries.go
+++ b/entry/internal/scatter/subqueries.go
@@ -20,6 +20,9 @@
 	// subqueryLate is how much later than a try of this host's own one at another host may be before a second try is sent without word of it: the
 	// way there and back, and the time of a busy host.
 	subqueryLate = 15 * time.Millisecond
+	// subqueryPart is the part of a route's objective that subqueryLate may be. At nine times the load, routes with an objective of 80 ms were answered in
+	// time in 2,670 of 4,613 cases where another host gathered for them, and in 2,969 where none did; those with 200 ms in 11,288 and 11,025 of 13,943.
+	subqueryPart = 0.1
 	// subqueryGone is how long after it is due a reply of another host is waited for before the connection to it counts as broken.
 	subqueryGone = 150 * time.Millisecond
 	// subqueryRest is the longest wait of one call for the parts that were pending.
@@ -60,7 +63,7 @@
 // throughOthers asks other hosts for the shards that have no replica near, and returns which shards those are.
 func (p *plan) throughOthers() map[int]bool {
 	sub := p.run.opts.Subqueries
-	if sub.Zones == nil || len(p.Route.Shards) == 0 || !p.Route.Idempotent || p.Suspect {
+	if sub.Zones == nil || len(p.Route.Shards) == 0 || !p.Route.Idempotent || p.Suspect || !p.bearsSubqueries() {
 		return nil
 	}
 	shards := make([]crossing.Shard, len(p.Shards))
@@ -81,6 +84,15 @@
 	return through
 }
 
+// bearsSubqueries reports whether the route has the time for a second host.
+func (p *plan) bearsSubqueries() bool {
+	objective := p.Route.Objective
+	if objective <= 0 {
+		objective = defaultObjective
+	}
+	return subqueryLate <= time.Duration(subqueryPart*float64(objective))
+}
+
 // ask lets another host send the first try of some shards.
 func (p *plan) ask(peer subquery.Peer, shards []int) {
 	sub := &part{peer: peer, shards: shards, open: map[int]bool{}, since: p.now}
--- a/entry/internal/scatter/subqueries_test.go
+++ b/entry/internal/scatter/subqueries_test.go
@@ -183,6 +183,21 @@
 	})
 }
 
+// A colour match has 80 ms. A second host that is late by a few would cost it the objective, and each shard is asked directly.
+func TestUrgentRoutesAskDirectly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, seams{})
+		rt := overMany()
+		rt.Objective = 80 * time.Millisecond
+		rep, _ := p.ask(t.Context(), rt)
+		qt.Assert(t, rep.Ending, qt.Equals, scatter.Complete)
+		qt.Check(t, rep.Through, qt.Equals, 0)
+		qt.Check(t, p.gathered, qt.Equals, 0)
+		checkPage(t, &rep, rt)
+		time.Sleep(time.Second)
+	})
+}
+
 // A replica at the other host pauses. The page must not wait for it: the other host says which shard is pending, and a second try goes to a replica
 // that it did not ask. The paused one's late part must not show the shard's records twice.
 func TestPauseBehindAnotherHostIsHedged(t *testing.T) {
