scatter, subquery: Take a forgotten subquery for lost, and let hosts that are late rest

Cause, from reading: a host that restarts, or is not asked for 0.3 s, knows nothing of a subquery whose rest it is then asked for; its empty reply ended the matter, and the shards counted as under way until the page was due. A host that runs five times slower answers late each time and was asked again each time. Change: such a reply counts as a lost host, and a first reply that is 15 ms late lets its host rest like one that doesn't answer. TestForgottenSubquery and a row of TestOtherHostIsLost are red without it.

--- a/entry/internal/scatter/subqueries.go
+++ b/entry/internal/scatter/subqueries.go
@@ -118,19 +118,16 @@
 	go p.follow(sub, args)
 }
 
+// errForgotten means that a host has ended a subquery whose rest it was asked for.
+var errForgotten = errors.New("the other host has ended the subquery")
+
+// errLate means that a host answered so late that second tries were sent without its word.
+var errLate = errors.New("the other host answered late")
+
 // follow passes on what the host that gathers a part tells, until it has told all or nobody waits.
 func (p *plan) follow(sub *part, args *subquery.Args) {
-	ctx, cancel := context.WithTimeout(p.ctx, args.First+subqueryGone)
-	reply, err := sub.peer.Gather(ctx, args)
-	cancel()
+	reply, err := p.gather(sub, args)
 	for first := true; ; first = false {
-		if p.ctx.Err() != nil {
-			sub.peer.Drop(args.Job)
-			return
-		}
-		if err != nil && !errors.Is(err, context.Canceled) {
-			p.run.opts.Subqueries.Failed(sub.peer, err)
-		}
 		select {
 		case p.told <- told{part: sub, first: first, reply: reply, err: err}:
 		case <-p.ctx.Done():
@@ -140,10 +137,42 @@
 		if err != nil || len(reply.Pending) == 0 {
 			return
 		}
-		ctx, cancel := context.WithTimeout(p.ctx, subqueryRest+subqueryGone)
-		reply, err = sub.peer.Rest(ctx, &subquery.RestArgs{Job: args.Job, Wait: subqueryRest})
-		cancel()
+		reply, err = p.rest(sub, args.Job)
+	}
+}
+
+// gather asks for the first reply. A host that is late with it is not asked again for a while, like one that does not answer: it is slow itself, since
+// it says in time what its replicas have not answered.
+func (p *plan) gather(sub *part, args *subquery.Args) (subquery.Reply, error) {
+	ctx, cancel := context.WithTimeout(p.ctx, args.First+subqueryGone)
+	defer cancel()
+	reply, err := sub.peer.Gather(ctx, args)
+	late := p.run.opts.Clock.Now().Sub(sub.since) > args.First+subqueryLate
+	switch {
+	case p.ctx.Err() != nil:
+		// Nobody waits any more.
+	case err != nil:
+		p.run.opts.Subqueries.Failed(sub.peer, err)
+	case late:
+		p.run.opts.Subqueries.Failed(sub.peer, errLate)
+	}
+	return reply, err
+}
+
+// rest asks for what was pending.
+func (p *plan) rest(sub *part, job uint64) (subquery.Reply, error) {
+	ctx, cancel := context.WithTimeout(p.ctx, subqueryRest+subqueryGone)
+	defer cancel()
+	reply, err := sub.peer.Rest(ctx, &subquery.RestArgs{Job: job, Wait: subqueryRest})
+	switch {
+	case p.ctx.Err() != nil:
+		// Nobody waits any more.
+	case err != nil:
+		p.run.opts.Subqueries.Failed(sub.peer, err)
+	case reply.Forgotten:
+		err = errForgotten
 	}
+	return reply, err
 }
 
 // forget counts the tries at other hosts as ended that nobody waits for any more.
--- a/entry/internal/scatter/subqueries_test.go
+++ b/entry/internal/scatter/subqueries_test.go
@@ -250,28 +250,28 @@
 		name string
 		s    seams
 		by   time.Duration
-		// extra is how many shards need a second try.
-		extra int
+		// extra is how many shards need a second try, and failed how often the host is found not to answer.
+		extra, failed int
 	}{
 		{"gone", seams{gather: func(context.Context, *subquery.Args, func() (subquery.Reply, error)) (subquery.Reply, error) {
 			return subquery.Reply{}, fmt.Errorf("%w: refused", subquery.ErrUnreached)
-		}}, 40 * time.Millisecond, 0},
+		}}, 40 * time.Millisecond, 0, 1},
 		{"leaving", seams{gather: func(context.Context, *subquery.Args, func() (subquery.Reply, error)) (subquery.Reply, error) {
 			return subquery.Reply{Declined: "the host is leaving"}, nil
-		}}, 40 * time.Millisecond, 0},
+		}}, 40 * time.Millisecond, 0, 0},
 		{"silent", seams{gather: func(ctx context.Context, _ *subquery.Args, _ func() (subquery.Reply, error)) (subquery.Reply, error) {
 			<-ctx.Done()
 			return subquery.Reply{}, ctx.Err()
-		}}, 100 * time.Millisecond, manyShards - farFrom},
+		}}, 100 * time.Millisecond, manyShards - farFrom, 1},
 		{"lost with its tries", seams{gather: func(_ context.Context, _ *subquery.Args, direct func() (subquery.Reply, error)) (subquery.Reply, error) {
 			_, _ = direct()
 			return subquery.Reply{}, errLost
-		}}, 100 * time.Millisecond, manyShards - farFrom},
+		}}, 100 * time.Millisecond, manyShards - farFrom, 1},
 		{"late with all parts", seams{gather: func(_ context.Context, _ *subquery.Args, direct func() (subquery.Reply, error)) (subquery.Reply, error) {
 			rep, err := direct()
 			time.Sleep(40 * time.Millisecond)
 			return rep, err
-		}}, 100 * time.Millisecond, manyShards - farFrom},
+		}}, 100 * time.Millisecond, manyShards - farFrom, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -285,11 +285,32 @@
 				checkPage(t, &rep, rt)
 				p.checkTries(t, rt)
 				time.Sleep(3 * time.Second)
+				qt.Check(t, p.failed, qt.Equals, test.failed)
 			})
 		})
 	}
 }
 
+// The other host has told what is pending, and is stopped and started again, or too busy to keep the subquery. The shards must not be waited for in
+// vain: their tries count as lost, and second ones are sent where those were not yet.
+func TestForgottenSubquery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, seams{rest: func(context.Context, *subquery.RestArgs, func() (subquery.Reply, error)) (subquery.Reply, error) {
+			return subquery.Reply{Forgotten: true}, nil
+		}})
+		p.far[3].Handle = replicatest.OK("never", time.Hour, recordOf(farFrom+3))
+		p.distant[farFrom+3].Handle = replicatest.Broken(10 * time.Millisecond)
+		rt := overMany()
+		rep, took := p.ask(t.Context(), rt)
+		qt.Assert(t, rep.Ending, qt.Equals, scatter.Partial)
+		qt.Check(t, rep.Answered, qt.Equals, manyShards-1)
+		qt.Check(t, took < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
+		checkPage(t, &rep, rt)
+		p.checkTries(t, rt)
+		time.Sleep(2 * time.Hour)
+	})
+}
+
 // A client leaves while another host gathers parts of its page from replicas that are slow. Those must not go on for nobody.
 func TestClientGoneEndsTheTriesOfOtherHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/internal/subquery/messages.go
+++ b/entry/internal/subquery/messages.go
@@ -39,7 +39,9 @@
 type Reply struct {
 	// Declined says why nothing was sent; it is empty where the tries were.
 	Declined string
-	Parts    []Part
+	// Forgotten says that the subquery whose rest was asked for has ended here, and that nothing more is known of it.
+	Forgotten bool
+	Parts     []Part
 	// Records are the greatest records of all Parts of the first reply; those of later replies carry their own.
 	Records []byte
 	Failed  []Failure
--- a/entry/internal/subquery/server.go
+++ b/entry/internal/subquery/server.go
@@ -76,9 +76,11 @@
 	s.mu.Lock()
 	j := s.jobs[args.Job]
 	s.mu.Unlock()
-	if j != nil {
-		s.answer(args.Job, j, args.Wait, false, reply)
+	if j == nil {
+		reply.Forgotten = true
+		return nil
 	}
+	s.answer(args.Job, j, args.Wait, false, reply)
 	return nil
 }
 
