gsctl: Add up what hosts cost from their logs

gsctl costs LOG... sums the last host_costs line of each process, over hosts and restarts: bytes by cause inside zones and between them, and calls to the platform by purpose.

--- /dev/null
+++ b/gsctl/internal/hostcosts/doc.go
@@ -0,0 +1,2 @@
+// Package hostcosts adds up what the hosts' logs say they cost.
+package hostcosts
--- a/gsctl/main.go
+++ b/gsctl/main.go
@@ -16,6 +16,7 @@
 
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/settings"
+	"guavaspring.org/gsctl/internal/hostcosts"
 	"guavaspring.org/gsctl/internal/hostlog"
 	"guavaspring.org/gsctl/internal/operator"
 )
@@ -39,6 +40,8 @@
 	traceID := trace.Arg("id", "The request's id.").Required().String()
 	traceLogs := trace.Arg("log", "The log of one host; all of them are searched.").Required().Strings()
 	traceBefore := trace.Flag("before", "How long before the request's last line the host's changed beliefs are told.").Default("10s").Duration()
+	costs := app.Command("costs", "Add up what the hosts' logs say of their traffic between availability zones and of their calls to the platform.")
+	costsLogs := costs.Arg("log", "The log of one host or of several.").Required().Strings()
 	cmd, err := app.Parse(os.Args[1:])
 	if err != nil {
 		settings.Fail(os.Stderr, "gsctl", err)
@@ -70,6 +73,11 @@
 		err = o.Explain(limited, *explainID)
 	case trace.FullCommand():
 		err = hostlog.New(hostlog.Options{Out: os.Stdout, Before: *traceBefore}).TraceFiles(*traceID, *traceLogs)
+	case costs.FullCommand():
+		sum := hostcosts.New()
+		if err = sum.AddFiles(*costsLogs); err == nil {
+			err = sum.Print(os.Stdout)
+		}
 	}
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "gsctl: %v\n", err)
@@ -78,7 +86,7 @@
 }
 
 // local are the commands that don't need the platform.
-var local = []string{"check", "explain", "trace"}
+var local = []string{"check", "explain", "trace", "costs"}
 
 // clientFor returns the platform's client, which only some commands need.
 func clientFor(cmd string, addr netip.AddrPort) (*platform.Client, error) {
