endpoints: Leave a replica alone that is late again, and count a pause once

Cause: an outlier counts a tenth, as a reply in a hundred is long work; so a replica that is ten times slower stands at 1.9 times the usual after one and 2.7 after two, under the 2.5 from which the near one is passed by within a second. And two requests under way in one pause counted twice. Change: an outlier sent after another one had come, with none in time between, counts half; one that was under way with the last one does not count. Ruled out: half for each outlier in a row (a pause of a quarter of a second would drive a host away for three seconds).

--- a/entry/internal/endpoints/replica.go
+++ b/entry/internal/endpoints/replica.go
@@ -24,6 +24,9 @@
 	// five times as long. It counts with outlierWeight; a replica that is ten times slower still stands at twice the usual after one.
 	outlier       = 2.5
 	outlierWeight = 0.1
+	// outlierAgain is the weight of an outlier that was sent after another one had come, with none in time between. A pause is met by all that is under
+	// way, and once; a replica that is ten times slower would otherwise be tried twice a second by each host, which forgets it as fast as it learns.
+	outlierAgain = 0.5
 	// mostSlowness bounds what one sample can say, so that a replica that was dark is found again soon.
 	mostSlowness = 20
 	// firstPause and mostPause bound how long a replica that can't be reached is left alone; the time doubles with each failure.
@@ -52,6 +55,8 @@
 	// slowness and failures are as of seen, and lose weight from then on.
 	slowness, failures float64
 	seen               time.Time
+	// late is when an outlier came last, zero where a reply in time has come since.
+	late time.Time
 	// until is when the replica may be tried again after it could not be reached, tries how often in a row that happened.
 	until time.Time
 	tries int
@@ -139,15 +144,30 @@
 
 func (r *Replica) learn(now time.Time, took, usual time.Duration, failed float64) {
 	x := min(float64(took)/float64(max(usual, time.Millisecond)), mostSlowness)
-	weight := slownessWeight
-	if x > outlier {
-		weight = outlierWeight
-	}
+	weight := r.weigh(now, now.Add(-took), x)
 	r.slowness = r.slownessAt(now) + weight*(x-r.slownessAt(now))
 	r.failures = r.failuresAt(now) + failureWeight*(failed-r.failuresAt(now))
 	r.seen = now
 }
 
+// weigh returns the weight of a reply that was sent at some time and took x times the usual.
+func (r *Replica) weigh(now, sent time.Time, x float64) float64 {
+	before := r.late
+	switch {
+	case x <= outlier:
+		r.late = time.Time{}
+		return slownessWeight
+	case before.IsZero():
+		r.late = now
+		return outlierWeight
+	case sent.Before(before):
+		// It was there when the last one was: the same pause.
+		return 0
+	}
+	r.late = now
+	return outlierAgain
+}
+
 func (r *Replica) learnFailure(now time.Time) {
 	r.slowness = r.slownessAt(now)
 	r.failures = r.failuresAt(now) + failureWeight*(1-r.failuresAt(now))
--- a/entry/internal/endpoints/table_test.go
+++ b/entry/internal/endpoints/table_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -127,43 +129,103 @@
 	qt.Assert(t, order, qt.DeepEquals, []string{"newest", "middle", "oldest"})
 }
 
+// usual is how long a healthy replica takes.
+const usual = 30 * time.Millisecond
+
+// nearAndFar is a service with a replica in the host's own zone, whose work takes as long as the test says, and one elsewhere.
+type nearAndFar struct {
+	t         *testing.T
+	service   *endpoints.Service
+	near, far string
+	work      atomic.Int64
+}
+
+func newNearAndFar(t *testing.T) *nearAndFar {
+	f := replicatest.New()
+	t.Cleanup(f.Close)
+	b := &nearAndFar{t: t, near: "a-1", far: "a-2"}
+	f.Add("a", 1, func(r *http.Request, body []byte) replicatest.Answer {
+		return replicatest.OK("a-1", time.Duration(b.work.Load()), "x")(r, body)
+	})
+	far := f.Add("a", 2, replicatest.OK("a-2", usual, "x"))
+	far.Row.Zone = "b"
+	table := newTable(f)
+	table.Replace(f.Batch(), false)
+	b.service = table.Service("a")
+	return b
+}
+
+var need = endpoints.Need{Need: pick.Need{Usual: usual, Within: time.Second}}
+
+// chosen returns the replica that a request would go to now.
+func (b *nearAndFar) chosen() string {
+	c, verdict := b.service.Pick(time.Now(), need, func() float64 { return 0.5 })
+	qt.Assert(b.t, verdict, qt.Equals, endpoints.Found)
+	return c.Replica.ID()
+}
+
+// send sends a request for which the near replica would work for some time.
+func (b *nearAndFar) send(took time.Duration) {
+	b.work.Store(int64(took))
+	c, _ := b.service.Pick(time.Now(), need, func() float64 { return 0.5 })
+	req := &opaque.Request{ID: "q", Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}
+	res := c.Replica.Send(b.t.Context(), endpoints.Call{Request: req, Deadline: time.Now().Add(time.Minute), Connections: 4, Usual: usual})
+	qt.Assert(b.t, res.Kind, qt.Equals, upstream.KindOK)
+}
+
 // One reply in a hundred takes five times as long, as its work is longer. The replica in the own zone must not be left for seconds for it;
 // one that is ten times slower must be, after the second reply at the latest.
 func TestLongReplyIsNotASlowReplica(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const usual = 30 * time.Millisecond
-		f := replicatest.New()
-		t.Cleanup(f.Close)
-		work := usual
-		near := f.Add("a", 1, func(r *http.Request, b []byte) replicatest.Answer { return replicatest.OK("a-1", work, "x")(r, b) })
-		far := f.Add("a", 2, replicatest.OK("a-2", usual, "x"))
-		far.Row.Zone = "b"
-		table := newTable(f)
-		table.Replace(f.Batch(), false)
-		s := table.Service("a")
-		need := endpoints.Need{Need: pick.Need{Usual: usual, Within: time.Second}}
-		chosen := func() string {
-			c, verdict := s.Pick(time.Now(), need, func() float64 { return 0.5 })
-			qt.Assert(t, verdict, qt.Equals, endpoints.Found)
-			return c.Replica.ID()
-		}
-		send := func(took time.Duration) {
-			work = took
-			c, _ := s.Pick(time.Now(), need, func() float64 { return 0.5 })
-			req := &opaque.Request{ID: "q", Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}
-			res := c.Replica.Send(t.Context(), endpoints.Call{Request: req, Deadline: time.Now().Add(time.Minute), Connections: 4, Usual: usual})
-			qt.Assert(t, res.Kind, qt.Equals, upstream.KindOK)
-		}
+		b := newNearAndFar(t)
 		for range 5 {
-			send(usual)
+			b.send(usual)
 		}
-		send(5 * usual)
-		qt.Assert(t, chosen(), qt.Equals, near.Row.ID)
+		b.send(5 * usual)
+		qt.Assert(t, b.chosen(), qt.Equals, b.near)
 		time.Sleep(10 * time.Second)
-		send(10 * usual)
-		if chosen() == near.Row.ID {
-			send(10 * usual)
+		b.send(10 * usual)
+		if b.chosen() == b.near {
+			b.send(10 * usual)
+		}
+		qt.Assert(t, b.chosen(), qt.Equals, b.far)
+	})
+}
+
+// A replica in the own zone has turned ten times slower for seconds. A host that tried it again as soon as it had half forgotten would lose a page in
+// seven to it; one late reply alone must not drive it away.
+func TestReplicaThatIsLateTwiceIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newNearAndFar(t)
+		b.send(10 * usual)
+		qt.Check(t, b.chosen(), qt.Equals, b.near)
+		b.send(10 * usual)
+		time.Sleep(2 * time.Second)
+		qt.Check(t, b.chosen(), qt.Equals, b.far)
+		time.Sleep(5 * time.Second)
+		qt.Check(t, b.chosen(), qt.Equals, b.near)
+		b.send(10 * usual)
+		qt.Check(t, b.chosen(), qt.Equals, b.far)
+		// It is well again.
+		time.Sleep(5 * time.Second)
+		for range 3 {
+			b.send(usual)
+		}
+		b.send(10 * usual)
+		qt.Check(t, b.chosen(), qt.Equals, b.near)
+	})
+}
+
+// A replica pauses for a quarter of a second while two requests of the host are there, as each replica does every six seconds. Both are late, and
+// nothing is wrong with it.
+func TestPauseIsNotASlowReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newNearAndFar(t)
+		var sent sync.WaitGroup
+		for range 2 {
+			sent.Go(func() { b.send(10 * usual) })
 		}
-		qt.Assert(t, chosen(), qt.Equals, far.Row.ID)
+		sent.Wait()
+		qt.Check(t, b.chosen(), qt.Equals, b.near)
 	})
 }
