--- a/entry/internal/front/joined.go
+++ b/entry/internal/front/joined.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -101,16 +102,16 @@
 // mostAsk bounds a call that waits for news at another host.
 const mostAsk = 30 * time.Second
 
-// first returns how to ask the hosts that the settings name, which answer before this host has joined the others. Those hosts
-// themselves ask nobody, so that somebody reads the store at once.
+// first returns how to ask the hosts that the settings name, which answer before this host has joined the others, beginning with any of them: hundreds
+// may start at once. Those hosts themselves ask nobody, so that somebody reads the store at once.
 func first[T any](j *joined, seeds []netip.AddrPort, method string) []source.Parent[T] {
 	own := j.list.Self().Peer
 	if slices.Contains(seeds, own) {
 		return nil
 	}
 	list := make([]source.Parent[T], len(seeds))
-	for i, addr := range seeds {
-		list[i] = parent[T](j, addr, method)
+	for i, n := range rand.Perm(len(seeds)) {
+		list[i] = parent[T](j, seeds[n], method)
 	}
 	return list
 }
--- a/entry/internal/source/follower.go
+++ b/entry/internal/source/follower.go
@@ -34,13 +34,6 @@
 	// hearPause is the longest wait of a host that the watching hosts tell when the store is back: its own calls are for the case
 	// that those are cut off, and would all come at once at the end of an outage.
 	hearPause = 2 * time.Second
-	// firstWait bounds the wait for the hosts that the settings name at a start without clients. Those are up 0.3 s after the others at the latest, have
-	// read the store 0.1 s later, and then have hundreds of hosts to answer: with 0.5 s, 280 of 295 that had lost power made 840 calls.
-	firstWait = 2 * time.Second
-	// firstAgain is how soon one of those that takes no connection yet is tried again, and firstNext how long one may take to answer before the
-	// next is asked as well.
-	firstAgain = 40 * time.Millisecond
-	firstNext  = 120 * time.Millisecond
 	// blindPause is the longest wait after a call that failed while nothing is known: every request is refused meanwhile.
 	blindPause = 250 * time.Millisecond
 	// settleStep is how often a host that has just started looks whether it knows the others.
@@ -49,11 +42,6 @@
 	staleAsk = 500 * time.Millisecond
 	// tryAgain is how soon a host that was turned away by the store tries it again while others keep it up to date.
 	tryAgain = 3 * time.Second
-	// leastCollect and collectPart bound how long a watch is put off after one that brought changes, the second as a part of the bound. It doubles
-	// while each watch ends sooner than it would be put off for at the most: changes that come alone are known at once, and of many in a row one call brings
-	// all that came meanwhile. 282 replicas that register in the first second of a fleet were 375 watches of two hosts, of 496 calls of the whole day.
-	leastCollect = 20 * time.Millisecond
-	collectPart  = 0.06
 	// returnedFor is how long after an outage what vanishes may be the outage's doing.
 	returnedFor = time.Second
 )
@@ -187,50 +175,6 @@
 	}
 }
 
-// first asks the hosts that the settings name for all there is before the store is called, one after the other.
-//
-// It answers a fleet that starts at once: 295 hosts that each listed two kinds, since those named were not up yet, made 590 calls, and 5,600 would
-// make more than the store takes in a second. A client that waits ends it.
-func (f *Follower[T]) first(ctx context.Context) {
-	if f.opts.First == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, firstWait)
-	defer cancel()
-	go func() {
-		select {
-		case <-f.opts.Wanted:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	parents := f.opts.First()
-	replies := make(chan relay.Reply[T], len(parents))
-	for i, p := range parents {
-		go func() { replies <- f.askFirst(ctx, p, time.Duration(i)*firstNext) }()
-	}
-	for range parents {
-		if rep := <-replies; rep.Age >= 0 {
-			f.heard(rep)
-			return
-		}
-	}
-}
-
-// askFirst asks one host, from some time on, until it has all there is. The age of its reply is negative where ctx ends before that.
-func (f *Follower[T]) askFirst(ctx context.Context, p Parent[T], after time.Duration) relay.Reply[T] {
-	clock.Sleep(ctx, f.opts.Clock, after)
-	for ctx.Err() == nil {
-		rep, err := p.Ask(ctx, relay.Args{Wait: firstWait})
-		if err == nil && rep.Age >= 0 && rep.Full && rep.Revision > 0 {
-			return rep
-		}
-		// A host that is not up yet is the usual case.
-		clock.Sleep(ctx, f.opts.Clock, firstAgain)
-	}
-	return relay.Reply[T]{Age: -1}
-}
-
 // hearsFirst reports whether another host is asked before the store, which is not known to be away.
 func (f *Follower[T]) hearsFirst(parents []Parent[T], watches bool) bool {
 	return !f.down && !watches && !f.stale() && f.failed < len(parents)
@@ -372,17 +316,6 @@
 	}
 }
 
-// putOff waits after a watch that took some time, so that the next one brings together what changes meanwhile.
-func (f *Follower[T]) putOff(ctx context.Context, took time.Duration) {
-	most := part(collectPart, f.opts.Bound)
-	if took >= most {
-		f.collect = 0
-		return
-	}
-	f.collect = min(max(leastCollect, 2*f.collect), most)
-	clock.Sleep(ctx, f.opts.Clock, f.collect)
-}
-
 // lost notes an outage, after which the store is left alone for a while.
 func (f *Follower[T]) lost(ctx context.Context, err error) {
 	if ctx.Err() != nil {
