--- a/entry/onplatform.go
+++ b/entry/onplatform.go
@@ -47,7 +47,7 @@
 		},
 		Codec: wire.Codec(), Resolve: wire.Resolve, Ready: wire.Ready,
 		Cores: s.Cores, LinkBits: s.LinkBits,
-		Metrics:  netip.AddrPortFrom(s.Front.Addr(), metricsPort), StoreCalls: func() []frontmetrics.StoreCalls { return storeCalls(c) }, LinesLost: lost, Traffic: meter,
+		Metrics: netip.AddrPortFrom(s.Front.Addr(), metricsPort), StoreCalls: func() []frontmetrics.StoreCalls { return storeCalls(c) }, LinesLost: lost, Traffic: meter,
 		Grace: s.Grace, MaxKeep: s.MaxKeep, Apply: s.ApplyConfig, Drain: s.Drain,
 		Spend: spend.Options{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 	})
