gsctl: Read hosts' logs in one place

hostcosts opened files, bounded lines and looked for the first brace as hostlog did, with a bound of its own; hostlog opened its files in two loops. loglines does it for both. What the commands print is as before; the name of a file whose line is too long is told without its folder when no log names the request.

--- a/gsctl/internal/hostcosts/sum.go
+++ b/gsctl/internal/hostcosts/sum.go
@@ -1,22 +1,18 @@
 package hostcosts
 
 import (
-	"bufio"
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"text/tabwriter"
+
+	"guavaspring.org/gsctl/internal/loglines"
 )
 
 const (
-	// longestLine bounds one line; lines about queries over 100 shards have about 15 KB.
-	longestLine = 1 << 20
 	// msgCosts and msgStarted are the names of the lines that are read.
 	msgCosts   = "host_costs"
 	msgStarted = "host_started"
@@ -39,37 +35,18 @@
 func New() *Sum { return &Sum{last: map[string]map[string]int64{}, total: map[string]int64{}} }
 
 // AddFiles adds the logs at paths.
-func (s *Sum) AddFiles(paths []string) error {
-	for _, path := range paths {
-		f, err := os.Open(path)
-		if err != nil {
-			return fmt.Errorf("read log: %w", err)
-		}
-		err = s.Add(filepath.Base(path), f)
-		_ = f.Close()
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
+func (s *Sum) AddFiles(paths []string) error { return loglines.Files(paths, s.Add) }
 
-// Add adds one log. What stands before the first brace of a line names its host, where collectors put the lines of several hosts into one file.
+// Add adds one log. The last word before the object of a line names its host, where collectors put the lines of several hosts into one file.
 func (s *Sum) Add(name string, log io.Reader) error {
-	scan := bufio.NewScanner(log)
-	scan.Buffer(nil, longestLine)
-	for scan.Scan() {
-		brace := bytes.IndexByte(scan.Bytes(), '{')
-		if brace < 0 {
-			continue
-		}
+	err := loglines.Scan(log, func(before, object []byte) {
 		host := name
-		if words := strings.Fields(string(scan.Bytes()[:brace])); len(words) > 0 {
+		if words := strings.Fields(string(before)); len(words) > 0 {
 			host += " " + words[len(words)-1]
 		}
-		s.line(host, scan.Bytes()[brace:])
-	}
-	if err := scan.Err(); err != nil {
+		s.line(host, object)
+	})
+	if err != nil {
 		return fmt.Errorf("read log %s: %w", name, err)
 	}
 	return nil
--- a/gsctl/internal/hostlog/reader.go
+++ b/gsctl/internal/hostlog/reader.go
@@ -1,27 +1,22 @@
 package hostlog
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"maps"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"time"
-)
 
-const (
-	// longestLine bounds one line; a line about a query over 100 shards has about 15 KB.
-	longestLine = 1 << 20
-	// mostBeliefs is how many lines about a host's beliefs are shown at most, the last ones.
-	mostBeliefs = 20
+	"guavaspring.org/gsctl/internal/loglines"
 )
 
+// mostBeliefs is how many lines about a host's beliefs are shown at most, the last ones.
+const mostBeliefs = 20
+
 // Options configures a Reader.
 type Options struct {
 	// Out receives the account.
@@ -46,8 +41,7 @@
 // ErrNotFound says that no line names the request.
 var ErrNotFound = errors.New("no line names the request: it reached none of these hosts, or its host was lost while it ran")
 
-// Trace reads the log of one host and prints what it says of a request, and what the host came to believe just before. Bytes before the
-// first brace of a line are passed over, since collectors put a time or a host's name there.
+// Trace reads the log of one host and prints what it says of a request, and what the host came to believe just before.
 func (r *Reader) Trace(name, id string, log io.Reader) error {
 	about, beliefs, err := read(id, log)
 	if err != nil {
@@ -93,19 +87,16 @@
 // TraceFiles reads the logs of several hosts; the error is ErrNotFound where none of them names the request.
 func (r *Reader) TraceFiles(id string, paths []string) error {
 	found := false
-	for _, path := range paths {
-		f, err := os.Open(path)
-		if err != nil {
-			return fmt.Errorf("read log: %w", err)
-		}
-		err = r.Trace(filepath.Base(path), id, f)
-		_ = f.Close()
-		switch {
-		case err == nil:
-			found = true
-		case !errors.Is(err, ErrNotFound):
-			return err
+	err := loglines.Files(paths, func(name string, log io.Reader) error {
+		err := r.Trace(name, id, log)
+		if errors.Is(err, ErrNotFound) {
+			return nil
 		}
+		found = found || err == nil
+		return err
+	})
+	if err != nil {
+		return err
 	}
 	if !found {
 		return errors.Join(fmt.Errorf("%s: %w", id, ErrNotFound), r.starts(paths))
@@ -115,34 +106,27 @@
 
 // starts prints when each host started: a request that is in no log came while its host was away.
 func (r *Reader) starts(paths []string) error {
-	for _, path := range paths {
-		f, err := os.Open(path)
-		if err != nil {
-			return fmt.Errorf("read log: %w", err)
-		}
-		_, beliefs, err := read("", f)
-		_ = f.Close()
+	return loglines.Files(paths, func(name string, log io.Reader) error {
+		_, beliefs, err := read("", log)
 		if err != nil {
-			return fmt.Errorf("%s: %w", path, err)
+			return fmt.Errorf("%s: %w", name, err)
 		}
 		for _, l := range beliefs {
 			if l.msg == msgStarted {
-				fmt.Fprintf(r.opts.Out, "%s started at %s\n", filepath.Base(path), clockTime(l.at))
+				fmt.Fprintf(r.opts.Out, "%s started at %s\n", name, clockTime(l.at))
 			}
 		}
-	}
-	return nil
+		return nil
+	})
 }
 
 // read returns the lines about the request, and those about no request at all.
 func read(id string, log io.Reader) (about, beliefs []line, err error) {
-	sc := bufio.NewScanner(log)
-	sc.Buffer(nil, longestLine)
 	want, _ := json.Marshal(id)
-	for sc.Scan() {
-		l, ok := parse(sc.Bytes())
+	err = loglines.Scan(log, func(_, object []byte) {
+		l, ok := parse(object)
 		if !ok {
-			continue
+			return
 		}
 		request, has := l.fields["request"]
 		switch {
@@ -151,18 +135,14 @@
 		case !has:
 			beliefs = append(beliefs, l)
 		}
-	}
-	return about, beliefs, sc.Err()
+	})
+	return about, beliefs, err
 }
 
-func parse(text []byte) (line, bool) {
-	start := bytes.IndexByte(text, '{')
-	if start < 0 {
-		return line{}, false
-	}
+func parse(object []byte) (line, bool) {
 	var l line
-	if err := json.Unmarshal(text[start:], &l.fields); err != nil {
-		// Other programs write to the same stream; a line that is cut off can't be told from theirs.
+	if err := json.Unmarshal(object, &l.fields); err != nil {
+		// A line that is cut off can't be told from those of other programs.
 		return line{}, false
 	}
 	if json.Unmarshal(l.fields["msg"], &l.msg) != nil || json.Unmarshal(l.fields["ts"], &l.at) != nil {
--- /dev/null
+++ b/gsctl/internal/loglines/doc.go
@@ -0,0 +1,2 @@
+// Package loglines reads the lines of hosts' logs.
+package loglines
