--- a/entry/internal/directory/directory.go
+++ b/entry/internal/directory/directory.go
@@ -92,13 +92,13 @@
 	if d.started.IsZero() {
 		d.started = now
 	}
-	met := d.opts.Seeded == 0 || now.Sub(d.started) >= meetFor
+	// A host that starts must not write over a fleet that it hasn't met yet. Where it waits for the hosts that its settings name, the others have the time to
+	// meet: of 295 hosts that started at once, 117 took themselves for the first of their zone a second later, which made 351 calls.
+	met := now.Sub(d.started) >= meetFor || !alone && d.opts.Seeded == 0
 	if d.read.IsZero() && d.opts.Seeded == 0 || alone || writer && met && now.Sub(d.read) >= readEvery {
 		d.readAll(ctx, now)
 	}
-	// A host that starts must not write over a fleet that it hasn't met yet. Where it waits for the hosts that its settings name, the others have the time to
-	// meet: of 295 hosts that started at once, 117 took themselves for the first of their zone a second later, which made 351 calls.
-	if writer && !d.read.IsZero() && (met && !alone || now.Sub(d.started) >= meetFor) {
+	if writer && !d.read.IsZero() && met {
 		d.write(ctx, hosts, now)
 	}
 }
--- a/entry/internal/endpoints/table.go
+++ b/entry/internal/endpoints/table.go
@@ -223,12 +223,11 @@
 
 // publish gives each service the list of its replicas.
 func (t *Table) publish() {
-	lists, slots, places := map[string][]*Replica{}, map[string]int64{}, map[string]*zones{}
+	lists, slots := map[string][]*Replica{}, map[string]int64{}
 	for _, r := range t.replicas {
 		lists[r.row.Service] = append(lists[r.row.Service], r)
 		if r.row.State != platform.StateLeaving {
 			slots[r.row.Service] += int64(room.Slots(r.row.Slots))
-			addZone(places, r)
 		}
 	}
 	for name := range lists {
@@ -238,23 +237,22 @@
 		list := lists[name]
 		s.list.Store(&list)
 		s.slots.Store(slots[name])
-		if places[name] == nil {
-			places[name] = &zones{}
-		}
-		s.zones.Store(places[name])
+		s.zones.Store(zonesOf(list))
 		s.Wake(t.opts.Clock.Now())
 	}
 }
 
-// addZone notes the availability zone of a replica among those of its service.
-func addZone(places map[string]*zones, r *Replica) {
-	z := places[r.row.Service]
-	if z == nil {
-		z = &zones{}
-		places[r.row.Service] = z
-	}
-	z.near = z.near || r.near
-	if !slices.Contains(z.names, r.row.Zone) {
-		z.names = append(z.names, r.row.Zone)
+// zonesOf returns where those of some replicas are that don't leave.
+func zonesOf(list []*Replica) *zones {
+	z := &zones{}
+	for _, r := range list {
+		if r.row.State == platform.StateLeaving {
+			continue
+		}
+		z.near = z.near || r.near
+		if !slices.Contains(z.names, r.row.Zone) {
+			z.names = append(z.names, r.row.Zone)
+		}
 	}
+	return z
 }
--- a/entry/internal/front/subqueries.go
+++ b/entry/internal/front/subqueries.go
@@ -53,7 +53,7 @@
 func byZone(self member.Host, serving []member.Host) zoneHosts {
 	z := zoneHosts{hosts: map[string][]member.Host{}}
 	for _, h := range serving {
-		if h.Zone == self.Zone && h.Region == self.Region || h.Region != self.Region {
+		if h.Region != self.Region || h.Zone == self.Zone {
 			continue
 		}
 		if z.hosts[h.Zone] == nil {
@@ -108,20 +108,10 @@
 	return subquery.Peer{
 		ID: h.ID, Name: h.Peer.String(), Zone: h.Zone,
 		Gather: func(ctx context.Context, args *subquery.Args) (subquery.Reply, error) {
-			var rep subquery.Reply
-			err := s.call(ctx, h, "Gather", args, &rep)
-			if err != nil {
-				return subquery.Reply{}, err
-			}
-			return rep, nil
+			return s.ask(ctx, h, "Gather", args)
 		},
 		Rest: func(ctx context.Context, args *subquery.RestArgs) (subquery.Reply, error) {
-			var rep subquery.Reply
-			err := s.call(ctx, h, "Rest", args, &rep)
-			if err != nil {
-				return subquery.Reply{}, err
-			}
-			return rep, nil
+			return s.ask(ctx, h, "Rest", args)
 		},
 		Drop: func(job uint64) {
 			go func() {
@@ -132,6 +122,15 @@
 	}
 }
 
+// ask calls a method that replies with what became of shards. A reply that a call that was given up may still write to is not returned.
+func (s *subqueryPeers) ask(ctx context.Context, h member.Host, method string, args any) (subquery.Reply, error) {
+	var rep subquery.Reply
+	if err := s.call(ctx, h, method, args, &rep); err != nil {
+		return subquery.Reply{}, err
+	}
+	return rep, nil
+}
+
 // subqueries returns how this host's requests ask other hosts for parts of their answers.
 func (f *Front) subqueries() scatter.Subqueries {
 	s := &subqueryPeers{
--- a/entry/internal/relay/tree.go
+++ b/entry/internal/relay/tree.go
@@ -28,12 +28,11 @@
 	if slices.ContainsFunc(watching, func(h member.Host) bool { return h.ID == self }) {
 		return without(watching, self), true
 	}
-	zone := inZoneOf(order, self)
+	own := order[slices.IndexFunc(order, func(h member.Host) bool { return h.ID == self })]
+	zone := inZone(order, own)
 	at := slices.IndexFunc(zone, func(h member.Host) bool { return h.ID == self })
-	roots := 0
-	for roots < len(zone) && slices.ContainsFunc(watching, func(h member.Host) bool { return h.ID == zone[roots].ID }) {
-		roots++
-	}
+	// Those that watch are the first of all, and so of their zones.
+	roots := len(inZone(watching, own))
 	if at == 0 {
 		return watching, false
 	}
@@ -65,9 +64,8 @@
 	return order
 }
 
-// inZoneOf returns the hosts of self's availability zone in their order.
-func inZoneOf(order []member.Host, self string) []member.Host {
-	own := order[slices.IndexFunc(order, func(h member.Host) bool { return h.ID == self })]
+// inZone returns the hosts of a host's availability zone in their order.
+func inZone(order []member.Host, own member.Host) []member.Host {
 	var list []member.Host
 	for _, h := range order {
 		if h.Zone == own.Zone && h.Region == own.Region {
--- a/entry/internal/scatter/scatter.go
+++ b/entry/internal/scatter/scatter.go
@@ -196,9 +196,9 @@
 	for _, s := range p.Shards {
 		s.Budget.Request(p.now)
 	}
-	through := p.throughOthers()
+	p.throughOthers()
 	for i := range p.Shards {
-		if !through[i] {
+		if p.shards[i].through == nil {
 			p.try(i, First, "")
 		}
 	}
--- a/entry/internal/scatter/subqueries.go
+++ b/entry/internal/scatter/subqueries.go
@@ -60,28 +60,21 @@
 	err   error
 }
 
-// throughOthers asks other hosts for the shards that have no replica near, and returns which shards those are.
-func (p *plan) throughOthers() map[int]bool {
+// throughOthers asks other hosts for the shards that have no replica near.
+func (p *plan) throughOthers() {
 	sub := p.run.opts.Subqueries
 	if sub.Zones == nil || len(p.Route.Shards) == 0 || !p.Route.Idempotent || p.Suspect || !p.bearsSubqueries() {
-		return nil
+		return
 	}
 	shards := make([]crossing.Shard, len(p.Shards))
 	for i, s := range p.Shards {
 		shards[i].Near, shards[i].Zones = s.Zones()
 	}
-	through := map[int]bool{}
 	for _, g := range crossing.Groups(shards, sub.Zones(), p.run.opts.Draw()) {
-		peer, ok := sub.Peer(g.Zone)
-		if !ok {
-			continue
-		}
-		p.ask(peer, g.Shards)
-		for _, i := range g.Shards {
-			through[i] = true
+		if peer, ok := sub.Peer(g.Zone); ok {
+			p.ask(peer, g.Shards)
 		}
 	}
-	return through
 }
 
 // bearsSubqueries reports whether the route has the time for a second host.
--- a/entry/internal/subquery/server.go
+++ b/entry/internal/subquery/server.go
@@ -64,7 +64,7 @@
 	}
 	j := s.begin(args)
 	if j == nil {
-		reply.Declined = "a subquery of that name is under way"
+		reply.Declined = "a subquery of that name is under way, or too many are"
 		return nil
 	}
 	s.answer(args.Job, j, args.First, true, reply)
