scatter, peers: Count a replica that another host tried once; close connections that have ended

Found on reading. (1) A host that gathers shards tells of a pending try with each reply, four times a second; each time its replica was added to those that had a try, which is also how tries are bounded, so that a replica listed meanwhile was not asked. TestPendingToldAgainIsOneTry is red before. (2) A connection that the other host had closed to make room was forgotten here and not closed, as net/rpc leaves its end open: a descriptor until memory is collected. Not measured.

--- a/entry/internal/peers/conn.go
+++ b/entry/internal/peers/conn.go
@@ -55,6 +55,7 @@
 // Read counts what arrives and moves the idle limit on.
 func (c *counted) Read(b []byte) (int, error) {
 	if err := c.SetReadDeadline(time.Now().Add(idleLimit)); err != nil {
+		c.ended.Store(true)
 		return 0, err
 	}
 	n, err := c.Conn.Read(b)
--- a/entry/internal/peers/pool.go
+++ b/entry/internal/peers/pool.go
@@ -92,15 +92,9 @@
 }
 
 func (p *pool) get(ctx context.Context, addr netip.AddrPort) (*rpc.Client, error) {
-	p.mu.Lock()
-	if c := p.clients[addr]; c != nil && !c.conn.ended.Load() {
-		c.used = p.clock.Now()
-		p.mu.Unlock()
-		return c.rpc, nil
+	if c := p.usable(addr); c != nil {
+		return c, nil
 	}
-	// The other host closes connections that were not used for the longest time; a call on such a one would fail though nothing is wrong.
-	delete(p.clients, addr)
-	p.mu.Unlock()
 	conn, err := p.dial(ctx, addr)
 	if err != nil {
 		return nil, fmt.Errorf("peer %s: %w", addr, err)
@@ -120,6 +114,24 @@
 	return fresh.rpc, nil
 }
 
+// usable returns the client of a connection that is open. The other host closes those that were not used for the longest time: a call on such a one would
+// fail though nothing is wrong, and its own end, which net/rpc leaves open, would stay a descriptor until memory is collected.
+func (p *pool) usable(addr netip.AddrPort) *rpc.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.clients[addr]
+	if c == nil {
+		return nil
+	}
+	if c.conn.ended.Load() {
+		_ = c.rpc.Close()
+		delete(p.clients, addr)
+		return nil
+	}
+	c.used = p.clock.Now()
+	return c.rpc
+}
+
 func (p *pool) makeRoom() {
 	if len(p.clients) < maxClients {
 		return
--- /dev/null
+++ b/entry/internal/peers/pool_test.go
@@ -0,0 +1,50 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/clock"
+)
+
+// closable tells whether it was closed.
+type closable struct {
+	net.Conn
+	closed atomic.Bool
+}
+
+func (c *closable) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
+// Story: a host closes a connection that was not used for long, to make room. The one that had opened it dials again when it has something to say. Its own
+// end of the old connection must be closed then: each is a descriptor, of which a host has a few thousand.
+func TestEndedConnectionIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var near []*closable
+		var far []net.Conn
+		p := newPool(clock.System{}, &traffic{}, func(context.Context, netip.AddrPort) (net.Conn, error) {
+			a, b := net.Pipe()
+			near, far = append(near, &closable{Conn: a}), append(far, b)
+			return near[len(near)-1], nil
+		})
+		defer p.close()
+		_, err := p.get(t.Context(), addrOf(1))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, far[0].Close(), qt.IsNil)
+		time.Sleep(time.Second)
+		_, err = p.get(t.Context(), addrOf(1))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, near, qt.HasLen, 2)
+		qt.Check(t, near[0].closed.Load(), qt.IsTrue)
+		qt.Check(t, near[1].closed.Load(), qt.IsFalse)
+	})
+}
--- a/entry/internal/scatter/subqueries.go
+++ b/entry/internal/scatter/subqueries.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -269,18 +270,20 @@
 
 // exclude keeps the further tries of a shard from a replica that another host has tried.
 func (p *plan) exclude(i int, id string) {
-	for _, r := range p.Shards[i].Replicas() {
-		if r.ID() == id {
-			p.shards[i].tried = append(p.shards[i].tried, r)
-		}
-	}
+	p.excludeAll(i, func(r *endpoints.Replica) bool { return r.ID() == id })
 }
 
 // excludeZone keeps the further tries of a shard from the replicas of a zone, of which another host has tried one.
 func (p *plan) excludeZone(i int, zone string) {
+	p.excludeAll(i, func(r *endpoints.Replica) bool { return r.Zone() == zone })
+}
+
+// excludeAll keeps the further tries of a shard from some replicas. Each counts once: a host that tells of a pending try again tells of the same one.
+func (p *plan) excludeAll(i int, which func(r *endpoints.Replica) bool) {
+	s := &p.shards[i]
 	for _, r := range p.Shards[i].Replicas() {
-		if r.Zone() == zone {
-			p.shards[i].tried = append(p.shards[i].tried, r)
+		if which(r) && !slices.Contains(s.tried, r) {
+			s.tried = append(s.tried, r)
 		}
 	}
 }
--- a/entry/internal/scatter/subqueries_test.go
+++ b/entry/internal/scatter/subqueries_test.go
@@ -311,6 +311,28 @@
 	})
 }
 
+// A route allows three tries, and asks for all shards. One replica behind another host hangs for most of a second, which that host tells again and
+// again, and fails at last; the second try fails at once. Meanwhile a third replica is listed. It has not been asked, and must be: being told four
+// times of one try is not four tries.
+func TestPendingToldAgainIsOneTry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, seams{})
+		const shard = farFrom + 3
+		p.far[3].Handle = replicatest.Broken(900 * time.Millisecond)
+		p.distant[shard].Handle = replicatest.Broken(10 * time.Millisecond)
+		third := p.farm.Add(fmt.Sprintf("s%d", shard), 3, replicatest.OK("third", 30*time.Millisecond, recordOf(shard)))
+		third.Row.Zone = "d"
+		time.AfterFunc(800*time.Millisecond, func() { p.table.Replace(p.farm.Batch(), false) })
+		rt := overMany()
+		rt.Attempts, rt.LeastShare = 3, 1
+		rep, _ := p.ask(t.Context(), rt)
+		qt.Check(t, rep.Ending, qt.Equals, scatter.Complete)
+		qt.Check(t, third.Arrivals(), qt.Equals, 1)
+		checkPage(t, &rep, rt)
+		time.Sleep(2 * time.Second)
+	})
+}
+
 // A client leaves while another host gathers parts of its page from replicas that are slow. Those must not go on for nobody.
 func TestClientGoneEndsTheTriesOfOtherHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
