entry, platform: Send nothing to the replicas of a zone that operators evacuate

Ruled out: a field of the configuration (the operator writes objects of their own); a watch of each host (calls grow with the fleet); to hand the orders on with the configuration in one reply (the two have revisions of their own, and a host that lists one must not take the other for listed). Change: a third kind that the hosts follow like replicas, where the settings give the bound: two watch, the others hear from them, a host that starts holds requests until it knows. One place, evacuation.Zones, is asked by each choice, by what waited for a connection, and by what says where a service has replicas, so that gathering through other hosts moves with it. An entry holds by its name as long as it exists, whatever its fields say. Tests: orders by lists and changes, choice and connecting, shards that are only there, a session with a host that starts in it while the store is away; each fails without its part.

--- a/core/platform/client.go
+++ b/core/platform/client.go
@@ -66,6 +66,8 @@
 	State   ReplicaState   `json:"state"`
 	// Slots is how many requests the replica runs at once, zero where it did not say.
 	Slots int `json:"slots,omitempty"`
+	// Cold is how much longer the replica stays slow after its start or after it was not used, as of its writing the row.
+	Cold time.Duration `json:"cold,omitempty"`
 	// Started is when the replica's process started, by the replica's own clock; the zero value where it did not say.
 	Started time.Time `json:"started,omitzero"`
 	// Sequence counts what the process has written of itself, from its start on; zero where it did not say.
--- /dev/null
+++ b/entry/internal/endpoints/evacuation_test.go
@@ -0,0 +1,127 @@
+package endpoints_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/opaque"
+	"guavaspring.org/core/upstream"
+	"guavaspring.org/entry/internal/endpoints"
+	"guavaspring.org/entry/internal/pick"
+	"guavaspring.org/entry/internal/replicatest"
+	"guavaspring.org/platform/wire"
+)
+
+// zonedTable is the table of a host in zone a, with a replica of the service in each of some zones, of which one at a time may be evacuated.
+type zonedTable struct {
+	*endpoints.Table
+	replicas  []*replicatest.Replica
+	evacuated atomic.Value
+}
+
+func newZonedTable(f *replicatest.Farm, dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error), zones ...string) *zonedTable {
+	t := &zonedTable{}
+	t.evacuated.Store("")
+	codec := wire.Codec()
+	t.Table = endpoints.New(endpoints.Options{
+		Clock: clock.System{}, Log: logr.Discard(), Zone: "a", Codec: &codec, Dial: dial, Share: func() float64 { return 1 },
+		Evacuated: func(zone string) bool { return t.evacuated.Load() == zone },
+	})
+	for i, zone := range zones {
+		r := f.Add("s", i, replicatest.OK("s-"+zone, 0, "x"))
+		r.Row.Zone = zone
+		t.replicas = append(t.replicas, r)
+	}
+	t.Replace(f.Batch(), false)
+	return t
+}
+
+func (t *zonedTable) evacuate(zone string) {
+	t.evacuated.Store(zone)
+	t.Refresh()
+}
+
+// An operator evacuates the zone of the replica that a host likes best. From then on it chooses another one, gathers nothing through hosts of that zone,
+// and says so where no zone is left; once the zone is released it is used as before.
+func TestEvacuatedZoneIsNotChosen(t *testing.T) {
+	f := replicatest.New()
+	table := newZonedTable(f, f.Dial, "a", "b")
+	s := table.Service("s")
+	need := endpoints.Need{Need: pick.Need{Usual: 10 * time.Millisecond, Within: 100 * time.Millisecond}}
+	zone := func() string {
+		c, verdict := s.Pick(time.Now(), need, func() float64 { return 0 })
+		if verdict != endpoints.Found {
+			return string(verdict)
+		}
+		return c.Replica.Zone()
+	}
+	tests := []struct {
+		evacuated, want string
+		near            bool
+		zones           int
+	}{{"", "a", true, 2}, {"a", "b", false, 1}, {"b", "a", true, 1}, {"", "a", true, 2}, {"unknown", "a", true, 2}}
+	for _, test := range tests {
+		table.evacuate(test.evacuated)
+		c := qt.Commentf("%q is evacuated", test.evacuated)
+		qt.Check(t, zone(), qt.Equals, test.want, c)
+		near, zones := s.Zones()
+		qt.Check(t, near, qt.Equals, test.near, c)
+		qt.Check(t, zones, qt.HasLen, test.zones, c)
+		qt.Check(t, s.Served(), qt.IsTrue, c)
+	}
+
+	alone := newZonedTable(replicatest.New(), f.Dial, "a")
+	alone.evacuate("a")
+	qt.Assert(t, alone.Service("s").Served(), qt.IsFalse)
+	_, verdict := alone.Service("s").Pick(time.Now(), need, func() float64 { return 0 })
+	qt.Assert(t, verdict, qt.Equals, endpoints.None)
+}
+
+// A request has chosen its replica and waits for a connection as the zone is evacuated. Connecting may take as long as the operator's bound, so the
+// request must not leave afterwards.
+func TestEvacuatedWhileConnecting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := replicatest.New()
+		slow := func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+			time.Sleep(50 * time.Millisecond)
+			return f.Dial(ctx, addr)
+		}
+		table := newZonedTable(f, slow, "a")
+		r := table.Service("s").Replicas()[0]
+		time.AfterFunc(20*time.Millisecond, func() { table.evacuate("a") })
+		req := &opaque.Request{ID: "q", Method: "GET", Target: "/", Path: "/", Host: "h"}
+		res := r.Send(t.Context(), endpoints.Call{Request: req, Deadline: time.Now().Add(time.Second), Connections: 1})
+		qt.Assert(t, res.Kind, qt.Equals, upstream.KindNotSent)
+		qt.Assert(t, table.replicas[0].Arrivals(), qt.Equals, 0)
+	})
+}
+
+// A zone is evacuated for a while and its replicas turn cold before it is released. What a host had seen of them was quick, and the row says that they are
+// slow for a while: a replica of another zone goes first, until the time is over.
+func TestColdAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := replicatest.New()
+		table := newZonedTable(f, f.Dial, "a", "b")
+		s := table.Service("s")
+		first := func() string {
+			c, _ := s.Pick(time.Now(), endpoints.Need{Need: pick.Need{Usual: 10 * time.Millisecond, Within: 100 * time.Millisecond}}, func() float64 { return 0 })
+			return c.Replica.Zone()
+		}
+		qt.Assert(t, first(), qt.Equals, "a")
+		row := table.replicas[0].Row
+		row.Cold = 3 * time.Second
+		table.Change(changed(row, false), false)
+		qt.Assert(t, first(), qt.Equals, "b")
+		time.Sleep(3 * time.Second)
+		qt.Assert(t, first(), qt.Equals, "a")
+	})
+}
--- a/entry/internal/endpoints/replica.go
+++ b/entry/internal/endpoints/replica.go
@@ -42,6 +42,8 @@
 	near    bool
 	service *Service
 	pool    *exchange.Pool
+	// evacuated reports whether nothing may be sent to the replicas of a zone.
+	evacuated func(zone string) bool
 
 	mu     sync.Mutex
 	row    platform.Replica
@@ -86,7 +88,7 @@
 	return r.row.ID + "@" + strconv.FormatInt(r.row.Started.UnixMilli(), 10)
 }
 
-// Usable reports whether new requests may be sent to the replica: it is listed and does not leave.
+// Usable reports whether new requests may be sent to the replica: it is listed, does not leave, and its zone is not evacuated.
 func (r *Replica) Usable() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -94,7 +96,7 @@
 }
 
 func (r *Replica) mayUse(now time.Time) bool {
-	return r.usable && (r.lapsed.IsZero() || now.Before(r.lapsed))
+	return r.usable && (r.lapsed.IsZero() || now.Before(r.lapsed)) && !r.evacuated(r.row.Zone)
 }
 
 // begin counts a request as under way and returns its number.
@@ -182,6 +184,14 @@
 
 func (r *Replica) failuresAt(now time.Time) float64 { return r.failures * r.fade(now) }
 
+// noteCold takes over from the row how long the replica stays cold. That may begin anew at any time, as when its zone was evacuated for a while: it is
+// slow then, though all that this host has seen of it was quick.
+func (r *Replica) noteCold(now time.Time) {
+	if r.row.Cold > 0 {
+		r.coldEnd = now.Add(r.row.Cold)
+	}
+}
+
 // view returns what a decision needs, whether the replica is left alone for a while, and whether it may be used at all.
 func (r *Replica) view(now time.Time) (v pick.Replica, resting, usable bool) {
 	r.mu.Lock()
@@ -193,7 +203,7 @@
 	return v, now.Before(r.until), r.mayUse(now)
 }
 
-var errUnusable = errors.New("the replica leaves or is gone")
+var errUnusable = errors.New("the replica leaves or is gone, or its zone is evacuated")
 
 // Call is one request to be sent to a replica.
 type Call struct {
--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -30,7 +30,7 @@
 	Budget *spend.Budget
 	queue
 	list atomic.Pointer[[]*Replica]
-	// zones are the availability zones that hold a replica which does not leave.
+	// zones are the availability zones that hold a replica which serves.
 	zones atomic.Pointer[zones]
 	// conns is the most connections that this host may hold to each replica.
 	conns atomic.Int64
@@ -100,19 +100,22 @@
 // Connections returns the most connections that this host may hold to each replica.
 func (s *Service) Connections() int { return int(s.conns.Load()) }
 
-// zones is where a service's replicas are; near says that one is in the host's own zone.
+// zones is where a service's serving replicas are; near says that one is in the host's own zone.
 type zones struct {
 	near  bool
 	names []string
 }
 
-// Zones returns the availability zones that hold a replica which does not leave, and whether the host's own is one of them; the slice must not be
+// Zones returns the availability zones that hold a replica which neither leaves nor stands in an evacuated zone, and whether the host's own is one of them; the slice must not be
 // changed.
 func (s *Service) Zones() (near bool, names []string) {
 	z := s.zones.Load()
 	return z.near, z.names
 }
 
+// Served reports whether a replica serves: one that is listed, does not leave, and does not stand in an evacuated zone.
+func (s *Service) Served() bool { return len(s.zones.Load().names) > 0 }
+
 // Replicas returns the replicas that are listed; the slice must not be changed.
 func (s *Service) Replicas() []*Replica { return *s.list.Load() }
 
--- a/entry/internal/endpoints/table.go
+++ b/entry/internal/endpoints/table.go
@@ -43,6 +43,8 @@
 	Spend spend.Options
 	// Share returns the part, 0 to 1, of what all hosts together may do that this host takes.
 	Share func() float64
+	// Evacuated reports whether nothing may be sent to the replicas of an availability zone; nil means that no zone is evacuated.
+	Evacuated func(zone string) bool
 	// Dial opens a connection to a replica; nil means TCP.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	// Opened returns what is used in place of a new connection to a replica in the own zone, or in another; nil means the connection itself.
@@ -71,6 +73,9 @@
 	if opts.Opened == nil {
 		opts.Opened = func(c net.Conn, _ bool) net.Conn { return c }
 	}
+	if opts.Evacuated == nil {
+		opts.Evacuated = func(string) bool { return false }
+	}
 	return &Table{opts: opts, services: map[string]*Service{}, replicas: map[string]*Replica{}, ended: ended{rows: map[string]endedRow{}}, doubted: map[string]platform.Replica{}}
 }
 
@@ -139,6 +144,13 @@
 	t.publish()
 }
 
+// Refresh works out anew where requests may go; it is called when the evacuated zones have changed.
+func (t *Table) Refresh() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.publish()
+}
+
 // take takes over one entry. One that can't be read any more names no replica, whether or not the store was away.
 func (t *Table) take(e feed.Entry[platform.Replica], returned bool) {
 	switch {
@@ -226,7 +238,7 @@
 	lists, slots := map[string][]*Replica{}, map[string]int64{}
 	for _, r := range t.replicas {
 		lists[r.row.Service] = append(lists[r.row.Service], r)
-		if r.row.State != platform.StateLeaving {
+		if t.serves(r) {
 			slots[r.row.Service] += int64(room.Slots(r.row.Slots))
 		}
 	}
@@ -237,16 +249,21 @@
 		list := lists[name]
 		s.list.Store(&list)
 		s.slots.Store(slots[name])
-		s.zones.Store(zonesOf(list))
+		s.zones.Store(t.zonesOf(list))
 		s.Wake(t.opts.Clock.Now())
 	}
 }
 
-// zonesOf returns where those of some replicas are that don't leave.
-func zonesOf(list []*Replica) *zones {
+// serves reports whether a replica is there for new requests: it does not leave, and its zone is not evacuated.
+func (t *Table) serves(r *Replica) bool {
+	return r.row.State != platform.StateLeaving && !t.opts.Evacuated(r.row.Zone)
+}
+
+// zonesOf returns where those of some replicas are that serve.
+func (t *Table) zonesOf(list []*Replica) *zones {
 	z := &zones{}
 	for _, r := range list {
-		if r.row.State == platform.StateLeaving {
+		if !t.serves(r) {
 			continue
 		}
 		z.near = z.near || r.near
--- /dev/null
+++ b/entry/internal/evacuation/zones_test.go
@@ -0,0 +1,81 @@
+package evacuation_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/feed"
+	"guavaspring.org/core/platform"
+	"guavaspring.org/entry/internal/evacuation"
+)
+
+func order(zone string) feed.Entry[platform.Evacuation] {
+	return feed.Entry[platform.Evacuation]{Name: zone, Value: platform.Evacuation{Zone: zone}}
+}
+
+func released(zone string) feed.Entry[platform.Evacuation] {
+	return feed.Entry[platform.Evacuation]{Name: zone, Deleted: true}
+}
+
+func unreadable(zone string) feed.Entry[platform.Evacuation] {
+	return feed.Entry[platform.Evacuation]{Name: zone, Unreadable: true}
+}
+
+// step is what a host hears: a list of all orders, or those that changed.
+type step struct {
+	list    bool
+	entries []feed.Entry[platform.Evacuation]
+}
+
+func list(entries ...feed.Entry[platform.Evacuation]) step { return step{true, entries} }
+
+func change(entries ...feed.Entry[platform.Evacuation]) step { return step{false, entries} }
+
+// An operator evacuates zones and takes that back, while hosts hear of it by lists and changes, some of which they miss. A zone must be left alone from
+// the first word of it, and used again from the word that it was released, or from a list that doesn't hold it any more.
+func TestOrders(t *testing.T) {
+	tests := []struct {
+		name  string
+		steps []step
+		want  []string
+	}{
+		{"none", []step{list()}, nil},
+		{"listed at the start", []step{list(order("a"))}, []string{"a"}},
+		{"ordered later", []step{list(), change(order("a"))}, []string{"a"}},
+		{"two zones at once", []step{list(), change(order("a"), order("b"))}, []string{"a", "b"}},
+		{"one after the other", []step{list(order("a")), change(released("a"), order("b"))}, []string{"b"}},
+		{"released", []step{list(order("a")), change(released("a"))}, nil},
+		{"the release was missed", []step{list(order("a"), order("b")), list(order("b"))}, []string{"b"}},
+		{"ordered again", []step{list(order("a")), change(released("a")), change(order("a"))}, []string{"a"}},
+		{"written twice", []step{list(order("a")), change(order("a"))}, []string{"a"}},
+		{"one of two released", []step{list(order("a"), order("b")), change(released("b"))}, []string{"a"}},
+		{"released twice", []step{list(order("a")), change(released("a")), change(released("a"))}, nil},
+		{"its fields can't be read", []step{list(), change(unreadable("a"))}, []string{"a"}},
+		{"its fields can't be read any more", []step{list(order("a")), change(unreadable("a"))}, []string{"a"}},
+		{"an order without a name beside one", []step{list(unreadable(""), order("a"))}, []string{"a"}},
+		{"nothing new", []step{list(order("a")), change()}, []string{"a"}},
+	}
+	for _, test := range tests {
+		changes := 0
+		z := evacuation.New(evacuation.Options{Clock: clock.System{}, Log: logr.Discard(), Changed: func() { changes++ }})
+		qt.Check(t, z.Known(), qt.IsFalse)
+		for _, s := range test.steps {
+			if s.list {
+				z.Replace(feed.Batch[platform.Evacuation]{Entries: s.entries})
+			} else {
+				z.Change(feed.Batch[platform.Evacuation]{Entries: s.entries})
+			}
+		}
+		c := qt.Commentf(test.name)
+		qt.Check(t, z.Names(), qt.DeepEquals, test.want, c)
+		qt.Check(t, z.Known(), qt.IsTrue, c)
+		qt.Check(t, changes, qt.Equals, len(test.steps), c)
+		for _, zone := range test.want {
+			qt.Check(t, z.Has(zone), qt.IsTrue, c)
+		}
+		qt.Check(t, z.Has("elsewhere"), qt.IsFalse, c)
+	}
+}
--- a/entry/internal/events/events.go
+++ b/entry/internal/events/events.go
@@ -35,6 +35,9 @@
 	ObjectsUnreadable = event.New(1207, "objects_unreadable", "A reply of the platform held more objects that can't be read than are logged one by one; more says how many.")
 	ReplicaRestarted  = event.New(1208, "replica_restarted", "A replica started again under the id that it had; what was known of the process before is dropped, with its connections.")
 	ReplicaRowOld     = event.New(1209, "replica_row_old", "A row of a replica is older than the one in use and is ignored; one of another process is believed if nothing newer comes.")
+
+	ZoneEvacuated = event.New(1210, "zone_evacuated", "An operator's order reached this host that nothing more is sent to the replicas of an availability zone.")
+	ZoneReleased  = event.New(1211, "zone_released", "The order to send nothing to the replicas of an availability zone was taken back; after says how long it held here.")
 )
 
 // Events of requests, 1300 to 1399.
--- a/entry/internal/forward/forwarder.go
+++ b/entry/internal/forward/forwarder.go
@@ -56,6 +56,8 @@
 	// Config returns the configuration in force, nil where none is known yet.
 	Config func() *route.Table
 	Table  *endpoints.Table
+	// Known reports whether the host knows all that requests need; nil means that it does once there are a configuration and replicas.
+	Known  func() bool
 	Runner *scatter.Runner
 	// Quarantine holds the requests that crash replicas.
 	Quarantine *quarantine.Quarantine
@@ -82,16 +84,16 @@
 	if opts.Await == nil {
 		opts.Await = func(context.Context) bool { return false }
 	}
+	if opts.Known == nil {
+		opts.Known = func() bool { return opts.Config() != nil && opts.Table.Known() }
+	}
 	return &Forwarder{opts: opts}
 }
 
-// known reports whether the host knows what requests need.
-func (f *Forwarder) known() bool { return f.opts.Config() != nil && f.opts.Table.Known() }
-
 // ServeHTTP answers one request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := f.opts.Clock.Now()
-	if !f.known() && !f.opts.Await(r.Context()) {
+	if !f.opts.Known() && !f.opts.Await(r.Context()) {
 		f.turnAway(w, r, refusal{status: http.StatusServiceUnavailable, after: retryUnknown, cause: requestlog.CauseUnknown, why: unknown})
 		return
 	}
--- a/entry/internal/front/follow.go
+++ b/entry/internal/front/follow.go
@@ -42,13 +42,43 @@
 	f.noteKnown()
 }
 
-// noteKnown lets requests in that wait for the host to know the configuration and the replicas.
+// known reports whether the host knows all that requests need. A host that started while a zone is evacuated and knew the replicas first would send
+// them what they are spared from.
+func (f *Front) known() bool {
+	return f.config.Load() != nil && f.table.Known() && (f.opts.Evacuate == 0 || f.zones.Known())
+}
+
+// noteKnown lets requests in that wait for the host to know what they need.
 func (f *Front) noteKnown() {
-	if f.config.Load() != nil && f.table.Known() {
+	if f.known() {
 		f.startup.Known()
 	}
 }
 
+func (f *Front) replaceEvacuations(batch feed.Batch[platform.Evacuation], _ bool) {
+	f.zones.Replace(batch)
+	f.noteKnown()
+}
+
+func (f *Front) changeEvacuations(batch feed.Batch[platform.Evacuation], _ bool) {
+	f.zones.Change(batch)
+}
+
+func (f *Front) followEvacuations(ctx context.Context) {
+	source.New(source.Options[platform.Evacuation]{
+		Clock: f.opts.Clock, Log: f.opts.Log, Name: "evacuations", List: f.opts.Store.ListEvacuations, Watch: f.opts.Store.WatchEvacuations,
+		First: func() []source.Parent[platform.Evacuation] {
+			return first[platform.Evacuation](f.joined, f.opts.Seeds(), "Evacuations")
+		},
+		Settled: f.settled, Wanted: f.startup.Wanted(),
+		Parents: func() ([]source.Parent[platform.Evacuation], bool) {
+			return parents[platform.Evacuation](f.joined, "Evacuations")
+		},
+		Copy: f.joined.evacuations, Replace: f.replaceEvacuations, Change: f.changeEvacuations, Reconnect: f.opts.Store.Reconnect, Bound: f.opts.Evacuate,
+		Rejected: f.counts.Unreadable("evacuations"), Outage: f.outage,
+	}).Run(ctx)
+}
+
 func (f *Front) replaceReplicas(batch feed.Batch[platform.Replica], returned bool) {
 	f.table.Replace(batch, returned)
 	f.noteKnown()
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -24,6 +24,7 @@
 	"guavaspring.org/core/route"
 	"guavaspring.org/entry/internal/drainer"
 	"guavaspring.org/entry/internal/endpoints"
+	"guavaspring.org/entry/internal/evacuation"
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/forward"
 	"guavaspring.org/entry/internal/frontmetrics"
@@ -64,9 +65,13 @@
 	WatchConfig   func(ctx context.Context, since int64, wait time.Duration) (feed.Batch[route.Config], error)
 	ListReplicas  func(ctx context.Context) (feed.Batch[platform.Replica], error)
 	WatchReplicas func(ctx context.Context, since int64, wait time.Duration) (feed.Batch[platform.Replica], error)
-	List          func(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error)
-	Get           func(ctx context.Context, kind platform.Kind, name string) (platform.Object, error)
-	Put           func(ctx context.Context, kind platform.Kind, name string, version int64, body []byte) (platform.Object, error)
+	// ListEvacuations and WatchEvacuations are not called where Options.Evacuate is zero.
+	ListEvacuations  func(ctx context.Context) (feed.Batch[platform.Evacuation], error)
+	WatchEvacuations func(ctx context.Context, since int64, wait time.Duration) (feed.Batch[platform.Evacuation], error)
+
+	List func(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error)
+	Get  func(ctx context.Context, kind platform.Kind, name string) (platform.Object, error)
+	Put  func(ctx context.Context, kind platform.Kind, name string, version int64, body []byte) (platform.Object, error)
 	// Reconnect drops the unused connections.
 	Reconnect func()
 }
@@ -91,6 +96,8 @@
 	MaxKeep time.Duration
 	// Apply is how soon a changed configuration has to be in force, and Drain how long a replica that leaves may still be sent requests.
 	Apply, Drain time.Duration
+	// Evacuate is how soon nothing more may be sent to the replicas of a zone that operators evacuate; zero means that they can't.
+	Evacuate time.Duration
 	// Cores and LinkBits are the processor cores, and the bits a second of its link, that the host has.
 	Cores, LinkBits float64
 	// Metrics is where metrics are published; the zero value publishes none.
@@ -109,6 +116,7 @@
 	opts   Options
 	drain  *drainer.Drainer
 	table  *endpoints.Table
+	zones  *evacuation.Zones
 	config atomic.Pointer[route.Table]
 	joined *joined
 	began  time.Time
@@ -131,8 +139,9 @@
 	}
 	f := &Front{opts: opts, began: opts.Clock.Now(), outage: source.NewOutage(), startup: startup.New(opts.Clock)}
 	f.drain = drainer.New(drainer.Options{Clock: opts.Clock, Announce: f.announce, Grace: func() time.Duration { return opts.Grace - finishIn }})
+	f.zones = evacuation.New(evacuation.Options{Clock: opts.Clock, Log: opts.Log, Changed: func() { f.table.Refresh() }})
 	f.table = endpoints.New(endpoints.Options{
-		Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Share: f.part,
+		Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Share: f.part, Evacuated: f.zones.Has,
 		Opened: func(c net.Conn, near bool) net.Conn { return opts.Traffic.Conn(c, traffic.Replicas, !near) },
 	})
 	f.crashers = f.newQuarantine()
@@ -174,6 +183,9 @@
 func (f *Front) start(ctx context.Context, duties *sync.WaitGroup) {
 	duties.Go(func() { f.followConfig(ctx) })
 	duties.Go(func() { f.followReplicas(ctx) })
+	if f.opts.Evacuate > 0 {
+		duties.Go(func() { f.followEvacuations(ctx) })
+	}
 	duties.Go(func() { f.joined.run(ctx) })
 	duties.Go(func() { f.share(ctx) })
 	duties.Go(func() { f.log.Run(ctx.Done()) })
@@ -182,7 +194,7 @@
 
 func (f *Front) servers() []transport.Server {
 	fwd := forward.New(forward.Options{
-		Clock: f.opts.Clock, Log: f.opts.Log, Codec: &f.opts.Codec, Config: f.config.Load, Table: f.table, Await: f.startup.Await,
+		Clock: f.opts.Clock, Log: f.opts.Log, Codec: &f.opts.Codec, Config: f.config.Load, Table: f.table, Known: f.known, Await: f.startup.Await,
 		Runner: scatter.New(scatter.Options{Clock: f.opts.Clock, Share: f.part, Quarantine: f.crashers, Subqueries: f.subqueries()}), Quarantine: f.crashers,
 		Requests: f.log, Ended: f.ended, Refused: f.counts.Refused,
 	})
@@ -237,6 +249,8 @@
 		return errors.New("the host is leaving; it serves those that still come")
 	case f.config.Load() == nil || !f.table.Known():
 		return errors.New("the configuration is not known yet")
+	case !f.known():
+		return errors.New("the evacuated zones are not known yet")
 	}
 	return nil
 }
--- a/entry/internal/front/joined.go
+++ b/entry/internal/front/joined.go
@@ -34,6 +34,8 @@
 	rumors    *rumor.Store
 	configs   *relay.Copy[route.Config]
 	replicas  *relay.Copy[platform.Replica]
+	// evacuations holds the operators' orders to leave availability zones alone.
+	evacuations *relay.Copy[platform.Evacuation]
 
 	mu     sync.Mutex
 	placed placed
@@ -57,7 +59,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for other hosts: %w", err)
 	}
-	j := &joined{configs: relay.NewLastGoodCopy[route.Config](), replicas: relay.NewCopy[platform.Replica]()}
+	j := &joined{
+		configs: relay.NewLastGoodCopy[route.Config](), replicas: relay.NewCopy[platform.Replica](), evacuations: relay.NewCopy[platform.Evacuation](),
+	}
 	self := member.Host{ID: incarnation, Caller: opts.Front, Peer: opts.Peer, Zone: opts.Zone, Region: opts.Region, Cores: opts.Cores, LinkBits: opts.LinkBits}
 	j.list = member.New(member.Options{Self: self, Rand: member.NewRand(), Changed: memberlog.Changed(opts.Log)})
 	j.directory = directory.New(directory.Options{
@@ -68,8 +72,11 @@
 		Clock: opts.Clock, Log: opts.Log, Listener: l, List: j.list, Rand: member.NewRand(),
 		// Documents and replica lists of the project's own interface are not shared here: both come from the platform's store.
 		Store: accepted.New(func(accepted.Generation) {}), Listing: listing.New(opts.Clock), Replicas: func() []platform.Replica { return nil },
-		Services: map[string]any{relayService: &relay.Methods{Clock: opts.Clock, ConfigCopy: j.configs, ReplicaCopy: j.replicas}, subqueryService: subqueries},
-		Rumors:   j.rumors,
+		Services: map[string]any{
+			relayService:    &relay.Methods{Clock: opts.Clock, ConfigCopy: j.configs, ReplicaCopy: j.replicas, EvacuationCopy: j.evacuations},
+			subqueryService: subqueries,
+		},
+		Rumors: j.rumors,
 		Opened: func(c net.Conn, addr netip.AddrPort, use peers.Use) net.Conn {
 			return opts.Traffic.Conn(c, causes[use], j.crosses(addr))
 		},
--- a/entry/internal/relay/server.go
+++ b/entry/internal/relay/server.go
@@ -37,9 +37,10 @@
 
 // Methods is the net/rpc service that other hosts call.
 type Methods struct {
-	Clock       clock.Clock
-	ConfigCopy  *Copy[route.Config]
-	ReplicaCopy *Copy[platform.Replica]
+	Clock          clock.Clock
+	ConfigCopy     *Copy[route.Config]
+	ReplicaCopy    *Copy[platform.Replica]
+	EvacuationCopy *Copy[platform.Evacuation]
 }
 
 // Configs returns configurations that are newer than the asker's.
@@ -52,6 +53,11 @@
 	return serve(m.Clock, m.ReplicaCopy, args, reply)
 }
 
+// Evacuations returns evacuations that were ordered or taken back since the asker's revision.
+func (m *Methods) Evacuations(args *Args, reply *Reply[platform.Evacuation]) error {
+	return serve(m.Clock, m.EvacuationCopy, args, reply)
+}
+
 // serve waits until the copy is newer or fresher than it was, and answers with what the asker lacks.
 func serve[T any](clk clock.Clock, c *Copy[T], args *Args, reply *Reply[T]) error {
 	st, changed := c.State()
--- a/entry/internal/scatter/admit.go
+++ b/entry/internal/scatter/admit.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"guavaspring.org/core/upstream"
+	"guavaspring.org/entry/internal/exchange"
 	"guavaspring.org/entry/internal/overload"
 	"guavaspring.org/entry/internal/queueing"
 )
@@ -10,6 +12,22 @@
 // backWithin is the part of the time that a client has left within which it comes back.
 const backWithin = 1.0 / 3
 
+// unservable reports whether too few shards have a replica that serves.
+//
+// It answers zones that are evacuated, and shards all of whose replicas left: asked all the same, the other shards work for an answer that can't come, and
+// the client is told that its request may have run.
+func (p *plan) unservable() bool {
+	served := 0
+	for i, s := range p.Shards {
+		if s.Served() {
+			served++
+			continue
+		}
+		p.shards[i].result = exchange.Result{Kind: upstream.KindNotSent, Detail: "no replica serves"}
+	}
+	return served < p.least
+}
+
 // overloaded decides whether the request is refused as a whole.
 func (p *plan) overloaded() bool {
 	own := p.spare()
--- a/entry/internal/scatter/scatter.go
+++ b/entry/internal/scatter/scatter.go
@@ -121,6 +121,9 @@
 // Run sends the request and returns once its end is decided.
 func (run *Runner) Run(ctx context.Context, q Query) Report {
 	p := newPlan(run, q)
+	if p.unservable() {
+		return p.finish(Lost)
+	}
 	if p.overloaded() {
 		return p.refuse()
 	}
--- a/entry/internal/scatter/scatter_test.go
+++ b/entry/internal/scatter/scatter_test.go
@@ -35,6 +35,8 @@
 	n       atomic.Int64
 	// crashers holds the requests that take replicas down.
 	crashers *quarantine.Quarantine
+	// evacuated is the availability zone to whose replicas nothing is sent.
+	evacuated atomic.Value
 }
 
 func newBed(t *testing.T, slack float64) *bed {
@@ -51,11 +53,13 @@
 // newHostIn returns the way of one host in an availability zone, which asks other hosts for parts of its queries.
 func newHostIn(zone string, farm *replicatest.Farm, slack, part float64, sub scatter.Subqueries) *bed {
 	b := &bed{farm: farm, learned: &learned.Route{}}
+	b.evacuated.Store("")
 	codec := wire.Codec()
 	share := func() float64 { return part }
 	b.table = endpoints.New(endpoints.Options{
 		Clock: clock.System{}, Log: logr.Discard(), Zone: zone, Codec: &codec, Dial: b.farm.Dial, Share: share,
-		Spend: spend.Options{Ratio: 0.2, Slack: slack, Window: 10 * time.Second},
+		Evacuated: func(zone string) bool { return b.evacuated.Load() == zone },
+		Spend:     spend.Options{Ratio: 0.2, Slack: slack, Window: 10 * time.Second},
 	})
 	b.crashers = quarantine.New(quarantine.Options{Clock: clock.System{}, Service: "opaque"})
 	b.run = scatter.New(scatter.Options{Clock: clock.System{}, Share: share, Draw: func() float64 { return 0 }, Quarantine: b.crashers, Subqueries: sub})
@@ -190,6 +194,45 @@
 }
 
 // A donor's drop-off runs, and the answer is lost with the connection. Sent again it would be recorded twice, and somebody drives
+// An operator evacuates the zone that alone holds four of ten shards, and a page needs nine. No page can come of what is left: clients must be told at once
+// that their request did not run, and the other shards must not work for it. With one such shard pages go out that say so.
+func TestEvacuatedShards(t *testing.T) {
+	tests := []struct {
+		evacuated, arrivals int
+		want                scatter.Ending
+	}{{evacuated: 4, arrivals: 0, want: scatter.Lost}, {evacuated: 1, arrivals: 9, want: scatter.Partial}}
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			farm := replicatest.New()
+			b := newHost(farm, 10, 1)
+			rt := &route.Route{Idempotent: true, Timeout: 2 * time.Second, Objective: 200 * time.Millisecond, Attempts: 2, TopK: 3, LeastShare: 0.9}
+			var replicas []*replicatest.Replica
+			for i := range 10 {
+				name := fmt.Sprintf("s%d", i)
+				rt.Shards = append(rt.Shards, name)
+				r := farm.Add(name, 0, replicatest.OK(name, 10*time.Millisecond, "x"))
+				if r.Row.Zone = "b"; i < test.evacuated {
+					r.Row.Zone = "emptied"
+				}
+				replicas = append(replicas, r)
+			}
+			b.usual()
+			b.evacuated.Store("emptied")
+			b.table.Refresh()
+			rep, took := b.ask(t.Context(), rt)
+			qt.Check(t, rep.Ending, qt.Equals, test.want)
+			qt.Check(t, took < 50*time.Millisecond, qt.IsTrue)
+			qt.Check(t, rep.Ran, qt.Equals, test.arrivals > 0)
+			arrivals := 0
+			for _, r := range replicas {
+				arrivals += r.Arrivals()
+			}
+			qt.Check(t, arrivals, qt.Equals, test.arrivals)
+			farm.Close()
+		})
+	}
+}
+
 // out for fabric that is already given away.
 func TestWriteRunsAtMostOnce(t *testing.T) {
 	tests := []struct {
--- a/entry/onplatform.go
+++ b/entry/onplatform.go
@@ -43,12 +43,13 @@
 		Seeds: func() []netip.AddrPort { return *seeds.Load() },
 		Store: front.Store{
 			ListConfig: c.ListConfig, WatchConfig: c.WatchConfig, ListReplicas: c.ListReplicas, WatchReplicas: c.WatchReplicas,
+			ListEvacuations: c.ListEvacuations, WatchEvacuations: c.WatchEvacuations,
 			List: c.List, Get: c.Get, Put: c.Put, Reconnect: c.Reconnect,
 		},
 		Codec: wire.Codec(), Resolve: wire.Resolve, Ready: wire.Ready,
 		Cores: s.Cores, LinkBits: s.LinkBits,
 		Metrics: netip.AddrPortFrom(s.Front.Addr(), metricsPort), StoreCalls: func() []frontmetrics.StoreCalls { return storeCalls(c) }, LinesLost: lost, Traffic: meter,
-		Grace: s.Grace, MaxKeep: s.MaxKeep, Apply: s.ApplyConfig, Drain: s.Drain,
+		Grace: s.Grace, MaxKeep: s.MaxKeep, Apply: s.ApplyConfig, Drain: s.Drain, Evacuate: s.Evacuate,
 		Spend: spend.Options{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 	})
 	if err != nil {
--- a/entry/onplatform_test.go
+++ b/entry/onplatform_test.go
@@ -41,6 +41,11 @@
 
 // replica starts a replica that answers each request with records of its own, registers it, and returns its address.
 func (s *session) replica(id, service, records string) string {
+	return s.replicaIn("osborne-hall", id, service, records)
+}
+
+// replicaIn starts a replica in an availability zone.
+func (s *session) replicaIn(zone, id, service, records string) string {
 	l, err := listen(s.t, "127.0.0.1:0")
 	qt.Assert(s.t, err, qt.IsNil)
 	s.t.Cleanup(func() { _ = l.Close() })
@@ -53,7 +58,7 @@
 			go s.answer(c, id, records)
 		}
 	}()
-	s.store.Set("servers", id, platformtest.Replica(service, l.Addr().String(), "ready"))
+	s.store.Set("servers", id, platformtest.ReplicaIn(zone, service, l.Addr().String(), "ready"))
 	return l.Addr().String()
 }
 
@@ -285,6 +290,48 @@
 	s.compare("testdata/platform_forged.txt")
 }
 
+// An operator evacuates the zone of two replicas, and a host starts while that holds and the store is away. No request reaches the zone at either host; a
+// page goes out without the shard that is only there, and a write to a service that is only there is refused as not run. Once the zone is released,
+// whole pages go out again.
+func TestSessionWithEvacuation(t *testing.T) {
+	s := &session{t: t, store: platformtest.NewStore(), runs: map[string]int{}}
+	srv := httptest.NewServer(s.store)
+	t.Cleanup(srv.Close)
+	s.addrs = []string{srv.Listener.Addr().String()}
+	s.replica("i-1", "s1", "1_______________")
+	s.replicaIn("picton-shed", "i-2", "s2", "2_______________")
+	s.replica("i-3", "s3", "3_______________")
+	s.replicaIn("picton-shed", "i-4", "desk", "recorded")
+	s.store.Set("config", "main", platformtest.Config(3, `"s1","s2","s3"`, "desk"))
+
+	const one, two = "127.0.0.14", "127.0.0.15"
+	ports := freePorts(t, one, two)
+	seeds := fmt.Sprintf("%q", fmt.Sprintf("%s:%d", one, ports+3))
+	s.host("host-1", one, ports, seeds)
+	front := func(ip string) string { return fmt.Sprintf("%s:%d", ip, ports) }
+	missing := func(ip, n string) bool {
+		_, line := s.call(front(ip), http.MethodGet, "/bundles/blue", "")
+		return strings.Contains(line, "missing="+n)
+	}
+	s.show("query", front(one), http.MethodGet, "/bundles/blue", "")
+	s.store.Set("evacuations", "elsewhere", `{}`)
+	s.store.Set("evacuations", "picton-shed", `{}`)
+	s.until("the zone is left alone", func() bool { return missing(one, "1") })
+	s.show("query while the zone is evacuated", front(one), http.MethodGet, "/bundles/blue", "")
+	s.show("write to a service that is only there", front(one), http.MethodPost, "/desk/drop", "three bags")
+
+	s.store.Fail(http.StatusServiceUnavailable)
+	s.host("host-2", two, ports, seeds)
+	s.show("query at a host that started in it, without the store", front(two), http.MethodGet, "/bundles/blue", "")
+	s.store.Fail(0)
+
+	s.store.Delete("evacuations", "picton-shed")
+	s.until("the zone is used again at both", func() bool { return missing(one, "0") && missing(two, "0") })
+	s.show("query after the zone was released", front(two), http.MethodGet, "/bundles/blue", "")
+	s.show("write after it", front(one), http.MethodPost, "/desk/drop", "three bags")
+	s.compare("testdata/platform_evacuation.txt")
+}
+
 // compare holds what clients saw against a golden file.
 func (s *session) compare(golden string) {
 	if *update {
