endpoints, coldshare: Send a cold replica no more than it bears

Cause: nothing read coldPerS. Ruled out: a bucket for each host, filled by its share: 67 hosts with a saved request each send them in one second; to ask the health path after a release, since checks are dear and each host would ask; to wait for the row, which comes a heartbeat after the release. Change: each host has a whole number of requests in any second at a cold replica, by the list of hosts, those left over going to the hosts that rank first for the replica. A host that sees half of the hosts of the last minute or less, or has just started, has none. A released zone's replicas count as cold for as long as they would be after a start. What is beyond the number goes to other replicas, or waits like at a full one. Tests: the numbers add up at 1, 6, 73, 295 and 5,600 hosts; they stay in the bound where lists differ by a sixth; cut off and just started hosts; 400 tries at a released zone.

--- a/core/route/config.go
+++ b/core/route/config.go
@@ -51,6 +51,10 @@
 type Service struct {
 	// MaxConns is the most connections that a replica accepts from all hosts together.
 	MaxConns int
+	// ColdFor is how long a replica is cold after its start.
+	ColdFor time.Duration
+	// ColdPerSecond is how many requests a second a cold replica bears from all hosts together; zero where it bears as many as a warm one.
+	ColdPerSecond float64
 }
 
 // Limits bounds what a client may send; zero values mean no limit.
--- a/entry/internal/endpoints/evacuation_test.go
+++ b/entry/internal/endpoints/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 
 	"guavaspring.org/core/clock"
 	"guavaspring.org/core/opaque"
+	"guavaspring.org/core/route"
 	"guavaspring.org/core/upstream"
 	"guavaspring.org/entry/internal/endpoints"
 	"guavaspring.org/entry/internal/pick"
@@ -26,6 +28,8 @@
 	*endpoints.Table
 	replicas  []*replicatest.Replica
 	evacuated atomic.Value
+	// share is how many requests a second the host may send to a cold replica.
+	share int
 }
 
 func newZonedTable(f *replicatest.Farm, dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error), zones ...string) *zonedTable {
@@ -35,6 +39,7 @@
 	t.Table = endpoints.New(endpoints.Options{
 		Clock: clock.System{}, Log: logr.Discard(), Zone: "a", Codec: &codec, Dial: dial, Share: func() float64 { return 1 },
 		Evacuated: func(zone string) bool { return t.evacuated.Load() == zone },
+		ColdShare: func(string, float64) int { return t.share },
 	})
 	for i, zone := range zones {
 		r := f.Add("s", i, replicatest.OK("s-"+zone, 0, "x"))
@@ -125,3 +130,42 @@
 		qt.Assert(t, first(), qt.Equals, "a")
 	})
 }
+
+// A zone is released and its replica is cold, which its row says only later: it bears six requests a second, of which this host may send two. All that comes
+// beyond goes to the other replica until the time is over; where there is no other one it waits rather than let the replica crash.
+func TestColdReplicaGetsWhatItBears(t *testing.T) {
+	for _, zones := range [][]string{{"a", "b"}, {"a"}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := replicatest.New()
+			table := newZonedTable(f, f.Dial, zones...)
+			table.share = 2
+			table.SetLimits(map[string]route.Service{"s": {MaxConns: 100, ColdFor: 3 * time.Second, ColdPerSecond: 6}})
+			table.evacuate("a")
+			table.evacuate("")
+			s := table.Service("s")
+			need := endpoints.Need{Need: pick.Need{Usual: 10 * time.Millisecond, Within: 100 * time.Millisecond}}
+			cold, warm, waits := 0, 0, 0
+			for n := range 400 {
+				c, verdict := s.Pick(time.Now(), need, func() float64 { return 0 })
+				if verdict == endpoints.Found {
+					req := &opaque.Request{ID: fmt.Sprintf("q%d", n), Method: "GET", Target: "/", Path: "/", Host: "h"}
+					go c.Replica.Send(t.Context(), endpoints.Call{Request: req, Deadline: time.Now().Add(time.Second), Connections: 9})
+				}
+				switch {
+				case verdict == endpoints.Busy:
+					waits++
+				case c.Replica.Zone() == "a" && n < 300:
+					cold++
+				default:
+					warm++
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			qt.Check(t, cold <= 6, qt.IsTrue, qt.Commentf("%d while it was cold", cold))
+			qt.Check(t, cold > 0, qt.Equals, len(zones) == 1)
+			qt.Check(t, warm+waits, qt.Equals, 400-cold)
+			qt.Check(t, waits > 0, qt.Equals, len(zones) == 1)
+			f.Close()
+		})
+	}
+}
--- a/entry/internal/endpoints/replica.go
+++ b/entry/internal/endpoints/replica.go
@@ -44,6 +44,8 @@
 	pool    *exchange.Pool
 	// evacuated reports whether nothing may be sent to the replicas of a zone.
 	evacuated func(zone string) bool
+	// coldShare returns how many requests this host may send to the replica in a second while it is cold.
+	coldShare func(replica string, perSecond float64) int
 
 	mu     sync.Mutex
 	row    platform.Replica
@@ -51,6 +53,9 @@
 	// lapsed is when a row that vanished while the store was away counts as gone; zero where it is listed.
 	lapsed  time.Time
 	coldEnd time.Time
+	// spared says that the replica's zone was evacuated when the table last looked, coldSent when requests were sent to it while it was cold.
+	spared   bool
+	coldSent []time.Time
 	// running holds the starts of the requests under way, in no order.
 	running map[uint64]time.Time
 	next    uint64
@@ -184,14 +189,6 @@
 
 func (r *Replica) failuresAt(now time.Time) float64 { return r.failures * r.fade(now) }
 
-// noteCold takes over from the row how long the replica stays cold. That may begin anew at any time, as when its zone was evacuated for a while: it is
-// slow then, though all that this host has seen of it was quick.
-func (r *Replica) noteCold(now time.Time) {
-	if r.row.Cold > 0 {
-		r.coldEnd = now.Add(r.row.Cold)
-	}
-}
-
 // view returns what a decision needs, whether the replica is left alone for a while, and whether it may be used at all.
 func (r *Replica) view(now time.Time) (v pick.Replica, resting, usable bool) {
 	r.mu.Lock()
@@ -223,6 +220,9 @@
 // Send sends one request, unless the replica was found leaving meanwhile, and learns from how it ends.
 func (r *Replica) Send(ctx context.Context, call Call) exchange.Result {
 	began := r.clock.Now()
+	if !r.takeCold(began) {
+		return exchange.Result{Kind: upstream.KindNotSent, Detail: errCold.Error(), Busy: true}
+	}
 	n := r.begin(began)
 	if !call.ForOther {
 		r.service.Begin(began)
--- a/entry/internal/endpoints/rows.go
+++ b/entry/internal/endpoints/rows.go
@@ -92,7 +92,7 @@
 		r.usable = row.State != platform.StateLeaving
 	}
 	r.row, r.lapsed = row, time.Time{}
-	r.noteCold(t.opts.Clock.Now())
+	r.noteRow(t.opts.Clock.Now())
 }
 
 // restart drops a process whose replica has started again. What is under way there is lost, and nobody waits for it: where the host of
@@ -108,7 +108,7 @@
 func (t *Table) add(row platform.Replica, now time.Time) {
 	near := row.Zone == t.opts.Zone
 	r := &Replica{
-		clock: t.opts.Clock, service: t.service(row.Service), near: near, evacuated: t.opts.Evacuated, row: row, usable: row.State != platform.StateLeaving,
+		clock: t.opts.Clock, service: t.service(row.Service), near: near, evacuated: t.opts.Evacuated, coldShare: t.opts.ColdShare, row: row, usable: row.State != platform.StateLeaving,
 		running: map[uint64]time.Time{}, slowness: 1, seen: now,
 		pool: exchange.New(exchange.Options{
 			Clock: t.opts.Clock, Addr: row.Addr, Codec: t.opts.Codec, Dial: t.opts.Dial,
@@ -118,7 +118,8 @@
 	if t.listed {
 		r.coldEnd = now.Add(coldFor)
 	}
-	r.noteCold(now)
+	r.noteRow(now)
+	r.noteEvacuation(now)
 	t.replicas[row.ID] = r
 	events.ReplicaSeen.Log(t.opts.Log, "replica", row.ID, "service", row.Service, "addr", row.Addr.String(), "state", row.State)
 }
--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -32,6 +32,8 @@
 	list atomic.Pointer[[]*Replica]
 	// zones are the availability zones that hold a replica which serves.
 	zones atomic.Pointer[zones]
+	// cold is what the service's replicas bear while they are cold.
+	cold atomic.Pointer[cold]
 	// conns is the most connections that this host may hold to each replica.
 	conns atomic.Int64
 	// part returns which part of all requests this host sends.
@@ -154,7 +156,7 @@
 		}
 		t := pick.Estimate(v, need.Usual, draw())
 		switch {
-		case v.Running >= room.Most(v.Slots, part, use) || !r.pool.Free(s.Connections()):
+		case v.Running >= room.Most(v.Slots, part, use) || !s.admits(r, v, now):
 			if busy < 0 || t < busy {
 				busy = t
 			}
@@ -177,6 +179,11 @@
 	return best, Found
 }
 
+// admits reports whether a replica takes one more request of this host now: a connection is left, and one that is cold bears it.
+func (s *Service) admits(r *Replica, seen pick.Replica, now time.Time) bool {
+	return r.pool.Free(s.Connections()) && (!seen.Cold || r.bearsCold(now))
+}
+
 func (c *Choice) offer(r *Replica, t time.Duration, seen pick.Replica, need Need) {
 	if c.Replica == nil || need.Before(seen, t, c.Seen, c.Estimate) {
 		c.Replica, c.Estimate, c.Seen = r, t, seen
--- a/entry/internal/endpoints/table.go
+++ b/entry/internal/endpoints/table.go
@@ -45,6 +45,8 @@
 	Share func() float64
 	// Evacuated reports whether nothing may be sent to the replicas of an availability zone; nil means that no zone is evacuated.
 	Evacuated func(zone string) bool
+	// ColdShare returns how many requests this host may send in any second to a cold replica that bears a number of them; nil means as many as it bears.
+	ColdShare func(replica string, perSecond float64) int
 	// Dial opens a connection to a replica; nil means TCP.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	// Opened returns what is used in place of a new connection to a replica in the own zone, or in another; nil means the connection itself.
@@ -73,6 +75,9 @@
 	if opts.Opened == nil {
 		opts.Opened = func(c net.Conn, _ bool) net.Conn { return c }
 	}
+	if opts.ColdShare == nil {
+		opts.ColdShare = func(_ string, perSecond float64) int { return int(perSecond) }
+	}
 	if opts.Evacuated == nil {
 		opts.Evacuated = func(string) bool { return false }
 	}
@@ -93,6 +98,7 @@
 		s.list.Store(&[]*Replica{})
 		s.zones.Store(&zones{})
 		s.conns.Store(int64(t.connections(name)))
+		s.cold.Store(coldOf(t.limits[name]))
 		t.services[name] = s
 	}
 	return s
@@ -113,6 +119,7 @@
 	t.limits = limits
 	for name, s := range t.services {
 		s.conns.Store(int64(t.connections(name)))
+		s.cold.Store(coldOf(limits[name]))
 	}
 }
 
@@ -148,6 +155,10 @@
 func (t *Table) Refresh() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.opts.Clock.Now()
+	for _, r := range t.replicas {
+		r.noteEvacuation(now)
+	}
 	t.publish()
 }
 
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -22,6 +22,7 @@
 	"guavaspring.org/core/opaque"
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/route"
+	"guavaspring.org/entry/internal/coldshare"
 	"guavaspring.org/entry/internal/drainer"
 	"guavaspring.org/entry/internal/endpoints"
 	"guavaspring.org/entry/internal/evacuation"
@@ -29,6 +30,7 @@
 	"guavaspring.org/entry/internal/forward"
 	"guavaspring.org/entry/internal/frontmetrics"
 	"guavaspring.org/entry/internal/idle"
+	"guavaspring.org/entry/internal/member"
 	"guavaspring.org/entry/internal/quarantine"
 	"guavaspring.org/entry/internal/requestlog"
 	"guavaspring.org/entry/internal/rumor"
@@ -117,6 +119,7 @@
 	drain  *drainer.Drainer
 	table  *endpoints.Table
 	zones  *evacuation.Zones
+	cold   *coldshare.Shares
 	config atomic.Pointer[route.Table]
 	joined *joined
 	began  time.Time
@@ -141,7 +144,7 @@
 	f.drain = drainer.New(drainer.Options{Clock: opts.Clock, Announce: f.announce, Grace: func() time.Duration { return opts.Grace - finishIn }})
 	f.zones = evacuation.New(evacuation.Options{Clock: opts.Clock, Log: opts.Log, Changed: func() { f.table.Refresh() }})
 	f.table = endpoints.New(endpoints.Options{
-		Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Share: f.part, Evacuated: f.zones.Has,
+		Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Share: f.part, Evacuated: f.zones.Has, ColdShare: f.coldShare,
 		Opened: func(c net.Conn, near bool) net.Conn { return opts.Traffic.Conn(c, traffic.Replicas, !near) },
 	})
 	f.crashers = f.newQuarantine()
@@ -151,6 +154,10 @@
 		return nil, err
 	}
 	f.joined = j
+	f.cold = coldshare.New(coldshare.Options{
+		Clock: opts.Clock, Self: func() string { return j.list.Self().ID }, Settled: f.settled,
+		Hosts: func() (all, serving []member.Host) { return j.list.Hosts(), j.place().serving },
+	})
 	j.rumors.Subscribe(rumor.KindQuarantine, f.crashers.Heard)
 	f.log = requestlog.New(requestlog.Options{Clock: opts.Clock, Log: opts.Log, Dropped: opts.LinesLost})
 	f.counts = f.newMetrics()
@@ -243,6 +250,11 @@
 // part returns which part of what all hosts together may do this one takes.
 func (f *Front) part() float64 { return f.joined.share() }
 
+// coldShare returns how many requests a second this host may send to a cold replica.
+func (f *Front) coldShare(replica string, perSecond float64) int {
+	return f.cold.Of(replica, perSecond)
+}
+
 func (f *Front) ready() error {
 	switch {
 	case f.drain.Leaving():
