homes, front: Keep requests in their home regions, and send clients where they may be seen

Cause: homeRegions of routes was not read, and the directory named all hosts to every client whatever its region. Ruled out: to filter in the gather alone (single tries, second tries and tries for other hosts choose replicas by the same call, which asks now). Change: Need.Homes at each choice; a request none of whose shards' homes serve is refused before anything is sent; no other host gathers for a host outside the homes; a client is sent to its own region's hosts, else to those of the homes of its name, else anywhere if the name has none.

--- a/core/route/config.go
+++ b/core/route/config.go
@@ -34,6 +34,8 @@
 	Split []Share
 	// Shards holds the services that each hold one shard of the index; it is empty unless the route is a query over all of them.
 	Shards []string
+	// Homes are the regions in which alone requests may run; none means any.
+	Homes []string
 	// TopK is how many of the greatest records an answer holds.
 	TopK int
 	// LeastShare is the share of the shards, 0 to 1, below which an answer is no success.
--- a/entry/internal/endpoints/evacuation_test.go
+++ b/entry/internal/endpoints/evacuation_test.go
@@ -37,7 +37,7 @@
 	t.evacuated.Store("")
 	codec := wire.Codec()
 	t.Table = endpoints.New(endpoints.Options{
-		Clock: clock.System{}, Log: logr.Discard(), Zone: "a", Codec: &codec, Dial: dial, Share: func() float64 { return 1 },
+		Clock: clock.System{}, Log: logr.Discard(), Zone: "a", Regions: map[string]string{"a": "near", "b": "far"}, Codec: &codec, Dial: dial, Share: func() float64 { return 1 },
 		Evacuated: func(zone string) bool { return t.evacuated.Load() == zone },
 		ColdShare: func(string, float64) int { return t.share },
 	})
@@ -81,16 +81,40 @@
 		near, zones := s.Zones()
 		qt.Check(t, near, qt.Equals, test.near, c)
 		qt.Check(t, zones, qt.HasLen, test.zones, c)
-		qt.Check(t, s.Served(), qt.IsTrue, c)
+		qt.Check(t, s.Served(nil), qt.IsTrue, c)
 	}
 
 	alone := newZonedTable(replicatest.New(), f.Dial, "a")
 	alone.evacuate("a")
-	qt.Assert(t, alone.Service("s").Served(), qt.IsFalse)
+	qt.Assert(t, alone.Service("s").Served(nil), qt.IsFalse)
 	_, verdict := alone.Service("s").Pick(time.Now(), need, func() float64 { return 0 })
 	qt.Assert(t, verdict, qt.Equals, endpoints.None)
 }
 
+// A request may run in one region only, where the nearest replica is not. It must run there or not at all, however slow that is, also when that region's zone
+// is evacuated.
+func TestHomesAreKept(t *testing.T) {
+	f := replicatest.New()
+	table := newZonedTable(f, f.Dial, "a", "b", "c")
+	s := table.Service("s")
+	tests := []struct {
+		homes     []string
+		evacuated string
+		want      string
+	}{{nil, "", "a"}, {[]string{"far"}, "", "b"}, {[]string{"far", "near"}, "", "a"}, {[]string{"far"}, "b", ""}, {[]string{"elsewhere"}, "", ""}, {[]string{"far"}, "a", "b"}}
+	for _, test := range tests {
+		table.evacuate(test.evacuated)
+		need := endpoints.Need{Need: pick.Need{Usual: 10 * time.Millisecond, Within: 100 * time.Millisecond}, Homes: test.homes}
+		c, verdict := s.Pick(time.Now(), need, func() float64 { return 0 })
+		comment := qt.Commentf("%v, %q is evacuated", test.homes, test.evacuated)
+		qt.Check(t, verdict == endpoints.Found, qt.Equals, test.want != "", comment)
+		qt.Check(t, s.Served(test.homes), qt.Equals, test.want != "", comment)
+		if verdict == endpoints.Found {
+			qt.Check(t, c.Replica.Zone(), qt.Equals, test.want, comment)
+		}
+	}
+}
+
 // A request has chosen its replica and waits for a connection as the zone is evacuated. Connecting may take as long as the operator's bound, so the
 // request must not leave afterwards.
 func TestEvacuatedWhileConnecting(t *testing.T) {
--- a/entry/internal/endpoints/replica.go
+++ b/entry/internal/endpoints/replica.go
@@ -40,6 +40,7 @@
 type Replica struct {
 	clock   clock.Clock
 	near    bool
+	region  string
 	service *Service
 	pool    *exchange.Pool
 	// evacuated reports whether nothing may be sent to the replicas of a zone.
--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"guavaspring.org/entry/internal/homes"
 	"guavaspring.org/entry/internal/pick"
 	"guavaspring.org/entry/internal/queueing"
 	"guavaspring.org/entry/internal/room"
@@ -104,8 +105,8 @@
 
 // zones is where a service's serving replicas are; near says that one is in the host's own zone.
 type zones struct {
-	near  bool
-	names []string
+	near           bool
+	names, regions []string
 }
 
 // Zones returns the availability zones that hold a replica which neither leaves nor stands in an evacuated zone, and whether the host's own is one of them; the slice must not be
@@ -115,8 +116,11 @@
 	return z.near, z.names
 }
 
-// Served reports whether a replica serves: one that is listed, does not leave, and does not stand in an evacuated zone.
-func (s *Service) Served() bool { return len(s.zones.Load().names) > 0 }
+// Served reports whether a replica serves in one of some regions, or anywhere where there are none: one that is listed, does not leave, and does not
+// stand in an evacuated zone.
+func (s *Service) Served(in []string) bool {
+	return slices.ContainsFunc(s.zones.Load().regions, func(region string) bool { return homes.Allow(in, region) })
+}
 
 // Replicas returns the replicas that are listed; the slice must not be changed.
 func (s *Service) Replicas() []*Replica { return *s.list.Load() }
@@ -124,6 +128,8 @@
 // Need is what a request asks of a choice.
 type Need struct {
 	pick.Need
+	// Homes are the regions in which alone the request may run; none means any.
+	Homes []string
 	// Tried holds the replicas that had a try of the request.
 	Tried []*Replica
 }
@@ -147,7 +153,7 @@
 	use, part := s.use(now), s.part()
 	need.Queues = use >= occupiedFrom
 	for _, r := range s.Replicas() {
-		if slices.Contains(need.Tried, r) {
+		if slices.Contains(need.Tried, r) || !homes.Allow(need.Homes, r.region) {
 			continue
 		}
 		v, resting, usable := r.view(now)
--- a/entry/internal/endpoints/table.go
+++ b/entry/internal/endpoints/table.go
@@ -38,9 +38,11 @@
 	Clock clock.Clock
 	Log   logr.Logger
 	// Zone is the host's own availability zone.
-	Zone  string
-	Codec *opaque.Codec
-	Spend spend.Options
+	Zone string
+	// Regions holds the region of each availability zone; a zone that is not in it has none, and is no request's home.
+	Regions map[string]string
+	Codec   *opaque.Codec
+	Spend   spend.Options
 	// Share returns the part, 0 to 1, of what all hosts together may do that this host takes.
 	Share func() float64
 	// Evacuated reports whether nothing may be sent to the replicas of an availability zone; nil means that no zone is evacuated.
@@ -278,6 +280,9 @@
 			continue
 		}
 		z.near = z.near || r.near
+		if !slices.Contains(z.regions, r.region) {
+			z.regions = append(z.regions, r.region)
+		}
 		if !slices.Contains(z.names, r.row.Zone) {
 			z.names = append(z.names, r.row.Zone)
 		}
--- a/entry/internal/front/config_test.go
+++ b/entry/internal/front/config_test.go
@@ -12,6 +12,7 @@
 
 	"guavaspring.org/core/clock"
 	"guavaspring.org/core/feed"
+	"guavaspring.org/core/opaque"
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/route"
 	"guavaspring.org/entry/internal/frontmetrics"
@@ -53,13 +54,13 @@
 func TestNotReadyBeforeConfig(t *testing.T) {
 	f := newFront(t)
 	qt.Assert(t, f.ready(), qt.ErrorMatches, "the configuration is not known yet")
-	_, _, err := f.addresses("r", "a")
+	_, _, err := f.addresses(opaque.Caller{Region: "r", Zone: "a"})
 	qt.Assert(t, err, qt.ErrorMatches, "no host is known to serve")
 	f.applyConfig(version(1))
 	qt.Assert(t, f.ready(), qt.ErrorMatches, "the configuration is not known yet")
 	f.table.Replace(feed.Batch[platform.Replica]{Revision: 1}, false)
 	qt.Assert(t, f.ready(), qt.IsNil)
-	list, keep, err := f.addresses("r", "a")
+	list, keep, err := f.addresses(opaque.Caller{Region: "r", Zone: "a"})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, len(list), qt.Equals, 1)
 	qt.Assert(t, keep <= keepFor, qt.IsTrue)
@@ -76,7 +77,7 @@
 	cancel()
 	qt.Assert(t, f.drain.Leave(ctx), qt.IsNil)
 	qt.Assert(t, f.ready(), qt.ErrorMatches, "the host is leaving.*")
-	_, _, err := f.addresses("r", "a")
+	_, _, err := f.addresses(opaque.Caller{Region: "r", Zone: "a"})
 	qt.Assert(t, err, qt.ErrorMatches, "no host is known to serve")
 }
 
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -29,6 +29,7 @@
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/forward"
 	"guavaspring.org/entry/internal/frontmetrics"
+	"guavaspring.org/entry/internal/homes"
 	"guavaspring.org/entry/internal/idle"
 	"guavaspring.org/entry/internal/member"
 	"guavaspring.org/entry/internal/quarantine"
@@ -83,6 +84,8 @@
 	Clock        clock.Clock
 	Log          logr.Logger
 	Zone, Region string
+	// Regions holds the region of each availability zone.
+	Regions map[string]string
 	// Front is for clients, Readiness for the platform's checks, Directory for clients that ask for addresses, Peer for the other hosts.
 	Front, Readiness, Directory, Peer netip.AddrPort
 	// Seeds returns addresses of other hosts that may be alive.
@@ -90,7 +93,7 @@
 	Store Store
 	Codec opaque.Codec
 	// Resolve and Ready make the handlers of the directory and of the platform's checks.
-	Resolve func(answer func(region, zone string) ([]netip.AddrPort, time.Duration, error)) http.Handler
+	Resolve func(answer func(opaque.Caller) ([]netip.AddrPort, time.Duration, error)) http.Handler
 	Ready   func(ready func() error) http.Handler
 	// Grace is the time between the order to stop and the kill.
 	Grace time.Duration
@@ -144,7 +147,7 @@
 	f.drain = drainer.New(drainer.Options{Clock: opts.Clock, Announce: f.announce, Grace: func() time.Duration { return opts.Grace - finishIn }})
 	f.zones = evacuation.New(evacuation.Options{Clock: opts.Clock, Log: opts.Log, Changed: func() { f.table.Refresh() }})
 	f.table = endpoints.New(endpoints.Options{
-		Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Share: f.part, Evacuated: f.zones.Has, ColdShare: f.coldShare,
+		Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Share: f.part, Evacuated: f.zones.Has, ColdShare: f.coldShare, Regions: opts.Regions,
 		Opened: func(c net.Conn, near bool) net.Conn { return opts.Traffic.Conn(c, traffic.Replicas, !near) },
 	})
 	f.crashers = f.newQuarantine()
@@ -202,7 +205,7 @@
 func (f *Front) servers() []transport.Server {
 	fwd := forward.New(forward.Options{
 		Clock: f.opts.Clock, Log: f.opts.Log, Codec: &f.opts.Codec, Config: f.config.Load, Table: f.table, Known: f.known, Await: f.startup.Await,
-		Runner: scatter.New(scatter.Options{Clock: f.opts.Clock, Share: f.part, Quarantine: f.crashers, Subqueries: f.subqueries()}), Quarantine: f.crashers,
+		Runner: scatter.New(scatter.Options{Clock: f.opts.Clock, Share: f.part, Quarantine: f.crashers, Subqueries: f.subqueries(), Region: f.opts.Region}), Quarantine: f.crashers,
 		Requests: f.log, Ended: f.ended, Refused: f.counts.Refused,
 	})
 	clients := f.server(f.opts.Front, f.drain.Filter(fwd))
@@ -272,14 +275,32 @@
 // A host that can't serve yet does not name itself. When all hosts have lost power and are back, most of those that are asked know nobody, and are weak:
 // clients that get no address go on with the strong hosts that they knew, and those that got a weak one that had still to read 150 KB of replicas
 // over its slow link were answered late.
-func (f *Front) addresses(_, _ string) ([]netip.AddrPort, time.Duration, error) {
-	list := f.joined.addresses(f.ready() == nil)
+func (f *Front) addresses(c opaque.Caller) ([]netip.AddrPort, time.Duration, error) {
+	list := addressesOf(f.nearest(c, f.joined.addresses(f.ready() == nil)))
 	if len(list) == 0 {
 		return nil, 0, errors.New("no host is known to serve")
 	}
 	return list, min(keepFor, f.opts.MaxKeep), nil
 }
 
+// nearest returns the hosts to which a client is sent, of those that serve.
+func (f *Front) nearest(c opaque.Caller, serving []member.Host) []member.Host {
+	t := f.config.Load()
+	if t == nil {
+		return homes.Nearest(serving, c.Region, nil, false)
+	}
+	regions, bound := homes.Of(t.Config(), c.Host)
+	return homes.Nearest(serving, c.Region, regions, bound)
+}
+
+func addressesOf(hosts []member.Host) []netip.AddrPort {
+	list := make([]netip.AddrPort, len(hosts))
+	for i, h := range hosts {
+		list[i] = h.Caller
+	}
+	return list
+}
+
 func (f *Front) announce(ctx context.Context) {
 	events.Stopping.Log(f.opts.Log, "in_flight", f.drain.Running(), "grace", f.opts.Grace.String())
 	f.joined.peers.Leave(ctx)
--- a/entry/internal/front/joined.go
+++ b/entry/internal/front/joined.go
@@ -163,12 +163,12 @@
 
 // addresses returns the hosts that serve, this one included where self is set. A host that is suspected is left out as long as
 // another is known: a connection to one that has lost power costs a client a second.
-func (j *joined) addresses(self bool) []netip.AddrPort {
+func (j *joined) addresses(self bool) []member.Host {
 	own := j.list.Self()
-	var serving, suspect []netip.AddrPort
+	var serving, suspect []member.Host
 	for _, h := range j.place().serving {
 		if h.ID != own.ID || self {
-			serving = append(serving, h.Caller)
+			serving = append(serving, h)
 		}
 	}
 	if len(serving) > 0 {
@@ -176,7 +176,7 @@
 	}
 	for _, h := range j.list.Hosts() {
 		if h.ID != own.ID && h.State == member.StateSuspect {
-			suspect = append(suspect, h.Caller)
+			suspect = append(suspect, h)
 		}
 	}
 	return suspect
--- /dev/null
+++ b/entry/internal/homes/doc.go
@@ -0,0 +1,2 @@
+// Package homes decides in which regions a request may run and which hosts its clients are sent to.
+package homes
--- /dev/null
+++ b/entry/internal/homes/homes_test.go
@@ -0,0 +1,51 @@
+package homes_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/route"
+	"guavaspring.org/entry/internal/homes"
+	"guavaspring.org/entry/internal/member"
+)
+
+// A client asks where to connect. What it will send may be seen in its own region and in the homes of its requests, and nowhere else, also when its own
+// region has no host left and the homes are far; without homes any host is better than none.
+func TestNearest(t *testing.T) {
+	hosts := []member.Host{{ID: "e1", Region: "east"}, {ID: "w1", Region: "west"}, {ID: "w2", Region: "west"}, {ID: "n1", Region: "north"}}
+	tests := []struct {
+		name, region string
+		homes        []string
+		bound        bool
+		want         []string
+	}{
+		{"the own region", "west", nil, false, []string{"w1", "w2"}},
+		{"the own region, which is no home", "east", []string{"west"}, true, []string{"e1"}},
+		{"a home, as the own region has no host", "south", []string{"north", "east"}, true, []string{"e1", "n1"}},
+		{"no home has a host", "south", []string{"far"}, true, nil},
+		{"routes whose homes have nothing in common", "south", nil, true, nil},
+		{"anywhere", "south", nil, false, []string{"e1", "w1", "w2", "n1"}},
+	}
+	for _, test := range tests {
+		var got []string
+		for _, h := range homes.Nearest(hosts, test.region, test.homes, test.bound) {
+			got = append(got, h.ID)
+		}
+		qt.Check(t, got, qt.DeepEquals, test.want, qt.Commentf(test.name))
+	}
+}
+
+// Two routes of a name have homes, and a third has none. A client may send on any of them, so that it is sent where both may be seen.
+func TestHomesOfAName(t *testing.T) {
+	cfg := &route.Config{Routes: []route.Route{
+		{Host: "a", Homes: []string{"east", "west"}}, {Host: "a", Homes: []string{"west", "north"}}, {Host: "a"}, {Host: "b"},
+	}}
+	got, bound := homes.Of(cfg, "a")
+	qt.Assert(t, got, qt.DeepEquals, []string{"west"})
+	qt.Assert(t, bound, qt.IsTrue)
+	_, bound = homes.Of(cfg, "b")
+	qt.Assert(t, bound, qt.IsFalse)
+	qt.Assert(t, homes.Allow(nil, "east"), qt.IsTrue)
+	qt.Assert(t, homes.Allow([]string{"west"}, "east"), qt.IsFalse)
+}
--- a/entry/internal/scatter/scatter.go
+++ b/entry/internal/scatter/scatter.go
@@ -61,6 +61,8 @@
 	Quarantine *quarantine.Quarantine
 	// Subqueries is how parts of queries are asked through other hosts; the zero value asks all shards directly.
 	Subqueries Subqueries
+	// Region is the host's own, in which the hosts are that gather for it.
+	Region string
 }
 
 // Runner runs requests.
--- a/entry/internal/scatter/subqueries.go
+++ b/entry/internal/scatter/subqueries.go
@@ -14,6 +14,7 @@
 	"guavaspring.org/entry/internal/crossing"
 	"guavaspring.org/entry/internal/endpoints"
 	"guavaspring.org/entry/internal/exchange"
+	"guavaspring.org/entry/internal/homes"
 	"guavaspring.org/entry/internal/subquery"
 )
 
@@ -67,6 +68,10 @@
 	if sub.Zones == nil || len(p.Route.Shards) == 0 || !p.Route.Idempotent || p.Suspect || !p.bearsSubqueries() {
 		return
 	}
+	if !homes.Allow(p.Route.Homes, p.run.opts.Region) {
+		// Only the host that the client chose may see the request outside its homes.
+		return
+	}
 	shards := make([]crossing.Shard, len(p.Shards))
 	for i, s := range p.Shards {
 		shards[i].Near, shards[i].Zones = s.Zones()
@@ -107,7 +112,7 @@
 	p.report.Through += len(shards)
 	args := &subquery.Args{
 		Job: rand.Uint64(), Version: p.Version, Request: *p.Request, Shards: names, Top: p.Route.TopK, Left: p.Deadline.Sub(p.now), First: p.timing.hedge,
-		Within: p.cutoff().Sub(p.now), Usual: p.timing.usual, Unloaded: p.unloaded, Fingerprint: p.Fingerprint,
+		Within: p.cutoff().Sub(p.now), Usual: p.timing.usual, Unloaded: p.unloaded, Homes: p.Route.Homes, Fingerprint: p.Fingerprint,
 	}
 	go p.follow(sub, args)
 }
--- a/entry/internal/subquery/messages.go
+++ b/entry/internal/subquery/messages.go
@@ -22,6 +22,8 @@
 	Left, First, Within time.Duration
 	// Usual and Unloaded are the times of the route's replies, in all and while nothing queues.
 	Usual, Unloaded time.Duration
+	// Homes are the regions in which alone the request may run; none means any.
+	Homes []string
 	// Fingerprint names the request by its content.
 	Fingerprint string
 }
--- a/entry/internal/subquery/server.go
+++ b/entry/internal/subquery/server.go
@@ -127,7 +127,7 @@
 // try sends one try to the best replica of a shard.
 func (s *Server) try(j *job, args *Args, i int, now time.Time) {
 	svc := s.opts.Service(args.Shards[i])
-	c, verdict := svc.Pick(now, endpoints.Need{Need: pick.Need{Usual: args.Usual, Within: args.Within}}, s.opts.Draw)
+	c, verdict := svc.Pick(now, endpoints.Need{Need: pick.Need{Usual: args.Usual, Within: args.Within}, Homes: args.Homes}, s.opts.Draw)
 	if verdict != endpoints.Found {
 		j.untold = append(j.untold, ended{shard: i, res: exchange.Result{Kind: upstream.KindNotSent, Detail: "replicas at the other host: " + string(verdict)}})
 		return
--- a/entry/onplatform.go
+++ b/entry/onplatform.go
@@ -38,7 +38,7 @@
 	meter := &traffic.Meter{}
 	c := store.New(s.Store, func(conn net.Conn) net.Conn { return meter.Conn(conn, traffic.Store, true) })
 	f, err := front.New(front.Options{
-		Clock: clock.System{}, Log: log, Zone: s.Zone, Region: s.Region,
+		Clock: clock.System{}, Log: log, Zone: s.Zone, Region: s.Region, Regions: s.Regions,
 		Front: s.Front, Readiness: s.Readiness, Directory: s.Directory, Peer: s.Peer,
 		Seeds: func() []netip.AddrPort { return *seeds.Load() },
 		Store: front.Store{
