--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -134,6 +134,11 @@
 	Tried []*Replica
 }
 
+// excludes reports whether a replica is none for the request, whatever its state.
+func (n *Need) excludes(r *Replica) bool {
+	return slices.Contains(n.Tried, r) || !homes.Allow(n.Homes, r.region)
+}
+
 // Choice is a replica that was chosen, with what decided it.
 type Choice struct {
 	Replica *Replica
@@ -153,7 +158,7 @@
 	use, part := s.use(now), s.part()
 	need.Queues = use >= occupiedFrom
 	for _, r := range s.Replicas() {
-		if slices.Contains(need.Tried, r) || !homes.Allow(need.Homes, r.region) {
+		if need.excludes(r) {
 			continue
 		}
 		v, resting, usable := r.view(now)
