peers, placement: Let the hosts that callers are sent to look after each other

Cause: a host that lost power was known to half of the others after 4 s and to some after 8 s: each neighbour probes it once in eight seconds, and the suspicion travels with probes. Ruled out: faster probes of all hosts (the price of bytes); subqueries that fail as the sign (routes with a short objective send none). Change: each host that callers are sent to probes the next four of them each half second, and tells at once what it finds; whoever is accused tells at once that it lives. A host's part stays the same in any fleet.

--- a/entry/internal/front/joined.go
+++ b/entry/internal/front/joined.go
@@ -50,6 +50,8 @@
 	share   float64
 	// zones holds the serving hosts of other zones.
 	zones zoneHosts
+	// watched are the serving hosts that this one looks after.
+	watched []member.Host
 }
 
 // join opens the port for other hosts; the host joins once run is called.
@@ -80,6 +82,7 @@
 		Opened: func(c net.Conn, addr netip.AddrPort, use peers.Use) net.Conn {
 			return opts.Traffic.Conn(c, causes[use], j.crosses(addr))
 		},
+		Watched:  func() []member.Host { return j.place().watched },
 		Contacts: func() []netip.AddrPort { return append(j.directory.Contacts(), opts.Seeds()...) },
 	})
 	return j, err
@@ -194,7 +197,7 @@
 	if j.placed.list != &hosts[0] {
 		self := j.list.Self()
 		serving := placement.Serving(hosts)
-		j.placed = placed{list: &hosts[0], serving: serving, share: placement.Share(hosts, self.ID, leastHosts), zones: byZone(self, serving)}
+		j.placed = placed{list: &hosts[0], serving: serving, share: placement.Share(hosts, self.ID, leastHosts), zones: byZone(self, serving), watched: placement.Watched(hosts, self.ID)}
 	}
 	return j.placed
 }
--- a/entry/internal/member/list.go
+++ b/entry/internal/member/list.go
@@ -181,7 +181,8 @@
 
 func compareID(r *row, id string) int { return strings.Compare(r.ID, id) }
 
-// Merge takes over rows that another host sent as news, passes them on, and returns those that were news here.
+// Merge takes over rows that another host sent as news, passes them on, and returns those that were news here. Where a row accuses this host, that is
+// the row by which it refutes.
 func (l *List) Merge(now time.Time, rows []Host) []Host { return l.merge(now, rows, true) }
 
 // Learn takes over rows that were found by comparing tables, and doesn't pass them on: others have had them for long, and
@@ -192,7 +193,12 @@
 	l.mu.Lock()
 	for _, h := range rows {
 		_, queued := l.queue[h.ID]
-		if l.mergeOne(now, h) {
+		switch {
+		case h.ID == l.self.ID:
+			if l.refute(h) {
+				fresh = append(fresh, l.self)
+			}
+		case l.mergeOne(now, h):
 			fresh = append(fresh, h)
 		}
 		if !news && !queued && h.ID != l.self.ID {
@@ -212,10 +218,6 @@
 	if !h.valid() {
 		return false
 	}
-	if h.ID == l.self.ID {
-		l.refute(h)
-		return false
-	}
 	old, known := l.rows[h.ID]
 	if !known && h.State == StateDead {
 		// A tombstone of a host never known here would only travel on and never expire.
@@ -228,14 +230,15 @@
 	return true
 }
 
-// refute answers a suspicion against this host by a higher Epoch, which overrides the accusation wherever it went.
-func (l *List) refute(h Host) {
-	if h.Epoch < l.self.Epoch || h.Epoch == l.self.Epoch && h.State == l.self.State {
-		return
+// refute answers a suspicion against this host by a higher Epoch, which overrides the accusation wherever it went, and reports whether there was one.
+func (l *List) refute(h Host) bool {
+	if !h.valid() || h.Epoch < l.self.Epoch || h.Epoch == l.self.Epoch && h.State == l.self.State {
+		return false
 	}
 	l.self.Epoch = h.Epoch + 1
 	l.queue[l.self.ID] = 0
 	l.stale = true
+	return true
 }
 
 // put stores h, which the caller found to be newer, and queues it for the others.
--- a/entry/internal/member/probe.go
+++ b/entry/internal/member/probe.go
@@ -114,25 +114,28 @@
 	return []Host{r.Host}
 }
 
-// Receive takes over a message, whether a request or a reply.
-func (l *List) Receive(now time.Time, msg Message) {
-	l.Merge(now, msg.Rows)
+// Receive takes over a message, whether a request or a reply, and returns the rows that were news here.
+func (l *List) Receive(now time.Time, msg Message) []Host {
+	fresh := l.Merge(now, msg.Rows)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, m := range msg.Loads {
 		l.mergeLoad(m)
 	}
+	return fresh
 }
 
-// Unreachable says that neither a direct nor an indirect probe reached target with a probe sent at sent.
-func (l *List) Unreachable(now time.Time, target Host, sent time.Time) {
+// Unreachable says that neither a direct nor an indirect probe reached target with a probe sent at sent. It returns the row of a host that became suspect or
+// dead by that.
+func (l *List) Unreachable(now time.Time, target Host, sent time.Time) (Host, bool) {
 	l.mu.Lock()
 	r := l.rows[target.ID]
 	if r == nil || r.Epoch != target.Epoch || sent.Before(l.resumed) || now.Sub(l.lastTick) > pauseAfter {
 		l.mu.Unlock()
-		return
+		return Host{}, false
 	}
 	h := r.Host
+	was := h.State
 	switch r.State {
 	case StateAlive:
 		h.State = StateSuspect
@@ -148,6 +151,7 @@
 	}
 	l.mu.Unlock()
 	l.announce(changes)
+	return h, h.State != was
 }
 
 // Replaced says that another incarnation answered at target's address, which proves that target has ended.
--- a/entry/internal/peers/fleet_test.go
+++ b/entry/internal/peers/fleet_test.go
@@ -31,7 +31,11 @@
 	open   []*pipeEnd
 	// newsLost keeps hosts from telling their neighbours what is in force.
 	newsLost bool
-	dials    int
+	// dark holds the hosts that have lost power: nothing answers at their addresses.
+	dark  map[netip.AddrPort]bool
+	dials int
+	// watched returns the hosts that a host looks after besides its neighbours.
+	watched func(h *testHost) []member.Host
 }
 
 type testHost struct {
@@ -50,6 +54,8 @@
 type pipeEnd struct {
 	net.Conn
 	f *fleet
+	// to is the host that was dialled.
+	to netip.AddrPort
 }
 
 // Write pretends to have written once the connection is silent.
@@ -89,7 +95,14 @@
 // Addr returns the host's address.
 func (l *listener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.h.addr) }
 
-func (f *fleet) dial(_ context.Context, addr netip.AddrPort) (net.Conn, error) {
+func (f *fleet) dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	f.mu.Lock()
+	dark := f.dark[addr]
+	f.mu.Unlock()
+	if dark {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	h := f.hosts[addr]
@@ -98,7 +111,7 @@
 	}
 	f.dials++
 	a, b := net.Pipe()
-	near, far := &pipeEnd{Conn: a, f: f}, &pipeEnd{Conn: b, f: f}
+	near, far := &pipeEnd{Conn: a, f: f, to: addr}, &pipeEnd{Conn: b, f: f, to: addr}
 	f.open = append(f.open, near, far)
 	h.accept <- far
 	return near, nil
@@ -120,6 +133,26 @@
 	}
 }
 
+// watch lets hosts look after others.
+func (f *fleet) watch(watched func(h *testHost) []member.Host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watched = watched
+}
+
+// lose takes the power from a host.
+func (f *fleet) lose(h *testHost) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dark[h.addr] = true
+	for _, e := range f.open {
+		if e.to == h.addr {
+			f.silent[e] = true
+		}
+	}
+	h.cancel()
+}
+
 func addrOf(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
 }
@@ -140,6 +173,15 @@
 		Clock: clock.System{}, Log: logr.Discard(), Listener: &listener{h: h, stop: make(chan struct{})},
 		List: h.list, Store: h.store, Rumors: h.rumors, Listing: h.rows, Rand: rand.New(rand.NewPCG(uint64(i), 2)), Dial: f.dial,
 		Contacts: func() []netip.AddrPort { return []netip.AddrPort{addrOf(1)} },
+		Watched: func() []member.Host {
+			f.mu.Lock()
+			watched := f.watched
+			f.mu.Unlock()
+			if watched == nil {
+				return nil
+			}
+			return watched(h)
+		},
 		Replicas: func() []platform.Replica { return []platform.Replica{{ID: "r-1", Service: "donor-desk"}} },
 	})
 	if err != nil {
@@ -161,7 +203,7 @@
 // play runs a test over a fleet of n hosts that know each other, in virtual time.
 func play(t *testing.T, n int, f func(f *fleet, hosts []*testHost)) {
 	synctest.Test(t, func(t *testing.T) {
-		fl := &fleet{t: t, hosts: map[netip.AddrPort]*testHost{}, silent: map[net.Conn]bool{}}
+		fl := &fleet{t: t, hosts: map[netip.AddrPort]*testHost{}, silent: map[net.Conn]bool{}, dark: map[netip.AddrPort]bool{}}
 		var hosts []*testHost
 		for i := range n {
 			hosts = append(hosts, fl.start(i+1))
--- a/entry/internal/peers/methods.go
+++ b/entry/internal/peers/methods.go
@@ -20,7 +20,7 @@
 
 // Ask probes a host on behalf of another that can't reach it.
 func (m *Methods) Ask(args *AskArgs, reply *AskReply) error {
-	_, err := m.p.reach(context.Background(), args.Target)
+	_, err := m.p.reach(context.Background(), args.Target, probeTimeout)
 	reply.Reached = err == nil
 	return nil
 }
@@ -44,7 +44,7 @@
 // Tell takes over news.
 func (m *Methods) Tell(args *News, _ *struct{}) error {
 	m.p.hear(args.From, args.Marks, args.Rumors)
-	m.p.hearLeaving(args.Leaving)
+	m.p.hearHosts(args.Hosts)
 	m.p.hearReplicas(args.Replicas)
 	return nil
 }
--- a/entry/internal/peers/news.go
+++ b/entry/internal/peers/news.go
@@ -43,11 +43,11 @@
 	return true
 }
 
-// item is one piece of news: a mark, a rumor or a host that is stopping.
+// item is one piece of news: a mark, a rumor or the row of a host.
 type item struct {
-	mark    accepted.Mark
-	rumor   rumor.Rumor
-	leaving member.Host
+	mark  accepted.Mark
+	rumor rumor.Rumor
+	host  member.Host
 }
 
 // InForce tells the other hosts that gen is in force here.
@@ -96,8 +96,8 @@
 		switch {
 		case it.mark.Service != "":
 			news.Marks = append(news.Marks, it.mark)
-		case it.leaving.ID != "":
-			news.Leaving = append(news.Leaving, it.leaving)
+		case it.host.ID != "":
+			news.Hosts = append(news.Hosts, it.host)
 		default:
 			news.Rumors = append(news.Rumors, it.rumor)
 		}
@@ -132,10 +132,10 @@
 	}
 }
 
-// hearLeaving takes over that hosts are stopping, and passes on what is news here.
-func (p *Peers) hearLeaving(rows []member.Host) {
+// hearHosts takes over the rows of hosts and passes on what is news here; where this host is told to be out of reach, that is its own row.
+func (p *Peers) hearHosts(rows []member.Host) {
 	for _, h := range p.opts.List.Merge(p.opts.Clock.Now(), rows) {
-		p.news.Push(item{leaving: h})
+		p.news.Push(item{host: h})
 	}
 }
 
--- a/entry/internal/peers/peers.go
+++ b/entry/internal/peers/peers.go
@@ -57,6 +57,8 @@
 	// Contacts returns addresses of hosts that may be alive, from settings and the platform's directory.
 	Contacts func() []netip.AddrPort
 	Rand     *rand.Rand
+	// Watched returns the hosts that this one looks after besides its neighbours, whose loss all have to hear of at once; nil means none.
+	Watched func() []member.Host
 	// Services are further net/rpc services for the other hosts, by name.
 	Services map[string]any
 	// Dial opens a connection to another host; New takes TCP where it is nil.
@@ -137,6 +139,9 @@
 	duties.Go(func() { p.server.serve(ctx, p.opts.Listener) })
 	duties.Go(func() { p.every(ctx, tickEvery, func() { p.opts.List.Tick(p.opts.Clock.Now()) }) })
 	duties.Go(func() { p.probeAll(ctx) })
+	if p.opts.Watched != nil {
+		duties.Go(func() { p.watchAll(ctx) })
+	}
 	duties.Go(func() { p.seek(ctx) })
 	duties.Go(func() { p.tellNews(ctx) })
 	duties.Go(func() { p.tellReplicas(ctx) })
@@ -162,7 +167,7 @@
 func (p *Peers) Leave(ctx context.Context) {
 	p.opts.List.Leave()
 	self := p.opts.List.Self()
-	p.sendNews(ctx, &News{From: self.Peer, Leaving: []member.Host{self}})
+	p.sendNews(ctx, &News{From: self.Peer, Hosts: []member.Host{self}})
 }
 
 // probeAll probes one neighbour each ProbeEvery; a probe that hangs doesn't delay the next.
@@ -170,23 +175,24 @@
 	var running sync.WaitGroup
 	p.every(ctx, member.ProbeEvery, func() {
 		if target, ok := p.opts.List.Next(); ok {
-			running.Go(func() { p.check(ctx, target) })
+			running.Go(func() { p.check(ctx, target, probeTimeout, askTimeout) })
 		}
 	})
 	running.Wait()
 }
 
-// check probes target, asks others to do so if that fails, and reports it unreachable if they fail too.
-func (p *Peers) check(ctx context.Context, target member.Host) {
+// check probes target, asks others to do so if that fails, and reports it unreachable if they fail too. It returns the row of a host that became suspect by
+// that.
+func (p *Peers) check(ctx context.Context, target member.Host, probe, ask time.Duration) (member.Host, bool) {
 	sent := p.opts.Clock.Now()
-	err := p.probe(ctx, target)
+	err := p.probe(ctx, target, probe)
 	if err == nil || ctx.Err() != nil {
-		return
+		return member.Host{}, false
 	}
-	if p.askOthers(ctx, target) || ctx.Err() != nil {
-		return
+	if p.askOthers(ctx, target, ask) || ctx.Err() != nil {
+		return member.Host{}, false
 	}
-	p.opts.List.Unreachable(p.opts.Clock.Now(), target, sent)
+	return p.opts.List.Unreachable(p.opts.Clock.Now(), target, sent)
 }
 
 var errNobody = errors.New("no other host is known")
@@ -194,8 +200,8 @@
 var errReplaced = errors.New("another incarnation answers at the address")
 
 // probe exchanges packets with target and repairs what differs.
-func (p *Peers) probe(ctx context.Context, target member.Host) error {
-	sums, err := p.reach(ctx, target)
+func (p *Peers) probe(ctx context.Context, target member.Host, timeout time.Duration) error {
+	sums, err := p.reach(ctx, target, timeout)
 	if err != nil {
 		return err
 	}
@@ -204,10 +210,10 @@
 }
 
 // reach exchanges packets with target and returns its digests.
-func (p *Peers) reach(ctx context.Context, target member.Host) (Sums, error) {
+func (p *Peers) reach(ctx context.Context, target member.Host, timeout time.Duration) (Sums, error) {
 	args := p.packet(target.ID)
 	var reply Packet
-	if err := p.pool.call(ctx, target.Peer, probeTimeout, "Probe", &args, &reply); err != nil {
+	if err := p.pool.call(ctx, target.Peer, timeout, "Probe", &args, &reply); err != nil {
 		return Sums{}, err
 	}
 	p.receive(&reply)
@@ -218,13 +224,13 @@
 	return reply.Sums, nil
 }
 
-func (p *Peers) askOthers(ctx context.Context, target member.Host) bool {
+func (p *Peers) askOthers(ctx context.Context, target member.Host, timeout time.Duration) bool {
 	list := p.opts.List.IndirectProbers(target, indirectProbes)
 	found := make(chan bool, len(list))
 	for _, h := range list {
 		go func() {
 			var reply AskReply
-			err := p.pool.call(ctx, h.Peer, askTimeout, "Ask", &AskArgs{Target: target}, &reply)
+			err := p.pool.call(ctx, h.Peer, timeout, "Ask", &AskArgs{Target: target}, &reply)
 			found <- err == nil && reply.Reached
 		}()
 	}
@@ -240,7 +246,13 @@
 }
 
 func (p *Peers) receive(pkt *Packet) {
-	p.opts.List.Receive(p.opts.Clock.Now(), pkt.Member)
+	own := p.opts.List.Self().ID
+	for _, h := range p.opts.List.Receive(p.opts.Clock.Now(), pkt.Member) {
+		if h.ID == own {
+			// Callers are kept from this host until all have heard that it is alive; everything else travels with the probes.
+			p.news.Push(item{host: h})
+		}
+	}
 	p.hear(netip.AddrPort{}, nil, pkt.Rumors)
 }
 
--- a/entry/internal/placement/placement.go
+++ b/entry/internal/placement/placement.go
@@ -35,11 +35,14 @@
 //
 // It answers a fleet of a few strong hosts and many weak ones. Spread over all of them, each query waits for a slow link, each
 // host sees too little of a replica to know that it is slow, and the connections of a replica are shared among ninety.
-func Serving(hosts []member.Host) []member.Host {
+func Serving(hosts []member.Host) []member.Host { return serving(hosts, false) }
+
+// serving returns the hosts that clients are sent to, or would be if those that are suspected are alive.
+func serving(hosts []member.Host, suspected bool) []member.Host {
 	var alive []member.Host
 	var most member.Host
 	for _, h := range hosts {
-		if h.State == member.StateAlive {
+		if h.State == member.StateAlive || suspected && h.State == member.StateSuspect {
 			alive = append(alive, h)
 			most.Cores, most.LinkBits = max(most.Cores, h.Cores), max(most.LinkBits, h.LinkBits)
 		}
--- /dev/null
+++ b/entry/internal/placement/watched_test.go
@@ -0,0 +1,34 @@
+package placement_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/entry/internal/member"
+	"guavaspring.org/entry/internal/placement"
+)
+
+// Clients are sent to six hosts of a fleet, or to all of a thousand. Each of these must be looked after by four others whatever the fleet's size, and a weak
+// host by none; one that is suspected must go on being looked after, or it would stay out once it is back.
+func TestWatched(t *testing.T) {
+	tests := []struct{ strong, weak, watched int }{{6, 65, 4}, {1000, 0, 4}, {3, 65, 4}, {0, 3, 2}, {1, 0, 0}}
+	for _, test := range tests {
+		hosts := fleet(test.strong, test.weak)
+		hosts[0].State = member.StateSuspect
+		by := map[string]int{}
+		for _, h := range hosts {
+			for _, w := range placement.Watched(hosts, h.ID) {
+				by[w.ID]++
+			}
+		}
+		c := qt.Commentf("%d strong, %d weak", test.strong, test.weak)
+		qt.Check(t, by[hosts[0].ID], qt.Equals, test.watched, c)
+		for id, n := range by {
+			qt.Check(t, n, qt.Equals, test.watched, c)
+			if test.strong >= 5 {
+				qt.Check(t, id[0], qt.Equals, byte('s'), c)
+			}
+		}
+	}
+}
