front: Let callers keep addresses for 4.5 s

Cost: an address may be used up to 13.5 s after its host has closed its port, by callers that keep it three times as long; they find the port closed at once.

--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -44,9 +44,9 @@
 )
 
 const (
-	// keepFor is how long clients keep the addresses that they are told; some keep them three times as long, which has to end before a
-	// host that leaves closes its port.
-	keepFor = 1500 * time.Millisecond
+	// keepFor is how long clients keep the addresses that they are told. Whoever asks a directory that has lost power waits a second for it, which is more than
+	// most requests have; an address that no longer serves costs less, since clients leave out those that failed them and find a closed port at once.
+	keepFor = 4500 * time.Millisecond
 	// finishIn is the end of the grace that is left for requests in flight after the port is closed.
 	finishIn = 1200 * time.Millisecond
 	// exitIn is the end of the grace that is left for the process to end by itself.
