endpoints, wire: Take a replica's word of its speed and its queue into the choice

Cause: replicas on the shifted deployment share their machines, and say with each reply how long work takes there now and how many requests wait. Nothing read it. A host learnt of it by late replies, the first of which counts a tenth. Elsewhere: other deployments send no such header. Test: late replies by a true word, none, a constant one and nonsense.

--- a/core/opaque/request.go
+++ b/core/opaque/request.go
@@ -34,10 +34,20 @@
 	Misdirected bool
 	// Leaving says that the replica closes the connection after the reply.
 	Leaving bool
+	// Load is what the replica says of its load, nil where it says nothing.
+	Load *Load
 	// IdleFor is how long the replica keeps the connection open while it is unused, zero where it didn't say.
 	IdleFor time.Duration
 }
 
+// Load is what a replica says of its load at one moment, the request that it answers included.
+type Load struct {
+	// Running and Waiting count the requests there, of all hosts, and Slots is how many it runs at once.
+	Running, Waiting, Slots int
+	// Pace is how long work takes there now, in times of the usual; zero where the replica doesn't say.
+	Pace float64
+}
+
 // Codec translates between the wire and the types of this package.
 type Codec struct {
 	// Decode reads a client's request whose body has been read.
--- a/entry/internal/endpoints/replica.go
+++ b/entry/internal/endpoints/replica.go
@@ -63,6 +63,8 @@
 	// slowness and failures are as of seen, and lose weight from then on.
 	slowness, failures float64
 	seen               time.Time
+	// reported is what the replica says of its speed and its queue.
+	reported reported
 	// late is when an outlier came last, zero where a reply in time has come since.
 	late time.Time
 	// until is when the replica may be tried again after it could not be reached, tries how often in a row that happened.
@@ -122,6 +124,7 @@
 	delete(r.running, n)
 	switch res.Kind {
 	case upstream.KindOK:
+		r.reported.note(now, res.Reply.Load, times(res.Took, usual))
 		r.learn(now, res.Took, usual, 0)
 		r.tries, r.until = 0, time.Time{}
 	case upstream.KindCanceled:
@@ -150,8 +153,13 @@
 	r.tries++
 }
 
+// times returns how many times the usual a reply took.
+func times(took, usual time.Duration) float64 {
+	return float64(took) / float64(max(usual, time.Millisecond))
+}
+
 func (r *Replica) learn(now time.Time, took, usual time.Duration, failed float64) {
-	x := min(float64(took)/float64(max(usual, time.Millisecond)), mostSlowness)
+	x := min(times(took, usual), mostSlowness)
 	weight := r.weigh(now, now.Add(-took), x)
 	r.slowness = r.slownessAt(now) + weight*(x-r.slownessAt(now))
 	r.failures = r.failuresAt(now) + failureWeight*(failed-r.failuresAt(now))
@@ -194,7 +202,10 @@
 func (r *Replica) view(now time.Time) (v pick.Replica, resting, usable bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	v = pick.Replica{Running: len(r.running), Slots: r.row.Slots, Slowness: r.slownessAt(now), Failures: r.failuresAt(now), Near: r.near, Cold: now.Before(r.coldEnd)}
+	v = pick.Replica{
+		Running: len(r.running), Slots: r.row.Slots, Slowness: r.reported.slowness(now, r.slownessAt(now)), Queued: r.reported.queued(now),
+		Failures: r.failuresAt(now), Near: r.near, Cold: now.Before(r.coldEnd),
+	}
 	for _, start := range r.running {
 		v.Oldest = max(v.Oldest, now.Sub(start))
 	}
--- /dev/null
+++ b/entry/internal/endpoints/reported_test.go
@@ -0,0 +1,79 @@
+package endpoints_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/opaque"
+	"guavaspring.org/entry/internal/endpoints"
+	"guavaspring.org/entry/internal/pick"
+	"guavaspring.org/entry/internal/replicatest"
+	"guavaspring.org/platform/platformtest"
+)
+
+// shared answers as a replica whose machine turns four times slower for half a second in five, from a time on, and reports it as said has it.
+func shared(name string, from int64, said func(slow bool) string) func(*http.Request, []byte) replicatest.Answer {
+	return func(req *http.Request, body []byte) replicatest.Answer {
+		slow := (time.Now().UnixMilli()+from)%5000 < 500
+		work := 10 * time.Millisecond
+		if slow {
+			work *= 4
+		}
+		a := replicatest.OK(name, work, "x")(req, body)
+		a.Raw = platformtest.WithLoad(a.Raw, said(slow))
+		return a
+	}
+}
+
+// A host asks a service nine times a second, whose replicas stand on machines that turn four times slower for half a second in five. Whoever chose without
+// looking would get one reply in ten late. With the replicas' word at most a third of those may be late; where it says nothing or is wrong, never more
+// than without looking.
+func TestReplicasWordOfTheirSpeed(t *testing.T) {
+	const asked = 600
+	truth := func(slow bool) string {
+		if slow {
+			return "1,0,4,400"
+		}
+		return "1,0,4,100"
+	}
+	tests := []struct {
+		name string
+		said func(bool) string
+		late int
+	}{
+		{"the truth", truth, asked / 30},
+		{"no pace", func(bool) string { return "1,0,4" }, asked / 10},
+		{"always quick", func(bool) string { return "1,0,4,100" }, asked / 10},
+		{"always slow", func(bool) string { return "1,0,4,400" }, asked / 10},
+		{"nonsense", func(bool) string { return "x,,-1,4" }, asked / 10},
+	}
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			f := replicatest.New()
+			f.Add("s", 1, shared("s-1", 0, test.said)).Row.Zone = "a"
+			f.Add("s", 2, shared("s-2", 2500, test.said)).Row.Zone = "b"
+			table := newTable(f)
+			table.Replace(f.Batch(), false)
+			s := table.Service("s")
+			need := endpoints.Need{Need: pick.Need{Usual: 10 * time.Millisecond, Within: 100 * time.Millisecond}}
+			late := 0
+			for n := range asked {
+				c, verdict := s.Pick(time.Now(), need, func() float64 { return 0.5 })
+				qt.Assert(t, verdict, qt.Equals, endpoints.Found)
+				req := &opaque.Request{ID: fmt.Sprintf("q%d", n), Method: "GET", Target: "/", Path: "/", Host: "h"}
+				res := c.Replica.Send(t.Context(), endpoints.Call{Request: req, Deadline: time.Now().Add(time.Second), Connections: 9, Usual: need.Usual})
+				if res.Took > 20*time.Millisecond {
+					late++
+				}
+				time.Sleep(110 * time.Millisecond)
+			}
+			qt.Check(t, late <= test.late, qt.IsTrue, qt.Commentf("%s: %d of %d late", test.name, late, asked))
+			f.Close()
+		})
+	}
+}
--- a/entry/internal/pick/pick.go
+++ b/entry/internal/pick/pick.go
@@ -35,6 +35,8 @@
 	Oldest time.Duration
 	// Slowness is how many times longer than usual its replies take.
 	Slowness float64
+	// Queued is how many requests of all hosts wait there, in times of its slots, zero where it doesn't say.
+	Queued float64
 	// Failures is the share of late tries, 0 to 1, that failed.
 	Failures float64
 	// Near says that it is in the host's own availability zone.
@@ -56,7 +58,7 @@
 	if r.Cold {
 		slow = max(slow, coldSlowness)
 	}
-	t := time.Duration(float64(usual) * slow * (1 + queueWeight*float64(r.Running)))
+	t := time.Duration(float64(usual) * slow * (1 + queueWeight*float64(r.Running) + r.Queued))
 	// A request that is overdue says more than the replies before it: this one would wait behind it.
 	if overdue := time.Duration(2 * float64(usual) * slow); r.Oldest > overdue {
 		t = max(t, 2*r.Oldest)
