--- a/entry/internal/front/metrics.go
+++ b/entry/internal/front/metrics.go
@@ -14,6 +14,7 @@
 func (f *Front) newMetrics() *frontmetrics.Metrics {
 	return frontmetrics.New(frontmetrics.Options{
 		StoreCalls: f.opts.StoreCalls, ConfigVersion: f.configVersion, ConfigAge: f.configAge, ReplicasAge: f.replicasAge,
+		EvacuationsAge: f.evacuationsAge, EvacuatedZones: func() int { return len(f.zones.Names()) },
 		Hosts: f.joined.count, Running: f.drain.Running, Gathers: f.gathers.Running, Connections: f.table.Dialed,
 		LinesSkipped: f.log.Skipped, LinesLost: f.opts.LinesLost, More: append(f.joined.peers.Collectors(), f.opts.Traffic.Collectors()...),
 	})
@@ -42,6 +43,11 @@
 	return f.age(st)
 }
 
+func (f *Front) evacuationsAge() time.Duration {
+	st, _ := f.joined.evacuations.State()
+	return f.age(st)
+}
+
 // never is the age of what was never known.
 const never = -time.Second
 
--- a/entry/internal/frontmetrics/metrics.go
+++ b/entry/internal/frontmetrics/metrics.go
@@ -20,6 +20,9 @@
 	ConfigVersion func() int64
 	// ConfigAge and ReplicasAge return how long ago the store was known to hold nothing newer, negative for never.
 	ConfigAge, ReplicasAge func() time.Duration
+	// EvacuationsAge returns the same of the evacuated zones, and EvacuatedZones how many there are.
+	EvacuationsAge func() time.Duration
+	EvacuatedZones func() int
 	// Hosts returns how many hosts are known, Running how many requests are in flight, Gathers how many parts of other hosts' requests.
 	Hosts, Running, Gathers func() int
 	// Connections returns how many connections to replicas were opened.
@@ -94,6 +97,8 @@
 		{"config_version", "Version of the configuration in force, 0 for none.", func() float64 { return float64(opts.ConfigVersion()) }},
 		{"config_age_seconds", "How long ago the store was known to hold no newer configuration, negative for never.", func() float64 { return opts.ConfigAge().Seconds() }},
 		{"replicas_age_seconds", "How long ago the store was known to hold no newer list of replicas, negative for never.", func() float64 { return opts.ReplicasAge().Seconds() }},
+		{"evacuations_age_seconds", "How long ago the store was known to hold no newer evacuation, negative for never.", func() float64 { return opts.EvacuationsAge().Seconds() }},
+		{"evacuated_zones", "Availability zones to whose replicas this host sends nothing.", func() float64 { return float64(opts.EvacuatedZones()) }},
 		{"known_hosts", "Hosts that are not dead, this one included.", func() float64 { return float64(opts.Hosts()) }},
 		{"subqueries_in_flight", "Parts of other hosts' requests that this host gathers.", func() float64 { return float64(opts.Gathers()) }},
 		{"requests_in_flight", "Requests in flight.", func() float64 { return float64(opts.Running()) }},
