--- a/entry/internal/frontmetrics/metrics_test.go
+++ b/entry/internal/frontmetrics/metrics_test.go
@@ -21,6 +21,7 @@
 	age := func() time.Duration { return 2 * time.Second }
 	return frontmetrics.New(frontmetrics.Options{
 		StoreCalls: func() []frontmetrics.StoreCalls { return []frontmetrics.StoreCalls{{For: "list_config", Calls: 3}} }, ConfigVersion: func() int64 { return 7 }, ConfigAge: age, ReplicasAge: age,
+		EvacuationsAge: age, EvacuatedZones: func() int { return 1 },
 		Hosts: func() int { return 6 }, Running: func() int { return 1 }, Gathers: func() int { return 4 }, Connections: none, LinesSkipped: none, LinesLost: none,
 	})
 }
@@ -56,6 +57,8 @@
 		`guavaspring_refused_total{cause="quarantined"} 1`,
 		`guavaspring_config_version 7`,
 		`guavaspring_config_age_seconds 2`,
+		`guavaspring_evacuations_age_seconds 2`,
+		`guavaspring_evacuated_zones 1`,
 		`guavaspring_store_calls_total{for="list_config"} 3`,
 	} {
 		qt.Check(t, got, qt.Contains, want)
