--- a/entry/internal/directory/directory.go
+++ b/entry/internal/directory/directory.go
@@ -93,7 +93,7 @@
 		d.started = now
 	}
 	// A host that starts must not write over a fleet that it hasn't met yet. Where it waits for the hosts that its settings name, the others have the time to
-	// meet: of 295 hosts that started at once, 117 took themselves for the first of their zone a second later, which made 351 calls.
+	// meet; in a large fleet that starts at once every third would take itself for the first of its zone, and write.
 	met := now.Sub(d.started) >= meetFor || !alone && d.opts.Seeded == 0
 	if d.read.IsZero() && d.opts.Seeded == 0 || alone || writer && met && now.Sub(d.read) >= readEvery {
 		d.readAll(ctx, now)
--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -73,14 +73,13 @@
 func (s *Service) Newest(now time.Time) (time.Duration, bool) { return s.queued.Newest(now) }
 
 // togetherPart is how much of the wait that the newest replies of all services show counts for each of them. One reply of a service may have met a
-// replica that pauses, and of ten often one or two have; counted whole, 620 of 664 requests a second came in time where 634 do. But
-// it tells of a burst ten times sooner than the replies of one service do.
+// replica that pauses, and of ten often one or two have, which must not count whole. But it tells of a burst ten times sooner than the
+// replies of one service do.
 const togetherPart = 0.5
 
 // occupiedFrom is how many requests are at the replicas, as a share of those that they run at once, from which on late replies are taken for a
 // sign of queues. A queue that takes as long as the work doubles them, and part of a host's estimate is chance: where each host has nine
-// requests a second, it is a third off as often as not. From 0.6, 1 and 1.4 on, a day on which some replicas leave and others are
-// slow was worth 0.702, 0.706 and 0.723 in the mean of five seeds, and 0.711 without any sign; at six times the load all are alike.
+// requests a second, it is a third off as often as not.
 const occupiedFrom = 1.4
 
 // occupied reports whether the replicas may have queues: whether all hosts together have more requests there than they run at once, where this
--- a/entry/internal/limit/limit.go
+++ b/entry/internal/limit/limit.go
@@ -14,9 +14,8 @@
 	// growth is what a reply adds to a limit of one after a first shed: fifty replies for one more try, since each attempt beyond the fair share costs a refusal.
 	growth = unit / 50
 	// widen, narrow and widest are parts of the usual reply time: a refusal adds a half to the gap, a reply
-	// takes a quarter off, and no gap is over two. Eight hosts that all want five slots then use 0.95 of
-	// them, are refused 0.44 times for each try that runs, and the least host gets 0.53 to 0.76 of its share over
-	// five seeds (TestHostsShareSlots). Multiplying the gap instead halves the refusals, but leaves one host a tenth of its share (a trial of the same model).
+	// takes a quarter off, and no gap is over two. Hosts that all want the
+	// same slots then each get most of their share; a gap that grew by multiplying would leave one of them nearly nothing.
 	widen, narrow, widest = 2, 4, 2
 	// unknownReply stands for the usual reply time where it is not known.
 	unknownReply = 2 * time.Millisecond
--- a/entry/internal/overload/overload.go
+++ b/entry/internal/overload/overload.go
@@ -6,16 +6,12 @@
 	// free is the share of the time that a request could wait which the tries before it may take without any being refused, and full the share at
 	// which all are. Between them the chance of a refusal grows evenly, so that hosts which know nothing of each other refuse their parts of
 	// what is too much, and nobody waits for a host that refuses all and then none.
-	//
-	// Requests a second answered in time of 664, 884 and 1,328 that came, three seeds each, capacity 760 (worked out):
-	// 0.35 to 0.7: 624, 698, 830; 0.45 to 0.9: 631, 711, 831; 0.6 to 1: 633, 705, 822; 0.6 to 1.2: 633, 702, 807.
 	free, full = 0.45, 0.9
 	// most is the greatest chance. The few that are let in tell when the queues are gone; without them all hosts wait until what they know is
 	// too old, and then all let everything in at once.
 	most = 0.95
-	// manyBehind is the share of the shards that are behind from which on the least patient route counts alone. With 1, 786 requests a second came in
-	// time at six times the load, as not all shards show that they are behind; with 0.5, 808, and with the least patient route
-	// alone 818, but that refused 126 of 4,741 requests in six seconds in which none had to be, with two shards near their limit.
+	// manyBehind is the share of the shards that are behind from which on the least patient route counts alone. Of those that are, not all show it at
+	// any moment; and where one or two are near their limit the others can do without them.
 	manyBehind = 0.5
 	// again is the share of the time that a request could wait within which a client that has waited before counts as coming for the first time,
 	// and quiet the share that tries before it may take where it doesn't.
@@ -56,13 +52,11 @@
 // away as a whole, before anything is sent, costs the replicas nothing and its client no time.
 //
 // Where all shards are behind, the wait is held against the route that can wait least: with a bound of its own, the patient kind of request would
-// fill the queues up to that, at which the other kind is always late. At six times the load lookups with half the objective got
-// 0.118 of what they were worth beside 0.456 for the others, and 0.487 beside 0.553 with one bound. Where few are, each request is
-// held against its own time, as the others can do without those.
+// fill the queues up to that, at which the other kind is always late. Where few are, each request is held against its own time, as the others
+// can do without those.
 //
 // Who was refused and comes back is let in where nothing waits. While more comes than can be done, each place that it gets is taken
-// from one that would be answered in time; it would not. Requests a second in time at four and six times the load: 568 and 569 where
-// those that come back are like all others, 713 and 795 where they are not.
+// from one that would be answered in time; it would not.
 func Decide(l Load) Decision {
 	wait := expected(l.Delays, l.Least)
 	spare := max(bound(l), time.Millisecond)
--- a/entry/internal/placement/placement.go
+++ b/entry/internal/placement/placement.go
@@ -17,8 +17,7 @@
 )
 
 // strength returns how strong a host is beside the most cores and the fastest link that any host has, 0 to 1, by what it has least of. What a query
-// needs more of, cores or bits, differs between deployments and days: with 36 shards of 1.2 KB, 14 Mbit/s are worth 0.2 cores, and with 90 that
-// cost a third of the time, 2. A host that is weak in either is slow where that binds.
+// needs more of, cores or bits, differs between deployments and days. A host that is weak in either is slow where that binds.
 func strength(h, most member.Host) float64 {
 	return min(part(h.Cores, most.Cores), part(h.LinkBits, most.LinkBits))
 }
--- a/entry/internal/queueing/delay.go
+++ b/entry/internal/queueing/delay.go
@@ -14,8 +14,7 @@
 	// least is how many replies make a sign; one or two may just be long work.
 	least = 3
 	// part is the quantile of the replies' waits that counts. One replica in twenty-five pauses, and in a disruption half of them are slow; what
-	// three in ten replies stay below says what the replicas that are well have queued. With 0.5 in its place 801 requests a second
-	// came in time at six times the usual load and not 795, but 618 of 664 at three times, where all can, and not 627; 0.2 is like 0.3.
+	// three in ten replies stay below says what the replicas that are well have queued.
 	part = 0.3
 )
 
--- a/entry/internal/room/room.go
+++ b/entry/internal/room/room.go
@@ -25,8 +25,8 @@
 //
 // It answers two loads. Where more comes than the replicas can do, the hosts together must not fill the replicas' queues: each takes its
 // part. Where little comes, a part of less than one request would divide what nobody uses: of 15 hosts that may have one request each at a
-// replica of 7 slots, which has three quarters of one to do, each finds the near one taken for every fourth try. One more at any use below
-// queues cost 16 of 629 requests a second in time at three times the load of six hosts, where the replicas are just enough.
+// replica of 7 slots, which has three quarters of one to do, each finds the near one taken for every fourth try. One more
+// is allowed at low use alone: where the replicas are just enough it would fill their queues.
 func Most(said int, part, use float64) int {
 	most := max(1, math.Ceil(depth*float64(Slots(said))*part))
 	if use < idle {
--- a/entry/internal/scatter/admit.go
+++ b/entry/internal/scatter/admit.go
@@ -56,8 +56,7 @@
 //
 // It answers a burst over a large fleet: a host that sends each shard thirty requests a second learns from its replies in a few tenths of one that
 // they queue, and by then all hosts have filled the queues and refuse everything, until those are empty and all let everything
-// in. The ten or more shards of a page tell it ten times sooner. At twice what the replicas can do, over 84 hosts, 346 requests came
-// in time without it and without the few that are always let in, and 1,571 to 1,791 with both, of 2,594 that could (test, five runs).
+// in. The ten or more shards of a page tell it ten times sooner.
 func (p *plan) together() time.Duration {
 	waits := make([]time.Duration, 0, len(p.Shards))
 	for _, s := range p.Shards {
--- a/entry/internal/scatter/subqueries.go
+++ b/entry/internal/scatter/subqueries.go
@@ -22,8 +22,7 @@
 	// subqueryLate is how much later than a try of this host's own one at another host may be before a second try is sent without word of it: the
 	// way there and back, and the time of a busy host.
 	subqueryLate = 15 * time.Millisecond
-	// subqueryPart is the part of a route's objective that subqueryLate may be. At nine times the load, routes with an objective of 80 ms were answered in
-	// time in 2,670 of 4,613 cases where another host gathered for them, and in 2,969 where none did; those with 200 ms in 11,288 and 11,025 of 13,943.
+	// subqueryPart is the part of a route's objective that subqueryLate may be: what a second host saves in bytes, an urgent route loses in time.
 	subqueryPart = 0.1
 	// subqueryGone is how long after it is due a reply of another host is waited for before the connection to it counts as broken.
 	subqueryGone = 150 * time.Millisecond
--- a/entry/internal/source/start.go
+++ b/entry/internal/source/start.go
@@ -10,7 +10,7 @@
 
 const (
 	// firstWait bounds the wait for the hosts that the settings name at a start without clients. Those are up 0.3 s after the others at the latest, have
-	// read the store 0.1 s later, and then have hundreds of hosts to answer: with 0.5 s, 280 of 295 that had lost power made 840 calls.
+	// read the store a moment later, and then have hundreds of hosts to answer, each of which would call the store if it waited no longer.
 	firstWait = 2 * time.Second
 	// firstAgain is how soon one of those that takes no connection yet is tried again, and firstNext how long one may take to answer before the
 	// next is asked as well.
@@ -20,8 +20,8 @@
 
 // first asks the hosts that the settings name for all there is before the store is called, one after the other.
 //
-// It answers a fleet that starts at once: 295 hosts that each listed two kinds, since those named were not up yet, made 590 calls, and 5,600 would
-// make more than the store takes in a second. A client that waits ends it.
+// It answers a fleet that starts at once: where each host lists each kind by itself, as those named are not up yet, thousands of hosts make more calls than
+// the store takes in a second. A client that waits ends it.
 func (f *Follower[T]) first(ctx context.Context) {
 	if f.opts.First == nil {
 		return
