scatter: Ask a replica again that turned the request away

Ruled out: a third replica (a request may go to so many and no more); the budget as the bound. Change: where no replica is left to which a shard may go, it goes again, a usual reply later, to one that turned it away, up to three times, each of which is one of the extra tries that all hosts share. One that may have run it is not among them.

--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -129,13 +129,13 @@
 	pick.Need
 	// Homes are the regions in which alone the request may run; none means any.
 	Homes []string
-	// Tried holds the replicas that had a try of the request.
-	Tried []*Replica
+	// Tried holds the replicas that had a try of the request, and Among those of which one is wanted; none means any.
+	Tried, Among []*Replica
 }
 
 // excludes reports whether a replica is none for the request, whatever its state.
 func (n *Need) excludes(r *Replica) bool {
-	return slices.Contains(n.Tried, r) || !homes.Allow(n.Homes, r.region)
+	return slices.Contains(n.Tried, r) || len(n.Among) > 0 && !slices.Contains(n.Among, r) || !homes.Allow(n.Homes, r.region)
 }
 
 // Choice is a replica that was chosen, with what decided it.
--- a/entry/internal/replicatest/farm.go
+++ b/entry/internal/replicatest/farm.go
@@ -62,6 +62,13 @@
 	return r.arrivals
 }
 
+// TurnedAway returns how many requests came that did not run.
+func (r *Replica) TurnedAway() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.arrivals - len(r.runs)
+}
+
 // Crashes returns how often the replica went down.
 func (r *Replica) Crashes() int {
 	r.mu.Lock()
--- a/entry/internal/scatter/scatter.go
+++ b/entry/internal/scatter/scatter.go
@@ -27,6 +27,8 @@
 	spareSteps = 4
 	// unsentTries is how many replicas beyond the allowed ones may be tried where nothing was sent to the others.
 	unsentTries = 2
+	// resends is how often a shard's request may go once more to replicas that turned it away.
+	resends = 3
 	// answerBefore is how long before its deadline a request is given up, so that the answer is there in time.
 	answerBefore = 5 * time.Millisecond
 )
@@ -163,9 +165,13 @@
 	tried []*endpoints.Replica
 	// sent counts the tries that may have reached a replica, running those under way.
 	sent, running int
-	// hedgeAt and lookAt are when the shard is looked at next; zero means never.
-	hedgeAt, lookAt time.Time
-	answered, lost  bool
+	// hedgeAt, lookAt and resendAt are when the shard is looked at next; zero means never.
+	hedgeAt, lookAt, resendAt time.Time
+	// turnedAway holds the replicas that did not run the request and said so, which never will run that try of it.
+	turnedAway []*endpoints.Replica
+	// resent counts the tries at replicas that had turned the request away.
+	resent         int
+	answered, lost bool
 	// waiter is set while the shard waits for room, and what is the try that waits.
 	waiter *endpoints.Waiter
 	what   What
@@ -185,7 +191,7 @@
 	n := len(q.Shards)
 	p := &plan{
 		Query: q, run: run, timing: timingOf(q.Route, &q.Learned.Recent), unloaded: q.Learned.Unloaded.Get(), least: 1, now: run.opts.Clock.Now(), shards: make([]shard, n), open: n,
-		ends: make(chan ended, n*(q.Route.Attempts+unsentTries)), room: make(chan int, n), told: make(chan told),
+		ends: make(chan ended, n*(q.Route.Attempts+unsentTries+resends)), room: make(chan int, n), told: make(chan told),
 	}
 	p.report.Steps = make([]Step, 0, n+spareSteps)
 	if len(q.Route.Shards) > 0 {
@@ -304,7 +310,7 @@
 		if s.answered || s.lost {
 			continue
 		}
-		for _, at := range []time.Time{s.hedgeAt, s.lookAt} {
+		for _, at := range []time.Time{s.hedgeAt, s.lookAt, s.resendAt} {
 			if !at.IsZero() && at.Before(next) {
 				next = at
 			}
@@ -327,6 +333,10 @@
 			s.hedgeAt = time.Time{}
 			p.hedge(i)
 		}
+		if !s.resendAt.IsZero() && !p.now.Before(s.resendAt) {
+			s.resendAt = time.Time{}
+			p.resend(i)
+		}
 	}
 }
 
--- a/entry/internal/scatter/scatter_test.go
+++ b/entry/internal/scatter/scatter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -193,7 +194,6 @@
 	})
 }
 
-// A donor's drop-off runs, and the answer is lost with the connection. Sent again it would be recorded twice, and somebody drives
 // An operator evacuates the zone that alone holds four of ten shards, and a page needs nine. No page can come of what is left: clients must be told at once
 // that their request did not run, and the other shards must not work for it. With one such shard pages go out that say so.
 func TestEvacuatedShards(t *testing.T) {
@@ -233,6 +233,7 @@
 	}
 }
 
+// A donor's drop-off runs, and the answer is lost with the connection. Sent again it would be recorded twice, and somebody drives
 // out for fabric that is already given away.
 func TestWriteRunsAtMostOnce(t *testing.T) {
 	tests := []struct {
@@ -262,6 +263,61 @@
 	}
 }
 
+// Half of all replicas turn away six in ten requests without running them, at random. A request may go to two replicas of a shard, and where both turn away one
+// shard in three is lost: of pages over 20 shards, nineteen of which are enough, next to none would come. Nine in ten pages must be in time, no request may
+// reach a third replica of a shard or run twice, and what goes again must stay within the budget.
+func TestPagesWhereReplicasTurnAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 1000)
+		rng := rand.New(rand.NewPCG(3, 4))
+		var mu sync.Mutex
+		rt := &route.Route{Idempotent: true, Timeout: time.Second, Objective: 200 * time.Millisecond, Attempts: 2, TopK: 3, LeastShare: 0.95}
+		var replicas []*replicatest.Replica
+		for i := range 20 {
+			name := fmt.Sprintf("s%d", i)
+			rt.Shards = append(rt.Shards, name)
+			for n := range 3 {
+				good, full := replicatest.OK(name, 10*time.Millisecond, "x"), replicatest.Full()
+				bad := (i+n)%2 == 0 || i%5 == 0
+				replicas = append(replicas, b.farm.Add(name, n, func(r *http.Request, body []byte) replicatest.Answer {
+					mu.Lock()
+					turn := bad && rng.Float64() < 0.6
+					mu.Unlock()
+					if turn {
+						return full(r, body)
+					}
+					return good(r, body)
+				}))
+			}
+		}
+		b.usual()
+		const pages = 200
+		inTime := 0
+		for range pages {
+			rep, took := b.ask(t.Context(), rt)
+			if took <= rt.Objective && (rep.Ending == scatter.Complete || rep.Ending == scatter.Partial) {
+				inTime++
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		qt.Check(t, inTime >= pages*9/10, qt.IsTrue, qt.Commentf("%d of %d pages in time", inTime, pages))
+		for i := range 20 {
+			arrivals := 0
+			ids := map[string]int{}
+			for _, r := range replicas[3*i : 3*i+3] {
+				arrivals += r.Arrivals()
+				for _, id := range r.Runs() {
+					ids[id]++
+				}
+			}
+			for id, n := range ids {
+				qt.Check(t, n, qt.Equals, 1, qt.Commentf("%s at shard %d", id, i))
+			}
+			qt.Check(t, arrivals <= pages*12/10+1000, qt.IsTrue, qt.Commentf("%d arrivals", arrivals))
+		}
+	})
+}
+
 // Every replica is full. What is refused must say truly that it has not run.
 func TestFullReplicasRanNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/internal/scatter/tries.go
+++ b/entry/internal/scatter/tries.go
@@ -208,6 +208,8 @@
 		}
 	case !e.res.Kind.NotRun():
 		p.report.Ran = true
+	case e.res.Kind == upstream.KindShed && e.replica != nil:
+		s.turnedAway = append(s.turnedAway, e.replica)
 	}
 	if s.answered || s.lost {
 		return
@@ -238,6 +240,8 @@
 		// The connection that was free is taken: the replica may be tried again.
 		s.tried = s.tried[:len(s.tried)-1]
 		p.wait(i, First)
+	case p.mayResend(s, res):
+		s.resendAt = p.now.Add(p.timing.usual)
 	case s.sent >= p.Route.Attempts || len(s.tried) >= p.Route.Attempts+unsentTries:
 		p.miss(i, why, "no try is left")
 	case p.now.Add(p.timing.usual).After(p.end()):
