--- a/core/caller/messages.go
+++ b/core/caller/messages.go
@@ -93,7 +93,8 @@
 	}
 }
 
-// Best returns the hits with the highest scores, at most limit, in the order in which an answer lists them; it sorts hits.
+// Best returns the hits with the highest scores, at most limit, in the order in which an answer lists them; it sorts
+// hits.
 func Best(hits []Hit, limit int) []Hit {
 	slices.SortFunc(hits, func(a, b Hit) int {
 		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.ID, b.ID))
--- a/core/document/document.go
+++ b/core/document/document.go
@@ -49,7 +49,8 @@
 	Slots int `json:"slots" yaml:"slots"`
 	// Connections is how many connections a replica accepts from all hosts together.
 	Connections int `json:"connections" yaml:"connections"`
-	// EntryHosts is the largest number of hosts that may hold connections to a replica at once, those being replaced included.
+	// EntryHosts is the largest number of hosts that may hold connections to a replica at once, those being replaced
+	// included.
 	EntryHosts int `json:"entry_hosts" yaml:"entry_hosts"`
 }
 
@@ -83,7 +84,8 @@
 	Concurrency int `json:"concurrency" yaml:"concurrency"`
 	// Queue is the most queries of the service that wait on one host.
 	Queue int `json:"queue" yaml:"queue"`
-	// CallerShare is the largest share of Concurrency and Queue that one caller may take while others wait, between 0 and 1.
+	// CallerShare is the largest share of Concurrency and Queue that one caller may take while others wait, between 0
+	// and 1.
 	CallerShare float64 `json:"caller_share" yaml:"caller_share"`
 }
 
--- a/core/event/async.go
+++ b/core/event/async.go
@@ -7,13 +7,14 @@
 	"guavaspring.org/core/ring"
 )
 
-// queued is how many lines wait for a reader of the output that is slow; at a kilobyte a line they hold 2 MB at the most.
+// queued is how many lines wait for a reader of the output that is slow; at a kilobyte a line they hold 2 MB at the
+// most.
 const queued = 2048
 
 // Async is a writer that never blocks: lines wait in a bounded ring for one goroutine that writes them.
 //
-// A process whose standard output is a pipe that nobody reads would stop in the middle of a request at its next log line. Here the
-// oldest lines are lost instead, and are counted.
+// A process whose standard output is a pipe that nobody reads would stop in the middle of a request at its next log
+// line. Here the oldest lines are lost instead, and are counted.
 type Async struct {
 	lines *ring.Ring[[]byte]
 	out   io.Writer
--- a/core/event/async_test.go
+++ b/core/event/async_test.go
@@ -16,8 +16,8 @@
 
 func (h hung) Write([]byte) (int, error) { <-h.never; return 0, errors.New("closed") }
 
-// Nobody reads the standard output any more, and its pipe is full. Requests must go on: no log line may wait for the reader, and what is
-// lost is counted.
+// Nobody reads the standard output any more, and its pipe is full. Requests must go on: no log line may wait for the
+// reader, and what is lost is counted.
 func TestHungOutputBlocksNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		out := hung{never: make(chan struct{})}
@@ -61,7 +61,8 @@
 	qt.Assert(t, out.String(), qt.Equals, "stopped\n")
 }
 
-// A thousand requests fail within a second. The lines about them stay within the limit, and it is known how many are missing.
+// A thousand requests fail within a second. The lines about them stay within the limit, and it is known how many are
+// missing.
 func TestLimit(t *testing.T) {
 	l := event.NewLimit(50)
 	now := time.Unix(0, 0)
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -2,7 +2,8 @@
 
 import "errors"
 
-// ErrHistoryGone means that the changes since the wanted revision are no longer kept, so that all objects have to be listed again.
+// ErrHistoryGone means that the changes since the wanted revision are no longer kept, so that all objects have to be
+// listed again.
 var ErrHistoryGone = errors.New("feed: the history since that revision is gone")
 
 // Entry is one object as it was last seen.
@@ -11,7 +12,8 @@
 	// Revision is the store's revision at the object's last change.
 	Revision int64
 	Deleted  bool
-	// Unreadable says that the object is there and can't be read. It stands for nothing, and what was known of the name no longer holds.
+	// Unreadable says that the object is there and can't be read. It stands for nothing, and what was known of the name
+	// no longer holds.
 	Unreadable bool
 	// Value is the zero value where the object is deleted or unreadable.
 	Value T
--- a/core/opaque/request.go
+++ b/core/opaque/request.go
@@ -15,7 +15,8 @@
 	// Path is the decoded path, by which the route is found.
 	Path string
 	Host string
-	// Header holds the fields that are forwarded: those of one connection, and those that every hop sets itself, are left out.
+	// Header holds the fields that are forwarded: those of one connection, and those that every hop sets itself, are
+	// left out.
 	Header http.Header
 	Body   []byte
 	// Patience is how long the client will wait, zero where it didn't say.
@@ -52,7 +53,8 @@
 type Codec struct {
 	// Decode reads a client's request whose body has been read.
 	Decode func(r *http.Request, body []byte) Request
-	// AppendHead appends the request line and header with which a request is sent to a replica that may use the time left.
+	// AppendHead appends the request line and header with which a request is sent to a replica that may use the time
+	// left.
 	AppendHead func(b []byte, r *Request, replica string, left time.Duration) []byte
 	// Reply reads the header of a replica's reply.
 	Reply func(resp *http.Response) Reply
--- a/core/platform/client.go
+++ b/core/platform/client.go
@@ -66,7 +66,8 @@
 	State   ReplicaState   `json:"state"`
 	// Slots is how many requests the replica runs at once, zero where it did not say.
 	Slots int `json:"slots,omitempty"`
-	// Cold is how much longer the replica stays slow after its start or after it was not used, as of its writing the row.
+	// Cold is how much longer the replica stays slow after its start or after it was not used, as of its writing the
+	// row.
 	Cold time.Duration `json:"cold,omitempty"`
 	// Started is when the replica's process started, by the replica's own clock; the zero value where it did not say.
 	Started time.Time `json:"started,omitzero"`
@@ -74,15 +75,16 @@
 	Sequence int64 `json:"sequence,omitempty"`
 }
 
-// SameProcess reports whether both rows tell of one process: a replica that starts again keeps its id and has another start.
+// SameProcess reports whether both rows tell of one process: a replica that starts again keeps its id and has another
+// start.
 func (r Replica) SameProcess(other Replica) bool {
 	return r.ID == other.ID && r.Service == other.Service && r.Addr == other.Addr && r.Started.Equal(other.Started)
 }
 
 // OlderThan reports whether r was written before other, by the same process or by one that started earlier.
 //
-// A write may reach the store seconds after its writer has given it up. It then stands there as the newest word, and would bring
-// back a process that is gone, or take back that a replica leaves.
+// A write may reach the store seconds after its writer has given it up. It then stands there as the newest word, and
+// would bring back a process that is gone, or take back that a replica leaves.
 func (r Replica) OlderThan(other Replica) bool {
 	if !r.Started.Equal(other.Started) {
 		return r.Started.Before(other.Started)
@@ -133,7 +135,8 @@
 	return reply.Objects, reply.Revision, err
 }
 
-// Watch waits at most wait for objects of a kind changed after the global revision, and returns them with the revision to resume at.
+// Watch waits at most wait for objects of a kind changed after the global revision, and returns them with the revision
+// to resume at.
 func (c *Client) Watch(ctx context.Context, kind Kind, after int64, wait time.Duration) ([]Object, int64, error) {
 	var reply struct {
 		Revision int64    `json:"revision"`
--- a/core/platform/status.go
+++ b/core/platform/status.go
@@ -22,7 +22,8 @@
 	Alive   int `json:"alive"`
 	Suspect int `json:"suspect"`
 	Leaving int `json:"leaving"`
-	// Asked is how many of them, all of a small fleet and a random sample of a large one, were asked for their generation; InForce of them had it.
+	// Asked is how many of them, all of a small fleet and a random sample of a large one, were asked for their
+	// generation; InForce of them had it.
 	Asked   int `json:"asked"`
 	InForce int `json:"in_force"`
 }
--- a/core/route/config.go
+++ b/core/route/config.go
@@ -30,9 +30,11 @@
 	Priority int
 	// Attempts is the most replicas, of each shard, that one request may be sent to.
 	Attempts int
-	// Split holds the services among which requests are distributed; it has one entry for a plain route and none for a query over shards.
+	// Split holds the services among which requests are distributed; it has one entry for a plain route and none for a
+	// query over shards.
 	Split []Share
-	// Shards holds the services that each hold one shard of the index; it is empty unless the route is a query over all of them.
+	// Shards holds the services that each hold one shard of the index; it is empty unless the route is a query over all
+	// of them.
 	Shards []string
 	// Homes are the regions in which alone requests may run; none means any.
 	Homes []string
@@ -55,7 +57,8 @@
 	MaxConns int
 	// ColdFor is how long a replica is cold after its start.
 	ColdFor time.Duration
-	// ColdPerSecond is how many requests a second a cold replica bears from all hosts together; zero where it bears as many as a warm one.
+	// ColdPerSecond is how many requests a second a cold replica bears from all hosts together; zero where it bears as
+	// many as a warm one.
 	ColdPerSecond float64
 }
 
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -17,7 +17,8 @@
 // ExitUsage is the exit status of a program whose settings or arguments are wrong.
 const ExitUsage = 2
 
-// New returns a command line whose flags can also be set by environment variables named after the program and the flag, such as ENTRY_LISTEN.
+// New returns a command line whose flags can also be set by environment variables named after the program and the flag,
+// such as ENTRY_LISTEN.
 func New(name, help string) *kingpin.Application {
 	app := kingpin.New(name, help)
 	app.Version(Version)
@@ -33,7 +34,8 @@
 	os.Exit(ExitUsage)
 }
 
-// AddrPort registers a parser on clause for an "IP:port" setting; host names are errors, since processes talk by IP number.
+// AddrPort registers a parser on clause for an "IP:port" setting; host names are errors, since processes talk by IP
+// number.
 func AddrPort(clause *kingpin.FlagClause) *netip.AddrPort {
 	v := &addrPort{clause: clause}
 	clause.SetValue(v)
--- a/core/upstream/client.go
+++ b/core/upstream/client.go
@@ -169,8 +169,8 @@
 	Version int64
 	Shard   int
 	Body    []byte
-	// Patient lets the try wait for its deadline on a connection that looks silent: a long query looks like that too, and must
-	// not be cut off again where it is tried next.
+	// Patient lets the try wait for its deadline on a connection that looks silent: a long query looks like that too,
+	// and must not be cut off again where it is tried next.
 	Patient bool
 }
 
--- a/core/upstream/conn.go
+++ b/core/upstream/conn.go
@@ -119,8 +119,8 @@
 	return n, err
 }
 
-// Close ends the sending side at once, which is how a replica learns of a cancel, and gives the seat back once the replica
-// has closed its side too: until then it counts the connection against its limit.
+// Close ends the sending side at once, which is how a replica learns of a cancel, and gives the seat back once the
+// replica has closed its side too: until then it counts the connection against its limit.
 func (c *conn) Close() error {
 	c.closeOnce.Do(func() {
 		c.closing.Store(true)
--- a/core/upstream/result.go
+++ b/core/upstream/result.go
@@ -22,7 +22,8 @@
 	KindRefused Kind = "refused"
 	// KindNotSent means that no byte of the request left this host.
 	KindNotSent Kind = "not_sent"
-	// KindSilent means that the connection fell silent while others to the replica progressed; the request may have run.
+	// KindSilent means that the connection fell silent while others to the replica progressed; the request may have
+	// run.
 	KindSilent Kind = "silent"
 	// KindCanceled means that this side gave up waiting; the request may have run.
 	KindCanceled Kind = "canceled"
--- a/core/upstream/seats.go
+++ b/core/upstream/seats.go
@@ -15,8 +15,8 @@
 
 const (
 	// idleLimit is how long a connection may lie idle and how long an unused replica keeps its seats warm. A connection
-	// that something in between has forgotten is then silent for a bounded time only; dialling five anew each 30 s costs
-	// a replica with 40 connections and 6 ms a dial 0.8% of a core.
+	// that something in between has forgotten is then silent for a bounded time only; dialling five anew each 30 s
+	// costs a replica with 40 connections and 6 ms a dial 0.8% of a core.
 	idleLimit = 30 * time.Second
 	// firstBackOff and lastBackOff bound the wait after a replica refused a connection or closed one unused.
 	firstBackOff = 20 * time.Millisecond
@@ -32,9 +32,9 @@
 // seats holds this host's share of one replica's connections, counted from dial to close.
 //
 // It answers many requests at once and storms of cancels. A new connection costs the replica some 6 ms before its first
-// request is read, so connections are dialled ahead and lie ready; a request dials only if none is. A seat is free again
-// once the replica has closed its side too: while it still winds up a cancelled request it counts the connection, and one
-// more would be over its limit. A replica that closes a connection unused is over its limit or going down, and
+// request is read, so connections are dialled ahead and lie ready; a request dials only if none is. A seat is free
+// again once the replica has closed its side too: while it still winds up a cancelled request it counts the connection,
+// and one more would be over its limit. A replica that closes a connection unused is over its limit or going down, and
 // is left alone for a while instead of being dialled in a loop.
 type seats struct {
 	addr  string
@@ -59,7 +59,8 @@
 
 // SeatStats counts what became of connections.
 type SeatStats struct {
-	// Ready counts requests for a connection that were met by one dialled ahead, Dialled those that had to dial or wait.
+	// Ready counts requests for a connection that were met by one dialled ahead, Dialled those that had to dial or
+	// wait.
 	Ready, Dialled uint64
 	// Refused counts connections that the replica refused or closed unused.
 	Refused uint64
@@ -263,7 +264,8 @@
 	return 0, true
 }
 
-// renew closes the connections dialled ahead that are dead or older than idleLimit, and all of them where the replica is unused.
+// renew closes the connections dialled ahead that are dead or older than idleLimit, and all of them where the replica
+// is unused.
 func (s *seats) renew() (unused bool) {
 	s.mu.Lock()
 	now := s.clock.Now()
--- a/core/upstream/seats_test.go
+++ b/core/upstream/seats_test.go
@@ -91,7 +91,8 @@
 	return p.peak, p.refused
 }
 
-// storm sends n writes from the given number of callers and cancels the tries that cancel picks; it returns how many got through.
+// storm sends n writes from the given number of callers and cancels the tries that cancel picks; it returns how many
+// got through.
 func storm(ctx context.Context, c *Client, addr netip.AddrPort, callers, n int, cancelAfter func(i int) time.Duration) int {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
--- a/core/upstream/silence.go
+++ b/core/upstream/silence.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// patienceFactor times the replica's usual time to the first byte is how long a request waits before its connection is
-	// suspect; below leastPatience the jitter of a busy host would count as silence.
+	// patienceFactor times the replica's usual time to the first byte is how long a request waits before its connection
+	// is suspect; below leastPatience the jitter of a busy host would count as silence.
 	patienceFactor = 4
 	leastPatience  = 20 * time.Millisecond
 	// firstPatience stands in until the replica has answered.
@@ -24,11 +24,11 @@
 
 // silence finds connections of one replica that stay open and say nothing any more.
 //
-// Something between the two ends forgets a connection: requests on it vanish while new connections work, and the replica
-// looks slow or dead to those who only see the time. Two signs tell it from a slow replica. A request that has waited
-// for several times the usual and was overtaken by later ones sits on a silent connection, and is given up without blame.
-// Where nothing at all comes back, it can't be told yet: the idle connections are replaced, which harms nobody, and the
-// requests that come next, on fresh connections, bring the evidence.
+// Something between the two ends forgets a connection: requests on it vanish while new connections work, and the
+// replica looks slow or dead to those who only see the time. Two signs tell it from a slow replica. A request that has
+// waited for several times the usual and was overtaken by later ones sits on a silent connection, and is given up
+// without blame. Where nothing at all comes back, it can't be told yet: the idle connections are replaced, which harms
+// nobody, and the requests that come next, on fresh connections, bring the evidence.
 type silence struct {
 	clock clock.Clock
 	// refresh replaces the idle connections that were opened before a time and have received nothing since.
--- a/core/upstream/silence_test.go
+++ b/core/upstream/silence_test.go
@@ -43,7 +43,8 @@
 }
 
 // A greeter's lookup goes out on a connection that a firewall has forgotten, and freezes until its deadline although
-// the replica answers everyone else. A lookup that is merely slow, on a replica where all are slow, must not be cut off.
+// the replica answers everyone else. A lookup that is merely slow, on a replica where all are slow, must not be cut
+// off.
 func TestSilentConnectionIsToldFromSlowReplica(t *testing.T) {
 	for _, test := range []struct {
 		name   string
@@ -72,7 +73,8 @@
 }
 
 // Every open connection to a replica falls silent at once and nothing comes back at all. Waiting for evidence takes for
-// ever, since each next request sits on a silent connection too: the idle ones are replaced on suspicion, once a second.
+// ever, since each next request sits on a silent connection too: the idle ones are replaced on suspicion, once a
+// second.
 func TestStuckReplicaGetsFreshConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newSilenceRun()
@@ -86,8 +88,9 @@
 	})
 }
 
-// The same on a socket: one connection falls silent under a lookup. Those that come after it get their answers on others,
-// and the lookup is given back as silent, without waiting for a deadline (it has none here), so that it can be tried again.
+// The same on a socket: one connection falls silent under a lookup. Those that come after it get their answers on
+// others, and the lookup is given back as silent, without waiting for a deadline (it has none here), so that it can be
+// tried again.
 func TestLookupOnSilentConnectionIsGivenBack(t *testing.T) {
 	lost := make(chan struct{})
 	p := newPeer(t, func(c net.Conn, id string, nth int) bool {
--- a/entry/internal/admission/adapt/limit.go
+++ b/entry/internal/admission/adapt/limit.go
@@ -7,7 +7,8 @@
 
 // The pace of a Limit. docs/design/admission.md gives the runs that chose tolerance and the steps.
 const (
-	// window is how long replies are gathered before the limit moves: long enough for some requests to run under the last move.
+	// window is how long replies are gathered before the limit moves: long enough for some requests to run under the
+	// last move.
 	window = 100 * time.Millisecond
 	// leastReplies is how many replies a window needs, so that its median means something.
 	leastReplies = 32
@@ -42,7 +43,8 @@
 	current float64
 	// base is the median reply time of an upstream that is not pressed.
 	base time.Duration
-	// fallFrom and fallMedian are the limit and the median reply time when the limit began to fall; zero while it does not.
+	// fallFrom and fallMedian are the limit and the median reply time when the limit began to fall; zero while it does
+	// not.
 	fallFrom   float64
 	fallMedian time.Duration
 	// doubling is set until the limit falls for the first time.
@@ -63,7 +65,8 @@
 // Current returns the limit, at least 1.
 func (l *Limit) Current() int { return max(1, int(l.current)) }
 
-// SetCap changes the cap; a limit that is over it comes down at once, and one below a raised cap rises by doubling again.
+// SetCap changes the cap; a limit that is over it comes down at once, and one below a raised cap rises by doubling
+// again.
 func (l *Limit) SetCap(most int) {
 	l.doubling = l.doubling || most > l.cap
 	l.cap = most
@@ -73,7 +76,8 @@
 // Base returns the median reply time of an upstream that is not pressed, zero before the first window ended.
 func (l *Limit) Base() time.Duration { return l.base }
 
-// Reply takes in that a shard answered after took from the start of its query, or that a try was cut off after took, while running requests ran; it reports whether the limit moved.
+// Reply takes in that a shard answered after took from the start of its query, or that a try was cut off after took,
+// while running requests ran; it reports whether the limit moved.
 func (l *Limit) Reply(now time.Time, took time.Duration, running int) bool {
 	if len(l.took) < maxReplies {
 		l.took = append(l.took, took)
@@ -114,7 +118,8 @@
 	case pressed && l.used(0.5):
 		l.fall(middle)
 	case pressed || !l.used(0.9):
-		// A limit that is not used proves nothing, neither that it could be higher nor that this host presses the upstream.
+		// A limit that is not used proves nothing, neither that it could be higher nor that this host presses the
+		// upstream.
 	case l.doubling:
 		l.current = min(l.current*2, float64(l.cap))
 	default:
@@ -133,7 +138,8 @@
 	l.current = max(l.current*down, l.floor())
 }
 
-// The share to which the limit must have fallen, and the share to which the median must have fallen with it, for the fall to have helped.
+// The share to which the limit must have fallen, and the share to which the median must have fallen with it, for the
+// fall to have helped.
 const (
 	fallenLimit  = 0.6
 	fallenMedian = 0.85
--- a/entry/internal/admission/gate.go
+++ b/entry/internal/admission/gate.go
@@ -29,7 +29,8 @@
 	Moved func(from, to int)
 }
 
-// Gate admits the requests of one service on one host; it blocks those that wait and leaves the decisions to packages queue and adapt.
+// Gate admits the requests of one service on one host; it blocks those that wait and leaves the decisions to packages
+// queue and adapt.
 type Gate struct {
 	clock clock.Clock
 	moved func(from, to int)
@@ -71,7 +72,8 @@
 	grant queue.Grant
 }
 
-// Enter waits for a place, at longest until the request could no longer be answered by its deadline; a nil Refusal means that Leave must follow.
+// Enter waits for a place, at longest until the request could no longer be answered by its deadline; a nil Refusal
+// means that Leave must follow.
 func (g *Gate) Enter(ctx context.Context, req Request) (Place, *Refusal) {
 	g.mu.Lock()
 	now := g.clock.Now()
@@ -120,7 +122,8 @@
 	return Place{gate: g, grant: w.Grant, Waited: d}
 }
 
-// giveUp ends a wait; a place that was granted at the same moment goes to the next in line, or it would be lost for good.
+// giveUp ends a wait; a place that was granted at the same moment goes to the next in line, or it would be lost for
+// good.
 func (g *Gate) giveUp(w *queue.Waiter, reason queue.Reason) (Place, *Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/entry/internal/admission/queue/estimate.go
+++ b/entry/internal/admission/queue/estimate.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// smoothing is the weight of a new sample in an estimate, as one part in smoothing; eight samples follow a change of load within a few tens of milliseconds and one straggler moves the mean by an eighth of itself.
+// smoothing is the weight of a new sample in an estimate, as one part in smoothing; eight samples follow a change of
+// load within a few tens of milliseconds and one straggler moves the mean by an eighth of itself.
 const smoothing = 8
 
 // settled is how many samples of a class it takes before it is believed rather than the mean of all.
@@ -16,7 +17,8 @@
 	n int
 	// held is the mean time that a place was taken, whatever the outcome.
 	held time.Duration
-	// done and spread are the mean time and mean deviation of those that were answered in full; requests cut off by their deadline would teach that every request needs exactly its deadline.
+	// done and spread are the mean time and mean deviation of those that were answered in full; requests cut off by
+	// their deadline would teach that every request needs exactly its deadline.
 	done, spread time.Duration
 	nDone        int
 }
@@ -41,7 +43,8 @@
 	return old + (sample-old)/time.Duration(min(n, smoothing))
 }
 
-// median follows the middle of a stream of samples by small steps; unlike a mean, it is not moved by a few long requests, which it serves to recognise.
+// median follows the middle of a stream of samples by small steps; unlike a mean, it is not moved by a few long
+// requests, which it serves to recognise.
 type median struct{ value time.Duration }
 
 const medianStep = 16
@@ -99,7 +102,8 @@
 // to the median of the service, so where all requests are long none is bounded.
 func (q *Queue) longPlaces() int { return max(1, q.limits.Running/2) }
 
-// wait estimates how long a request that arrives now would wait: the requests that are served before it, at the rate at which places have been given back.
+// wait estimates how long a request that arrives now would wait: the requests that are served before it, at the rate at
+// which places have been given back.
 func (q *Queue) wait(f *flow, key string, c *class, long bool) time.Duration {
 	own, flows := 0, len(q.active)
 	if f != nil {
@@ -120,7 +124,8 @@
 	return wait
 }
 
-// A queue that has not been empty for standingAfter is no burst but load over capacity; who waits in it then may spend one part in standingPart of the time to spare.
+// A queue that has not been empty for standingAfter is no burst but load over capacity; who waits in it then may spend
+// one part in standingPart of the time to spare.
 const (
 	standingAfter = 100 * time.Millisecond
 	standingPart  = 4
@@ -137,16 +142,18 @@
 	return slack
 }
 
-// The bounds of RetryAfter: shorter would come back within the same backlog, longer is a guess about load that is not here yet.
+// The bounds of RetryAfter: shorter would come back within the same backlog, longer is a guess about load that is not
+// here yet.
 const (
 	leastRetry = 5 * time.Millisecond
 	mostRetry  = 5 * time.Second
 )
 
-// retryAfter is the time the backlog takes to drain and, spread at random on top of it, the time it takes to serve those refused within the last second.
+// retryAfter is the time the backlog takes to drain and, spread at random on top of it, the time it takes to serve
+// those refused within the last second.
 //
-// A fixed value would send every refused caller back at once. The spread makes those refused come back at
-// the rate at which they can be served.
+// A fixed value would send every refused caller back at once. The spread makes those refused come back at the rate at
+// which they can be served.
 func (q *Queue) retryAfter(now time.Time) time.Duration {
 	perPlace := q.all.held / time.Duration(q.limits.Running)
 	drain := perPlace * time.Duration(q.waiting+1)
--- a/entry/internal/admission/queue/flow.go
+++ b/entry/internal/admission/queue/flow.go
@@ -12,7 +12,8 @@
 	served  time.Duration
 	running int
 	waiting int
-	// pace is the mean time between two starts of the caller's waiting requests, zero unless it has had two since it began to wait.
+	// pace is the mean time between two starts of the caller's waiting requests, zero unless it has had two since it
+	// began to wait.
 	pace      time.Duration
 	paces     int
 	lastStart time.Time
@@ -63,7 +64,8 @@
 	f.lastStart = now
 }
 
-// ahead returns how many of the caller's waiting requests are served before one of the key that arrives now, its keys taking turns.
+// ahead returns how many of the caller's waiting requests are served before one of the key that arrives now, its keys
+// taking turns.
 func (f *flow) ahead(key string) int {
 	own, keys := f.waitingOf(key), len(f.keys)
 	if own == 0 {
--- a/entry/internal/admission/queue/queue.go
+++ b/entry/internal/admission/queue/queue.go
@@ -8,7 +8,8 @@
 
 // Options configures a Queue.
 type Options struct {
-	// Notify is called with each waiter that is decided, within the call that decided it; nil means that nobody is told.
+	// Notify is called with each waiter that is decided, within the call that decided it; nil means that nobody is
+	// told.
 	Notify func(w *Waiter)
 	// Float64 draws the spread of RetryAfter from [0, 1); nil means rand.Float64.
 	Float64 func() float64
@@ -37,7 +38,8 @@
 	typical median
 	refused recent
 
-	// served is the place-time that a caller which always had something waiting has been given; callers that begin to wait start from it.
+	// served is the place-time that a caller which always had something waiting has been given; callers that begin to
+	// wait start from it.
 	served time.Duration
 	// idle is when last nobody waited.
 	idle                     time.Time
@@ -65,7 +67,8 @@
 // Limits returns the limits in force.
 func (q *Queue) Limits() Limits { return q.limits }
 
-// SetLimits puts new limits in force at once: a higher one lets waiting requests run, a shorter queue refuses those that no longer fit.
+// SetLimits puts new limits in force at once: a higher one lets waiting requests run, a shorter queue refuses those
+// that no longer fit.
 func (q *Queue) SetLimits(now time.Time, limits Limits) {
 	q.limits = limits
 	q.fill(now)
@@ -102,7 +105,8 @@
 	return Arrival{Verdict: VerdictWait, Waiter: q.push(req, q.flow(req.Caller), c, long)}
 }
 
-// Leave gives a place back and learns from it; complete says whether the answer was whole rather than cut short by a deadline or a failure.
+// Leave gives a place back and learns from it; complete says whether the answer was whole rather than cut short by a
+// deadline or a failure.
 func (q *Queue) Leave(now time.Time, g Grant, complete bool) {
 	held := max(0, now.Sub(g.start))
 	g.flow.served += held - g.cost
@@ -118,7 +122,8 @@
 	q.release(now, g)
 }
 
-// Cancel ends the wait of a request whose caller gave up or whose LatestStart passed; a place that it was given meanwhile is given back.
+// Cancel ends the wait of a request whose caller gave up or whose LatestStart passed; a place that it was given
+// meanwhile is given back.
 func (q *Queue) Cancel(now time.Time, w *Waiter, reason Reason) Refusal {
 	switch w.Verdict {
 	case VerdictWait:
@@ -155,7 +160,8 @@
 	q.trim(now)
 }
 
-// doubt is how many times longer than its time left a wait must seem before a request that was let in is refused: the estimate is a mean, and a request at the end of the line was let in by the same.
+// doubt is how many times longer than its time left a wait must seem before a request that was let in is refused: the
+// estimate is a mean, and a request at the end of the line was let in by the same.
 const doubt = 2
 
 // trim refuses from the end of the longest line what can't be reached in time any more.
@@ -196,7 +202,8 @@
 	}
 }
 
-// next returns the queue whose oldest request runs next: of the callers below their share, or of all where each has it, the one with the least place-time.
+// next returns the queue whose oldest request runs next: of the callers below their share, or of all where each has it,
+// the one with the least place-time.
 func (q *Queue) next() *keyQueue {
 	share, longFree := q.shareOf(q.limits.Running), q.longFree()
 	var best, over *keyQueue
@@ -229,7 +236,8 @@
 	return max(1, int(math.Ceil(q.limits.CallerShare*float64(n))))
 }
 
-// makeRoom refuses the newest request of the caller with the most waiting, if that caller has more than the one that arrives, or of one of its own keys.
+// makeRoom refuses the newest request of the caller with the most waiting, if that caller has more than the one that
+// arrives, or of one of its own keys.
 //
 // The newest is taken since it has waited least and would be served last.
 func (q *Queue) makeRoom(now time.Time, f *flow, key string) bool {
--- a/entry/internal/admission/queue/request.go
+++ b/entry/internal/admission/queue/request.go
@@ -18,7 +18,8 @@
 	Running int
 	// Waiting is the most requests that wait.
 	Waiting int
-	// CallerShare is the share of Running and of Waiting that one caller may take while others wait, above 0 and at most 1.
+	// CallerShare is the share of Running and of Waiting that one caller may take while others wait, above 0 and at
+	// most 1.
 	CallerShare float64
 }
 
--- a/entry/internal/budget/budget.go
+++ b/entry/internal/budget/budget.go
@@ -5,7 +5,8 @@
 const (
 	// unit is one token in the counter, so that a percentage of a token can be earned.
 	unit = 1_000
-	// burst is how many tokens are kept: enough for the shards of one query that a single fault hits, far too few to double the load when every shard is late.
+	// burst is how many tokens are kept: enough for the shards of one query that a single fault hits, far too few to
+	// double the load when every shard is late.
 	burst = 10
 	// percent of one token, in units.
 	percentUnit = unit / 100
--- a/entry/internal/callers/server.go
+++ b/entry/internal/callers/server.go
@@ -24,7 +24,8 @@
 	"guavaspring.org/entry/internal/writes"
 )
 
-// The limits of a connection: headers hold a name, two ids, a deadline and a ticket; a body of maxBody comes within bodyTimeout over a slow line.
+// The limits of a connection: headers hold a name, two ids, a deadline and a ticket; a body of maxBody comes within
+// bodyTimeout over a slow line.
 const (
 	maxHeaders    = 16 << 10
 	headerTimeout = 5 * time.Second
--- a/entry/internal/choice/choice.go
+++ b/entry/internal/choice/choice.go
@@ -68,7 +68,8 @@
 	return nil
 }
 
-// candidates fills list with the holders that may be chosen and reports whether any was left out for its limit. Holders that are out come in only where there is no other, limits aside.
+// candidates fills list with the holders that may be chosen and reports whether any was left out for its limit. Holders
+// that are out come in only where there is no other, limits aside.
 func candidates(intN func(n int) int, now time.Time, holders, tried []*replica.Replica, list *[window]*replica.Replica) (n int, busy bool) {
 	start := 0
 	if len(holders) > window {
--- a/entry/internal/coldshare/shares.go
+++ b/entry/internal/coldshare/shares.go
@@ -9,8 +9,8 @@
 	"guavaspring.org/entry/internal/member"
 )
 
-// rememberFor is how long hosts count that this one knew and does not know any more. A host that was cut off sees the others vanish within seconds, while
-// they go on; hosts that are gone for good are replaced within a minute.
+// rememberFor is how long hosts count that this one knew and does not know any more. A host that was cut off sees the
+// others vanish within seconds, while they go on; hosts that are gone for good are replaced within a minute.
 const rememberFor = time.Minute
 
 // Options configures Shares.
@@ -18,7 +18,8 @@
 	Clock clock.Clock
 	// Self returns the host's own id.
 	Self func() string
-	// Hosts returns all hosts that are known, and those of them that clients are sent to; it returns the same slices until one of them changes.
+	// Hosts returns all hosts that are known, and those of them that clients are sent to; it returns the same slices
+	// until one of them changes.
 	Hosts func() (all, serving []member.Host)
 	// Settled reports whether this host has had the time to meet the others.
 	Settled func() bool
@@ -26,13 +27,15 @@
 
 // Shares divides among the hosts what a cold replica bears.
 //
-// It answers replicas that come back: a zone that was evacuated or lost power, a release. A cold replica crashes when it gets more than so many requests a
-// second, and no host sees what the others send there within that second. So each has a whole number of its own, worked out from the list of hosts, and the
-// numbers add up to what the replica bears: where there are more hosts than that, the hosts that rank first for the replica send it one each, and
-// the others none. What the bound allows beyond that is for hosts whose lists differ while others come and go.
+// It answers replicas that come back: a zone that was evacuated or lost power, a release. A cold replica crashes when
+// it gets more than so many requests a second, and no host sees what the others send there within that second. So each
+// has a whole number of its own, worked out from the list of hosts, and the numbers add up to what the replica bears:
+// where there are more hosts than that, the hosts that rank first for the replica send it one each, and the others
+// none. What the bound allows beyond that is for hosts whose lists differ while others come and go.
 //
-// A host that was cut off from the others takes them for dead, and would take what is theirs though they go on. So only one that sees more than half of the
-// hosts that it knew a minute ago has a share; so does none that has just started and knows only itself.
+// A host that was cut off from the others takes them for dead, and would take what is theirs though they go on. So only
+// one that sees more than half of the hosts that it knew a minute ago has a share; so does none that has just started
+// and knows only itself.
 type Shares struct {
 	opts Options
 
@@ -48,7 +51,8 @@
 // New returns the shares of one host.
 func New(opts Options) *Shares { return &Shares{opts: opts, shares: map[string]int{}} }
 
-// Of returns how many requests this host may send in any second to a cold replica that bears a number of them from all hosts together.
+// Of returns how many requests this host may send in any second to a cold replica that bears a number of them from all
+// hosts together.
 func (s *Shares) Of(replica string, perSecond float64) int {
 	all, serving := s.opts.Hosts()
 	s.mu.Lock()
--- a/entry/internal/coldshare/shares_test.go
+++ b/entry/internal/coldshare/shares_test.go
@@ -34,8 +34,8 @@
 // asked is how many hosts of a large fleet are asked; ranking all of them for each takes seconds.
 const asked = 80
 
-// A zone comes back cold, and all hosts send there. Whatever their number, the replica must get what it bears and no more, and what hosts are allowed must be
-// a whole number: none can send a part of a request.
+// A zone comes back cold, and all hosts send there. Whatever their number, the replica must get what it bears and no
+// more, and what hosts are allowed must be a whole number: none can send a part of a request.
 func TestSharesAddUp(t *testing.T) {
 	for _, n := range []int{1, 6, 73, 295, 5600} {
 		for _, bears := range []float64{0.4, 1, 10, 10.9, 300} {
@@ -53,8 +53,8 @@
 	}
 }
 
-// Hosts come and go while a zone comes back, and each host has another list: it lacks up to a sixth of the others. Together they must stay within half as much
-// again and five requests more than the replica bears.
+// Hosts come and go while a zone comes back, and each host has another list: it lacks up to a sixth of the others.
+// Together they must stay within half as much again and five requests more than the replica bears.
 func TestSharesOfListsThatDiffer(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	for _, n := range []int{6, 12, 73, 295} {
@@ -78,8 +78,8 @@
 	}
 }
 
-// A part of the hosts is cut off from the others, who are all alive and go on. Whoever sees half of them or less must send a cold replica nothing, and may
-// again once those have been gone for so long that they are not coming back.
+// A part of the hosts is cut off from the others, who are all alive and go on. Whoever sees half of them or less must
+// send a cold replica nothing, and may again once those have been gone for so long that they are not coming back.
 func TestHostCutOffHasNoShare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		known := hosts(6)
@@ -101,7 +101,8 @@
 	})
 }
 
-// All hosts start at once beside replicas that are cold. Each knows only itself at first, and must not send what is meant for all.
+// All hosts start at once beside replicas that are cold. Each knows only itself at first, and must not send what is
+// meant for all.
 func TestHostThatHasJustStartedHasNoShare(t *testing.T) {
 	settled := false
 	known := hosts(1)
--- a/entry/internal/crossing/crossing.go
+++ b/entry/internal/crossing/crossing.go
@@ -2,9 +2,9 @@
 
 import "slices"
 
-// leastShards is how many shards a host in another zone is asked for at least. Their parts come back as one page of the greatest records, and the
-// request goes there once: from eight shards on that is a quarter of the bytes or less, and below it the wait for a second host, which may be
-// slow or gone, buys little.
+// leastShards is how many shards a host in another zone is asked for at least. Their parts come back as one page of the
+// greatest records, and the request goes there once: from eight shards on that is a quarter of the bytes or less, and
+// below it the wait for a second host, which may be slow or gone, buys little.
 const leastShards = 8
 
 // Shard is what is known of one shard where a query comes.
@@ -22,12 +22,13 @@
 	Shards []int
 }
 
-// Groups returns the parts of a query that are asked through a host in another zone, where zones have hosts that take them and draw is a random number,
-// 0 to 1. A shard that is in none is asked directly.
+// Groups returns the parts of a query that are asked through a host in another zone, where zones have hosts that take
+// them and draw is a random number, 0 to 1. A shard that is in none is asked directly.
 //
-// It answers queries over many shards each of which has its replicas in some of the zones: of 90 shards with three replicas in five zones a host has
-// no near one for 36, whose parts crossed the border at 1.4 KB each, half of all that did. A host there gathers them in its own
-// zone, at no more delay than the way there takes anyway, and sends on 50 records of 16 bytes.
+// It answers queries over many shards each of which has its replicas in some of the zones: of 90 shards with three
+// replicas in five zones a host has no near one for 36, whose parts crossed the border at 1.4 KB each, half of all that
+// did. A host there gathers them in its own zone, at no more delay than the way there takes anyway, and sends on 50
+// records of 16 bytes.
 func Groups(shards []Shard, zones []string, draw float64) []Group {
 	left := make([]int, 0, len(shards))
 	for i, s := range shards {
@@ -47,8 +48,8 @@
 	return groups
 }
 
-// largest returns the group of the zone that holds most of the shards left. Of zones that hold as many each one is drawn as often, so that the
-// replicas of all zones have their part of the work.
+// largest returns the group of the zone that holds most of the shards left. Of zones that hold as many each one is
+// drawn as often, so that the replicas of all zones have their part of the work.
 func largest(shards []Shard, left []int, zones []string, draw float64) Group {
 	var best Group
 	first := min(int(draw*float64(len(zones))), max(0, len(zones)-1))
--- a/entry/internal/crossing/crossing_test.go
+++ b/entry/internal/crossing/crossing_test.go
@@ -24,8 +24,9 @@
 	return list
 }
 
-// A quilter's page over 90 shards comes to a host of five zones; each shard's replicas are in three. Two shards in five are not in the host's zone, and
-// one other host must bring them all; where a query is small or has a replica in each zone, nothing may depend on a second host.
+// A quilter's page over 90 shards comes to a host of five zones; each shard's replicas are in three. Two shards in five
+// are not in the host's zone, and one other host must bring them all; where a query is small or has a replica in each
+// zone, nothing may depend on a second host.
 func TestGroups(t *testing.T) {
 	zones := []string{"a", "b", "c", "d", "e"}
 	tests := []struct {
@@ -53,7 +54,8 @@
 	qt.Check(t, crossing.Groups(spread(90, 3, zones, "a"), nil, 0.3), qt.HasLen, 0)
 }
 
-// Whatever is known of shards and zones, a shard must be asked once: in one group, in a zone that holds it and has a host, or directly.
+// Whatever is known of shards and zones, a shard must be asked once: in one group, in a zone that holds it and has a
+// host, or directly.
 func TestEachShardIsAskedOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		zone := rapid.SampledFrom([]string{"a", "b", "c", "d"})
@@ -78,8 +80,8 @@
 	})
 }
 
-// The replicas of a shard run at equal speed, and each must get its part though no host asks them all. Of hosts in five zones with as many clients, no
-// replica may get half as much again as its third.
+// The replicas of a shard run at equal speed, and each must get its part though no host asks them all. Of hosts in five
+// zones with as many clients, no replica may get half as much again as its third.
 func TestReplicasShareTheWork(t *testing.T) {
 	zones := []string{"a", "b", "c", "d", "e"}
 	work := map[string]float64{}
--- a/entry/internal/directory/directory.go
+++ b/entry/internal/directory/directory.go
@@ -21,7 +21,8 @@
 const (
 	// listed is the most hosts in one zone's object: enough that one of them still runs after an hour without updates.
 	listed = 8
-	// writeEvery is the least time between two writes of one zone's object; with 24 zones that is under one write a second.
+	// writeEvery is the least time between two writes of one zone's object; with 24 zones that is under one write a
+	// second.
 	writeEvery = 30 * time.Second
 	readEvery  = 30 * time.Second
 	tickEvery  = 2 * time.Second
@@ -38,8 +39,8 @@
 	List func(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error)
 	Get  func(ctx context.Context, kind platform.Kind, name string) (platform.Object, error)
 	Put  func(ctx context.Context, kind platform.Kind, name string, version int64, body []byte) (platform.Object, error)
-	// Seeded is how long a host waits for the hosts that its settings name before it reads; one that joined by then doesn't read, since in a
-	// fleet that starts at once each read is a call to the platform.
+	// Seeded is how long a host waits for the hosts that its settings name before it reads; one that joined by then
+	// doesn't read, since in a fleet that starts at once each read is a call to the platform.
 	Seeded time.Duration
 	// Self and Hosts return this host's row and every host that is not dead.
 	Self  func() member.Host
@@ -92,8 +93,9 @@
 	if d.started.IsZero() {
 		d.started = now
 	}
-	// A host that starts must not write over a fleet that it hasn't met yet. Where it waits for the hosts that its settings name, the others have the time to
-	// meet; in a large fleet that starts at once every third would take itself for the first of its zone, and write.
+	// A host that starts must not write over a fleet that it hasn't met yet. Where it waits for the hosts that its
+	// settings name, the others have the time to meet; in a large fleet that starts at once every third would take
+	// itself for the first of its zone, and write.
 	met := now.Sub(d.started) >= meetFor || !alone && d.opts.Seeded == 0
 	if d.read.IsZero() && d.opts.Seeded == 0 || alone || writer && met && now.Sub(d.read) >= readEvery {
 		d.readAll(ctx, now)
--- a/entry/internal/directory/directory_test.go
+++ b/entry/internal/directory/directory_test.go
@@ -155,8 +155,9 @@
 	})
 }
 
-// Story: three hundred hosts start at once and turn to the few that their settings name. Each knows a few others at first, and takes itself for the first
-// of its zone. While they meet, none of them may call the platform; once they have, the first writes the zone's object.
+// Story: three hundred hosts start at once and turn to the few that their settings name. Each knows a few others at
+// first, and takes itself for the first of its zone. While they meet, none of them may call the platform; once they
+// have, the first writes the zone's object.
 func TestHostsThatMeetDoNotCallThePlatform(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/entry/internal/drainer/drainer.go
+++ b/entry/internal/drainer/drainer.go
@@ -19,7 +19,8 @@
 	Clock clock.Clock
 	// Announce tells the other hosts that this one is leaving.
 	Announce func(ctx context.Context)
-	// Grace is how long callers may go on coming after the announcement: as long as they keep addresses, and the time the other hosts take to hear of it.
+	// Grace is how long callers may go on coming after the announcement: as long as they keep addresses, and the time
+	// the other hosts take to hear of it.
 	Grace func() time.Duration
 	// Alone reports whether no other host serves, so that there is nobody to leave the callers to; nil means never.
 	Alone func() bool
@@ -56,7 +57,8 @@
 // Running returns how many requests are in flight.
 func (d *Drainer) Running() int { return int(d.running.Load()) }
 
-// Leave announces the stop and returns when the port may be closed, or ctx ends; the server then has to finish what is in flight.
+// Leave announces the stop and returns when the port may be closed, or ctx ends; the server then has to finish what is
+// in flight.
 func (d *Drainer) Leave(ctx context.Context) error {
 	if d.leaving.Swap(true) {
 		// A second order to stop must not shorten the grace of the first.
--- a/entry/internal/endpoints/cold.go
+++ b/entry/internal/endpoints/cold.go
@@ -8,8 +8,8 @@
 	"guavaspring.org/core/route"
 )
 
-// coldWindow is the time over which the requests to a cold replica are counted: the second for which its bound holds, and the time that one of them may
-// wait for a connection.
+// coldWindow is the time over which the requests to a cold replica are counted: the second for which its bound holds,
+// and the time that one of them may wait for a connection.
 const coldWindow = 1300 * time.Millisecond
 
 // errCold is why a request was not sent that would have been too much for a cold replica.
@@ -25,16 +25,16 @@
 
 func coldOf(s route.Service) *cold { return &cold{lasts: s.ColdFor, perSecond: s.ColdPerSecond} }
 
-// noteRow takes over from the row how long the replica stays cold. That may begin anew at any time, as when its zone was evacuated for a while: it is
-// slow then, though all that this host has seen of it was quick.
+// noteRow takes over from the row how long the replica stays cold. That may begin anew at any time, as when its zone
+// was evacuated for a while: it is slow then, though all that this host has seen of it was quick.
 func (r *Replica) noteRow(now time.Time) {
 	if r.row.Cold > 0 {
 		r.coldEnd = now.Add(r.row.Cold)
 	}
 }
 
-// noteEvacuation takes the replica for cold where its zone was released: its row may say so only a heartbeat later, and a zone's share of the requests that
-// comes at once lets all its replicas crash.
+// noteEvacuation takes the replica for cold where its zone was released: its row may say so only a heartbeat later, and
+// a zone's share of the requests that comes at once lets all its replicas crash.
 func (r *Replica) noteEvacuation(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -52,7 +52,8 @@
 	return r.roomCold(now)
 }
 
-// takeCold counts a request that is about to be sent, and reports whether the replica bears it; one that is warm bears all.
+// takeCold counts a request that is about to be sent, and reports whether the replica bears it; one that is warm bears
+// all.
 func (r *Replica) takeCold(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/entry/internal/endpoints/ended.go
+++ b/entry/internal/endpoints/ended.go
@@ -6,8 +6,8 @@
 	"guavaspring.org/core/platform"
 )
 
-// endedFor is how long the last row of a replica that is gone is remembered: a write that its process had given up reaches the store within
-// seconds.
+// endedFor is how long the last row of a replica that is gone is remembered: a write that its process had given up
+// reaches the store within seconds.
 const endedFor = time.Minute
 
 // ended holds the last rows of replicas that are gone, so that a late write of one of them brings nothing back.
--- a/entry/internal/endpoints/evacuation_test.go
+++ b/entry/internal/endpoints/evacuation_test.go
@@ -23,7 +23,8 @@
 	"guavaspring.org/platform/wire"
 )
 
-// zonedTable is the table of a host in zone a, with a replica of the service in each of some zones, of which one at a time may be evacuated.
+// zonedTable is the table of a host in zone a, with a replica of the service in each of some zones, of which one at a
+// time may be evacuated.
 type zonedTable struct {
 	*endpoints.Table
 	replicas  []*replicatest.Replica
@@ -55,8 +56,9 @@
 	t.Refresh()
 }
 
-// An operator evacuates the zone of the replica that a host likes best. From then on it chooses another one, gathers nothing through hosts of that zone,
-// and says so where no zone is left; once the zone is released it is used as before.
+// An operator evacuates the zone of the replica that a host likes best. From then on it chooses another one, gathers
+// nothing through hosts of that zone, and says so where no zone is left; once the zone is released it is used as
+// before.
 func TestEvacuatedZoneIsNotChosen(t *testing.T) {
 	f := replicatest.New()
 	table := newZonedTable(f, f.Dial, "a", "b")
@@ -91,8 +93,8 @@
 	qt.Assert(t, verdict, qt.Equals, endpoints.None)
 }
 
-// A request may run in one region only, where the nearest replica is not. It must run there or not at all, however slow that is, also when that region's zone
-// is evacuated.
+// A request may run in one region only, where the nearest replica is not. It must run there or not at all, however slow
+// that is, also when that region's zone is evacuated.
 func TestHomesAreKept(t *testing.T) {
 	f := replicatest.New()
 	table := newZonedTable(f, f.Dial, "a", "b", "c")
@@ -115,8 +117,8 @@
 	}
 }
 
-// A request has chosen its replica and waits for a connection as the zone is evacuated. Connecting may take as long as the operator's bound, so the
-// request must not leave afterwards.
+// A request has chosen its replica and waits for a connection as the zone is evacuated. Connecting may take as long as
+// the operator's bound, so the request must not leave afterwards.
 func TestEvacuatedWhileConnecting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := replicatest.New()
@@ -134,8 +136,8 @@
 	})
 }
 
-// A zone is evacuated for a while and its replicas turn cold before it is released. What a host had seen of them was quick, and the row says that they are
-// slow for a while: a replica of another zone goes first, until the time is over.
+// A zone is evacuated for a while and its replicas turn cold before it is released. What a host had seen of them was
+// quick, and the row says that they are slow for a while: a replica of another zone goes first, until the time is over.
 func TestColdAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := replicatest.New()
@@ -155,8 +157,9 @@
 	})
 }
 
-// A zone is released and its replica is cold, which its row says only later: it bears six requests a second, of which this host may send two. All that comes
-// beyond goes to the other replica until the time is over; where there is no other one it waits rather than let the replica crash.
+// A zone is released and its replica is cold, which its row says only later: it bears six requests a second, of which
+// this host may send two. All that comes beyond goes to the other replica until the time is over; where there is no
+// other one it waits rather than let the replica crash.
 func TestColdReplicaGetsWhatItBears(t *testing.T) {
 	for _, zones := range [][]string{{"a", "b"}, {"a"}} {
 		synctest.Test(t, func(t *testing.T) {
--- a/entry/internal/endpoints/load.go
+++ b/entry/internal/endpoints/load.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// tookWeight is the weight of the newest try in the mean time of a service's tries: one in a hundred takes five times as long, and must not
-	// double what all others are expected to wait.
+	// tookWeight is the weight of the newest try in the mean time of a service's tries: one in a hundred takes five
+	// times as long, and must not double what all others are expected to wait.
 	tookWeight = 1.0 / 16
-	// meanOver is the time over which the tries under way are averaged: long enough for a host of a large fleet, which has one under way now and
-	// then, and short beside the seconds of a burst.
+	// meanOver is the time over which the tries under way are averaged: long enough for a host of a large fleet, which
+	// has one under way now and then, and short beside the seconds of a burst.
 	meanOver = time.Second
 )
 
--- a/entry/internal/endpoints/queue.go
+++ b/entry/internal/endpoints/queue.go
@@ -33,9 +33,9 @@
 
 // queue holds the tries that wait for one service.
 //
-// It answers a shard that gets more work than its replicas left can do: the shard of a page whose other two replicas were taken away.
-// Sent on at once, all tries stand in the replica's queue past their objective and each page waits for them in vain. Held
-// here, the work that decides whether a page can be answered goes first, and what is late goes last.
+// It answers a shard that gets more work than its replicas left can do: the shard of a page whose other two replicas
+// were taken away. Sent on at once, all tries stand in the replica's queue past their objective and each page waits for
+// them in vain. Held here, the work that decides whether a page can be answered goes first, and what is late goes last.
 type queue struct {
 	mu      sync.Mutex
 	waiting []*Waiter
@@ -90,9 +90,9 @@
 
 // first returns the place of the waiter that goes first, of those with the lowest rank.
 //
-// While the queue is short that is the one that has waited longest. Once it has waited for half of what it can, more comes than
-// can be done: in that order all would leave at the last moment and come back late. Then the newest goes first, which is in
-// time, and those that can't all be served are the ones that have waited.
+// While the queue is short that is the one that has waited longest. Once it has waited for half of what it can, more
+// comes than can be done: in that order all would leave at the last moment and come back late. Then the newest goes
+// first, which is in time, and those that can't all be served are the ones that have waited.
 func (q *queue) first(now time.Time) int {
 	oldest, newest := 0, 0
 	for i, w := range q.waiting {
--- a/entry/internal/endpoints/replica.go
+++ b/entry/internal/endpoints/replica.go
@@ -17,22 +17,27 @@
 )
 
 const (
-	// slownessWeight and failureWeight are the weights of a new sample; about four samples outweigh what was known before.
+	// slownessWeight and failureWeight are the weights of a new sample; about four samples outweigh what was known
+	// before.
 	slownessWeight = 0.3
 	failureWeight  = 0.25
-	// outlier is how many times the usual a reply takes that is a long piece of work more often than a slow replica: one in a hundred takes
-	// five times as long. It counts with outlierWeight; a replica that is ten times slower still stands at twice the usual after one.
+	// outlier is how many times the usual a reply takes that is a long piece of work more often than a slow replica:
+	// one in a hundred takes five times as long. It counts with outlierWeight; a replica that is ten times slower still
+	// stands at twice the usual after one.
 	outlier       = 2.5
 	outlierWeight = 0.1
-	// outlierAgain is the weight of an outlier that was sent after another one had come, with none in time between. A pause is met by all that is under
-	// way, and once; a replica that is ten times slower would otherwise be tried twice a second by each host, which forgets it as fast as it learns.
+	// outlierAgain is the weight of an outlier that was sent after another one had come, with none in time between. A
+	// pause is met by all that is under way, and once; a replica that is ten times slower would otherwise be tried
+	// twice a second by each host, which forgets it as fast as it learns.
 	outlierAgain = 0.5
 	// mostSlowness bounds what one sample can say, so that a replica that was dark is found again soon.
 	mostSlowness = 20
-	// firstPause and mostPause bound how long a replica that can't be reached is left alone; the time doubles with each failure.
+	// firstPause and mostPause bound how long a replica that can't be reached is left alone; the time doubles with each
+	// failure.
 	firstPause = 100 * time.Millisecond
 	mostPause  = 2 * time.Second
-	// coldFor is how long a replica that was listed after the first list counts as cold: replicas are slow for some seconds after their start.
+	// coldFor is how long a replica that was listed after the first list counts as cold: replicas are slow for some
+	// seconds after their start.
 	coldFor = 3 * time.Second
 )
 
@@ -54,7 +59,8 @@
 	// lapsed is when a row that vanished while the store was away counts as gone; zero where it is listed.
 	lapsed  time.Time
 	coldEnd time.Time
-	// spared says that the replica's zone was evacuated when the table last looked, coldSent when requests were sent to it while it was cold.
+	// spared says that the replica's zone was evacuated when the table last looked, coldSent when requests were sent to
+	// it while it was cold.
 	spared   bool
 	coldSent []time.Time
 	// running holds the starts of the requests under way, in no order.
@@ -67,7 +73,8 @@
 	reported reported
 	// late is when an outlier came last, zero where a reply in time has come since.
 	late time.Time
-	// until is when the replica may be tried again after it could not be reached, tries how often in a row that happened.
+	// until is when the replica may be tried again after it could not be reached, tries how often in a row that
+	// happened.
 	until time.Time
 	tries int
 }
@@ -86,7 +93,8 @@
 	return r.row.Zone
 }
 
-// Process names the replica's process: a replica that starts again keeps its id, and what its former process did doesn't count against it.
+// Process names the replica's process: a replica that starts again keeps its id, and what its former process did
+// doesn't count against it.
 func (r *Replica) Process() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -96,7 +104,8 @@
 	return r.row.ID + "@" + strconv.FormatInt(r.row.Started.UnixMilli(), 10)
 }
 
-// Usable reports whether new requests may be sent to the replica: it is listed, does not leave, and its zone is not evacuated.
+// Usable reports whether new requests may be sent to the replica: it is listed, does not leave, and its zone is not
+// evacuated.
 func (r *Replica) Usable() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/entry/internal/endpoints/reported.go
+++ b/entry/internal/endpoints/reported.go
@@ -8,12 +8,14 @@
 )
 
 const (
-	// paceForget and queueForget are the times in which what a replica reported of its speed and of its queue loses two thirds of its weight: the work beside
-	// it on its machine comes and goes within half a second, and a queue is gone or twice as long within the time of some replies.
+	// paceForget and queueForget are the times in which what a replica reported of its speed and of its queue loses two
+	// thirds of its weight: the work beside it on its machine comes and goes within half a second, and a queue is gone
+	// or twice as long within the time of some replies.
 	paceForget  = 400 * time.Millisecond
 	queueForget = 150 * time.Millisecond
-	// trustWeight is the weight of the newest reply in how often the replica's word foretold its replies, and believedFrom is from where on it counts. One reply in
-	// twenty meets a pause or is long work, which no word foretells; a word that is wrong for every second one says nothing.
+	// trustWeight is the weight of the newest reply in how often the replica's word foretold its replies, and
+	// believedFrom is from where on it counts. One reply in twenty meets a pause or is long work, which no word
+	// foretells; a word that is wrong for every second one says nothing.
 	trustWeight  = 0.2
 	believedFrom = 0.6
 	// foretold is how many times longer than the reported pace a reply may take, or shorter, for the word to hold.
@@ -22,12 +24,14 @@
 
 // reported is what a replica says of itself with its replies.
 //
-// It answers machines that replicas share with others, and queues that other hosts fill. Of a replica that turns four times slower for half a second a host
-// learns by the replies that come late, which are as often long pieces of work, so that it counts the first one little; by the time that it knows, the machine
-// is as quick as before, and the replica is left alone for seconds. And of seventy hosts none sees what the others send. The replica's word tells
-// both at once. Its speed is believed as far as it foretold the replies: some replicas say nothing, or the same always.
+// It answers machines that replicas share with others, and queues that other hosts fill. Of a replica that turns four
+// times slower for half a second a host learns by the replies that come late, which are as often long pieces of work,
+// so that it counts the first one little; by the time that it knows, the machine is as quick as before, and the replica
+// is left alone for seconds. And of seventy hosts none sees what the others send. The replica's word tells both at
+// once. Its speed is believed as far as it foretold the replies: some replicas say nothing, or the same always.
 type reported struct {
-	// pace is how long work takes there, in times of the usual, zero where that was never said; queue is how many requests wait, in times of the slots.
+	// pace is how long work takes there, in times of the usual, zero where that was never said; queue is how many
+	// requests wait, in times of the slots.
 	pace, queue float64
 	at          time.Time
 	// trust is the share of the latest replies that took about as long as the pace had them take.
--- a/entry/internal/endpoints/restart_test.go
+++ b/entry/internal/endpoints/restart_test.go
@@ -45,8 +45,8 @@
 	return r.Send(t.Context(), endpoints.Call{Request: req, Deadline: time.Now().Add(10 * time.Second), Connections: 4, Usual: 30 * time.Millisecond, Once: once})
 }
 
-// A replica crashes while its requests fail and its address refuses, and starts again under its id. The new process must not wait out the rest
-// and the failures of the old one: its shard would stay short for seconds.
+// A replica crashes while its requests fail and its address refuses, and starts again under its id. The new process
+// must not wait out the rest and the failures of the old one: its shard would stay short for seconds.
 func TestRestartedReplicaIsNewToAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := replicatest.New()
@@ -82,8 +82,8 @@
 	})
 }
 
-// An address answers that it belongs to another replica, since one of another service had it for a while. The replica then starts again
-// under its id and address; what the old address said must not keep the new process out for good.
+// An address answers that it belongs to another replica, since one of another service had it for a while. The replica
+// then starts again under its id and address; what the old address said must not keep the new process out for good.
 func TestRestartEndsMisdirection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := replicatest.New()
@@ -103,8 +103,9 @@
 	})
 }
 
-// A write is under way at a replica whose host loses power, so that its connection says nothing more; the replica starts again under its id.
-// The write is lost at that moment, not at the deadline, its outcome is not known, and the new process never gets it.
+// A write is under way at a replica whose host loses power, so that its connection says nothing more; the replica
+// starts again under its id. The write is lost at that moment, not at the deadline, its outcome is not known, and the
+// new process never gets it.
 func TestRestartEndsWhatIsUnderWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := replicatest.New()
@@ -128,8 +129,9 @@
 	})
 }
 
-// A write that a replica had given up reaches the store late: it says that the replica is ready, after it has said that it leaves, has started
-// again, or is gone. Believed, it would bring back a process that ended, or send requests to one that is about to.
+// A write that a replica had given up reaches the store late: it says that the replica is ready, after it has said that
+// it leaves, has started again, or is gone. Believed, it would bring back a process that ended, or send requests to one
+// that is about to.
 func TestLateRowBringsNothingBack(t *testing.T) {
 	leaving := func(r platform.Replica) platform.Replica {
 		r.State = platform.StateLeaving
@@ -187,8 +189,9 @@
 	}
 }
 
-// The clock of a replica's host is set back, and the replica starts again: by its clock it started before its former process. It writes again
-// and again; left out for good, its shard would have a replica less for as long as the process lives.
+// The clock of a replica's host is set back, and the replica starts again: by its clock it started before its former
+// process. It writes again and again; left out for good, its shard would have a replica less for as long as the process
+// lives.
 func TestRestartOnAClockThatWasSetBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table, row := oneReplica(t)
@@ -201,8 +204,9 @@
 	})
 }
 
-// An entry is overwritten with nonsense, or claims to have started tomorrow. It names no replica from then on, also right after an outage of the
-// store, when what vanished is still used for a while; once it is good again the replica is used again.
+// An entry is overwritten with nonsense, or claims to have started tomorrow. It names no replica from then on, also
+// right after an outage of the store, when what vanished is still used for a while; once it is good again the replica
+// is used again.
 func TestEntryThatCannotBeBelieved(t *testing.T) {
 	for _, returned := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
--- a/entry/internal/endpoints/rows.go
+++ b/entry/internal/endpoints/rows.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// doubtFor is how long a row of an earlier start is not believed: a replica that lives writes every 1.2 s, and the third write that
-	// changes nothing says that no later process is there.
+	// doubtFor is how long a row of an earlier start is not believed: a replica that lives writes every 1.2 s, and the
+	// third write that changes nothing says that no later process is there.
 	doubtFor = 3600 * time.Millisecond
-	// mostAhead is how far the clock of a replica's host may be ahead of this one's. Clocks jump by seconds; a start that is further ahead
-	// would make every true row an old one.
+	// mostAhead is how far the clock of a replica's host may be ahead of this one's. Clocks jump by seconds; a start
+	// that is further ahead would make every true row an old one.
 	mostAhead = time.Minute
 )
 
@@ -44,9 +44,9 @@
 
 // doubt leaves out a row that is older than the one known.
 //
-// A row of the same process is old for good. One of another process is a late write of a process that ended, or else the clock of the
-// replica's host was set back between two starts. Then the replica lives and writes again and again what is refused here, so that
-// the row is believed once nothing newer has come for some heartbeats.
+// A row of the same process is old for good. One of another process is a late write of a process that ended, or else
+// the clock of the replica's host was set back between two starts. Then the replica lives and writes again and again
+// what is refused here, so that the row is believed once nothing newer has come for some heartbeats.
 func (t *Table) doubt(row, old platform.Replica) {
 	events.ReplicaRowOld.Log(t.opts.Log, "replica", row.ID, "started", row.Started, "sequence", row.Sequence, "known_started", old.Started, "known_sequence", old.Sequence)
 	if row.Started.Equal(old.Started) {
@@ -95,8 +95,8 @@
 	r.noteRow(t.opts.Clock.Now())
 }
 
-// restart drops a process whose replica has started again. What is under way there is lost, and nobody waits for it: where the host of
-// the old process had lost power, its connections would stay silent.
+// restart drops a process whose replica has started again. What is under way there is lost, and nobody waits for it:
+// where the host of the old process had lost power, its connections would stay silent.
 func (t *Table) restart(r *Replica, row platform.Replica) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -47,8 +47,9 @@
 	spare  spare
 }
 
-// Delay returns how long a try that comes now is expected to wait for room: at this host as long as those that wait already take to be sent, where
-// as many run at once as do now, and at the replica as long as others waited there lately. together is the wait at all services of the query.
+// Delay returns how long a try that comes now is expected to wait for room: at this host as long as those that wait
+// already take to be sent, where as many run at once as do now, and at the replica as long as others waited there
+// lately. together is the wait at all services of the query.
 func (s *Service) Delay(now time.Time, together time.Duration) time.Duration {
 	here := s.load.wait(s.Waiting())
 	if !s.occupied(now) {
@@ -57,8 +58,9 @@
 	return here + max(time.Duration(togetherPart*float64(together)), s.queued.At(now))
 }
 
-// Begin counts a try of a request that came to this host, whichever host sends it, and End its end and how long it took: how busy the replicas are is
-// worked out from what came here, which is this host's part of all, and not from what it sends for others.
+// Begin counts a try of a request that came to this host, whichever host sends it, and End its end and how long it
+// took: how busy the replicas are is worked out from what came here, which is this host's part of all, and not from
+// what it sends for others.
 func (s *Service) Begin(now time.Time) { s.load.begin(now) }
 
 // End counts the end of a try that Begin counted.
@@ -72,22 +74,23 @@
 // Newest returns how long the newest reply waited at its replica, and whether that is fresh.
 func (s *Service) Newest(now time.Time) (time.Duration, bool) { return s.queued.Newest(now) }
 
-// togetherPart is how much of the wait that the newest replies of all services show counts for each of them. One reply of a service may have met a
-// replica that pauses, and of ten often one or two have, which must not count whole. But it tells of a burst ten times sooner than the
-// replies of one service do.
+// togetherPart is how much of the wait that the newest replies of all services show counts for each of them. One reply
+// of a service may have met a replica that pauses, and of ten often one or two have, which must not count whole. But it
+// tells of a burst ten times sooner than the replies of one service do.
 const togetherPart = 0.5
 
-// occupiedFrom is how many requests are at the replicas, as a share of those that they run at once, from which on late replies are taken for a
-// sign of queues. A queue that takes as long as the work doubles them, and part of a host's estimate is chance: where each host has nine
-// requests a second, it is a third off as often as not.
+// occupiedFrom is how many requests are at the replicas, as a share of those that they run at once, from which on late
+// replies are taken for a sign of queues. A queue that takes as long as the work doubles them, and part of a host's
+// estimate is chance: where each host has nine requests a second, it is a third off as often as not.
 const occupiedFrom = 1.4
 
-// occupied reports whether the replicas may have queues: whether all hosts together have more requests there than they run at once, where this
-// host does its part. Replicas that are slow and have little to do are late, too, and refusing requests would not make them
-// any quicker.
+// occupied reports whether the replicas may have queues: whether all hosts together have more requests there than they
+// run at once, where this host does its part. Replicas that are slow and have little to do are late, too, and refusing
+// requests would not make them any quicker.
 func (s *Service) occupied(now time.Time) bool { return s.use(now) >= occupiedFrom }
 
-// use returns how many requests are at the replicas, as a share of those that they run at once, where this host does its part of all.
+// use returns how many requests are at the replicas, as a share of those that they run at once, where this host does
+// its part of all.
 func (s *Service) use(now time.Time) float64 {
 	can := float64(s.slots.Load()) * s.part()
 	if can <= 0 {
@@ -96,7 +99,8 @@
 	return s.load.mean(now) / can
 }
 
-// Spare takes over how long a route lets its tries wait for room, and returns the least that any route to the service said lately.
+// Spare takes over how long a route lets its tries wait for room, and returns the least that any route to the service
+// said lately.
 func (s *Service) Spare(now time.Time, d time.Duration) time.Duration { return s.spare.least(now, d) }
 
 // Connections returns the most connections that this host may hold to each replica.
@@ -108,15 +112,15 @@
 	names, regions []string
 }
 
-// Zones returns the availability zones that hold a replica which neither leaves nor stands in an evacuated zone, and whether the host's own is one of them; the slice must not be
-// changed.
+// Zones returns the availability zones that hold a replica which neither leaves nor stands in an evacuated zone, and
+// whether the host's own is one of them; the slice must not be changed.
 func (s *Service) Zones() (near bool, names []string) {
 	z := s.zones.Load()
 	return z.near, z.names
 }
 
-// Served reports whether a replica serves in one of some regions, or anywhere where there are none: one that is listed, does not leave, and does not
-// stand in an evacuated zone.
+// Served reports whether a replica serves in one of some regions, or anywhere where there are none: one that is listed,
+// does not leave, and does not stand in an evacuated zone.
 func (s *Service) Served(in []string) bool {
 	return slices.ContainsFunc(s.zones.Load().regions, func(region string) bool { return homes.Allow(in, region) })
 }
@@ -189,7 +193,8 @@
 	return best, Found
 }
 
-// admits reports whether a replica takes one more request of this host now: a connection is left, and one that is cold bears it.
+// admits reports whether a replica takes one more request of this host now: a connection is left, and one that is cold
+// bears it.
 func (s *Service) admits(r *Replica, seen pick.Replica, now time.Time) bool {
 	return r.pool.Free(s.Connections()) && (!seen.Cold || r.bearsCold(now))
 }
--- a/entry/internal/endpoints/table.go
+++ b/entry/internal/endpoints/table.go
@@ -21,11 +21,11 @@
 )
 
 const (
-	// lapseFor is how long replicas that vanished from the store while it was away are still used after its return: those that live
-	// are back within about two seconds.
+	// lapseFor is how long replicas that vanished from the store while it was away are still used after its return:
+	// those that live are back within about two seconds.
 	lapseFor = 2500 * time.Millisecond
-	// connsPart is the part of a replica's connections that the hosts share; the rest is for those that join, and for connections that
-	// the replica still counts while they close.
+	// connsPart is the part of a replica's connections that the hosts share; the rest is for those that join, and for
+	// connections that the replica still counts while they close.
 	connsPart = 0.8
 	// leastConns is what each host may always hold: one for a request and one for a second try.
 	leastConns = 2
@@ -45,13 +45,16 @@
 	Spend   spend.Options
 	// Share returns the part, 0 to 1, of what all hosts together may do that this host takes.
 	Share func() float64
-	// Evacuated reports whether nothing may be sent to the replicas of an availability zone; nil means that no zone is evacuated.
+	// Evacuated reports whether nothing may be sent to the replicas of an availability zone; nil means that no zone is
+	// evacuated.
 	Evacuated func(zone string) bool
-	// ColdShare returns how many requests this host may send in any second to a cold replica that bears a number of them; nil means as many as it bears.
+	// ColdShare returns how many requests this host may send in any second to a cold replica that bears a number of
+	// them; nil means as many as it bears.
 	ColdShare func(replica string, perSecond float64) int
 	// Dial opens a connection to a replica; nil means TCP.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
-	// Opened returns what is used in place of a new connection to a replica in the own zone, or in another; nil means the connection itself.
+	// Opened returns what is used in place of a new connection to a replica in the own zone, or in another; nil means
+	// the connection itself.
 	Opened func(c net.Conn, near bool) net.Conn
 }
 
@@ -194,7 +197,8 @@
 	return t.listed
 }
 
-// remove takes a replica out. One that vanished while the store was away may live: the store forgets those that could not write to it.
+// remove takes a replica out. One that vanished while the store was away may live: the store forgets those that could
+// not write to it.
 func (t *Table) remove(id string, returned bool) {
 	r := t.replicas[id]
 	if r == nil {
--- a/entry/internal/endpoints/table_test.go
+++ b/entry/internal/endpoints/table_test.go
@@ -45,7 +45,8 @@
 	return n
 }
 
-// A replica announces that it leaves, or is taken off the list. From then on nothing is sent to it, as it may end at any moment.
+// A replica announces that it leaves, or is taken off the list. From then on nothing is sent to it, as it may end at
+// any moment.
 func TestLeavingReplicaIsNotUsed(t *testing.T) {
 	for _, deleted := range []bool{false, true} {
 		f := replicatest.New()
@@ -71,8 +72,9 @@
 	qt.Assert(t, usable(table.Service("a")), qt.Equals, 0)
 }
 
-// The store is away for some seconds and forgets replicas that could not write to it. They live, and are back in the list within two
-// seconds of its return; taken as gone at once, a whole service would have no replica. One that does not come back is gone.
+// The store is away for some seconds and forgets replicas that could not write to it. They live, and are back in the
+// list within two seconds of its return; taken as gone at once, a whole service would have no replica. One that does
+// not come back is gone.
 func TestLapsedReplicas(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := replicatest.New()
@@ -90,8 +92,8 @@
 	})
 }
 
-// Two tries wait for a shard that has one replica left. The one without which its page fails goes first, though it came later; one that
-// can't come back in time any more goes last, though it came first.
+// Two tries wait for a shard that has one replica left. The one without which its page fails goes first, though it came
+// later; one that can't come back in time any more goes last, though it came first.
 func TestQueueOrder(t *testing.T) {
 	f := replicatest.New()
 	s := newTable(f).Service("a")
@@ -113,8 +115,8 @@
 	qt.Assert(t, order, qt.DeepEquals, []string{"needed", "needed later", "useful", "late"})
 }
 
-// More work comes for a shard than it can do. Served in order of arrival, each try would leave at the last moment and come back late; the
-// newest, which is in time, has to go first.
+// More work comes for a shard than it can do. Served in order of arrival, each try would leave at the last moment and
+// come back late; the newest, which is in time, has to go first.
 func TestQueueOrderUnderOverload(t *testing.T) {
 	f := replicatest.New()
 	s := newTable(f).Service("a")
@@ -132,7 +134,8 @@
 // usual is how long a healthy replica takes.
 const usual = 30 * time.Millisecond
 
-// nearAndFar is a service with a replica in the host's own zone, whose work takes as long as the test says, and one elsewhere.
+// nearAndFar is a service with a replica in the host's own zone, whose work takes as long as the test says, and one
+// elsewhere.
 type nearAndFar struct {
 	t         *testing.T
 	service   *endpoints.Service
@@ -173,8 +176,8 @@
 	qt.Assert(b.t, res.Kind, qt.Equals, upstream.KindOK)
 }
 
-// One reply in a hundred takes five times as long, as its work is longer. The replica in the own zone must not be left for seconds for it;
-// one that is ten times slower must be, after the second reply at the latest.
+// One reply in a hundred takes five times as long, as its work is longer. The replica in the own zone must not be left
+// for seconds for it; one that is ten times slower must be, after the second reply at the latest.
 func TestLongReplyIsNotASlowReplica(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newNearAndFar(t)
@@ -192,8 +195,8 @@
 	})
 }
 
-// A replica in the own zone has turned ten times slower for seconds. A host that tried it again as soon as it had half forgotten would lose a page in
-// seven to it; one late reply alone must not drive it away.
+// A replica in the own zone has turned ten times slower for seconds. A host that tried it again as soon as it had half
+// forgotten would lose a page in seven to it; one late reply alone must not drive it away.
 func TestReplicaThatIsLateTwiceIsLeftAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newNearAndFar(t)
@@ -216,8 +219,8 @@
 	})
 }
 
-// A replica pauses for a quarter of a second while two requests of the host are there, as each replica does every six seconds. Both are late, and
-// nothing is wrong with it.
+// A replica pauses for a quarter of a second while two requests of the host are there, as each replica does every six
+// seconds. Both are late, and nothing is wrong with it.
 func TestPauseIsNotASlowReplica(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newNearAndFar(t)
--- a/entry/internal/evacuation/zones.go
+++ b/entry/internal/evacuation/zones.go
@@ -25,9 +25,10 @@
 
 // Zones holds the evacuated availability zones.
 //
-// It answers an operator who takes a zone out: its replicas are about to lose power, or hand out wrong records. Each request that still goes there may
-// be lost or be wrong, while the replicas of the other zones could have served it. Every choice of a replica asks here, and what waited for a connection
-// asks again before its first byte leaves, so that no path to a replica goes around the order.
+// It answers an operator who takes a zone out: its replicas are about to lose power, or hand out wrong records. Each
+// request that still goes there may be lost or be wrong, while the replicas of the other zones could have served it.
+// Every choice of a replica asks here, and what waited for a connection asks again before its first byte leaves, so
+// that no path to a replica goes around the order.
 type Zones struct {
 	opts Options
 
@@ -84,8 +85,9 @@
 	z.opts.Changed()
 }
 
-// take takes over orders. One whose spec can't be read, or that is being deleted and still has finalizers, holds like any other: as long as the object
-// exists its name says all, and a zone that is spared by mistake costs less than one that is used by mistake.
+// take takes over orders. One whose spec can't be read, or that is being deleted and still has finalizers, holds like
+// any other: as long as the object exists its name says all, and a zone that is spared by mistake costs less than one
+// that is used by mistake.
 func (z *Zones) take(entries []feed.Entry[platform.Evacuation]) {
 	for _, e := range entries {
 		_, evacuated := z.since[e.Name]
--- a/entry/internal/evacuation/zones_test.go
+++ b/entry/internal/evacuation/zones_test.go
@@ -34,8 +34,9 @@
 
 func change(entries ...feed.Entry[platform.Evacuation]) step { return step{false, entries} }
 
-// An operator evacuates zones and takes that back, while hosts hear of it by lists and changes, some of which they miss. A zone must be left alone from
-// the first word of it, and used again from the word that it was released, or from a list that doesn't hold it any more.
+// An operator evacuates zones and takes that back, while hosts hear of it by lists and changes, some of which they
+// miss. A zone must be left alone from the first word of it, and used again from the word that it was released, or from
+// a list that doesn't hold it any more.
 func TestOrders(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/entry/internal/exchange/conn.go
+++ b/entry/internal/exchange/conn.go
@@ -23,7 +23,8 @@
 type conn struct {
 	tcp  net.Conn
 	pool *Pool
-	// since is when the connection was last used, until when it is too old to be used again; the pool's lock guards both.
+	// since is when the connection was last used, until when it is too old to be used again; the pool's lock guards
+	// both.
 	since, until time.Time
 
 	mu      sync.Mutex
--- a/entry/internal/exchange/pool.go
+++ b/entry/internal/exchange/pool.go
@@ -18,23 +18,25 @@
 )
 
 const (
-	// dialTimeout bounds the wait for a new connection: a replica accepts within about 6 ms, and one that has lost power never answers.
+	// dialTimeout bounds the wait for a new connection: a replica accepts within about 6 ms, and one that has lost
+	// power never answers.
 	dialTimeout = 300 * time.Millisecond
-	// probeTimeout bounds the wait for the connection that tells whether a replica lives whose connection broke; one that has ended refuses it
-	// within a round trip.
+	// probeTimeout bounds the wait for the connection that tells whether a replica lives whose connection broke; one
+	// that has ended refuses it within a round trip.
 	probeTimeout = 50 * time.Millisecond
-	// unacknowledged is how long sent bytes may stay without an acknowledgement before the kernel breaks the connection. A host that
-	// lost power, or a path that has forgotten the connection, shows no other sign.
+	// unacknowledged is how long sent bytes may stay without an acknowledgement before the kernel breaks the
+	// connection. A host that lost power, or a path that has forgotten the connection, shows no other sign.
 	unacknowledged = 1500 * time.Millisecond
 	// keepAliveIdle and keepAliveEvery let an unused connection that fell silent break within unacknowledged too.
 	keepAliveIdle  = time.Second
 	keepAliveEvery = 500 * time.Millisecond
-	// defaultIdle is how long an unused connection is kept where the replica does not say; idleMargin is taken off what it says,
-	// since a request that crosses the replica's close is lost without a sign of whether it ran.
+	// defaultIdle is how long an unused connection is kept where the replica does not say; idleMargin is taken off what
+	// it says, since a request that crosses the replica's close is lost without a sign of whether it ran.
 	defaultIdle = 4 * time.Second
 	idleMargin  = time.Second
-	// freshFor is how long a connection may have been unused before it carries a request that must not run twice. A replica, or something on
-	// the way, may have forgotten it without a sign, from a third of a second on; a new connection costs 1 ms.
+	// freshFor is how long a connection may have been unused before it carries a request that must not run twice. A
+	// replica, or something on the way, may have forgotten it without a sign, from a third of a second on; a new
+	// connection costs 1 ms.
 	freshFor = 250 * time.Millisecond
 	// writeTimeout bounds the sending of one request to a replica that does not read.
 	writeTimeout = time.Second
@@ -49,7 +51,8 @@
 	Codec *opaque.Codec
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
-	// Opened returns what is used in place of a new connection, such as one that counts its bytes; nil means the connection itself.
+	// Opened returns what is used in place of a new connection, such as one that counts its bytes; nil means the
+	// connection itself.
 	Opened func(net.Conn) net.Conn
 }
 
@@ -64,7 +67,8 @@
 	Guard func() error
 	// Connections bounds the connections to the replica.
 	Connections int
-	// Once says that the request must not run twice, so that a connection that breaks under it leaves its outcome unknown.
+	// Once says that the request must not run twice, so that a connection that breaks under it leaves its outcome
+	// unknown.
 	Once bool
 }
 
@@ -90,9 +94,9 @@
 
 // Pool holds the connections to one replica.
 //
-// net/http's transport is not used: it resends a request by itself when a kept connection breaks, it hands a
-// request to a connection before the deadline that it carries is known to hold, and it takes a late second reply for the
-// reply to the next request. Here a call writes once, last of all its deadline, and each connection is read by one goroutine
+// net/http's transport is not used: it resends a request by itself when a kept connection breaks, it hands a request to
+// a connection before the deadline that it carries is known to hold, and it takes a late second reply for the reply to
+// the next request. Here a call writes once, last of all its deadline, and each connection is read by one goroutine
 // that closes it on any byte that no request waits for.
 type Pool struct {
 	opts Options
@@ -158,8 +162,8 @@
 	}
 }
 
-// End closes all connections, those in use included: the process at their other end is known to be gone. What was sent on them breaks now
-// rather than once the kernel finds out, which takes unacknowledged where nothing answers any more.
+// End closes all connections, those in use included: the process at their other end is known to be gone. What was sent
+// on them breaks now rather than once the kernel finds out, which takes unacknowledged where nothing answers any more.
 func (p *Pool) End() {
 	p.mu.Lock()
 	conns := make([]*conn, 0, len(p.all))
@@ -173,7 +177,8 @@
 	}
 }
 
-// Do sends one request and returns its reply; the end of ctx closes the connection, which is how the replica learns of it.
+// Do sends one request and returns its reply; the end of ctx closes the connection, which is how the replica learns of
+// it.
 func (p *Pool) Do(ctx context.Context, call *Call) Result {
 	for {
 		c, err := p.take(ctx, call)
@@ -193,8 +198,8 @@
 
 // refuses reports whether the replica takes no new connection, and keeps the one that it got otherwise.
 //
-// A connection breaks for many reasons, of which the end of the replica is one. Only that one accuses the request that it ran. A
-// new connection tells them apart within a round trip, and takes the place of the one that is lost.
+// A connection breaks for many reasons, of which the end of the replica is one. Only that one accuses the request that
+// it ran. A new connection tells them apart within a round trip, and takes the place of the one that is lost.
 func (p *Pool) refuses(ctx context.Context, call *Call) bool {
 	if p.gone() || !p.reserve(call.Connections) {
 		return false
@@ -279,7 +284,8 @@
 	return c, nil
 }
 
-// mustDial reports whether the call needs a new connection though there is one that is unused, the last of which was used last.
+// mustDial reports whether the call needs a new connection though there is one that is unused, the last of which was
+// used last.
 func (p *Pool) mustDial(call *Call, now time.Time) bool {
 	last := p.idle[len(p.idle)-1]
 	return call.Once && p.open < call.Connections && now.Sub(last.since) > freshFor
--- a/entry/internal/exchange/pool_test.go
+++ b/entry/internal/exchange/pool_test.go
@@ -31,8 +31,8 @@
 	}
 }
 
-// A replica sends a second answer to a request that it has answered. A query for another branch is next on the connection,
-// and must not get what was meant for the first: a greeter would see another member's appointments.
+// A replica sends a second answer to a request that it has answered. A query for another branch is next on the
+// connection, and must not get what was meant for the first: a greeter would see another member's appointments.
 func TestLateSecondReplyIsNobodys(t *testing.T) {
 	tests := []struct {
 		name      string
@@ -62,7 +62,8 @@
 				qt.Assert(t, string(first.Body), qt.Equals, "one")
 				time.Sleep(test.wait)
 				second := p.Do(t.Context(), call("two"))
-				// Whether it fails depends on which of the two is on the way first; what it must never hold is the other's reply.
+				// Whether it fails depends on which of the two is on the way first; what it must never hold is the
+				// other's reply.
 				if second.Kind == upstream.KindOK {
 					qt.Assert(t, string(second.Body), qt.Equals, "two")
 				} else {
@@ -75,8 +76,8 @@
 	}
 }
 
-// The connection breaks under a request that has run. The transport of the standard library would send a GET again by itself on
-// another connection; here it must reach the replica once and be reported as broken.
+// The connection breaks under a request that has run. The transport of the standard library would send a GET again by
+// itself on another connection; here it must reach the replica once and be reported as broken.
 func TestBrokenRequestIsNotResent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := replicatest.New()
@@ -95,7 +96,8 @@
 	})
 }
 
-// An answer without a length ends with its connection; one that breaks off before its stated length must not pass for whole.
+// An answer without a length ends with its connection; one that breaks off before its stated length must not pass for
+// whole.
 func TestReplyIsWholeOrBroken(t *testing.T) {
 	whole := platformtest.Reply(200, "one", "s", []byte("whole"))
 	tests := []struct {
@@ -127,8 +129,8 @@
 	}
 }
 
-// A request waits 650 ms for a connection. The replica must be told the time that is left then, not what was left before, or it works for
-// somebody who has gone.
+// A request waits 650 ms for a connection. The replica must be told the time that is left then, not what was left
+// before, or it works for somebody who has gone.
 func TestDeadlineIsWrittenLast(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := replicatest.New()
@@ -145,7 +147,8 @@
 	})
 }
 
-// A replica is found leaving while a request waits for a connection to it: nothing may be sent any more, and the request has not run.
+// A replica is found leaving while a request waits for a connection to it: nothing may be sent any more, and the
+// request has not run.
 func TestGuardIsAskedLast(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := replicatest.New()
@@ -166,7 +169,8 @@
 	})
 }
 
-// A client goes away: its connection to the replica is closed, which is how the replica learns of it, and no other request uses it.
+// A client goes away: its connection to the replica is closed, which is how the replica learns of it, and no other
+// request uses it.
 func TestCancelClosesTheConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := replicatest.New()
@@ -207,8 +211,9 @@
 	})
 }
 
-// A replica forgets connections that were unused for a third of a second, and resets whatever comes on them. A drop-off that is
-// sent on one is lost without a sign of whether it was recorded; on a new connection it is safe. What may be repeated keeps its connection.
+// A replica forgets connections that were unused for a third of a second, and resets whatever comes on them. A drop-off
+// that is sent on one is lost without a sign of whether it was recorded; on a new connection it is safe. What may be
+// repeated keeps its connection.
 func TestWriteUsesNoStaleConnection(t *testing.T) {
 	for _, once := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
--- a/entry/internal/fanout/crash_test.go
+++ b/entry/internal/fanout/crash_test.go
@@ -16,8 +16,8 @@
 )
 
 // A request takes down one replica of each shard while twelve lookups of others run there, and for some milliseconds
-// more each new connection is refused. Every lookup has two healthy replicas left at each shard, but forty tries fail at
-// once, the retry budget keeps ten, and the greeters get pages with holes.
+// more each new connection is refused. Every lookup has two healthy replicas left at each shard, but forty tries fail
+// at once, the retry budget keeps ten, and the greeters get pages with holes.
 func TestCrashSpendsNoRetryBudget(t *testing.T) {
 	for _, kind := range []upstream.Kind{upstream.KindBroken, upstream.KindNotSent} {
 		synctest.Test(t, func(t *testing.T) {
@@ -46,8 +46,8 @@
 	}
 }
 
-// Every replica resets what it runs, as when an overload makes all of them fail after the work was done. Retries without
-// a budget would then double the load on them for as long as it lasts.
+// Every replica resets what it runs, as when an overload makes all of them fail after the work was done. Retries
+// without a budget would then double the load on them for as long as it lasts.
 func TestBreaksOfEveryReplicaAreNotSentAgainForGood(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &sent{}
--- a/entry/internal/fanout/fanout.go
+++ b/entry/internal/fanout/fanout.go
@@ -45,7 +45,8 @@
 	Send func(ctx context.Context, r *replica.Replica, try upstream.QueryTry) upstream.Result
 	// Heard is told what the result of a try at a version said of its replica, before the next decision; it may be nil.
 	Heard func(r *replica.Replica, version int64, res upstream.Result)
-	// Answered is told how long a shard took to answer from the start of the run, the wait for a free replica included; it may be nil.
+	// Answered is told how long a shard took to answer from the start of the run, the wait for a free replica included;
+	// it may be nil.
 	Answered func(took time.Duration)
 	// Judged is told when a replica was taken out or brought back, and why; it may be nil.
 	Judged func(r *replica.Replica, out bool, why string)
@@ -80,14 +81,16 @@
 
 // Request is one query, pinned to the shard map of one version.
 type Request struct {
-	// ID starts the id of every try; it must be unique to this run, since a reply is known by it. An id that a caller chose is not: callers reuse theirs.
+	// ID starts the id of every try; it must be unique to this run, since a reply is known by it. An id that a caller
+	// chose is not: callers reuse theirs.
 	ID       string
 	Arrived  time.Time
 	Deadline time.Time
 	Query    caller.Query
 	Document document.Document
 	Map      replica.VersionMap
-	// Suspect says that the request may be what breaks upstreams: it gets no second try beside another, and none after a broken one.
+	// Suspect says that the request may be what breaks upstreams: it gets no second try beside another, and none after
+	// a broken one.
 	Suspect bool
 	// Replan returns the map that a query would be pinned to now; nil means that the query is never started again.
 	Replan func() (replica.VersionMap, bool)
@@ -160,7 +163,8 @@
 	return vm, true
 }
 
-// better runs the second plan and returns the report of the one that covers more. The two are never merged, since they are of two snapshots.
+// better runs the second plan and returns the report of the one that covers more. The two are never merged, since they
+// are of two snapshots.
 func (q *query) better(first, second *plan) Report {
 	a := first.finish("the query was started again")
 	second.collect()
--- a/entry/internal/fanout/fanout_test.go
+++ b/entry/internal/fanout/fanout_test.go
@@ -221,7 +221,8 @@
 	return n
 }
 
-// BenchmarkRun is one query over 69 shards x 3 with replies at once; BenchmarkBare is the least that a fan-out over them does.
+// BenchmarkRun is one query over 69 shards x 3 with replies at once; BenchmarkBare is the least that a fan-out over
+// them does.
 func BenchmarkRun(b *testing.B) {
 	tab := table(69)
 	runner := fanout.New(fanout.Options{Clock: clock.System{}, Send: func(context.Context, *replica.Replica, upstream.QueryTry) upstream.Result {
--- a/entry/internal/fanout/hedging.go
+++ b/entry/internal/fanout/hedging.go
@@ -6,7 +6,8 @@
 	"guavaspring.org/entry/internal/choice"
 )
 
-// hedge sends a second try of each shard that is late, where the policy and the budget allow it and a replica is free that is not itself late.
+// hedge sends a second try of each shard that is late, where the policy and the budget allow it and a replica is free
+// that is not itself late.
 func (p *plan) hedge() {
 	delay := p.run.policy.Delay()
 	p.hedgeAt = p.now.Add(delay)
@@ -28,7 +29,8 @@
 	}
 }
 
-// late reports whether the shard's last try has run for the delay, or for twice the delay where it was sent beside another: the second replica may have gone silent with the first.
+// late reports whether the shard's last try has run for the delay, or for twice the delay where it was sent beside
+// another: the second replica may have gone silent with the first.
 func (s *shard) late(now time.Time, delay time.Duration) bool {
 	if s.closed || s.inflight == 0 || s.n >= maxTries {
 		return false
--- a/entry/internal/fanout/learn.go
+++ b/entry/internal/fanout/learn.go
@@ -55,7 +55,8 @@
 	}
 }
 
-// judgeTrial brings a replica back whose single try was answered in the service's usual time. What was learned of it before is forgotten, and it starts with one try at once.
+// judgeTrial brings a replica back whose single try was answered in the service's usual time. What was learned of it
+// before is forgotten, and it starts with one try at once.
 func (run *Runner) judgeTrial(r *replica.Replica, res upstream.Result, took time.Duration) {
 	usual := run.policy.Median()
 	switch {
@@ -71,7 +72,8 @@
 }
 
 const (
-	// trialFactor and trialFloor are how long a good single try may take beside the usual reply time: less than what counts as slow, so that a replica doesn't go in and out.
+	// trialFactor and trialFloor are how long a good single try may take beside the usual reply time: less than what
+	// counts as slow, so that a replica doesn't go in and out.
 	trialFactor = 2
 	trialFloor  = 2 * time.Millisecond
 )
--- a/entry/internal/fanout/plan.go
+++ b/entry/internal/fanout/plan.go
@@ -13,7 +13,8 @@
 const (
 	// maxTries bounds the tries of one shard within one plan: the first, a hedge or retry, and one more.
 	maxTries = 3
-	// lostShare is the share of shards lost with their version above which a query that prefers latency is started again; one that prefers coverage is at the first.
+	// lostShare is the share of shards lost with their version above which a query that prefers latency is started
+	// again; one that prefers coverage is at the first.
 	lostShare = 0.1
 )
 
@@ -27,7 +28,8 @@
 	began   time.Time
 	shards  []shard
 	results chan *result
-	// open counts the shards that may still answer, answered those that have, waiting those that look for a free replica.
+	// open counts the shards that may still answer, answered those that have, waiting those that look for a free
+	// replica.
 	open, answered, waiting int
 	// took is the sum of the times of the tries that answered.
 	took time.Duration
--- a/entry/internal/fanout/report.go
+++ b/entry/internal/fanout/report.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// retryBusy is when to come back where replicas were full: a few reply times later the burst is over or the host refuses on entry.
+	// retryBusy is when to come back where replicas were full: a few reply times later the burst is over or the host
+	// refuses on entry.
 	retryBusy = 50 * time.Millisecond
-	// retryLost is when to come back where replicas failed: the host takes a failing replica out within a few tries, and looks at it again after a second.
+	// retryLost is when to come back where replicas failed: the host takes a failing replica out within a few tries,
+	// and looks at it again after a second.
 	retryLost = 500 * time.Millisecond
 )
 
--- a/entry/internal/fanout/results.go
+++ b/entry/internal/fanout/results.go
@@ -86,7 +86,8 @@
 	}
 }
 
-// usual returns the time that the tries of this query take, so that a long query is not held against its replicas; before enough of them have answered it is the service's usual time.
+// usual returns the time that the tries of this query take, so that a long query is not held against its replicas;
+// before enough of them have answered it is the service's usual time.
 func (p *plan) usual() time.Duration {
 	if p.answered < 2 || 2*p.answered < len(p.shards) {
 		return p.run.policy.Median()
@@ -151,7 +152,9 @@
 	return why + ": " + then
 }
 
-// slowOf reports whether a try that took so long was slow beside the query's other shards, and whether another replica of the shard would have been quicker. Without the second, a shard that is slow at every replica would lose all of them.
+// slowOf reports whether a try that took so long was slow beside the query's other shards, and whether another replica
+// of the shard would have been quicker. Without the second, a shard that is slow at every replica would lose all of
+// them.
 func slowOf(r *replica.Replica, took, usual time.Duration, holders []*replica.Replica, now time.Time) bool {
 	if !eject.Slow(took, usual) {
 		return false
--- a/entry/internal/fanout/tries.go
+++ b/entry/internal/fanout/tries.go
@@ -9,7 +9,8 @@
 	"guavaspring.org/entry/internal/replica"
 )
 
-// try sends one more try of a shard where a replica is free, waits where one may become free, and gives the shard up where none is left.
+// try sends one more try of a shard where a replica is free, waits where one may become free, and gives the shard up
+// where none is left.
 func (p *plan) try(i int, what, why string) {
 	s := &p.shards[i]
 	r, verdict := choice.Pick(p.run.opts.IntN, p.now, p.vm.Holders[i], s.tried())
@@ -34,8 +35,8 @@
 // A try that surely did not run is sent again free of charge: a replica that leaves, has lost the version or can't be
 // reached did nothing for it, and one that sheds sets the pace itself by the limit. So is the first break of a shard
 // while r is in: a crash breaks all that a replica runs at once, more than the budget ever keeps, and answers that two
-// healthy replicas could give would go out with holes. Where every replica breaks what it runs, all are soon out, and the
-// budget bounds the load again.
+// healthy replicas could give would go out with holes. Where every replica breaks what it runs, all are soon out, and
+// the budget bounds the load again.
 func (p *plan) mayRetry(s *shard, r *replica.Replica) bool {
 	switch {
 	case s.failure.NotRun() || s.failure == upstream.KindVersionGone:
@@ -62,7 +63,8 @@
 	p.start(s.ctx, i, k, s.sent, r)
 }
 
-// trial sends a single try to a replica that is out, beside the ordinary one and outliving the query, so that no page waits for it.
+// trial sends a single try to a replica that is out, beside the ordinary one and outliving the query, so that no page
+// waits for it.
 func (p *plan) trial(i int) {
 	if p.req.Suspect {
 		return
--- a/entry/internal/fanout/waiting.go
+++ b/entry/internal/fanout/waiting.go
@@ -5,7 +5,8 @@
 )
 
 const (
-	// lookAgain is how soon a shard whose replicas are all at their limit looks for a free one, as one part of the usual reply time. Where all of them have shed it, each further look comes after twice the time.
+	// lookAgain is how soon a shard whose replicas are all at their limit looks for a free one, as one part of the
+	// usual reply time. Where all of them have shed it, each further look comes after twice the time.
 	lookAgain = 4
 	// mostRounds bounds the doubling.
 	mostRounds = 5
--- a/entry/internal/follow/replicas.go
+++ b/entry/internal/follow/replicas.go
@@ -19,8 +19,8 @@
 )
 
 // PollReplicas keeps the replica list until ctx ends. Only watchers read it from the platform, and a host that knows no
-// other host is one; the others read it until they have it once, and then hear of changes from the watchers. While the platform is down the last list stays in use, and a
-// host that has none yet takes over that of another host.
+// other host is one; the others read it until they have it once, and then hear of changes from the watchers. While the
+// platform is down the last list stays in use, and a host that has none yet takes over that of another host.
 func (f *Follower) PollReplicas(ctx context.Context) {
 	var read, handed time.Time
 	var changes uint64
--- a/entry/internal/follow/watchers.go
+++ b/entry/internal/follow/watchers.go
@@ -53,7 +53,8 @@
 	return slices.ContainsFunc(f.Watchers(), func(h member.Host) bool { return h.ID == self })
 }
 
-// First reports whether this host is the first watcher for a purpose; hosts that disagree on who is a member may both be.
+// First reports whether this host is the first watcher for a purpose; hosts that disagree on who is a member may both
+// be.
 func (f *Follower) First(purpose string) bool {
 	order := member.Ranked(f.Watchers(), purpose)
 	return len(order) > 0 && order[0].ID == f.opts.Self().ID
--- a/entry/internal/forward/answers_test.go
+++ b/entry/internal/forward/answers_test.go
@@ -53,8 +53,9 @@
 	return r
 }
 
-// One shard of three answers a page with a failure that bears its stamp. The page is made of the two others, names them and no more, and
-// says that one is missing: a record of the failed reply would be a lie, and so would a page that looks whole.
+// One shard of three answers a page with a failure that bears its stamp. The page is made of the two others, names them
+// and no more, and says that one is missing: a record of the failed reply would be a lie, and so would a page that
+// looks whole.
 func TestFailedReplyIsNoPart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		farm := replicatest.New()
@@ -79,8 +80,8 @@
 	})
 }
 
-// A replica takes a request and never answers. Whoever waits for it gets the answer when the first of the two times is up, the operator's
-// for the route or the client's own, and not later.
+// A replica takes a request and never answers. Whoever waits for it gets the answer when the first of the two times is
+// up, the operator's for the route or the client's own, and not later.
 func TestAnswerComesWhenTheTimeIsUp(t *testing.T) {
 	tests := []struct {
 		route time.Duration
@@ -110,8 +111,8 @@
 	}
 }
 
-// A host that has just started knows the routes and not yet the replicas. It must not take a service for one without replicas, and says when
-// to come back.
+// A host that has just started knows the routes and not yet the replicas. It must not take a service for one without
+// replicas, and says when to come back.
 func TestUnknownReplicasAreNotNone(t *testing.T) {
 	farm := replicatest.New()
 	f := newForwarder(farm, false, newQuarantine(nil), route.Route{Host: "search.example", Prefix: "/", Attempts: 1, Timeout: time.Second, Split: []route.Share{{Service: "desk", Weight: 1}}})
--- a/entry/internal/forward/forwarder.go
+++ b/entry/internal/forward/forwarder.go
@@ -27,11 +27,14 @@
 )
 
 const (
-	// retryUnknown is when to come back to a host that knows no configuration yet: it learns one within two calls to the store.
+	// retryUnknown is when to come back to a host that knows no configuration yet: it learns one within two calls to
+	// the store.
 	retryUnknown = 300 * time.Millisecond
-	// retryGone is when to come back where a service has no replica: a new one is listed within a second or two of its start.
+	// retryGone is when to come back where a service has no replica: a new one is listed within a second or two of its
+	// start.
 	retryGone = 500 * time.Millisecond
-	// retryShed is when to come back where replicas were full or their connections taken: a few replies later there is room.
+	// retryShed is when to come back where replicas were full or their connections taken: a few replies later there is
+	// room.
 	retryShed = 100 * time.Millisecond
 	// defaultTimeout is how long a request may take where neither the client nor the route says.
 	defaultTimeout = 10 * time.Second
@@ -56,17 +59,19 @@
 	// Config returns the configuration in force, nil where none is known yet.
 	Config func() *route.Table
 	Table  *endpoints.Table
-	// Known reports whether the host knows all that requests need; nil means that it does once there are a configuration and replicas.
+	// Known reports whether the host knows all that requests need; nil means that it does once there are a
+	// configuration and replicas.
 	Known  func() bool
 	Runner *scatter.Runner
 	// Quarantine holds the requests that crash replicas.
 	Quarantine *quarantine.Quarantine
-	// Await waits at the start of a host until it knows the configuration and the replicas, and reports whether it does; nil means that nothing is
-	// waited for.
+	// Await waits at the start of a host until it knows the configuration and the replicas, and reports whether it
+	// does; nil means that nothing is waited for.
 	Await func(ctx context.Context) bool
 	// Requests writes a line about each request.
 	Requests *requestlog.Log
-	// Ended is told of each request that had a route; it fills in what it knows of the host's freshness before the line is written.
+	// Ended is told of each request that had a route; it fills in what it knows of the host's freshness before the line
+	// is written.
 	Ended func(e *requestlog.Entry)
 	// Refused is told of each request that was refused before it was sent anywhere.
 	Refused func(cause requestlog.Cause)
@@ -186,8 +191,8 @@
 
 var errTooLarge = errors.New("the body is over the limit")
 
-// headerBytes returns the size of the request line and the header as they came; the line breaks and separators are counted as written by
-// most clients.
+// headerBytes returns the size of the request line and the header as they came; the line breaks and separators are
+// counted as written by most clients.
 func headerBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host) + len("  \r\nHost: \r\n\r\n")
 	for name, values := range r.Header {
@@ -246,8 +251,8 @@
 	http.Error(w, ref.why, ref.status)
 }
 
-// answer writes what the request came to and returns the status. A client that went away gets a failure like any other: without one the
-// server would answer 200 with nothing, should somebody still read.
+// answer writes what the request came to and returns the status. A client that went away gets a failure like any other:
+// without one the server would answer 200 with nothing, should somebody still read.
 func (f *Forwarder) answer(w http.ResponseWriter, rt *route.Route, rep *scatter.Report) int {
 	switch {
 	case len(rt.Shards) > 0 && (rep.Ending == scatter.Complete || rep.Ending == scatter.Partial):
@@ -267,8 +272,8 @@
 	return http.StatusBadGateway
 }
 
-// passable reports whether a replica's reply may go to the client as it is. A status that promises that nothing ran may not, where
-// the replica did not promise it.
+// passable reports whether a replica's reply may go to the client as it is. A status that promises that nothing ran may
+// not, where the replica did not promise it.
 func passable(res *exchange.Result) bool {
 	if !res.Whole() || res.Kind.NotRun() {
 		return false
--- a/entry/internal/forward/forwarder_test.go
+++ b/entry/internal/forward/forwarder_test.go
@@ -25,8 +25,8 @@
 	"guavaspring.org/platform/wire"
 )
 
-// A replica fails with a status that promises that nothing ran, and does not promise it itself. Passed on, it would let a client send a
-// drop-off again that is recorded already.
+// A replica fails with a status that promises that nothing ran, and does not promise it itself. Passed on, it would let
+// a client send a drop-off again that is recorded already.
 func TestPassable(t *testing.T) {
 	tests := []struct {
 		kind   upstream.Kind
@@ -50,7 +50,8 @@
 	}
 }
 
-// A host that has just started gets requests. It must not say that a path does not exist when it only doesn't know it yet.
+// A host that has just started gets requests. It must not say that a path does not exist when it only doesn't know it
+// yet.
 func TestUnknownConfigIsNotNotFound(t *testing.T) {
 	codec := wire.Codec()
 	var known *route.Table
@@ -79,8 +80,8 @@
 	qt.Assert(t, w.Code, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
 }
 
-// A drop-off form takes down each desk replica that reads it. The third volunteer who sends it, to a host that only heard of it, is told at
-// once that it did not run and when it may be tried again.
+// A drop-off form takes down each desk replica that reads it. The third volunteer who sends it, to a host that only
+// heard of it, is told at once that it did not run and when it may be tried again.
 func TestCrashingRequestIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		farm := replicatest.New()
@@ -108,8 +109,8 @@
 	})
 }
 
-// A client goes away while its page is being made. Should anything still read from the connection, it must not find an empty page that
-// looks like a good answer.
+// A client goes away while its page is being made. Should anything still read from the connection, it must not find an
+// empty page that looks like a good answer.
 func TestClientGoneIsNoSuccess(t *testing.T) {
 	for _, ran := range []bool{true, false} {
 		codec := wire.Codec()
--- a/entry/internal/front/config_test.go
+++ b/entry/internal/front/config_test.go
@@ -36,8 +36,8 @@
 	return feed.Batch[route.Config]{Entries: []feed.Entry[route.Config]{{Name: "main", Value: route.Config{Version: n}}}}
 }
 
-// Two hosts tell this one of configurations, one of them cut off since before the last change. A route that was taken away must not come
-// back for a moment.
+// Two hosts tell this one of configurations, one of them cut off since before the last change. A route that was taken
+// away must not come back for a moment.
 func TestConfigNeverGoesBack(t *testing.T) {
 	f := newFront(t)
 	for _, step := range []struct{ told, want int64 }{{3, 3}, {7, 7}, {5, 7}, {7, 7}, {0, 7}, {8, 8}} {
@@ -66,8 +66,8 @@
 	qt.Assert(t, keep <= keepFor, qt.IsTrue)
 }
 
-// A host is told to stop. The platform's checks and clients that ask for addresses must not be sent to it any more, though it serves those
-// that still come; where no other host is known it names none.
+// A host is told to stop. The platform's checks and clients that ask for addresses must not be sent to it any more,
+// though it serves those that still come; where no other host is known it names none.
 func TestLeavingHostIsNotHandedOut(t *testing.T) {
 	f := newFront(t)
 	f.applyConfig(version(1))
--- a/entry/internal/front/follow.go
+++ b/entry/internal/front/follow.go
@@ -42,8 +42,8 @@
 	f.noteKnown()
 }
 
-// known reports whether the host knows all that requests need. A host that started while a zone is evacuated and knew the replicas first would send
-// them what they are spared from.
+// known reports whether the host knows all that requests need. A host that started while a zone is evacuated and knew
+// the replicas first would send them what they are spared from.
 func (f *Front) known() bool {
 	return f.config.Load() != nil && f.table.Known() && (f.opts.Evacuate == 0 || f.zones.Known())
 }
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -44,8 +44,9 @@
 )
 
 const (
-	// keepFor is how long clients keep the addresses that they are told. Whoever asks a directory that has lost power waits a second for it, which is more than
-	// most requests have; an address that no longer serves costs less, since clients leave out those that failed them and find a closed port at once.
+	// keepFor is how long clients keep the addresses that they are told. Whoever asks a directory that has lost power
+	// waits a second for it, which is more than most requests have; an address that no longer serves costs less, since
+	// clients leave out those that failed them and find a closed port at once.
 	keepFor = 4500 * time.Millisecond
 	// finishIn is the end of the grace that is left for requests in flight after the port is closed.
 	finishIn = 1200 * time.Millisecond
@@ -57,8 +58,8 @@
 	headersIn = 10 * time.Second
 	// shareEvery is how often the hosts' shares of a replica's connections follow the number of hosts.
 	shareEvery = time.Second
-	// leastHosts is the number of hosts that is taken for granted where fewer are known: a host that has just started knows only itself,
-	// and must not take the shares of all.
+	// leastHosts is the number of hosts that is taken for granted where fewer are known: a host that has just started
+	// knows only itself, and must not take the shares of all.
 	leastHosts = 3
 )
 
@@ -86,7 +87,8 @@
 	Zone, Region string
 	// Regions holds the region of each availability zone.
 	Regions map[string]string
-	// Front is for clients, Readiness for the platform's checks, Directory for clients that ask for addresses, Peer for the other hosts.
+	// Front is for clients, Readiness for the platform's checks, Directory for clients that ask for addresses, Peer for
+	// the other hosts.
 	Front, Readiness, Directory, Peer netip.AddrPort
 	// Seeds returns addresses of other hosts that may be alive.
 	Seeds func() []netip.AddrPort
@@ -99,15 +101,18 @@
 	Grace time.Duration
 	// MaxKeep is the longest time for which a client may be told to keep addresses.
 	MaxKeep time.Duration
-	// Apply is how soon a changed configuration has to be in force, and Drain how long a replica that leaves may still be sent requests.
+	// Apply is how soon a changed configuration has to be in force, and Drain how long a replica that leaves may still
+	// be sent requests.
 	Apply, Drain time.Duration
-	// Evacuate is how soon nothing more may be sent to the replicas of a zone that operators evacuate; zero means that they can't.
+	// Evacuate is how soon nothing more may be sent to the replicas of a zone that operators evacuate; zero means that
+	// they can't.
 	Evacuate time.Duration
 	// Cores and LinkBits are the processor cores, and the bits a second of its link, that the host has.
 	Cores, LinkBits float64
 	// Metrics is where metrics are published; the zero value publishes none.
 	Metrics netip.AddrPort
-	// StoreCalls returns how many calls to the store were made, by what they are for; LinesLost how many log lines the output lost.
+	// StoreCalls returns how many calls to the store were made, by what they are for; LinesLost how many log lines the
+	// output lost.
 	StoreCalls func() []frontmetrics.StoreCalls
 	LinesLost  func() uint64
 	// Traffic counts the bytes of the host's connections; nil means one of its own.
@@ -188,8 +193,8 @@
 	return nil
 }
 
-// start begins the duties that run until ctx ends. Clients are answered from the first moment: one that comes before the
-// configuration is known is told when to come back.
+// start begins the duties that run until ctx ends. Clients are answered from the first moment: one that comes before
+// the configuration is known is told when to come back.
 func (f *Front) start(ctx context.Context, duties *sync.WaitGroup) {
 	duties.Go(func() { f.followConfig(ctx) })
 	duties.Go(func() { f.followReplicas(ctx) })
@@ -222,7 +227,8 @@
 	return servers
 }
 
-// server returns a kratos server all of whose requests go to h: a router would rewrite paths that must reach replicas unchanged.
+// server returns a kratos server all of whose requests go to h: a router would rewrite paths that must reach replicas
+// unchanged.
 func (f *Front) server(addr netip.AddrPort, h http.Handler) *khttp.Server {
 	srv := khttp.NewServer(khttp.Address(addr.String()), khttp.Timeout(0), khttp.Filter(func(http.Handler) http.Handler { return h }))
 	srv.IdleTimeout, srv.ReadHeaderTimeout = idleFor, headersIn
@@ -272,9 +278,9 @@
 
 // addresses returns the hosts that clients should use.
 //
-// A host that can't serve yet does not name itself. When all hosts have lost power and are back, most of those that are asked know nobody, and are weak:
-// clients that get no address go on with the strong hosts that they knew, and those that got a weak one that had still to read 150 KB of replicas
-// over its slow link were answered late.
+// A host that can't serve yet does not name itself. When all hosts have lost power and are back, most of those that are
+// asked know nobody, and are weak: clients that get no address go on with the strong hosts that they knew, and those
+// that got a weak one that had still to read 150 KB of replicas over its slow link were answered late.
 func (f *Front) addresses(c opaque.Caller) ([]netip.AddrPort, time.Duration, error) {
 	list := addressesOf(f.nearest(c, f.joined.addresses(f.ready() == nil)))
 	if len(list) == 0 {
--- a/entry/internal/front/joined.go
+++ b/entry/internal/front/joined.go
@@ -72,7 +72,8 @@
 	j.rumors = rumor.New(opts.Clock, func() int { return len(j.list.Hosts()) })
 	j.peers, err = peers.New(peers.Options{
 		Clock: opts.Clock, Log: opts.Log, Listener: l, List: j.list, Rand: member.NewRand(),
-		// Documents and replica lists of the project's own interface are not shared here: both come from the platform's store.
+		// Documents and replica lists of the project's own interface are not shared here: both come from the platform's
+		// store.
 		Store: accepted.New(func(accepted.Generation) {}), Listing: listing.New(opts.Clock), Replicas: func() []platform.Replica { return nil },
 		Services: map[string]any{
 			relayService:    &relay.Methods{Clock: opts.Clock, ConfigCopy: j.configs, ReplicaCopy: j.replicas, EvacuationCopy: j.evacuations},
@@ -99,8 +100,8 @@
 }
 
 const (
-	// seeded is how long the hosts that the settings name have to answer before others are sought in the store. Those may be up a third of a second later
-	// than the others, and then have hundreds to answer.
+	// seeded is how long the hosts that the settings name have to answer before others are sought in the store. Those
+	// may be up a third of a second later than the others, and then have hundreds to answer.
 	seeded = 2 * time.Second
 	// settled is how long after its start a host knows the others: they answer its first probes within a second.
 	settled = 1500 * time.Millisecond
@@ -112,8 +113,9 @@
 // mostAsk bounds a call that waits for news at another host.
 const mostAsk = 30 * time.Second
 
-// first returns how to ask the hosts that the settings name, which answer before this host has joined the others, beginning with any of them: hundreds
-// may start at once. Those hosts themselves ask nobody, so that somebody reads the store at once.
+// first returns how to ask the hosts that the settings name, which answer before this host has joined the others,
+// beginning with any of them: hundreds may start at once. Those hosts themselves ask nobody, so that somebody reads the
+// store at once.
 func first[T any](j *joined, seeds []netip.AddrPort, method string) []source.Parent[T] {
 	own := j.list.Self().Peer
 	if slices.Contains(seeds, own) {
@@ -164,8 +166,8 @@
 	return len(seen)
 }
 
-// addresses returns the hosts that serve, this one included where self is set. A host that is suspected is left out as long as
-// another is known: a connection to one that has lost power costs a client a second.
+// addresses returns the hosts that serve, this one included where self is set. A host that is suspected is left out as
+// long as another is known: a connection to one that has lost power costs a client a second.
 func (j *joined) addresses(self bool) []member.Host {
 	own := j.list.Self()
 	var serving, suspect []member.Host
@@ -188,8 +190,8 @@
 // share returns which part of what all hosts together may do this one takes.
 func (j *joined) share() float64 { return j.place().share }
 
-// place returns what is decided for the member list. It is kept until the list changes: it is asked for at each try and each address
-// answer, and ranking thousands of hosts takes a millisecond.
+// place returns what is decided for the member list. It is kept until the list changes: it is asked for at each try and
+// each address answer, and ranking thousands of hosts takes a millisecond.
 func (j *joined) place() placed {
 	hosts := j.list.Hosts()
 	j.mu.Lock()
--- a/entry/internal/front/quarantine.go
+++ b/entry/internal/front/quarantine.go
@@ -6,7 +6,8 @@
 	"guavaspring.org/entry/internal/rumor"
 )
 
-// opaqueRequests stands for the service in what hosts tell each other of opaque requests: a fingerprint names the host and the path too.
+// opaqueRequests stands for the service in what hosts tell each other of opaque requests: a fingerprint names the host
+// and the path too.
 const opaqueRequests = "opaque"
 
 // newQuarantine returns the quarantine of opaque requests, which all hosts share.
--- a/entry/internal/front/subqueries.go
+++ b/entry/internal/front/subqueries.go
@@ -21,11 +21,12 @@
 const (
 	// subqueryService is the name under which hosts take parts of other hosts' queries.
 	subqueryService = "Subquery"
-	// fewPeers is how many hosts of a zone this one sends subqueries to: enough that the loss of one leaves others, and few enough that connections
-	// are in use and each host knows its replicas.
+	// fewPeers is how many hosts of a zone this one sends subqueries to: enough that the loss of one leaves others, and
+	// few enough that connections are in use and each host knows its replicas.
 	fewPeers = 3
-	// peerRest is how long a host that did not answer gets no subqueries. One that has lost power is out of the list of hosts by then, or some
-	// seconds later, and each subquery that it doesn't answer costs its page the time of a second try.
+	// peerRest is how long a host that did not answer gets no subqueries. One that has lost power is out of the list of
+	// hosts by then, or some seconds later, and each subquery that it doesn't answer costs its page the time of a
+	// second try.
 	peerRest = 2 * time.Second
 	// subqueryTimeout bounds a call whose caller sets no bound.
 	subqueryTimeout = 2 * time.Second
@@ -34,7 +35,8 @@
 // subqueryPeers chooses the hosts that gather parts of this host's queries.
 type subqueryPeers struct {
 	clock clock.Clock
-	// hosts returns the hosts that serve, by availability zone, without those of the own zone; all gets the same map until the hosts change.
+	// hosts returns the hosts that serve, by availability zone, without those of the own zone; all gets the same map
+	// until the hosts change.
 	hosts func() zoneHosts
 	call  func(ctx context.Context, h member.Host, method string, args, reply any) error
 
@@ -122,7 +124,8 @@
 	}
 }
 
-// ask calls a method that replies with what became of shards. A reply that a call that was given up may still write to is not returned.
+// ask calls a method that replies with what became of shards. A reply that a call that was given up may still write to
+// is not returned.
 func (s *subqueryPeers) ask(ctx context.Context, h member.Host, method string, args any) (subquery.Reply, error) {
 	var rep subquery.Reply
 	if err := s.call(ctx, h, method, args, &rep); err != nil {
--- a/entry/internal/front/subqueries_test.go
+++ b/entry/internal/front/subqueries_test.go
@@ -20,7 +20,8 @@
 	return list
 }
 
-// Hundreds of hosts send parts of their queries to others. Each uses a few of a zone, so that connections stay in use, and not all the same ones.
+// Hundreds of hosts send parts of their queries to others. Each uses a few of a zone, so that connections stay in use,
+// and not all the same ones.
 func TestSubqueriesGoToFewHosts(t *testing.T) {
 	for _, n := range []int{6, 15, 84, 295} {
 		hosts := inZones(n, "a", "b", "c")
@@ -44,7 +45,8 @@
 	qt.Check(t, byZone(member.Host{ID: "self", Zone: "a", Region: "r"}, elsewhere).hosts["b"], qt.HasLen, 2)
 }
 
-// A host does not answer. Parts of queries go to others of its zone until it has had time to be found out, and then to it again.
+// A host does not answer. Parts of queries go to others of its zone until it has had time to be found out, and then to
+// it again.
 func TestHostThatDidNotAnswerRests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		z := byZone(member.Host{ID: "self", Zone: "a", Region: "r"}, inZones(2, "b"))
--- a/entry/internal/frontmetrics/metrics.go
+++ b/entry/internal/frontmetrics/metrics.go
@@ -23,7 +23,8 @@
 	// EvacuationsAge returns the same of the evacuated zones, and EvacuatedZones how many there are.
 	EvacuationsAge func() time.Duration
 	EvacuatedZones func() int
-	// Hosts returns how many hosts are known, Running how many requests are in flight, Gathers how many parts of other hosts' requests.
+	// Hosts returns how many hosts are known, Running how many requests are in flight, Gathers how many parts of other
+	// hosts' requests.
 	Hosts, Running, Gathers func() int
 	// Connections returns how many connections to replicas were opened.
 	Connections func() uint64
--- a/entry/internal/frontmetrics/metrics_test.go
+++ b/entry/internal/frontmetrics/metrics_test.go
@@ -26,8 +26,8 @@
 	})
 }
 
-// Pages went out whole, thin and not at all, and others were refused. An engineer on call reads from the metrics which of these it was; shards
-// count as left out where an answer lacked them, and not where there was no answer.
+// Pages went out whole, thin and not at all, and others were refused. An engineer on call reads from the metrics which
+// of these it was; shards count as left out where an answer lacked them, and not where there was no answer.
 func TestWhatHappenedIsCounted(t *testing.T) {
 	m := newMetrics()
 	page := &scatter.Query{Route: &route.Route{Shards: []string{"a", "b", "c"}}, Shards: make([]*endpoints.Service, 3)}
--- a/entry/internal/guarded/guarded.go
+++ b/entry/internal/guarded/guarded.go
@@ -31,8 +31,8 @@
 	return res
 }
 
-// outcome says what the end of a try tells of its request. A connection that broke is not enough: something between the two ends may
-// drop connections of replicas that live, under one request in three for some seconds.
+// outcome says what the end of a try tells of its request. A connection that broke is not enough: something between the
+// two ends may drop connections of replicas that live, under one request in three for some seconds.
 func outcome(res *exchange.Result) quarantine.Outcome {
 	switch {
 	case res.Kind == upstream.KindOK:
--- a/entry/internal/hedge/hedge.go
+++ b/entry/internal/hedge/hedge.go
@@ -9,15 +9,18 @@
 )
 
 const (
-	// span is how long the older half of the window is kept: long enough for a few hundred samples at ten queries a second, short enough that the delay follows a change of load.
+	// span is how long the older half of the window is kept: long enough for a few hundred samples at ten queries a
+	// second, short enough that the delay follows a change of load.
 	span = 2 * time.Second
 	// refresh is how often the quantiles are worked out anew; summing the buckets costs less than a microsecond.
 	refresh = 50 * time.Millisecond
 	// fewest is the number of samples below which no quantile is trusted.
 	fewest = 50
-	// saturation is the share of refused tries above which the upstream is taken to be full: one in fifty is well over what a replica sheds by chance, and far below what it sheds when every slot is taken.
+	// saturation is the share of refused tries above which the upstream is taken to be full: one in fifty is well over
+	// what a replica sheds by chance, and far below what it sheds when every slot is taken.
 	saturation = 0.02
-	// lateFactor is how many times the expected number of late shards a query may have before the load is taken to be the cause.
+	// lateFactor is how many times the expected number of late shards a query may have before the load is taken to be
+	// the cause.
 	lateFactor = 4
 	// fewLate is the number of late shards that is never held for a sign of load.
 	fewLate = 2
@@ -60,7 +63,8 @@
 	p.quantile.Store(math.Float64bits(max(quantile, 1-budgetPercent/200)))
 }
 
-// Observe counts a reply that took so long; a try given up later than Delay counts with its age, since leaving it out would make the delay shrink to what the winners took.
+// Observe counts a reply that took so long; a try given up later than Delay counts with its age, since leaving it out
+// would make the delay shrink to what the winners took.
 func (p *Policy) Observe(now time.Time, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -84,10 +88,11 @@
 // Median returns the median reply time, zero while too little is known.
 func (p *Policy) Median() time.Duration { return time.Duration(p.median.Load()) }
 
-// Allow reports whether a query of so many shards, of which so many are late and so many have answered, may send second tries now; again says that the late ones have been so for another delay.
+// Allow reports whether a query of so many shards, of which so many are late and so many have answered, may send second
+// tries now; again says that the late ones have been so for another delay.
 //
-// Many late at once are first taken for a sign of load. Where they stay late while half of the query has
-// answered, it isn't the load, nor a long query: replicas have gone silent together, as with a switch.
+// Many late at once are first taken for a sign of load. Where they stay late while half of the query has answered, it
+// isn't the load, nor a long query: replicas have gone silent together, as with a switch.
 func (p *Policy) Allow(late, answered, shards int, again bool) bool {
 	if p.full.Load() {
 		return false
@@ -138,7 +143,8 @@
 	return upper(len(p.cur.buckets) - 1)
 }
 
-// The buckets are those of an HDR histogram: microseconds with four significant bits, so a quantile is right within a sixteenth.
+// The buckets are those of an HDR histogram: microseconds with four significant bits, so a quantile is right within a
+// sixteenth.
 const (
 	subBits = 4
 	subs    = 1 << subBits
--- a/entry/internal/homes/homes.go
+++ b/entry/internal/homes/homes.go
@@ -10,13 +10,14 @@
 
 // Allow reports whether a request may run in a region; one without homes may run anywhere.
 //
-// Homes are where the data of a request has to stay. No load and no failure is a reason to leave them: where they have nothing left that serves, the request is
-// refused.
+// Homes are where the data of a request has to stay. No load and no failure is a reason to leave them: where they have
+// nothing left that serves, the request is refused.
 func Allow(homes []string, region string) bool {
 	return len(homes) == 0 || slices.Contains(homes, region)
 }
 
-// Of returns the regions in which every route with homes of a host name has one, and false where no route of the name has homes.
+// Of returns the regions in which every route with homes of a host name has one, and false where no route of the name
+// has homes.
 func Of(cfg *route.Config, host string) ([]string, bool) {
 	var common []string
 	found := false
@@ -34,8 +35,8 @@
 	return common, found
 }
 
-// Nearest returns the hosts of some to which a client in a region is sent: those in its own region, which may see what it sends wherever the homes are; where
-// there are none, those in the homes, and any only where the name has no homes.
+// Nearest returns the hosts of some to which a client in a region is sent: those in its own region, which may see what
+// it sends wherever the homes are; where there are none, those in the homes, and any only where the name has no homes.
 func Nearest(hosts []member.Host, region string, homes []string, bound bool) []member.Host {
 	in := func(regions ...string) []member.Host {
 		var list []member.Host
--- a/entry/internal/homes/homes_test.go
+++ b/entry/internal/homes/homes_test.go
@@ -10,8 +10,9 @@
 	"guavaspring.org/entry/internal/member"
 )
 
-// A client asks where to connect. What it will send may be seen in its own region and in the homes of its requests, and nowhere else, also when its own
-// region has no host left and the homes are far; without homes any host is better than none.
+// A client asks where to connect. What it will send may be seen in its own region and in the homes of its requests, and
+// nowhere else, also when its own region has no host left and the homes are far; without homes any host is better than
+// none.
 func TestNearest(t *testing.T) {
 	hosts := []member.Host{{ID: "e1", Region: "east"}, {ID: "w1", Region: "west"}, {ID: "w2", Region: "west"}, {ID: "n1", Region: "north"}}
 	tests := []struct {
@@ -36,7 +37,8 @@
 	}
 }
 
-// Two routes of a name have homes, and a third has none. A client may send on any of them, so that it is sent where both may be seen.
+// Two routes of a name have homes, and a third has none. A client may send on any of them, so that it is sent where
+// both may be seen.
 func TestHomesOfAName(t *testing.T) {
 	cfg := &route.Config{Routes: []route.Route{
 		{Host: "a", Homes: []string{"east", "west"}}, {Host: "a", Homes: []string{"west", "north"}}, {Host: "a"}, {Host: "b"},
--- a/entry/internal/host/stop.go
+++ b/entry/internal/host/stop.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// heardBy is how long the other hosts take to hear that this one is leaving; docs/operating/stop.md says what an operator sees meanwhile.
+	// heardBy is how long the other hosts take to hear that this one is leaving; docs/operating/stop.md says what an
+	// operator sees meanwhile.
 	heardBy = 2 * time.Second
 	// mostGrace bounds the wait for callers that may keep their addresses for up to an hour.
 	mostGrace = 15 * time.Second
--- a/entry/internal/host/writes.go
+++ b/entry/internal/host/writes.go
@@ -6,7 +6,8 @@
 	"guavaspring.org/entry/internal/writes"
 )
 
-// newWriter opens the record of writes of this incarnation; it is empty, as every ticket names the incarnation it is for.
+// newWriter opens the record of writes of this incarnation; it is empty, as every ticket names the incarnation it is
+// for.
 func (h *Host) newWriter() *writes.Writer {
 	return writes.New(writes.Options{
 		Clock: h.opts.Clock, Log: h.opts.Log, Explain: h.explain, NewID: h.explanationID,
--- a/entry/internal/idle/closer.go
+++ b/entry/internal/idle/closer.go
@@ -18,8 +18,9 @@
 
 // Closer watches the connections of a server.
 //
-// The limit belongs to the configuration, which changes while the server runs; the server's own is read at any time and can't be
-// changed then. A connection that is closed sooner than clients are told loses the request that one sends just then.
+// The limit belongs to the configuration, which changes while the server runs; the server's own is read at any time and
+// can't be changed then. A connection that is closed sooner than clients are told loses the request that one sends just
+// then.
 type Closer struct {
 	opts Options
 
--- a/entry/internal/idle/closer_test.go
+++ b/entry/internal/idle/closer_test.go
@@ -13,8 +13,8 @@
 	"guavaspring.org/entry/internal/idle"
 )
 
-// A client comes back on its connection after four fifths of the time that operators allow, after they have raised it to two minutes. The
-// connection must still be there; one that is never used again must not stay.
+// A client comes back on its connection after four fifths of the time that operators allow, after they have raised it
+// to two minutes. The connection must still be there; one that is never used again must not stay.
 func TestUnusedConnectionsEndWithTheLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		limit := 15 * time.Second
--- a/entry/internal/latency/latency.go
+++ b/entry/internal/latency/latency.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// kept is how many of the newest samples count: at 18 queries a second over ten shards they are little more than a second old.
+	// kept is how many of the newest samples count: at 18 queries a second over ten shards they are little more than a
+	// second old.
 	kept = 256
 	// sortEvery is how many samples come between two looks at the quantiles, which cost a sort.
 	sortEvery = 32
--- a/entry/internal/limit/limit.go
+++ b/entry/internal/limit/limit.go
@@ -11,11 +11,12 @@
 	unit = 1_000
 	// keep is the share of a limit, in percent, that is left after the replica shed a try.
 	keep = 70
-	// growth is what a reply adds to a limit of one after a first shed: fifty replies for one more try, since each attempt beyond the fair share costs a refusal.
+	// growth is what a reply adds to a limit of one after a first shed: fifty replies for one more try, since each
+	// attempt beyond the fair share costs a refusal.
 	growth = unit / 50
-	// widen, narrow and widest are parts of the usual reply time: a refusal adds a half to the gap, a reply
-	// takes a quarter off, and no gap is over two. Hosts that all want the
-	// same slots then each get most of their share; a gap that grew by multiplying would leave one of them nearly nothing.
+	// widen, narrow and widest are parts of the usual reply time: a refusal adds a half to the gap, a reply takes a
+	// quarter off, and no gap is over two. Hosts that all want the same slots then each get most of their share; a gap
+	// that grew by multiplying would leave one of them nearly nothing.
 	widen, narrow, widest = 2, 4, 2
 	// unknownReply stands for the usual reply time where it is not known.
 	unknownReply = 2 * time.Millisecond
@@ -54,7 +55,8 @@
 // Most returns how many tries may run at once.
 func (l *Limit) Most() int { return int(1 + l.extra.Load()/unit) }
 
-// Answered counts a reply that came while so many tries ran, itself included; slots is the most that the limit may reach, spread a random number between 0 and 1.
+// Answered counts a reply that came while so many tries ran, itself included; slots is the most that the limit may
+// reach, spread a random number between 0 and 1.
 func (l *Limit) Answered(now time.Time, running, slots int, spread float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -74,7 +76,8 @@
 	l.extra.Store(min(extra+step, int64(max(0, slots-1))*unit))
 }
 
-// Refused counts a try that the replica shed; typical is the usual reply time and spread a random number between 0 and 1.
+// Refused counts a try that the replica shed; typical is the usual reply time and spread a random number between 0 and
+// 1.
 func (l *Limit) Refused(now time.Time, typical time.Duration, spread float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/entry/internal/listing/table.go
+++ b/entry/internal/listing/table.go
@@ -74,7 +74,8 @@
 
 // Read takes over a reading that began at started, when Changes was begun, and returns the rows it changed.
 //
-// A row that came from another host while the reading was on its way is left to the next reading: this one may be older.
+// A row that came from another host while the reading was on its way is left to the next reading: this one may be
+// older.
 func (t *Table) Read(started time.Time, begun uint64, list []platform.Replica) []Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/entry/internal/listing/table_test.go
+++ b/entry/internal/listing/table_test.go
@@ -157,8 +157,9 @@
 	}
 }
 
-// Story: a watcher is paused while its reading is on the way. Meanwhile another watcher sees a replica removed and tells
-// it. The old reading then ends; if it put the replica back, every host would send calls to an address that is gone.
+// Story: a watcher is paused while its reading is on the way. Meanwhile another watcher sees a replica removed and
+// tells it. The old reading then ends; if it put the replica back, every host would send calls to an address that is
+// gone.
 func TestReadingThatWasOvertakenChangesNothing(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1e9, 0)
--- a/entry/internal/member/bench_test.go
+++ b/entry/internal/member/bench_test.go
@@ -24,7 +24,8 @@
 	return l, rows
 }
 
-// BenchmarkChange is the cost of one changed row at 5,600 hosts; the fleet has 0.22 changes a second, each told a few times.
+// BenchmarkChange is the cost of one changed row at 5,600 hosts; the fleet has 0.22 changes a second, each told a few
+// times.
 func BenchmarkChange(b *testing.B) {
 	l, rows := large()
 	b.ReportAllocs()
--- a/entry/internal/member/host.go
+++ b/entry/internal/member/host.go
@@ -31,13 +31,15 @@
 	Peer   netip.AddrPort `json:"peer"`
 	Zone   string         `json:"zone"`
 	Region string         `json:"region"`
-	// Cores and LinkBits are the processor cores, and the bits a second of its link, that the host has; zero where it doesn't say.
+	// Cores and LinkBits are the processor cores, and the bits a second of its link, that the host has; zero where it
+	// doesn't say.
 	Cores    float64 `json:"cores,omitempty"`
 	LinkBits float64 `json:"link_bits,omitempty"`
 	// Epoch grows each time the host speaks about its state; the higher one wins.
 	Epoch uint64 `json:"epoch"`
 	State State  `json:"state"`
-	// Load is the share of its admission capacity in use, 0 to 1, as of LoadSeq; it is told apart from the state, which changes far less often.
+	// Load is the share of its admission capacity in use, 0 to 1, as of LoadSeq; it is told apart from the state, which
+	// changes far less often.
 	Load    float64 `json:"load"`
 	LoadSeq uint64  `json:"load_seq"`
 }
@@ -71,7 +73,8 @@
 	return mix(f.Sum64())
 }
 
-// mix spreads every input bit over the word, since FNV leaves the high bits of short strings alike and rank and prefix use those.
+// mix spreads every input bit over the word, since FNV leaves the high bits of short strings alike and rank and prefix
+// use those.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
--- a/entry/internal/member/list.go
+++ b/entry/internal/member/list.go
@@ -25,7 +25,8 @@
 const (
 	// ProbeEvery is the fixed time between two probes of one host, whatever the fleet's size.
 	ProbeEvery = time.Second
-	// SuspectFor is how long a suspect has to refute; three probe times cover a pause of the collector and one lost message.
+	// SuspectFor is how long a suspect has to refute; three probe times cover a pause of the collector and one lost
+	// message.
 	SuspectFor = 4 * time.Second
 	// KeepDead is how long a dead row is kept, so that a region cut off for an hour is sought again after it.
 	KeepDead = 2 * time.Hour
@@ -104,7 +105,8 @@
 // Self returns this host's own row.
 func (l *List) Self() Host { return *l.own.Load() }
 
-// Hosts returns every host that is not dead, this one included, ordered by ID; the slice is shared and must not be changed.
+// Hosts returns every host that is not dead, this one included, ordered by ID; the slice is shared and must not be
+// changed.
 func (l *List) Hosts() []Host { return *l.snapshot.Load() }
 
 // SetLoad sets the share of this host's capacity in use, 0 to 1; the others hear of it at a bounded rate.
@@ -147,8 +149,8 @@
 	l.announce(changes)
 }
 
-// notePause guards against the failure in which a host that was stopped for a while wakes up, finds every suspicion
-// and every probe of its own overdue, and declares healthy hosts dead: what waited during the pause waits that much longer.
+// notePause guards against the failure in which a host that was stopped for a while wakes up, finds every suspicion and
+// every probe of its own overdue, and declares healthy hosts dead: what waited during the pause waits that much longer.
 func (l *List) notePause(now time.Time) {
 	gap := now.Sub(l.lastTick)
 	if !l.lastTick.IsZero() && gap > pauseAfter {
@@ -181,12 +183,12 @@
 
 func compareID(r *row, id string) int { return strings.Compare(r.ID, id) }
 
-// Merge takes over rows that another host sent as news, passes them on, and returns those that were news here. Where a row accuses this host, that is
-// the row by which it refutes.
+// Merge takes over rows that another host sent as news, passes them on, and returns those that were news here. Where a
+// row accuses this host, that is the row by which it refutes.
 func (l *List) Merge(now time.Time, rows []Host) []Host { return l.merge(now, rows, true) }
 
-// Learn takes over rows that were found by comparing tables, and doesn't pass them on: others have had them for long, and
-// a host that joins a large fleet would have nothing but old rows to tell for hours, with real news among them.
+// Learn takes over rows that were found by comparing tables, and doesn't pass them on: others have had them for long,
+// and a host that joins a large fleet would have nothing but old rows to tell for hours, with real news among them.
 func (l *List) Learn(now time.Time, rows []Host) { l.merge(now, rows, false) }
 
 func (l *List) merge(now time.Time, rows []Host, news bool) (fresh []Host) {
@@ -230,7 +232,8 @@
 	return true
 }
 
-// refute answers a suspicion against this host by a higher Epoch, which overrides the accusation wherever it went, and reports whether there was one.
+// refute answers a suspicion against this host by a higher Epoch, which overrides the accusation wherever it went, and
+// reports whether there was one.
 func (l *List) refute(h Host) bool {
 	if !h.valid() || h.Epoch < l.self.Epoch || h.Epoch == l.self.Epoch && h.State == l.self.State {
 		return false
--- a/entry/internal/member/neighbours.go
+++ b/entry/internal/member/neighbours.go
@@ -70,7 +70,8 @@
 	return ids
 }
 
-// Ranked orders the hosts that may take up work by rendezvous hash for a purpose; every host that sees the same members gets the same order, and a change of one member moves only its own place.
+// Ranked orders the hosts that may take up work by rendezvous hash for a purpose; every host that sees the same members
+// gets the same order, and a change of one member moves only its own place.
 func Ranked(hosts []Host, purpose string) []Host {
 	seed := hashOf(purpose)
 	list := make([]ranked, 0, len(hosts))
--- a/entry/internal/member/network_test.go
+++ b/entry/internal/member/network_test.go
@@ -102,7 +102,8 @@
 	n.repeat(nd, mine, 5*time.Second, func() { n.seek(nd) })
 }
 
-// seek greets those of the first two nodes, which stand for the platform's directory, that aren't known, and one lost host.
+// seek greets those of the first two nodes, which stand for the platform's directory, that aren't known, and one lost
+// host.
 func (n *network) seek(nd *node) {
 	known := map[netip.AddrPort]bool{}
 	for _, h := range nd.list.Hosts() {
@@ -170,7 +171,8 @@
 	return nil
 }
 
-// deliver runs f at the receiver after a random delay, perhaps twice, unless it is lost; a paused receiver runs it at its end.
+// deliver runs f at the receiver after a random delay, perhaps twice, unless it is lost; a paused receiver runs it at
+// its end.
 func (n *network) deliver(from, to *node, f func()) {
 	if to == nil || n.rnd.Float64() < n.loss || n.cut && from.side != to.side {
 		return
--- a/entry/internal/member/probe.go
+++ b/entry/internal/member/probe.go
@@ -103,7 +103,8 @@
 
 // Accuse returns the row of msg's sender if this host holds it for suspect or dead, so that the sender can refute.
 //
-// A host that was paused until after its death was told around would never hear of it otherwise: nobody probes the dead.
+// A host that was paused until after its death was told around would never hear of it otherwise: nobody probes the
+// dead.
 func (l *List) Accuse(msg Message) []Host {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -125,8 +126,8 @@
 	return fresh
 }
 
-// Unreachable says that neither a direct nor an indirect probe reached target with a probe sent at sent. It returns the row of a host that became suspect or
-// dead by that.
+// Unreachable says that neither a direct nor an indirect probe reached target with a probe sent at sent. It returns the
+// row of a host that became suspect or dead by that.
 func (l *List) Unreachable(now time.Time, target Host, sent time.Time) (Host, bool) {
 	l.mu.Lock()
 	r := l.rows[target.ID]
@@ -173,7 +174,8 @@
 	l.announce(changes)
 }
 
-// sends is how often a change is passed on: two messages a second carry it everywhere before that (docs/design/membership.md), and digests reach whoever missed it.
+// sends is how often a change is passed on: two messages a second carry it everywhere before that
+// (docs/design/membership.md), and digests reach whoever missed it.
 func (l *List) sends() int { return bits.Len(uint(len(l.rows)+1)) + 2 }
 
 // takeRows picks the rows sent least often; ties are broken by ID so that a seeded run repeats.
--- a/entry/internal/overload/overload_test.go
+++ b/entry/internal/overload/overload_test.go
@@ -20,9 +20,9 @@
 	return list
 }
 
-// A page needs nine parts of ten. While the shards keep up, or one doesn't, it is let in: that part may be missing. Of two short shards it
-// takes the first that has room. Once more are behind for too long it would come back late or thin, and its caller is told at
-// once. A lookup at one replica waits as long as that leaves it time.
+// A page needs nine parts of ten. While the shards keep up, or one doesn't, it is let in: that part may be missing. Of
+// two short shards it takes the first that has room. Once more are behind for too long it would come back late or thin,
+// and its caller is told at once. A lookup at one replica waits as long as that leaves it time.
 func TestDecide(t *testing.T) {
 	tests := []struct {
 		name        string
@@ -56,8 +56,8 @@
 	}
 }
 
-// A caller was refused, as more came than could be done, and comes back while it still does. It would take the place of one that would be answered
-// in time, and be late itself; where nothing waits it is let in like any other.
+// A caller was refused, as more came than could be done, and comes back while it still does. It would take the place of
+// one that would be answered in time, and be late itself; where nothing waits it is let in like any other.
 func TestWhoComesBackIsLetInWhereNothingWaits(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -78,8 +78,9 @@
 	}
 }
 
-// Pages may wait for twice as long as lookups over the same shards. Where all shards are behind, both are held against what lookups can wait, or
-// those would all be late; where two are, a page is held nearly against its own time, since lookups go out without them.
+// Pages may wait for twice as long as lookups over the same shards. Where all shards are behind, both are held against
+// what lookups can wait, or those would all be late; where two are, a page is held nearly against its own time, since
+// lookups go out without them.
 func TestLeastPatientRouteCountsWhereAllAreBehind(t *testing.T) {
 	tests := []struct {
 		name    string
--- a/entry/internal/patience/usual.go
+++ b/entry/internal/patience/usual.go
@@ -13,9 +13,9 @@
 
 // Usual is how long clients of a route say that they wait; the zero value has seen none.
 //
-// A client that was refused and comes back has less time left than when it came first, and says so. Nothing else tells it: each attempt is a
-// request of its own. The median is the time of those that come first, as long as they are the more; a client with a time of its own
-// that is shorter looks like one that comes back.
+// A client that was refused and comes back has less time left than when it came first, and says so. Nothing else tells
+// it: each attempt is a request of its own. The median is the time of those that come first, as long as they are the
+// more; a client with a time of its own that is shorter looks like one that comes back.
 type Usual struct {
 	mu     sync.Mutex
 	times  [kept]time.Duration
@@ -23,7 +23,8 @@
 	median time.Duration
 }
 
-// Waited takes over the time for which a client says that it waits, zero where it doesn't say, and returns how long it has waited already.
+// Waited takes over the time for which a client says that it waits, zero where it doesn't say, and returns how long it
+// has waited already.
 func (u *Usual) Waited(left time.Duration) time.Duration {
 	if left <= 0 {
 		return 0
--- a/entry/internal/peers/conn.go
+++ b/entry/internal/peers/conn.go
@@ -7,7 +7,8 @@
 	"time"
 )
 
-// idleLimit ends a connection on which nothing came for so long; a neighbour sends every few seconds, so only a forgotten or silent one is hit.
+// idleLimit ends a connection on which nothing came for so long; a neighbour sends every few seconds, so only a
+// forgotten or silent one is hit.
 const idleLimit = 2 * time.Minute
 
 // traffic counts the bytes of all connections to other hosts, without TCP and IP headers.
@@ -35,7 +36,8 @@
 	most int64
 	// pending counts the bytes read since the last write.
 	pending atomic.Int64
-	// used is when bytes last came or went, in nanoseconds of the monotonic clock since began; ended says that no more can be read.
+	// used is when bytes last came or went, in nanoseconds of the monotonic clock since began; ended says that no more
+	// can be read.
 	used  atomic.Int64
 	ended atomic.Bool
 }
--- a/entry/internal/peers/join.go
+++ b/entry/internal/peers/join.go
@@ -16,7 +16,8 @@
 	joinTries = 3
 )
 
-// seek joins the fleet, and later seeks hosts that were cut off: one contact that isn't known, and one that is lost, each seekEvery.
+// seek joins the fleet, and later seeks hosts that were cut off: one contact that isn't known, and one that is lost,
+// each seekEvery.
 func (p *Peers) seek(ctx context.Context) {
 	for ctx.Err() == nil {
 		p.contact(ctx)
--- a/entry/internal/peers/messages.go
+++ b/entry/internal/peers/messages.go
@@ -28,7 +28,8 @@
 	From   netip.AddrPort
 	Marks  []accepted.Mark
 	Rumors []rumor.Rumor
-	// Hosts holds the rows of hosts that are stopping, that callers are sent to and nobody reaches, or that show that they are alive.
+	// Hosts holds the rows of hosts that are stopping, that callers are sent to and nobody reaches, or that show that
+	// they are alive.
 	Hosts []member.Host
 	// Replicas holds rows of the platform's replica list that changed.
 	Replicas []listing.Row
--- a/entry/internal/peers/news.go
+++ b/entry/internal/peers/news.go
@@ -12,9 +12,9 @@
 	"guavaspring.org/entry/internal/rumor"
 )
 
-// News that must be everywhere within seconds, such as a generation or a stop, is told to all neighbours at once and passed on by each that hears it:
-// with eight neighbours that takes about four hops at 5,600 hosts, where probes alone would take ten seconds. The
-// bucket bounds it: what exceeds the rate rides on probes and is found by the digests.
+// News that must be everywhere within seconds, such as a generation or a stop, is told to all neighbours at once and
+// passed on by each that hears it: with eight neighbours that takes about four hops at 5,600 hosts, where probes alone
+// would take ten seconds. The bucket bounds it: what exceeds the rate rides on probes and is found by the digests.
 const (
 	newsBurst  = 10.0
 	newsRefill = 0.5
@@ -132,7 +132,8 @@
 	}
 }
 
-// hearHosts takes over the rows of hosts and passes on what is news here; where this host is told to be out of reach, that is its own row.
+// hearHosts takes over the rows of hosts and passes on what is news here; where this host is told to be out of reach,
+// that is its own row.
 func (p *Peers) hearHosts(rows []member.Host) {
 	for _, h := range p.opts.List.Merge(p.opts.Clock.Now(), rows) {
 		p.news.Push(item{host: h})
--- a/entry/internal/peers/peers.go
+++ b/entry/internal/peers/peers.go
@@ -57,7 +57,8 @@
 	// Contacts returns addresses of hosts that may be alive, from settings and the platform's directory.
 	Contacts func() []netip.AddrPort
 	Rand     *rand.Rand
-	// Watched returns the hosts that this one looks after besides its neighbours, whose loss all have to hear of at once; nil means none.
+	// Watched returns the hosts that this one looks after besides its neighbours, whose loss all have to hear of at
+	// once; nil means none.
 	Watched func() []member.Host
 	// Services are further net/rpc services for the other hosts, by name.
 	Services map[string]any
@@ -72,8 +73,8 @@
 	opts    Options
 	traffic traffic
 	pool    *pool
-	// waits holds the connections of Call, whose calls wait for long: a call that is late closes its connection, which must not
-	// break the probes.
+	// waits holds the connections of Call, whose calls wait for long: a call that is late closes its connection, which
+	// must not break the probes.
 	waits *pool
 	// works holds the connections of Work, whose calls come many at a time and end when their callers do.
 	works   *pool
@@ -158,12 +159,14 @@
 	return p.waits.invoke(ctx, addr, timeout, method, args, reply)
 }
 
-// Work runs a method like Call does. Many may run at once on one connection, which the end of ctx leaves to the others; one that is late closes it.
+// Work runs a method like Call does. Many may run at once on one connection, which the end of ctx leaves to the others;
+// one that is late closes it.
 func (p *Peers) Work(ctx context.Context, addr netip.AddrPort, timeout time.Duration, method string, args, reply any) error {
 	return p.works.run(ctx, addr, callOptions{timeout: timeout, keep: true}, method, args, reply)
 }
 
-// Leave tells the neighbours at once that this host is stopping, and returns once they have answered; each passes it on.
+// Leave tells the neighbours at once that this host is stopping, and returns once they have answered; each passes it
+// on.
 func (p *Peers) Leave(ctx context.Context) {
 	p.opts.List.Leave()
 	self := p.opts.List.Self()
@@ -181,8 +184,8 @@
 	running.Wait()
 }
 
-// check probes target, asks others to do so if that fails, and reports it unreachable if they fail too. It returns the row of a host that became suspect by
-// that.
+// check probes target, asks others to do so if that fails, and reports it unreachable if they fail too. It returns the
+// row of a host that became suspect by that.
 func (p *Peers) check(ctx context.Context, target member.Host, probe, ask time.Duration) (member.Host, bool) {
 	sent := p.opts.Clock.Now()
 	err := p.probe(ctx, target, probe)
@@ -249,7 +252,8 @@
 	own := p.opts.List.Self().ID
 	for _, h := range p.opts.List.Receive(p.opts.Clock.Now(), pkt.Member) {
 		if h.ID == own {
-			// Callers are kept from this host until all have heard that it is alive; everything else travels with the probes.
+			// Callers are kept from this host until all have heard that it is alive; everything else travels with the
+			// probes.
 			p.news.Push(item{host: h})
 		}
 	}
--- a/entry/internal/peers/peers_test.go
+++ b/entry/internal/peers/peers_test.go
@@ -137,8 +137,8 @@
 	})
 }
 
-// Story: a broken host sends one message that never ends. Without a bound the host that reads it keeps all of it, until the
-// system ends the process together with the queries that it serves.
+// Story: a broken host sends one message that never ends. Without a bound the host that reads it keeps all of it, until
+// the system ends the process together with the queries that it serves.
 func TestMessageThatNeverEndsIsCutOff(t *testing.T) {
 	play(t, 2, func(f *fleet, hosts []*testHost) {
 		c := qt.New(t)
@@ -169,9 +169,9 @@
 	})
 }
 
-// Story: hundreds of hosts start and turn to the few that their settings name, by connections that they then hardly use. Later a host that works with
-// one of these every second must get a connection to it, and its earlier one must have been kept; a host whose unused connection
-// made room for it must not notice.
+// Story: hundreds of hosts start and turn to the few that their settings name, by connections that they then hardly
+// use. Later a host that works with one of these every second must get a connection to it, and its earlier one must
+// have been kept; a host whose unused connection made room for it must not notice.
 func TestNewcomersFindRoom(t *testing.T) {
 	play(t, 2, func(f *fleet, hosts []*testHost) {
 		c := qt.New(t)
--- a/entry/internal/peers/pool.go
+++ b/entry/internal/peers/pool.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// maxClients bounds the open connections to other hosts: neighbours, hosts asked to probe and the sources of a repair.
+	// maxClients bounds the open connections to other hosts: neighbours, hosts asked to probe and the sources of a
+	// repair.
 	maxClients  = 24
 	callTimeout = 2 * time.Second
 )
@@ -61,7 +62,8 @@
 // callOptions says how one call is made.
 type callOptions struct {
 	timeout time.Duration
-	// keep says that the end of the caller's context, other than the timeout, leaves the connection to the calls beside it.
+	// keep says that the end of the caller's context, other than the timeout, leaves the connection to the calls beside
+	// it.
 	keep bool
 }
 
@@ -114,8 +116,9 @@
 	return fresh.rpc, nil
 }
 
-// usable returns the client of a connection that is open. The other host closes those that were not used for the longest time: a call on such a one would
-// fail though nothing is wrong, and its own end, which net/rpc leaves open, would stay a descriptor until memory is collected.
+// usable returns the client of a connection that is open. The other host closes those that were not used for the
+// longest time: a call on such a one would fail though nothing is wrong, and its own end, which net/rpc leaves open,
+// would stay a descriptor until memory is collected.
 func (p *pool) usable(addr netip.AddrPort) *rpc.Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/entry/internal/peers/pool_test.go
+++ b/entry/internal/peers/pool_test.go
@@ -25,8 +25,9 @@
 	return c.Conn.Close()
 }
 
-// Story: a host closes a connection that was not used for long, to make room. The one that had opened it dials again when it has something to say. Its own
-// end of the old connection must be closed then: each is a descriptor, of which a host has a few thousand.
+// Story: a host closes a connection that was not used for long, to make room. The one that had opened it dials again
+// when it has something to say. Its own end of the old connection must be closed then: each is a descriptor, of which a
+// host has a few thousand.
 func TestEndedConnectionIsClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var near []*closable
--- a/entry/internal/peers/repair.go
+++ b/entry/internal/peers/repair.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// repairEvery is the least time between two repairs of one table; repairEveryHost is added for each host, since news
-	// on its way makes sums differ for a few seconds and a larger fleet always has some.
+	// repairEvery is the least time between two repairs of one table; repairEveryHost is added for each host, since
+	// news on its way makes sums differ for a few seconds and a larger fleet always has some.
 	repairEvery     = 2 * time.Second
 	repairEveryHost = 2 * time.Millisecond
 	// maxRows bounds the rows of one reply, about 50 KB.
--- a/entry/internal/peers/server.go
+++ b/entry/internal/peers/server.go
@@ -10,8 +10,8 @@
 	"time"
 )
 
-// maxServed bounds the connections that other hosts hold here. A host has about eight probers, eight that hear from it and as many that send it
-// parts of queries; all that start turn to the hosts that the settings name.
+// maxServed bounds the connections that other hosts hold here. A host has about eight probers, eight that hear from it
+// and as many that send it parts of queries; all that start turn to the hosts that the settings name.
 const maxServed = 256
 
 // acceptPause is how long to wait after a connection could not be accepted.
@@ -67,12 +67,13 @@
 	}
 }
 
-// admit takes a connection in, and closes the one that was not used for the longest time where there are too many, so that a broken or hostile host
-// can't exhaust this one's memory.
+// admit takes a connection in, and closes the one that was not used for the longest time where there are too many, so
+// that a broken or hostile host can't exhaust this one's memory.
 //
-// It guards against a large fleet that starts: each of 295 hosts turns to the three that the settings name, by two connections that it then hardly
-// uses. Where newcomers were refused, those three were out of reach for hosts that had work for them until the old ones were two
-// minutes old, and 54 parts of queries of one quiet half minute failed with them.
+// It guards against a large fleet that starts: each of 295 hosts turns to the three that the settings name, by two
+// connections that it then hardly uses. Where newcomers were refused, those three were out of reach for hosts that had
+// work for them until the old ones were two minutes old, and 54 parts of queries of one quiet half minute failed with
+// them.
 func (s *server) admit(c *counted) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/internal/peers/watch.go
+++ b/entry/internal/peers/watch.go
@@ -16,11 +16,13 @@
 	watchAsk = probeTimeout + 200*time.Millisecond
 )
 
-// watchAll probes each watched host every watchEvery until ctx ends, and tells all hosts at once of one that is out of reach.
+// watchAll probes each watched host every watchEvery until ctx ends, and tells all hosts at once of one that is out of
+// reach.
 //
-// It answers a host or a zone that loses power. Callers are sent to few hosts, and each connection to one that is gone costs its caller a second, which is
-// more than most have. The probes of neighbours find it after one to eight seconds, as each takes its turn, and tell it with probes, so that
-// half of the hosts name it to callers for four seconds, and some for more than eight.
+// It answers a host or a zone that loses power. Callers are sent to few hosts, and each connection to one that is gone
+// costs its caller a second, which is more than most have. The probes of neighbours find it after one to eight seconds,
+// as each takes its turn, and tell it with probes, so that half of the hosts name it to callers for four seconds, and
+// some for more than eight.
 func (p *Peers) watchAll(ctx context.Context) {
 	var running sync.WaitGroup
 	p.every(ctx, watchEvery, func() {
--- a/entry/internal/peers/watch_test.go
+++ b/entry/internal/peers/watch_test.go
@@ -44,8 +44,9 @@
 	return n
 }
 
-// Story: a zone of three loses power, with two of the six hosts that callers are sent to. Any host may be asked where to connect, and each connection to one
-// of the two costs a caller a second. All that are left must know of both within two seconds.
+// Story: a zone of three loses power, with two of the six hosts that callers are sent to. Any host may be asked where
+// to connect, and each connection to one of the two costs a caller a second. All that are left must know of both within
+// two seconds.
 func TestLostZoneIsKnownEverywhereWithinTwoSeconds(t *testing.T) {
 	play(t, 60, func(f *fleet, hosts []*testHost) {
 		f.watch(nextFour(hosts[:6]))
@@ -66,8 +67,9 @@
 	})
 }
 
-// Story: a host that callers are sent to is taken for lost though it lives, as its connections had fallen silent. Callers are kept from it until it has shown
-// that it is alive, which must be known everywhere within a second and a half.
+// Story: a host that callers are sent to is taken for lost though it lives, as its connections had fallen silent.
+// Callers are kept from it until it has shown that it is alive, which must be known everywhere within a second and a
+// half.
 func TestWronglySuspectedHostIsBackAtOnce(t *testing.T) {
 	play(t, 60, func(f *fleet, hosts []*testHost) {
 		f.watch(nextFour(hosts[:6]))
--- a/entry/internal/pick/pick.go
+++ b/entry/internal/pick/pick.go
@@ -5,19 +5,20 @@
 )
 
 const (
-	// queueWeight is how much each request of this host that runs at a replica lengthens the expected time of one more. A replica runs
-	// five at once and most hosts send to it, so one of this host's stands for several.
+	// queueWeight is how much each request of this host that runs at a replica lengthens the expected time of one more.
+	// A replica runs five at once and most hosts send to it, so one of this host's stands for several.
 	queueWeight = 0.35
 	// zoneDelay is what the way to another availability zone and back takes.
 	zoneDelay = 2 * time.Millisecond
-	// nearTimes and nearPart bound the expected time at which the replica in the own zone goes first whatever the others would take: in times of
-	// the usual reply, which leaves out a replica that is slow or overdue, though not one after a single pause, and as a part of the time in which the
-	// reply is of use, which leaves room for a second try. nearRunning is how many requests of this host make a queue there.
+	// nearTimes and nearPart bound the expected time at which the replica in the own zone goes first whatever the
+	// others would take: in times of the usual reply, which leaves out a replica that is slow or overdue, though not
+	// one after a single pause, and as a part of the time in which the reply is of use, which leaves room for a second
+	// try. nearRunning is how many requests of this host make a queue there.
 	nearTimes   = 2.5
 	nearPart    = 0.4
 	nearRunning = 3
-	// Forget is the time in which what was learned of a replica's speed loses two thirds of its weight. A disruption lasts for seconds;
-	// a replica that was slow is tried again about as long after.
+	// Forget is the time in which what was learned of a replica's speed loses two thirds of its weight. A disruption
+	// lasts for seconds; a replica that was slow is tried again about as long after.
 	Forget = 3 * time.Second
 	// spread is the random part of an estimate, so that hosts that know the same don't all choose the same replica.
 	spread = 0.2
@@ -48,11 +49,11 @@
 // coldSlowness stands for a replica that has just started and has not answered this host yet.
 const coldSlowness = 1.6
 
-// Estimate returns how long a request is expected to take at the replica, where usual is the time at a healthy one and draw a random
-// number between 0 and 1.
+// Estimate returns how long a request is expected to take at the replica, where usual is the time at a healthy one and
+// draw a random number between 0 and 1.
 //
-// It answers replicas that pause for a quarter of a second, or are ten times slower for a while: what is under way there and has
-// not come back is the first sign, before any reply could show it.
+// It answers replicas that pause for a quarter of a second, or are ten times slower for a while: what is under way
+// there and has not come back is the first sign, before any reply could show it.
 func Estimate(r Replica, usual time.Duration, draw float64) time.Duration {
 	slow := max(r.Slowness, 0.5)
 	if r.Cold {
@@ -78,13 +79,13 @@
 	Queues bool
 }
 
-// Before reports whether a replica with an estimate goes before another one: the quicker one, and before all others one in the host's own zone that
-// is quick enough.
+// Before reports whether a replica with an estimate goes before another one: the quicker one, and before all others one
+// in the host's own zone that is quick enough.
 //
-// It answers the bytes between zones, which are paid for, and are most of what a page over many shards moves. Where their price was added to the
-// estimate, a request or two under way and the random part of it outweighed the price, and a host with near replicas for three in
-// five shards fetched three parts in four from elsewhere. Where replicas have queues the shortest one goes first: whether a request is answered in time
-// is worth more than the bytes.
+// It answers the bytes between zones, which are paid for, and are most of what a page over many shards moves. Where
+// their price was added to the estimate, a request or two under way and the random part of it outweighed the price, and
+// a host with near replicas for three in five shards fetched three parts in four from elsewhere. Where replicas have
+// queues the shortest one goes first: whether a request is answered in time is worth more than the bytes.
 func (n Need) Before(a Replica, estimate time.Duration, b Replica, other time.Duration) bool {
 	if near := n.nearEnough(a, estimate); near != n.nearEnough(b, other) {
 		return near
--- a/entry/internal/pick/pick_test.go
+++ b/entry/internal/pick/pick_test.go
@@ -46,16 +46,16 @@
 	}
 }
 
-// All hosts know the same of two equal replicas. If each took the one with the least estimate to the nanosecond, all would take the
-// same; the random part has to be wider than what tells equals apart.
+// All hosts know the same of two equal replicas. If each took the one with the least estimate to the nanosecond, all
+// would take the same; the random part has to be wider than what tells equals apart.
 func TestEqualsAreSpread(t *testing.T) {
 	r := pick.Replica{Slowness: 1, Near: true}
 	slightly := pick.Replica{Slowness: 1.05, Near: true}
 	qt.Assert(t, pick.Estimate(r, usual, 0.9) > pick.Estimate(slightly, usual, 0.1), qt.IsTrue)
 }
 
-// More comes than the replicas can do. The replica in the own zone is usable, and another has a shorter queue: the pages that wait behind the first
-// would be late for the sake of bytes.
+// More comes than the replicas can do. The replica in the own zone is usable, and another has a shorter queue: the
+// pages that wait behind the first would be late for the sake of bytes.
 func TestShortestQueueGoesFirstUnderLoad(t *testing.T) {
 	near, far := pick.Replica{Slowness: 1.5, Near: true, Running: 1}, pick.Replica{Slowness: 1}
 	for _, queues := range []bool{false, true} {
--- a/entry/internal/placement/placement.go
+++ b/entry/internal/placement/placement.go
@@ -8,16 +8,19 @@
 )
 
 const (
-	// tier is the part of what the strongest host has, of cores and of its link, from which a host is as good as that one.
+	// tier is the part of what the strongest host has, of cores and of its link, from which a host is as good as that
+	// one.
 	tier = 0.5
 	// leastServing is how many hosts clients are sent to at least, so that the loss of one is the loss of a fifth.
 	leastServing = 5
-	// reserve is the part of the bounds that is left to the hosts that clients are not sent to: some clients keep old addresses.
+	// reserve is the part of the bounds that is left to the hosts that clients are not sent to: some clients keep old
+	// addresses.
 	reserve = 0.1
 )
 
-// strength returns how strong a host is beside the most cores and the fastest link that any host has, 0 to 1, by what it has least of. What a query
-// needs more of, cores or bits, differs between deployments and days. A host that is weak in either is slow where that binds.
+// strength returns how strong a host is beside the most cores and the fastest link that any host has, 0 to 1, by what
+// it has least of. What a query needs more of, cores or bits, differs between deployments and days. A host that is weak
+// in either is slow where that binds.
 func strength(h, most member.Host) float64 {
 	return min(part(h.Cores, most.Cores), part(h.LinkBits, most.LinkBits))
 }
@@ -32,8 +35,9 @@
 
 // Serving returns the hosts that clients are sent to: the strongest, and weaker ones only where those are too few.
 //
-// It answers a fleet of a few strong hosts and many weak ones. Spread over all of them, each query waits for a slow link, each
-// host sees too little of a replica to know that it is slow, and the connections of a replica are shared among ninety.
+// It answers a fleet of a few strong hosts and many weak ones. Spread over all of them, each query waits for a slow
+// link, each host sees too little of a replica to know that it is slow, and the connections of a replica are shared
+// among ninety.
 func Serving(hosts []member.Host) []member.Host { return serving(hosts, false) }
 
 // serving returns the hosts that clients are sent to, or would be if those that are suspected are alive.
@@ -63,8 +67,8 @@
 	return h.Cores >= tier*strongest.Cores && h.LinkBits >= tier*strongest.LinkBits
 }
 
-// Share returns the part, 0 to 1, that the host with an id takes of what all hosts together may do, where there are at least some
-// number of hosts.
+// Share returns the part, 0 to 1, that the host with an id takes of what all hosts together may do, where there are at
+// least some number of hosts.
 func Share(hosts []member.Host, id string, least int) float64 {
 	serving := Serving(hosts)
 	serves := slices.ContainsFunc(serving, func(h member.Host) bool { return h.ID == id })
--- a/entry/internal/placement/placement_test.go
+++ b/entry/internal/placement/placement_test.go
@@ -22,8 +22,8 @@
 	return list
 }
 
-// A deployment grows by many weak hosts. Clients must be sent to the strong ones as long as those are enough to lose one, and to
-// the weak ones when the strong are gone.
+// A deployment grows by many weak hosts. Clients must be sent to the strong ones as long as those are enough to lose
+// one, and to the weak ones when the strong are gone.
 func TestServing(t *testing.T) {
 	tests := []struct{ strong, weak, want int }{{6, 65, 6}, {8, 82, 8}, {3, 65, 5}, {0, 65, 65}, {6, 0, 6}, {1, 0, 1}, {0, 0, 0}}
 	for _, test := range tests {
@@ -37,8 +37,9 @@
 	}
 }
 
-// A deployment has hosts with many cores and slow links beside some that have both. Its pages are large: on a slow link the parts alone take longer than
-// the objective, whatever the cores. And where nobody knows what the hosts have, all are alike.
+// A deployment has hosts with many cores and slow links beside some that have both. Its pages are large: on a slow link
+// the parts alone take longer than the objective, whatever the cores. And where nobody knows what the hosts have, all
+// are alike.
 func TestStrongInBothServe(t *testing.T) {
 	var hosts []member.Host
 	for i := range 6 {
--- a/entry/internal/placement/watched_test.go
+++ b/entry/internal/placement/watched_test.go
@@ -9,8 +9,9 @@
 	"guavaspring.org/entry/internal/placement"
 )
 
-// Clients are sent to six hosts of a fleet, or to all of a thousand. Each of these must be looked after by four others whatever the fleet's size, and a weak
-// host by none; one that is suspected must go on being looked after, or it would stay out once it is back.
+// Clients are sent to six hosts of a fleet, or to all of a thousand. Each of these must be looked after by four others
+// whatever the fleet's size, and a weak host by none; one that is suspected must go on being looked after, or it would
+// stay out once it is back.
 func TestWatched(t *testing.T) {
 	tests := []struct{ strong, weak, watched int }{{6, 65, 4}, {1000, 0, 4}, {3, 65, 4}, {0, 3, 2}, {1, 0, 0}}
 	for _, test := range tests {
--- a/entry/internal/quarantine/model_test.go
+++ b/entry/internal/quarantine/model_test.go
@@ -137,8 +137,8 @@
 	time.Sleep(2 * spread)
 }
 
-// A lookup crashes each replica that runs it, and the greeter's tablet sends it again at once, to the same host. It must
-// end at two crashes, and the lookups of others that were running beside it must be answered and never be refused.
+// A lookup crashes each replica that runs it, and the greeter's tablet sends it again at once, to the same host. It
+// must end at two crashes, and the lookups of others that were running beside it must be answered and never be refused.
 func TestCrashingRequestEndsAtTwoCrashes(t *testing.T) {
 	qt.Assert(t, flag.Set("rapid.checks", modelSeeds), qt.IsNil)
 	qt.Assert(t, flag.Set("rapid.nofailfile", "true"), qt.IsNil)
@@ -161,8 +161,8 @@
 	})
 }
 
-// The caller turns to another host each time. Until that one has heard, it tries for itself: two crashes more for each host
-// that is asked within the time that a rumor takes, and none after.
+// The caller turns to another host each time. Until that one has heard, it tries for itself: two crashes more for each
+// host that is asked within the time that a rumor takes, and none after.
 func TestCrashingRequestSentToOtherHosts(t *testing.T) {
 	for _, test := range []struct {
 		every time.Duration
@@ -178,8 +178,9 @@
 	}
 }
 
-// A lookup crashes a replica and its host has no time left to try it again. The tablet turns to another host, which knows
-// nothing and tries it twice: three crashes. The suspicion is told too, so that the other host's first break is the second.
+// A lookup crashes a replica and its host has no time left to try it again. The tablet turns to another host, which
+// knows nothing and tries it twice: three crashes. The suspicion is told too, so that the other host's first break is
+// the second.
 func TestSuspicionReachesOtherHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(2, 1)
--- a/entry/internal/quarantine/quarantine.go
+++ b/entry/internal/quarantine/quarantine.go
@@ -19,8 +19,8 @@
 	held = time.Minute
 	// suspected is how long one break is remembered.
 	suspected = 10 * time.Second
-	// confirm is how long a suspicion stays on this host: nearly every innocent request has been answered by then, and a
-	// crash with many in flight isn't told to the fleet once for each.
+	// confirm is how long a suspicion stays on this host: nearly every innocent request has been answered by then, and
+	// a crash with many in flight isn't told to the fleet once for each.
 	confirm = 200 * time.Millisecond
 	// patience is how long the shards of a suspect wait for its first second try, twice the usual reply of the slowest
 	// service that was measured; an innocent must not lose all of them to one replica that has gone silent.
@@ -51,12 +51,13 @@
 // Quarantine remembers which requests of one service broke connections.
 //
 // It answers a request that crashes each replica that runs it, sent again and again by its caller: without it every
-// replica of a shard is down within seconds. One break proves nothing, as a dying replica takes all that it runs with it. A
-// request whose try broke is a suspect; it is tried once more, and a second break of the same shard on another replica
-// quarantines it. An answer of the shard clears it, since a request that crashes upstreams is never answered. Suspects are
-// kept apart: a replica gets one at a time from this host, so that an innocent one doesn't sit beside the guilty
-// one a second time. A request that broke at several shards is tried again at one of them first while none has answered:
-// sent to all at once, its second tries would take down several replicas more before the first has proved it guilty.
+// replica of a shard is down within seconds. One break proves nothing, as a dying replica takes all that it runs with
+// it. A request whose try broke is a suspect; it is tried once more, and a second break of the same shard on another
+// replica quarantines it. An answer of the shard clears it, since a request that crashes upstreams is never answered.
+// Suspects are kept apart: a replica gets one at a time from this host, so that an innocent one doesn't sit beside the
+// guilty one a second time. A request that broke at several shards is tried again at one of them first while none has
+// answered: sent to all at once, its second tries would take down several replicas more before the first has proved it
+// guilty.
 type Quarantine struct {
 	opts Options
 
@@ -131,7 +132,8 @@
 	Left Outcome = "left"
 )
 
-// Guard sends a try of shard n to a replica by send, unless the request is quarantined or may not go there now, and learns from how it ended.
+// Guard sends a try of shard n to a replica by send, unless the request is quarantined or may not go there now, and
+// learns from how it ended.
 func (q *Quarantine) Guard(ctx context.Context, fp string, n int, replica string, send func() Outcome) error {
 	try, err := q.Enter(ctx, fp, n, replica)
 	if err != nil {
@@ -158,8 +160,8 @@
 	more bool
 }
 
-// Enter asks to send a try of shard n to a replica, and waits while the replica runs another suspect or the request's own
-// one more try of another shard is not decided.
+// Enter asks to send a try of shard n to a replica, and waits while the replica runs another suspect or the request's
+// own one more try of another shard is not decided.
 func (q *Quarantine) Enter(ctx context.Context, fp string, n int, replica string) (*Try, error) {
 	try := &Try{q: q, fp: fp, n: n, replica: replica}
 	for {
@@ -180,8 +182,8 @@
 	}
 }
 
-// enter returns a channel to wait on where the replica runs another suspect, or where the one more try of another shard of
-// the request is to be awaited first; q.mu is held.
+// enter returns a channel to wait on where the replica runs another suspect, or where the one more try of another shard
+// of the request is to be awaited first; q.mu is held.
 func (q *Quarantine) enter(try *Try) (wait <-chan struct{}, err error) {
 	r := q.records[try.fp]
 	if r == nil || !q.opts.Clock.Now().Before(r.until) {
--- a/entry/internal/quarantine/shards_test.go
+++ b/entry/internal/quarantine/shards_test.go
@@ -62,8 +62,8 @@
 	return crashes, lost, blamed
 }
 
-// A lookup broke at two shards, and the replica that gets its first second try has fallen silent. The other shard must not
-// wait for it until the page's deadline: after 100 ms it is tried too.
+// A lookup broke at two shards, and the replica that gets its first second try has fallen silent. The other shard must
+// not wait for it until the page's deadline: after 100 ms it is tried too.
 func TestSilentReplicaDoesNotHoldTheOtherShards(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		q := newSite(1, 1).hosts[0]
@@ -85,8 +85,9 @@
 
 const fleetSeeds = 100
 
-// A lookup that crashes upstreams goes to ten shards at once and breaks ten replicas. Its second tries leave together too:
-// before the first of them has proved it guilty, several more replicas are down, and pages wait for the third of a shard.
+// A lookup that crashes upstreams goes to ten shards at once and breaks ten replicas. Its second tries leave together
+// too: before the first of them has proved it guilty, several more replicas are down, and pages wait for the third of a
+// shard.
 func TestCrashingRequestCostsOneCrashMoreThanShards(t *testing.T) {
 	for seed := range uint64(fleetSeeds) {
 		synctest.Test(t, func(t *testing.T) {
@@ -120,8 +121,8 @@
 	}
 }
 
-// A lookup is quarantined at its second break of one shard, and the try of another shard breaks a moment later. That break
-// must not end the quarantine early: after 10 s its caller would take down ten replicas once more.
+// A lookup is quarantined at its second break of one shard, and the try of another shard breaks a moment later. That
+// break must not end the quarantine early: after 10 s its caller would take down ten replicas once more.
 func TestLateBreakDoesNotEndTheQuarantine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		q := newSite(1, 1).hosts[0]
