--- a/entry/internal/queueing/delay.go
+++ b/entry/internal/queueing/delay.go
@@ -7,21 +7,22 @@
 )
 
 const (
-	// kept is how many of the newest replies count, and fresh for how long: a burst fills queues within a tenth of a second, and a host of a large
-	// fleet gets a few replies a second from each service.
+	// kept is how many of the newest replies count, and fresh for how long: a burst fills queues within a tenth of a
+	// second, and a host of a large fleet gets a few replies a second from each service.
 	kept  = 12
 	fresh = time.Second
 	// least is how many replies make a sign; one or two may just be long work.
 	least = 3
-	// part is the quantile of the replies' waits that counts. One replica in twenty-five pauses, and in a disruption half of them are slow; what
-	// three in ten replies stay below says what the replicas that are well have queued.
+	// part is the quantile of the replies' waits that counts. One replica in twenty-five pauses, and in a disruption
+	// half of them are slow; what three in ten replies stay below says what the replicas that are well have queued.
 	part = 0.3
 )
 
 // Delay is how long requests queue at the replicas of one service, seen from the replies; the zero value has seen none.
 //
-// It answers a load that no host sees: 84 hosts that send three requests a second each fill the queues of replicas at which none of them ever has
-// more than one. Replies are what all hosts have in common, so that each refuses its part without hearing of the others.
+// It answers a load that no host sees: 84 hosts that send three requests a second each fill the queues of replicas at
+// which none of them ever has more than one. Replies are what all hosts have in common, so that each refuses its part
+// without hearing of the others.
 type Delay struct {
 	mu    sync.Mutex
 	waits [kept]time.Duration
--- a/entry/internal/records/records.go
+++ b/entry/internal/records/records.go
@@ -8,10 +8,11 @@
 // size is the size of one record of a part; a shorter remainder is none.
 const size = 16
 
-// Top returns the k greatest records of 16 bytes of all parts, greatest first. The greatest of some parts stand for those parts in a further call.
+// Top returns the k greatest records of 16 bytes of all parts, greatest first. The greatest of some parts stand for
+// those parts in a further call.
 //
-// Only the k greatest so far are kept in order: of 36 parts with 62 records each most are smaller than all of those, and cost one
-// comparison, where sorting all of them would be most of the work of a query.
+// Only the k greatest so far are kept in order: of 36 parts with 62 records each most are smaller than all of those,
+// and cost one comparison, where sorting all of them would be most of the work of a query.
 func Top(parts [][]byte, k int) []byte {
 	greatest := make([][]byte, 0, k+1)
 	for _, part := range parts {
--- a/entry/internal/records/records_test.go
+++ b/entry/internal/records/records_test.go
@@ -12,7 +12,8 @@
 	"guavaspring.org/entry/internal/records"
 )
 
-// A page is the greatest records of all its parts, whatever their order, equal ones counted each, and bytes that are no record left out.
+// A page is the greatest records of all its parts, whatever their order, equal ones counted each, and bytes that are no
+// record left out.
 func TestMerge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		k := rapid.IntRange(0, 8).Draw(t, "k")
--- a/entry/internal/relay/copy.go
+++ b/entry/internal/relay/copy.go
@@ -7,7 +7,8 @@
 	"guavaspring.org/core/feed"
 )
 
-// keptBatches is how many of the newest changes are kept for hosts that are a little behind; one that lacks more gets everything.
+// keptBatches is how many of the newest changes are kept for hosts that are a little behind; one that lacks more gets
+// everything.
 const keptBatches = 64
 
 // Copy is one host's copy of all objects of one kind, with how fresh it is.
@@ -34,8 +35,9 @@
 	return &Copy[T]{entries: map[string]feed.Entry[T]{}, changed: make(chan struct{})}
 }
 
-// NewLastGoodCopy returns a copy that keeps what an object was while it can't be read. It is for objects that stay in force until a newer one
-// is known: a host that starts meanwhile hears the last one from here, where the store has nothing for it.
+// NewLastGoodCopy returns a copy that keeps what an object was while it can't be read. It is for objects that stay in
+// force until a newer one is known: a host that starts meanwhile hears the last one from here, where the store has
+// nothing for it.
 func NewLastGoodCopy[T any]() *Copy[T] {
 	c := NewCopy[T]()
 	c.lastGood = true
@@ -77,11 +79,11 @@
 	return true
 }
 
-// Change takes over what changed up to the batch's revision as of at. It returns what of it is news, and reports whether the batch is at least as
-// new as the copy.
+// Change takes over what changed up to the batch's revision as of at. It returns what of it is news, and reports
+// whether the batch is at least as new as the copy.
 //
-// A list is read page by page, and the changes since its first page are told again: one that is older than what a later page showed is
-// no news.
+// A list is read page by page, and the changes since its first page are told again: one that is older than what a later
+// page showed is no news.
 func (c *Copy[T]) Change(batch feed.Batch[T], at time.Time, returned bool) (feed.Batch[T], bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -139,7 +141,8 @@
 	return batch, false, c.returned
 }
 
-// pack returns all objects in packed form. It is kept until the next change: when a fleet starts, a hundred hosts ask for the same.
+// pack returns all objects in packed form. It is kept until the next change: when a fleet starts, a hundred hosts ask
+// for the same.
 func (c *Copy[T]) pack(all feed.Batch[T]) ([]byte, error) {
 	c.mu.Lock()
 	packed, at := c.packed, c.packedAt
--- a/entry/internal/relay/pack.go
+++ b/entry/internal/relay/pack.go
@@ -13,7 +13,8 @@
 // mostUnpacked bounds what a reply of another host may unpack to: 24,000 replicas take 4 MB.
 const mostUnpacked = 64 << 20
 
-// pack writes entries in as few bytes as the library's compression gets them into; the names and addresses of replicas are much alike.
+// pack writes entries in as few bytes as the library's compression gets them into; the names and addresses of replicas
+// are much alike.
 func pack[T any](entries []feed.Entry[T]) ([]byte, error) {
 	var b bytes.Buffer
 	w, err := flate.NewWriter(&b, flate.DefaultCompression)
--- a/entry/internal/relay/pack_test.go
+++ b/entry/internal/relay/pack_test.go
@@ -27,8 +27,8 @@
 	return b
 }
 
-// Hundreds of hosts start at once and fetch the list of replicas from the hosts that their settings name, whose links are those of small machines. Each
-// must get the whole list as it is, in a third of the bytes that the rows take.
+// Hundreds of hosts start at once and fetch the list of replicas from the hosts that their settings name, whose links
+// are those of small machines. Each must get the whole list as it is, in a third of the bytes that the rows take.
 func TestAllObjectsTravelPacked(t *testing.T) {
 	c := relay.NewCopy[platform.Replica]()
 	all := listOf(282)
--- a/entry/internal/relay/relay_test.go
+++ b/entry/internal/relay/relay_test.go
@@ -13,8 +13,8 @@
 	"guavaspring.org/entry/internal/relay"
 )
 
-// Objects are written and removed at random; a copy follows in batches, is now and then replaced whole, and another host fetches from it at
-// random moments, sometimes long behind. Whatever it missed, it must hold what the copy holds.
+// Objects are written and removed at random; a copy follows in batches, is now and then replaced whole, and another
+// host fetches from it at random moments, sometimes long behind. Whatever it missed, it must hold what the copy holds.
 func TestFetchesBringTheWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		truth := map[string]int64{}
@@ -71,8 +71,8 @@
 	qt.Assert(t, st.Revision, qt.Equals, int64(9))
 }
 
-// Every host but the two that watch has a parent ahead of it, so that news from the store reach all, in few steps, and no host passes
-// on to more than its share.
+// Every host but the two that watch has a parent ahead of it, so that news from the store reach all, in few steps, and
+// no host passes on to more than its share.
 func TestTree(t *testing.T) {
 	for _, n := range []int{1, 2, 3, 6, 90, 5600} {
 		hosts := make([]member.Host, n)
@@ -112,8 +112,8 @@
 	}
 }
 
-// A host is told to stop while one other is left. It is no longer ranked, and must go on hearing of changes while it finishes its work; the
-// process once ended here with a panic in the middle of its grace.
+// A host is told to stop while one other is left. It is no longer ranked, and must go on hearing of changes while it
+// finishes its work; the process once ended here with a panic in the middle of its grace.
 func TestLeavingHostHasParents(t *testing.T) {
 	for others := range 4 {
 		hosts := []member.Host{{ID: "leaving", State: member.StateLeaving}}
@@ -126,8 +126,8 @@
 	}
 }
 
-// A fleet of five zones hears of a new replica. What crosses a zone's border is paid for and has a longer way, so that it must cross once for each
-// zone, whoever watches; no host may hear from one that hears from itself.
+// A fleet of five zones hears of a new replica. What crosses a zone's border is paid for and has a longer way, so that
+// it must cross once for each zone, whoever watches; no host may hear from one that hears from itself.
 func TestNewsCrossEachBorderOnce(t *testing.T) {
 	for _, n := range []int{6, 84, 295} {
 		zones := []string{"a", "b", "c", "d", "e"}
--- a/entry/internal/relay/tree.go
+++ b/entry/internal/relay/tree.go
@@ -7,18 +7,19 @@
 )
 
 const (
-	// watchers is how many hosts watch the store: one, and one that goes on while the first is cut off or restarted. Each waiting watch is a
-	// call that is paid for, so that it must not grow with the fleet.
+	// watchers is how many hosts watch the store: one, and one that goes on while the first is cut off or restarted.
+	// Each waiting watch is a call that is paid for, so that it must not grow with the fleet.
 	watchers = 2
 	// fanOut is how many hosts each host passes on to: 5,600 hosts are reached in five steps.
 	fanOut = 8
 )
 
-// Parents returns the hosts that self hears from, the one to ask first in front; watches says that self watches the store.
+// Parents returns the hosts that self hears from, the one to ask first in front; watches says that self watches the
+// store.
 //
-// Each availability zone has a tree of its own. Its first host hears from those that watch, which may be elsewhere, and passes on inside the
-// zone, so that news and what a starting host needs cross a zone's border once and not once for each host: of 295 hosts in five zones that
-// started at once, four in five heard everything, 50 KB, from another zone.
+// Each availability zone has a tree of its own. Its first host hears from those that watch, which may be elsewhere, and
+// passes on inside the zone, so that news and what a starting host needs cross a zone's border once and not once for
+// each host: of 295 hosts in five zones that started at once, four in five heard everything, 50 KB, from another zone.
 //
 // Hosts that disagree on who is a member may ask each other in a ring. None of them then hears anything fresh, and each
 // asks the store itself.
@@ -48,8 +49,8 @@
 	return parents, false
 }
 
-// ranked returns the hosts that may be heard from in their order, with self in it: a host that is leaving is not ranked any more, and
-// comes last.
+// ranked returns the hosts that may be heard from in their order, with self in it: a host that is leaving is not ranked
+// any more, and comes last.
 func ranked(hosts []member.Host, self string) []member.Host {
 	var order []member.Host
 	for _, h := range member.Ranked(hosts, "watch") {
--- a/entry/internal/replica/replica.go
+++ b/entry/internal/replica/replica.go
@@ -10,7 +10,8 @@
 	"guavaspring.org/entry/internal/limit"
 )
 
-// goneHold is how long a version that a replica refused is not asked of it again, whatever its headers say; a version that is loaded again is rare, a header that lags is not.
+// goneHold is how long a version that a replica refused is not asked of it again, whatever its headers say; a version
+// that is loaded again is rare, a header that lags is not.
 const goneHold = 10 * time.Second
 
 // Replica is one replica as this host sees it; its methods may be used from any goroutine.
@@ -35,7 +36,8 @@
 	ended    atomic.Int64
 	draining atomic.Bool
 	claimed  atomic.Bool
-	// heard is when the last reply named its holdings, answered when the replica last answered anything, in nanoseconds since 1970.
+	// heard is when the last reply named its holdings, answered when the replica last answered anything, in nanoseconds
+	// since 1970.
 	heard    atomic.Int64
 	answered atomic.Int64
 	raw      atomic.Pointer[string]
@@ -49,7 +51,8 @@
 	countBits = 16
 	countMask = 1<<countBits - 1
 	sumMask   = 1<<(64-countBits) - 1
-	// forget is how long a replica must be idle for what was learned of it to count half: a few single tries then find a recovered replica within seconds, and cost a slow one's queries little.
+	// forget is how long a replica must be idle for what was learned of it to count half: a few single tries then find
+	// a recovered replica within seconds, and cost a slow one's queries little.
 	forget = time.Second
 	// mostHalves bounds the halving.
 	mostHalves = 16
--- a/entry/internal/replica/table.go
+++ b/entry/internal/replica/table.go
@@ -57,9 +57,11 @@
 	Clock clock.Clock
 	// Zone is this host's availability zone.
 	Zone string
-	// Draining is told once of each replica that is found to be leaving, and by which sign; it may be nil and must not call the table.
+	// Draining is told once of each replica that is found to be leaving, and by which sign; it may be nil and must not
+	// call the table.
 	Draining func(r *Replica, sign string)
-	// Doubted is told when a list omitted so many of the live replicas that those which still answer were kept; it may be nil.
+	// Doubted is told when a list omitted so many of the live replicas that those which still answer were kept; it may
+	// be nil.
 	Doubted func(omitted, live int)
 }
 
@@ -127,7 +129,8 @@
 			// Another ID at the same address is another process: nothing learned of the old one holds for it.
 			r = &Replica{ID: row.ID, Addr: row.Addr, Zone: row.Zone, Near: row.Zone == t.opts.Zone, epoch: now}
 			if !first {
-				// It has just started, and its caches are cold; at the host's own start nothing is known of any replica, and all are used.
+				// It has just started, and its caches are cold; at the host's own start nothing is known of any
+				// replica, and all are used.
 				r.Eject.Hold(now)
 			}
 			t.all[addr] = r
--- a/entry/internal/replicatest/doc.go
+++ b/entry/internal/replicatest/doc.go
@@ -1,2 +1,3 @@
-// Package replicatest plays replicas over in-memory connections, so that tests of what is sent to them run in virtual time.
+// Package replicatest plays replicas over in-memory connections, so that tests of what is sent to them run in virtual
+// time.
 package replicatest
--- a/entry/internal/replicatest/farm.go
+++ b/entry/internal/replicatest/farm.go
@@ -30,7 +30,8 @@
 	NotRun, Silent bool
 	// Close ends the connection after the reply.
 	Close bool
-	// CrashFor takes the replica down after the work instead of a reply: all its connections break, and new ones are refused for so long.
+	// CrashFor takes the replica down after the work instead of a reply: all its connections break, and new ones are
+	// refused for so long.
 	CrashFor time.Duration
 }
 
--- a/entry/internal/requestlog/log.go
+++ b/entry/internal/requestlog/log.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// troubled is the most lines a second about requests that were not answered whole and in time. A host answers about 60 requests a
-	// second on a heavy day; a line has about 1.5 KB, so that 150 of them are 225 KB a second.
+	// troubled is the most lines a second about requests that were not answered whole and in time. A host answers about
+	// 60 requests a second on a heavy day; a line has about 1.5 KB, so that 150 of them are 225 KB a second.
 	troubled = 150
 	// usual is the most lines a second about all others, which are only there to compare with.
 	usual = 10
@@ -50,8 +50,8 @@
 	Report *scatter.Report
 	// Status is the status of the answer.
 	Status int
-	// ConfigVersion is the version of the configuration that the request was pinned to; ConfigAge and ReplicasAge are how long ago
-	// the store was known to hold nothing newer.
+	// ConfigVersion is the version of the configuration that the request was pinned to; ConfigAge and ReplicasAge are
+	// how long ago the store was known to hold nothing newer.
 	ConfigVersion          int64
 	ConfigAge, ReplicasAge time.Duration
 	Took                   time.Duration
@@ -75,8 +75,8 @@
 		"behind_ms", rep.Overload.Wait.Milliseconds(), "spare_ms", rep.Overload.Bound.Milliseconds(), "waited_ms", rep.Overload.Waited.Milliseconds(), "refuse_chance", rep.Overload.Chance, "retry_after_ms", rep.RetryAfter.Milliseconds(), "steps", Steps(e))
 }
 
-// Admitted writes the line of a request that must not run twice, before it is sent: should this host be lost, the line is what is left
-// to tell that the request had come.
+// Admitted writes the line of a request that must not run twice, before it is sent: should this host be lost, the line
+// is what is left to tell that the request had come.
 func (l *Log) Admitted(q *scatter.Query) {
 	if !q.Route.Idempotent && l.admitted.Allow(l.opts.Clock.Now()) {
 		events.Admitted.Log(l.opts.Log, "request", q.Request.ID, "route", q.Route.Name, "service", q.Shards[0].Name, "allowed_ms", q.Deadline.Sub(q.Arrived).Milliseconds())
--- a/entry/internal/requestlog/log_test.go
+++ b/entry/internal/requestlog/log_test.go
@@ -24,8 +24,8 @@
 	return &requestlog.Entry{Query: q, Report: rep, Status: 502, Took: 30 * time.Millisecond}
 }
 
-// A thousand requests go well and one fails, all within a second. The one that an engineer will ask about must be found in the log, with
-// what was decided, though the lines are bounded.
+// A thousand requests go well and one fails, all within a second. The one that an engineer will ask about must be found
+// in the log, with what was decided, though the lines are bounded.
 func TestFailedRequestIsFound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var out strings.Builder
--- a/entry/internal/rumor/store.go
+++ b/entry/internal/rumor/store.go
@@ -139,7 +139,8 @@
 	return cmp.Or(cmp.Compare(a.Number, b.Number), a.Expires.Compare(b.Expires), bytes.Compare(a.Body, b.Body))
 }
 
-// makeRoom drops what is expired, or else the rumor that expires first if r outlives it: all hosts then keep the same ones.
+// makeRoom drops what is expired, or else the rumor that expires first if r outlives it: all hosts then keep the same
+// ones.
 func (s *Store) makeRoom(r Rumor) bool {
 	now := s.clock.Now()
 	var first id
--- a/entry/internal/scatter/admit.go
+++ b/entry/internal/scatter/admit.go
@@ -14,8 +14,8 @@
 
 // unservable reports whether too few shards have a replica that serves.
 //
-// It answers zones that are evacuated, and shards all of whose replicas left: asked all the same, the other shards work for an answer that can't come, and
-// the client is told that its request may have run.
+// It answers zones that are evacuated, and shards all of whose replicas left: asked all the same, the other shards work
+// for an answer that can't come, and the client is told that its request may have run.
 func (p *plan) unservable() bool {
 	served := 0
 	for i, s := range p.Shards {
@@ -54,9 +54,9 @@
 
 // together returns how long the newest replies of all shards waited.
 //
-// It answers a burst over a large fleet: a host that sends each shard thirty requests a second learns from its replies in a few tenths of one that
-// they queue, and by then all hosts have filled the queues and refuse everything, until those are empty and all let everything
-// in. The ten or more shards of a page tell it ten times sooner.
+// It answers a burst over a large fleet: a host that sends each shard thirty requests a second learns from its replies
+// in a few tenths of one that they queue, and by then all hosts have filled the queues and refuse everything, until
+// those are empty and all let everything in. The ten or more shards of a page tell it ten times sooner.
 func (p *plan) together() time.Duration {
 	waits := make([]time.Duration, 0, len(p.Shards))
 	for _, s := range p.Shards {
@@ -67,10 +67,12 @@
 	return queueing.Quantile(waits)
 }
 
-// slowest is how many times as long as the usual one the slowest reply takes that a page over shards waits for while nothing queues.
+// slowest is how many times as long as the usual one the slowest reply takes that a page over shards waits for while
+// nothing queues.
 const slowest = 2
 
-// spare returns how long a try may wait for the answer to be in time; where the work alone takes longer than that, as much again as the work.
+// spare returns how long a try may wait for the answer to be in time; where the work alone takes longer than that, as
+// much again as the work.
 func (p *plan) spare() time.Duration {
 	work := p.unloaded
 	if work == 0 {
@@ -88,8 +90,9 @@
 	return least
 }
 
-// refuse ends a request to which nothing was sent. Clients come back once or twice, and within a third of the time that they have left: those
-// that come back late in it, each at another moment, find the burst over more often than those that come at once.
+// refuse ends a request to which nothing was sent. Clients come back once or twice, and within a third of the time that
+// they have left: those that come back late in it, each at another moment, find the burst over more often than those
+// that come at once.
 func (p *plan) refuse() Report {
 	left := p.end().Sub(p.now)
 	p.report.RetryAfter = p.report.Overload.Wait + time.Duration((1+p.run.opts.Draw())*backWithin/2*float64(left))
--- a/entry/internal/scatter/burst_test.go
+++ b/entry/internal/scatter/burst_test.go
@@ -53,7 +53,8 @@
 	next    int
 }
 
-// newCrowd returns callers of a number of hosts before ten shards of three replicas, each of which runs some requests at once.
+// newCrowd returns callers of a number of hosts before ten shards of three replicas, each of which runs some requests
+// at once.
 func newCrowd(farm *replicatest.Farm, hosts, slots int) *crowd {
 	c := &crowd{tallies: make([]tally, len(kinds))}
 	for _, k := range kinds {
@@ -86,7 +87,8 @@
 	return c
 }
 
-// worker answers as a replica that runs a number of requests at once, each for the work of its kind, and lets the others wait.
+// worker answers as a replica that runs a number of requests at once, each for the work of its kind, and lets the
+// others wait.
 func worker(slots int) func(*http.Request, []byte) replicatest.Answer {
 	free := make(chan struct{}, slots)
 	return func(req *http.Request, body []byte) replicatest.Answer {
@@ -111,7 +113,8 @@
 	}
 }
 
-// play lets rate callers a second come for some time and returns what those that came after the first half second got, by kind.
+// play lets rate callers a second come for some time and returns what those that came after the first half second got,
+// by kind.
 func (c *crowd) play(t *testing.T, rate int, span time.Duration) []tally {
 	var all sync.WaitGroup
 	mix := kindOf()
@@ -189,18 +192,20 @@
 	return host.run.Run(t.Context(), q)
 }
 
-// Twice as many callers come as the replicas of all shards can answer, and for seconds: users that watch a page turn slow press again. What is let in
-// beyond what can be done makes all wait, until most of the work goes into answers that come too late. Nearly as many as
-// can be have to be answered in time, the others have to hear so at once, and neither kind may be starved. With few hosts and
-// with so many that none of them ever has two requests at a replica.
+// Twice as many callers come as the replicas of all shards can answer, and for seconds: users that watch a page turn
+// slow press again. What is let in beyond what can be done makes all wait, until most of the work goes into answers
+// that come too late. Nearly as many as can be have to be answered in time, the others have to hear so at once, and
+// neither kind may be starved. With few hosts and with so many that none of them ever has two requests at a replica.
 func TestBurstIsAnsweredInTime(t *testing.T) {
 	tests := []struct {
 		hosts, slots int
-		// rate is what comes a second, capacity what can be done: three replicas of a shard run slots at once, for 9.25 ms in the mean.
+		// rate is what comes a second, capacity what can be done: three replicas of a shard run slots at once, for 9.25
+		// ms in the mean.
 		rate, capacity int
-		// least is the part of what can be done that has to come in time, late the part of that which may come late besides. Five runs gave 0.96 to
-		// 0.99 and 0.59 to 0.68, and 0.06 to 0.08 and 0.35 to 0.49. Refused by the tries that wait at each host alone, 0.53 and 0 came in
-		// time over two seconds, and 514 and 3,068 requests were late or failed.
+		// least is the part of what can be done that has to come in time, late the part of that which may come late
+		// besides. Five runs gave 0.96 to 0.99 and 0.59 to 0.68, and 0.06 to 0.08 and 0.35 to 0.49. Refused by the
+		// tries that wait at each host alone, 0.53 and 0 came in time over two seconds, and 514 and 3,068 requests were
+		// late or failed.
 		least, late float64
 	}{{6, 2, 1300, 648, 0.8, 0.3}, {84, 4, 2600, 1297, 0.45, 0.6}}
 	for _, test := range tests {
@@ -229,8 +234,8 @@
 	}
 }
 
-// All replicas are four times slower than before, and hardly anybody comes. Nothing queues there: whoever comes must be answered, though
-// replies take as long as if many waited.
+// All replicas are four times slower than before, and hardly anybody comes. Nothing queues there: whoever comes must be
+// answered, though replies take as long as if many waited.
 func TestSlowReplicasWithoutLoadRefuseNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		farm := replicatest.New()
--- a/entry/internal/scatter/scatter.go
+++ b/entry/internal/scatter/scatter.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// lingerFor is how long a try that lost is left alone: a replica that pauses is back within a quarter of a second, and a new
-	// connection costs it more than the rest of the work.
+	// lingerFor is how long a try that lost is left alone: a replica that pauses is back within a quarter of a second,
+	// and a new connection costs it more than the rest of the work.
 	lingerFor = 300 * time.Millisecond
 	// lookAgain is how soon a waiting shard looks for room that no reply of this host has announced.
 	lookAgain = 25 * time.Millisecond
@@ -118,7 +118,8 @@
 	Overload overload.Decision
 	// RetryAfter is when to come back after Overload.
 	RetryAfter time.Duration
-	// Usual and Hedge are the times that the request was measured by: of a healthy replica's reply, and after which a second try is sent.
+	// Usual and Hedge are the times that the request was measured by: of a healthy replica's reply, and after which a
+	// second try is sent.
 	Usual, Hedge time.Duration
 }
 
@@ -200,8 +201,8 @@
 	return p
 }
 
-// start sends the first try of each shard. What is not idempotent is not ended with the client: it may have run, and its replica
-// should not be cut off.
+// start sends the first try of each shard. What is not idempotent is not ended with the client: it may have run, and
+// its replica should not be cut off.
 func (p *plan) start(ctx context.Context) {
 	p.ctx, p.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	for _, s := range p.Shards {
@@ -263,8 +264,8 @@
 	}
 }
 
-// passOn gives room that was announced to this request, which needs it no more, to the next one that waits: otherwise it would stay
-// unused until another reply comes.
+// passOn gives room that was announced to this request, which needs it no more, to the next one that waits: otherwise
+// it would stay unused until another reply comes.
 func (p *plan) passOn() {
 	for {
 		select {
--- a/entry/internal/scatter/scatter_test.go
+++ b/entry/internal/scatter/scatter_test.go
@@ -46,7 +46,8 @@
 	return newHost(farm, slack, 1)
 }
 
-// newHost returns the way of one host, which takes a part of all that the hosts may do together, to the replicas of a farm.
+// newHost returns the way of one host, which takes a part of all that the hosts may do together, to the replicas of a
+// farm.
 func newHost(farm *replicatest.Farm, slack, part float64) *bed {
 	return newHostIn("a", farm, slack, part, scatter.Subqueries{})
 }
@@ -98,7 +99,8 @@
 	return rep, time.Since(began)
 }
 
-// shortShard adds ten shards of three replicas that run five at a time of 28 ms; one shard has a single one, which does 178 a second.
+// shortShard adds ten shards of three replicas that run five at a time of 28 ms; one shard has a single one, which does
+// 178 a second.
 func (b *bed) shortShard() {
 	for i := range 10 {
 		for n := range 3 {
@@ -122,8 +124,8 @@
 	return &route.Route{Idempotent: idempotent, Timeout: 2 * time.Second, Objective: 800 * time.Millisecond, Attempts: 2, Split: []route.Share{{Service: "s0", Weight: 1}}}
 }
 
-// One replica of ten pauses for a quarter of a second, as each does every six. The page must not wait for it: a second replica of
-// that shard is asked as soon as the reply is later than nine in ten are.
+// One replica of ten pauses for a quarter of a second, as each does every six. The page must not wait for it: a second
+// replica of that shard is asked as soon as the reply is later than nine in ten are.
 func TestPausedReplicaIsHedged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, 50)
@@ -145,8 +147,8 @@
 	})
 }
 
-// All replicas of one shard are dark. The page goes out before its objective with nine parts of ten and says so; where the
-// team asks for all ten it is given up only at its end.
+// All replicas of one shard are dark. The page goes out before its objective with nine parts of ten and says so; where
+// the team asks for all ten it is given up only at its end.
 func TestDarkShard(t *testing.T) {
 	tests := []struct {
 		least float64
@@ -174,8 +176,8 @@
 	}
 }
 
-// A shard has no replica left at all. Nobody should wait for it: the page goes out as soon as the other parts are there, and a request
-// that can't succeed any more is refused at once, truly not run.
+// A shard has no replica left at all. Nobody should wait for it: the page goes out as soon as the other parts are
+// there, and a request that can't succeed any more is refused at once, truly not run.
 func TestShardWithoutReplicas(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, 50)
@@ -194,8 +196,9 @@
 	})
 }
 
-// An operator evacuates the zone that alone holds four of ten shards, and a page needs nine. No page can come of what is left: clients must be told at once
-// that their request did not run, and the other shards must not work for it. With one such shard pages go out that say so.
+// An operator evacuates the zone that alone holds four of ten shards, and a page needs nine. No page can come of what
+// is left: clients must be told at once that their request did not run, and the other shards must not work for it. With
+// one such shard pages go out that say so.
 func TestEvacuatedShards(t *testing.T) {
 	tests := []struct {
 		evacuated, arrivals int
@@ -233,8 +236,8 @@
 	}
 }
 
-// A donor's drop-off runs, and the answer is lost with the connection. Sent again it would be recorded twice, and somebody drives
-// out for fabric that is already given away.
+// A donor's drop-off runs, and the answer is lost with the connection. Sent again it would be recorded twice, and
+// somebody drives out for fabric that is already given away.
 func TestWriteRunsAtMostOnce(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -263,9 +266,10 @@
 	}
 }
 
-// Half of all replicas turn away six in ten requests without running them, at random. A request may go to two replicas of a shard, and where both turn away one
-// shard in three is lost: of pages over 20 shards, nineteen of which are enough, next to none would come. Nine in ten pages must be in time, no request may
-// reach a third replica of a shard or run twice, and what goes again must stay within the budget.
+// Half of all replicas turn away six in ten requests without running them, at random. A request may go to two replicas
+// of a shard, and where both turn away one shard in three is lost: of pages over 20 shards, nineteen of which are
+// enough, next to none would come. Nine in ten pages must be in time, no request may reach a third replica of a shard
+// or run twice, and what goes again must stay within the budget.
 func TestPagesWhereReplicasTurnAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, 1000)
@@ -333,8 +337,8 @@
 	})
 }
 
-// Every replica of a service breaks what it runs. Each request would be sent twice, which doubles the load on replicas that fail;
-// the budget lets only its share through.
+// Every replica of a service breaks what it runs. Each request would be sent twice, which doubles the load on replicas
+// that fail; the budget lets only its share through.
 func TestRetriesStayInTheBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, 10)
@@ -357,8 +361,8 @@
 	})
 }
 
-// Every replica of a service breaks what it runs. The operator allows two replicas for a request; a third one that is there must be
-// left alone.
+// Every replica of a service breaks what it runs. The operator allows two replicas for a request; a third one that is
+// there must be left alone.
 func TestAttemptsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, 50)
@@ -377,8 +381,8 @@
 	})
 }
 
-// All replicas of a service are slow at once. A second try beside each slow one would double their load; the budget lets only its
-// share through.
+// All replicas of a service are slow at once. A second try beside each slow one would double their load; the budget
+// lets only its share through.
 func TestHedgesStayInTheBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, 4)
@@ -398,7 +402,8 @@
 	})
 }
 
-// A client leaves. What may be repeated is cut off at its replicas within half a second, and a write that may be running is left alone.
+// A client leaves. What may be repeated is cut off at its replicas within half a second, and a write that may be
+// running is left alone.
 func TestClientGone(t *testing.T) {
 	for _, idempotent := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
@@ -424,8 +429,8 @@
 	}
 }
 
-// Two of three replicas of a shard are taken away, and the one left gets a third more than it can do. Pages must not all wait past
-// their objective for it: those that get a place are whole in time, the others go out without that shard.
+// Two of three replicas of a shard are taken away, and the one left gets a third more than it can do. Pages must not
+// all wait past their objective for it: those that get a place are whole in time, the others go out without that shard.
 func TestOverloadedShardThinsPages(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, 50)
@@ -473,9 +478,9 @@
 	}
 }
 
-// One of ten shards has one replica left, which does less than half of what comes, and every page needs it. Pages that it can't answer
-// waited for it until their two seconds were over. They have to be refused when they come, with nothing sent, so that their
-// callers can say so and come back, and the replica has to stay busy all the same.
+// One of ten shards has one replica left, which does less than half of what comes, and every page needs it. Pages that
+// it can't answer waited for it until their two seconds were over. They have to be refused when they come, with nothing
+// sent, so that their callers can say so and come back, and the replica has to stay busy all the same.
 func TestShortShardRefusesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, 50)
@@ -503,9 +508,10 @@
 	})
 }
 
-// A fifth more pages come than the replicas of all shards can do, for three seconds, over seven hosts. Each shard on its own turns other pages
-// away, so that many lack two of their ten parts: they work, and are of no use. Nearly all that can be done has to go out
-// in time, and whoever can't be served has to hear so at once and truly, with when to come back.
+// A fifth more pages come than the replicas of all shards can do, for three seconds, over seven hosts. Each shard on
+// its own turns other pages away, so that many lack two of their ten parts: they work, and are of no use. Nearly all
+// that can be done has to go out in time, and whoever can't be served has to hear so at once and truly, with when to
+// come back.
 func TestOverloadServesWholePages(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		farm := replicatest.New()
@@ -573,9 +579,9 @@
 	return replicatest.OK("r", 30*time.Millisecond, "x")(req, body)
 }
 
-// One lookup crashes each replica that runs it, and its caller sends it again and again. Without a stop every shard loses its replicas as
-// fast as they come back, and pages of all others go out with holes for as long as the caller tries. It has to end
-// with the first attempt or two, and lookups that were running beside it must not be taken for it.
+// One lookup crashes each replica that runs it, and its caller sends it again and again. Without a stop every shard
+// loses its replicas as fast as they come back, and pages of all others go out with holes for as long as the caller
+// tries. It has to end with the first attempt or two, and lookups that were running beside it must not be taken for it.
 func TestCrashingRequestEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, 50)
@@ -630,8 +636,8 @@
 	})
 }
 
-// Connections to replicas break under what they run, as something between the two ends drops them, and the replicas live. A greeter's
-// lookup that met it twice must not be refused when the tablet sends it again.
+// Connections to replicas break under what they run, as something between the two ends drops them, and the replicas
+// live. A greeter's lookup that met it twice must not be refused when the tablet sends it again.
 func TestBrokenConnectionsAreNoCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, 50)
--- a/entry/internal/scatter/subqueries.go
+++ b/entry/internal/scatter/subqueries.go
@@ -19,12 +19,14 @@
 )
 
 const (
-	// subqueryLate is how much later than a try of this host's own one at another host may be before a second try is sent without word of it: the
-	// way there and back, and the time of a busy host.
+	// subqueryLate is how much later than a try of this host's own one at another host may be before a second try is
+	// sent without word of it: the way there and back, and the time of a busy host.
 	subqueryLate = 15 * time.Millisecond
-	// subqueryPart is the part of a route's objective that subqueryLate may be: what a second host saves in bytes, an urgent route loses in time.
+	// subqueryPart is the part of a route's objective that subqueryLate may be: what a second host saves in bytes, an
+	// urgent route loses in time.
 	subqueryPart = 0.1
-	// subqueryGone is how long after it is due a reply of another host is waited for before the connection to it counts as broken.
+	// subqueryGone is how long after it is due a reply of another host is waited for before the connection to it counts
+	// as broken.
 	subqueryGone = 150 * time.Millisecond
 	// subqueryRest is the longest wait of one call for the parts that were pending.
 	subqueryRest = 250 * time.Millisecond
@@ -139,8 +141,8 @@
 	}
 }
 
-// gather asks for the first reply. A host that is late with it is not asked again for a while, like one that does not answer: it is slow itself, since
-// it says in time what its replicas have not answered.
+// gather asks for the first reply. A host that is late with it is not asked again for a while, like one that does not
+// answer: it is slow itself, since it says in time what its replicas have not answered.
 func (p *plan) gather(sub *part, args *subquery.Args) (subquery.Reply, error) {
 	ctx, cancel := context.WithTimeout(p.ctx, args.First+subqueryGone)
 	defer cancel()
@@ -223,7 +225,8 @@
 	}
 }
 
-// close returns the place in the request of a shard of the part that no longer runs at the other host; it reports false where it did not.
+// close returns the place in the request of a shard of the part that no longer runs at the other host; it reports false
+// where it did not.
 func (p *plan) close(sub *part, n int) (int, bool) {
 	if n < 0 || n >= len(sub.shards) || !sub.open[sub.shards[n]] {
 		return 0, false
@@ -239,8 +242,9 @@
 	p.Shards[i].End(p.now, p.now.Sub(sub.since))
 }
 
-// gathered takes over a part of an answer. The records of a merged one can't be told from those of the parts beside it, so that it stands whatever
-// this host has had of the shard meanwhile: a page that held both would show the shard's records twice.
+// gathered takes over a part of an answer. The records of a merged one can't be told from those of the parts beside it,
+// so that it stands whatever this host has had of the shard meanwhile: a page that held both would show the shard's
+// records twice.
 func (p *plan) gathered(i int, res exchange.Result, merged bool) {
 	s := &p.shards[i]
 	if merged && s.answered {
@@ -251,7 +255,8 @@
 	p.take(ended{shard: i, res: res})
 }
 
-// unheard ends the tries of a host that has declined, can't be reached or does not answer. What it may have sent has run, for all that is known here.
+// unheard ends the tries of a host that has declined, can't be reached or does not answer. What it may have sent has
+// run, for all that is known here.
 func (p *plan) unheard(t told) {
 	res := exchange.Result{Kind: upstream.KindNotSent, Detail: "the other host declined: " + t.reply.Declined}
 	if t.err != nil {
@@ -282,7 +287,8 @@
 	p.excludeAll(i, func(r *endpoints.Replica) bool { return r.Zone() == zone })
 }
 
-// excludeAll keeps the further tries of a shard from some replicas. Each counts once: a host that tells of a pending try again tells of the same one.
+// excludeAll keeps the further tries of a shard from some replicas. Each counts once: a host that tells of a pending
+// try again tells of the same one.
 func (p *plan) excludeAll(i int, which func(r *endpoints.Replica) bool) {
 	s := &p.shards[i]
 	for _, r := range p.Shards[i].Replicas() {
--- a/entry/internal/scatter/subqueries_test.go
+++ b/entry/internal/scatter/subqueries_test.go
@@ -28,8 +28,8 @@
 	farFrom    = manyShards / 2
 )
 
-// pair is a host in zone a to which queries come, and one in zone b that gathers parts of them. Shards from farFrom on have replicas in b and c only,
-// the others in a and c.
+// pair is a host in zone a to which queries come, and one in zone b that gathers parts of them. Shards from farFrom on
+// have replicas in b and c only, the others in a and c.
 type pair struct {
 	*bed
 	other                     *bed
@@ -152,8 +152,8 @@
 	qt.Check(t, string(body), qt.Equals, string(records.Top(want, rt.TopK)))
 }
 
-// checkTries fails where a shard was sent to more replicas than the route allows, ran twice at one of them, or was sent again to one that had not turned it away
-// more than three times in all.
+// checkTries fails where a shard was sent to more replicas than the route allows, ran twice at one of them, or was sent
+// again to one that had not turned it away more than three times in all.
 func (p *pair) checkTries(t *testing.T, rt *route.Route) {
 	t.Helper()
 	for i := range manyShards {
@@ -172,8 +172,8 @@
 	}
 }
 
-// A page over shards half of which have no replica in its host's zone. Their parts must come through one host that is near them, and not cross the
-// border one by one; the page is whole and no shard is asked twice.
+// A page over shards half of which have no replica in its host's zone. Their parts must come through one host that is
+// near them, and not cross the border one by one; the page is whole and no shard is asked twice.
 func TestFarShardsComeThroughOneHost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(t, seams{})
@@ -192,7 +192,8 @@
 	})
 }
 
-// A colour match has 80 ms. A second host that is late by a few would cost it the objective, and each shard is asked directly.
+// A colour match has 80 ms. A second host that is late by a few would cost it the objective, and each shard is asked
+// directly.
 func TestUrgentRoutesAskDirectly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(t, seams{})
@@ -207,8 +208,8 @@
 	})
 }
 
-// A replica at the other host pauses. The page must not wait for it: the other host says which shard is pending, and a second try goes to a replica
-// that it did not ask. The paused one's late part must not show the shard's records twice.
+// A replica at the other host pauses. The page must not wait for it: the other host says which shard is pending, and a
+// second try goes to a replica that it did not ask. The paused one's late part must not show the shard's records twice.
 func TestPauseBehindAnotherHostIsHedged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(t, seams{})
@@ -225,8 +226,8 @@
 	})
 }
 
-// Most replicas behind another host answer a moment later than the first reply of that host, and one pauses. Those parts must be in the page at once
-// and not when the pause is over: nearly all of a page would be asked for twice.
+// Most replicas behind another host answer a moment later than the first reply of that host, and one pauses. Those
+// parts must be in the page at once and not when the pause is over: nearly all of a page would be asked for twice.
 func TestPartsDoNotWaitForAPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(t, seams{})
@@ -252,8 +253,9 @@
 
 var errLost = errors.New("the connection broke")
 
-// The other host is gone, leaving, silent, or loses power once it has sent the tries. Each time the page has to be answered in time, from replicas
-// that it did not ask where it may have asked any, within the tries that the route allows.
+// The other host is gone, leaving, silent, or loses power once it has sent the tries. Each time the page has to be
+// answered in time, from replicas that it did not ask where it may have asked any, within the tries that the route
+// allows.
 func TestOtherHostIsLost(t *testing.T) {
 	tests := []struct {
 		name string
@@ -301,8 +303,8 @@
 	}
 }
 
-// The other host has told what is pending, and is stopped and started again, or too busy to keep the subquery. The shards must not be waited for in
-// vain: their tries count as lost, and second ones are sent where those were not yet.
+// The other host has told what is pending, and is stopped and started again, or too busy to keep the subquery. The
+// shards must not be waited for in vain: their tries count as lost, and second ones are sent where those were not yet.
 func TestForgottenSubquery(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(t, seams{rest: func(context.Context, *subquery.RestArgs, func() (subquery.Reply, error)) (subquery.Reply, error) {
@@ -321,9 +323,9 @@
 	})
 }
 
-// A route allows three tries, and asks for all shards. One replica behind another host hangs for most of a second, which that host tells again and
-// again, and fails at last; the second try fails at once. Meanwhile a third replica is listed. It has not been asked, and must be: being told four
-// times of one try is not four tries.
+// A route allows three tries, and asks for all shards. One replica behind another host hangs for most of a second,
+// which that host tells again and again, and fails at last; the second try fails at once. Meanwhile a third replica is
+// listed. It has not been asked, and must be: being told four times of one try is not four tries.
 func TestPendingToldAgainIsOneTry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(t, seams{})
@@ -343,7 +345,8 @@
 	})
 }
 
-// A client leaves while another host gathers parts of its page from replicas that are slow. Those must not go on for nobody.
+// A client leaves while another host gathers parts of its page from replicas that are slow. Those must not go on for
+// nobody.
 func TestClientGoneEndsTheTriesOfOtherHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(t, seams{})
@@ -361,8 +364,8 @@
 	})
 }
 
-// Replicas answer late, fail, break or pause at random, and so does the way to the other host. Whatever comes first, a page holds the records of just
-// the shards that it names, and no shard gets more tries than the route allows.
+// Replicas answer late, fail, break or pause at random, and so does the way to the other host. Whatever comes first, a
+// page holds the records of just the shards that it names, and no shard gets more tries than the route allows.
 func TestPagesThroughAnotherHostAreTrue(t *testing.T) {
 	for seed := range uint64(150) {
 		synctest.Test(t, func(t *testing.T) {
--- a/entry/internal/scatter/timing.go
+++ b/entry/internal/scatter/timing.go
@@ -8,14 +8,15 @@
 )
 
 const (
-	// hedgeQuantile is the part of the replies that come before a second try is sent: one in ten is late, half of what the budget of
-	// extra tries allows, so that the other half is left for failures.
+	// hedgeQuantile is the part of the replies that come before a second try is sent: one in ten is late, half of what
+	// the budget of extra tries allows, so that the other half is left for failures.
 	hedgeQuantile = 0.9
 	// hedgeMargin is added to that time, as a share of it: most replies that are a little late are about to come.
 	hedgeMargin = 0.15
 	// mostHedge is the latest second try, as a share of the objective: after it the second reply would be late as well.
 	mostHedge = 0.45
-	// answerMargin is how long before the objective an answer leaves: a client's connection costs it 6 ms, each way 3 ms, and a busy host some more.
+	// answerMargin is how long before the objective an answer leaves: a client's connection costs it 6 ms, each way 3
+	// ms, and a busy host some more.
 	answerMargin = 14 * time.Millisecond
 	// mostMargin bounds that as a share of the objective.
 	mostMargin = 0.25
--- a/entry/internal/scatter/tries.go
+++ b/entry/internal/scatter/tries.go
@@ -191,8 +191,8 @@
 	p.send(i, c, Hedge, "later than nine in ten replies")
 }
 
-// lateEnough returns the estimate above which a second try is not sent: half of all replies are quicker than the estimate, and one
-// that is expected up to half too late still comes in time often enough.
+// lateEnough returns the estimate above which a second try is not sent: half of all replies are quicker than the
+// estimate, and one that is expected up to half too late still comes in time often enough.
 func lateEnough(within time.Duration) time.Duration { return within * 3 / 2 }
 
 // take takes over how a try ended.
--- a/entry/internal/service/admit.go
+++ b/entry/internal/service/admit.go
@@ -12,7 +12,8 @@
 // Admission returns the gate of the service, for its metrics and for the load that other hosts are told.
 func (s *Service) Admission() *admission.Gate { return s.gate }
 
-// learnLimit tells the gate of tries that did not answer and say something of how pressed the upstream is; those that did are told by shard, with the wait for a free replica.
+// learnLimit tells the gate of tries that did not answer and say something of how pressed the upstream is; those that
+// did are told by shard, with the wait for a free replica.
 func (s *Service) learnLimit(res upstream.Result) {
 	switch res.Kind {
 	case upstream.KindCanceled:
--- a/entry/internal/service/cost_test.go
+++ b/entry/internal/service/cost_test.go
@@ -63,7 +63,8 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// BenchmarkQueryOverHTTP and BenchmarkBareOverHTTP run the same 69 requests through the same client, the first with every decision, log line and metric; the replicas' side is in both figures of processor time.
+// BenchmarkQueryOverHTTP and BenchmarkBareOverHTTP run the same 69 requests through the same client, the first with
+// every decision, log line and metric; the replicas' side is in both figures of processor time.
 func BenchmarkQueryOverHTTP(b *testing.B) {
 	list := quickUpstream(b)
 	doc := document.Default()
--- a/entry/internal/service/farm_test.go
+++ b/entry/internal/service/farm_test.go
@@ -35,7 +35,8 @@
 	dead    bool
 	leaving bool
 	running int
-	// ran and shed count what it ran and what it refused, also by not being there; after counts what came once it was leaving.
+	// ran and shed count what it ran and what it refused, also by not being there; after counts what came once it was
+	// leaving.
 	ran, shed, after int
 	// warmAt is when its caches are warm; until then it is coldFactor times slower.
 	warmAt time.Time
@@ -208,7 +209,8 @@
 	}
 }
 
-// plain is the baseline: a random replica for each shard, up to two more after failures, no second tries, and admission that learns nothing from its tries.
+// plain is the baseline: a random replica for each shard, up to two more after failures, no second tries, and admission
+// that learns nothing from its tries.
 func (f *farm) plain(doc document.Document) asker {
 	var mu sync.Mutex
 	f.services++
--- a/entry/internal/service/fleet_test.go
+++ b/entry/internal/service/fleet_test.go
@@ -76,7 +76,8 @@
 	return list
 }
 
-// step changes one thing: a replica loads the newest version, drops its oldest, dies, comes back, or cuts a version differently from the others; now and then a new version is published, with another number of shards as often as not.
+// step changes one thing: a replica loads the newest version, drops its oldest, dies, comes back, or cuts a version
+// differently from the others; now and then a new version is published, with another number of shards as often as not.
 func (f *fleet) step() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/entry/internal/service/log.go
+++ b/entry/internal/service/log.go
@@ -21,7 +21,8 @@
 	fanout.WhatWait:   events.ShardWaited,
 }
 
-// logRoute writes one line with the replica of each shard, in the order of shards, and one for each further decision. The lines are written once the answer is known, so that no try waits for the log; at_ms says when each was taken.
+// logRoute writes one line with the replica of each shard, in the order of shards, and one for each further decision.
+// The lines are written once the answer is known, so that no try waits for the log; at_ms says when each was taken.
 func (s *Service) logRoute(rec *explain.Record, report fanout.Report) {
 	log := s.opts.Log
 	if !log.Enabled() {
--- a/entry/internal/service/service.go
+++ b/entry/internal/service/service.go
@@ -44,7 +44,8 @@
 	IntN func(n int) int
 	// Zone is this host's availability zone.
 	Zone string
-	// Draining is told once of each replica that this host itself finds leaving, and by which sign, so that other hosts can be told; it may be nil and must not call the service.
+	// Draining is told once of each replica that this host itself finds leaving, and by which sign, so that other hosts
+	// can be told; it may be nil and must not call the service.
 	Draining func(service string, r *replica.Replica, sign string)
 }
 
@@ -92,10 +93,12 @@
 	return s, nil
 }
 
-// signOtherHost is how a replica was found leaving that another host told of; what was heard is not told on, since it would go round for good.
+// signOtherHost is how a replica was found leaving that another host told of; what was heard is not told on, since it
+// would go round for good.
 const signOtherHost = "another host"
 
-// MarkDraining takes over from another host that the replica with the id is leaving, and reports whether it is known here.
+// MarkDraining takes over from another host that the replica with the id is leaving, and reports whether it is known
+// here.
 func (s *Service) MarkDraining(id string) bool { return s.table.MarkDraining(id, signOtherHost) }
 
 // SetGeneration puts a newer generation in force for the requests that come next.
@@ -124,7 +127,8 @@
 
 const probeTimeout = time.Second
 
-// probeAll asks the replicas that no query reaches for their holdings, so that versions are known before the first query and while none runs.
+// probeAll asks the replicas that no query reaches for their holdings, so that versions are known before the first
+// query and while none runs.
 func (s *Service) probeAll(ctx context.Context) {
 	for _, r := range s.table.Unheard() {
 		s.probes.Go(func() {
@@ -139,7 +143,8 @@
 	s.probes.Wait()
 }
 
-// retryUnknown is when to come back to a host that knows no index version; it reads the list and asks new replicas each second.
+// retryUnknown is when to come back to a host that knows no index version; it reads the list and asks new replicas each
+// second.
 const retryUnknown = 500 * time.Millisecond
 
 // QueryRequest is one query as it arrived at the host.
@@ -174,7 +179,8 @@
 		ans.Outcome, ans.Reason, ans.RetryAfterMS = caller.OutcomeRefused, "no index version of the service is known yet", retryMS(retryUnknown)
 		return ans
 	}
-	// The tries are named after an id of our own: callers repeat theirs, and an upstream or a late reply could not tell two such requests apart.
+	// The tries are named after an id of our own: callers repeat theirs, and an upstream or a late reply could not tell
+	// two such requests apart.
 	report := s.runner.Run(ctx, fanout.Request{
 		ID: ans.ExplanationID, Arrived: req.Arrived, Deadline: req.Deadline, Query: req.Query, Document: gen.Document, Map: vm, Replan: s.pick,
 		Suspect: verdict.Suspect,
@@ -207,7 +213,8 @@
 	return admission.Limits{Running: doc.Admission.Concurrency, Waiting: doc.Admission.Queue, CallerShare: doc.Admission.CallerShare}
 }
 
-// seats is this host's share of a replica's connections; the share is fixed, so the sum holds however much hosts disagree on who is a member.
+// seats is this host's share of a replica's connections; the share is fixed, so the sum holds however much hosts
+// disagree on who is a member.
 func seats(doc document.Document) int {
 	return max(1, doc.Upstream.Connections/doc.Upstream.EntryHosts)
 }
--- a/entry/internal/snapshot/snapshot.go
+++ b/entry/internal/snapshot/snapshot.go
@@ -6,7 +6,8 @@
 	"guavaspring.org/entry/internal/replica"
 )
 
-// wantHolders is how many replicas of a shard should hold a version before queries move to it: with one, a single slow replica has no alternative, and the whole load of its shard moves to it at once.
+// wantHolders is how many replicas of a shard should hold a version before queries move to it: with one, a single slow
+// replica has no alternative, and the whole load of its shard moves to it at once.
 const wantHolders = 2
 
 // Options configures a Picker.
--- a/entry/internal/source/collect.go
+++ b/entry/internal/source/collect.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// leastCollect and collectPart bound how long a watch is put off after one that brought changes, the second as a part of the bound. It doubles
-	// while each watch ends sooner than it would be put off for at the most: changes that come alone are known at once, and of many in a row one call brings
-	// all that came meanwhile. 282 replicas that register in the first second of a fleet were 375 watches of two hosts, of 496 calls of the whole day.
+	// leastCollect and collectPart bound how long a watch is put off after one that brought changes, the second as a
+	// part of the bound. It doubles while each watch ends sooner than it would be put off for at the most: changes that
+	// come alone are known at once, and of many in a row one call brings all that came meanwhile. 282 replicas that
+	// register in the first second of a fleet were 375 watches of two hosts, of 496 calls of the whole day.
 	leastCollect = 20 * time.Millisecond
 	collectPart  = 0.06
 )
--- a/entry/internal/source/follower.go
+++ b/entry/internal/source/follower.go
@@ -14,29 +14,32 @@
 )
 
 const (
-	// listPart bounds a list, as a part of the bound, and mostList in time. The store answers in milliseconds, and in a third of a second
-	// when it is slow. One that was silent never answers what it was asked before: the list that hangs and the rest after it are
-	// what its return may cost, and leave a third of the bound.
+	// listPart bounds a list, as a part of the bound, and mostList in time. The store answers in milliseconds, and in a
+	// third of a second when it is slow. One that was silent never answers what it was asked before: the list that
+	// hangs and the rest after it are what its return may cost, and leave a third of the bound.
 	listPart = 0.4
 	mostList = 2 * time.Second
-	// watchMargin is how long after its wait a watch may still answer; one that says nothing then sits on a silent connection.
+	// watchMargin is how long after its wait a watch may still answer; one that says nothing then sits on a silent
+	// connection.
 	watchMargin = 700 * time.Millisecond
-	// waitPart is the part of the bound that one watch waits, and stalePart the part after which a host that hears nothing from others asks
-	// the store itself; the rest is for one list.
+	// waitPart is the part of the bound that one watch waits, and stalePart the part after which a host that hears
+	// nothing from others asks the store itself; the rest is for one list.
 	waitPart  = 0.55
 	stalePart = 0.75
 	// confirmIn is how long the end of a watch takes to be known on all hosts, on one that has slept through it too.
 	confirmIn = 400 * time.Millisecond
 	// askMargin is how much sooner a parent answers than this host gives up on it.
 	askMargin = 150 * time.Millisecond
-	// firstPause and watchPause bound the wait after a call that failed, the second that of the two hosts that watch. Each call is paid for, though theirs are
-	// few whatever the number of hosts, and until they find the store again all others go on to call it by themselves.
+	// firstPause and watchPause bound the wait after a call that failed, the second that of the two hosts that watch.
+	// Each call is paid for, though theirs are few whatever the number of hosts, and until they find the store again
+	// all others go on to call it by themselves.
 	firstPause = 100 * time.Millisecond
 	watchPause = 250 * time.Millisecond
-	// hearPause is the longest wait of a host that the watching hosts tell when the store is back: its own calls are for the case
-	// that those are cut off, and would all come at once at the end of an outage.
+	// hearPause is the longest wait of a host that the watching hosts tell when the store is back: its own calls are
+	// for the case that those are cut off, and would all come at once at the end of an outage.
 	hearPause = 2 * time.Second
-	// blindPause is the longest wait after a call that failed while nothing is known: every request is refused meanwhile.
+	// blindPause is the longest wait after a call that failed while nothing is known: every request is refused
+	// meanwhile.
 	blindPause = 250 * time.Millisecond
 	// settleStep is how often a host that has just started looks whether it knows the others.
 	settleStep = 50 * time.Millisecond
@@ -66,15 +69,18 @@
 	Watch func(ctx context.Context, since int64, wait time.Duration) (feed.Batch[T], error)
 	// First returns the hosts that are asked before the first call to the store; it may be nil.
 	First func() []Parent[T]
-	// Wanted is closed once a client waits for what is not known yet, so that the store is called without further delay; nil means never.
+	// Wanted is closed once a client waits for what is not known yet, so that the store is called without further
+	// delay; nil means never.
 	Wanted <-chan struct{}
-	// Settled reports whether this host knows the others well enough to know whether it has to watch the store; nil means always.
+	// Settled reports whether this host knows the others well enough to know whether it has to watch the store; nil
+	// means always.
 	Settled func() bool
 	// Parents returns the hosts to hear from, and whether this host watches the store itself.
 	Parents func() (parents []Parent[T], watches bool)
 	// Copy takes what was read, for the other hosts.
 	Copy *relay.Copy[T]
-	// Replace takes a list of all objects, Change those that changed; returned says that the store was away until a moment ago.
+	// Replace takes a list of all objects, Change those that changed; returned says that the store was away until a
+	// moment ago.
 	Replace, Change func(batch feed.Batch[T], returned bool)
 	// Reconnect drops the unused connections to the store.
 	Reconnect func()
@@ -82,8 +88,8 @@
 	Outage *Outage
 	// Rejected is told how many objects were found that can't be read, each once; it may be nil.
 	Rejected func(n int)
-	// Bound is how soon a change has to be known here. A watch may hear nothing while its history is being dropped, and tells so only at its
-	// end: its wait has to be well under the bound.
+	// Bound is how soon a change has to be known here. A watch may hear nothing while its history is being dropped, and
+	// tells so only at its end: its wait has to be well under the bound.
 	Bound time.Duration
 }
 
@@ -119,8 +125,8 @@
 	return &Follower[T]{opts: opts, rejects: newRejects(opts.Log, opts.Name, opts.Rejected)}
 }
 
-// Run follows until ctx ends. Most hosts hear from another; one that hears nothing fresh asks the store itself, and the few that
-// watch it hear from each other while the store turns them away.
+// Run follows until ctx ends. Most hosts hear from another; one that hears nothing fresh asks the store itself, and the
+// few that watch it hear from each other while the store turns them away.
 func (f *Follower[T]) Run(ctx context.Context) {
 	f.first(ctx)
 	for ctx.Err() == nil {
@@ -157,7 +163,8 @@
 	}
 }
 
-// untilBack does something while the store is left alone, and ends that once another follower of this host has reached it.
+// untilBack does something while the store is left alone, and ends that once another follower of this host has reached
+// it.
 func (f *Follower[T]) untilBack(ctx context.Context, do func(ctx context.Context)) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -184,9 +191,9 @@
 
 // rest returns how long the store is left alone after a call that failed. Other hosts are asked meanwhile.
 //
-// The store may turn away some hosts and serve the others. A host that starts meanwhile would refuse every request for as long,
-// though its neighbours know all that it lacks. Where it is away for all, the first host that reaches it again has all others
-// know within one call.
+// The store may turn away some hosts and serve the others. A host that starts meanwhile would refuse every request for
+// as long, though its neighbours know all that it lacks. Where it is away for all, the first host that reaches it again
+// has all others know within one call.
 func (f *Follower[T]) rest(watches bool) time.Duration {
 	down, tried, pause := f.down, f.tried, f.pause
 	if at, away := f.opts.Outage.failedAt(); away && !watches && at.After(tried) {
@@ -216,7 +223,8 @@
 
 func part(p float64, d time.Duration) time.Duration { return time.Duration(p * float64(d)) }
 
-// hear asks one parent for what is new. One that is silent, behind, or without news of the store is passed over next time.
+// hear asks one parent for what is new. One that is silent, behind, or without news of the store is passed over next
+// time.
 func (f *Follower[T]) hear(ctx context.Context, parents []Parent[T]) {
 	parent := parents[f.next%len(parents)]
 	before, _ := f.opts.Copy.State()
@@ -318,8 +326,8 @@
 	}
 }
 
-// watchWait returns how long one watch waits. The first one after a start ends sooner: what the hosts below heard is as old as the list that was read before,
-// and each would ask the store itself before it hears that nothing has changed.
+// watchWait returns how long one watch waits. The first one after a start ends sooner: what the hosts below heard is as
+// old as the list that was read before, and each would ask the store itself before it hears that nothing has changed.
 func (f *Follower[T]) watchWait() time.Duration {
 	return max(0, min(part(waitPart, f.opts.Bound), f.left()-confirmIn))
 }
--- a/entry/internal/source/follower_test.go
+++ b/entry/internal/source/follower_test.go
@@ -79,7 +79,8 @@
 	copy *relay.Copy[int64]
 	mu   sync.Mutex
 	seen int64
-	// parents are the hosts that it hears from; one that watches the store too hears from them only while the store turns it away.
+	// parents are the hosts that it hears from; one that watches the store too hears from them only while the store
+	// turns it away.
 	parents []*host
 	watches bool
 	// down says that it takes no connections.
@@ -213,7 +214,8 @@
 	})
 }
 
-// A change of configuration reaches the host that watches, and through it one that doesn't, at once; the second makes no further call.
+// A change of configuration reaches the host that watches, and through it one that doesn't, at once; the second makes
+// no further call.
 func TestChangesPassThrough(t *testing.T) {
 	play(t, func(ctx context.Context) {
 		w := newWorld()
@@ -228,9 +230,9 @@
 	})
 }
 
-// A hundred shards' replicas register within three seconds of a start, one after the other. Each of them ended a watch, and each watch is a call that
-// is paid for, beside the rate that all hosts share. Calls must not grow with the number of changes, none of which may be known late for it; one that
-// comes alone is known at once.
+// A hundred shards' replicas register within three seconds of a start, one after the other. Each of them ended a watch,
+// and each watch is a call that is paid for, beside the rate that all hosts share. Calls must not grow with the number
+// of changes, none of which may be known late for it; one that comes alone is known at once.
 func TestManyChangesTakeFewCalls(t *testing.T) {
 	play(t, func(ctx context.Context) {
 		w := newWorld()
@@ -255,8 +257,8 @@
 	})
 }
 
-// All hosts of a fleet start within a third of a second. One that is up before those that its settings name must not call the store for what
-// they are about to know; where a client waits for it, it must.
+// All hosts of a fleet start within a third of a second. One that is up before those that its settings name must not
+// call the store for what they are about to know; where a client waits for it, it must.
 func TestStartBeforeTheNamedHosts(t *testing.T) {
 	for _, wanted := range []bool{false, true} {
 		play(t, func(ctx context.Context) {
@@ -278,8 +280,8 @@
 	}
 }
 
-// The host that the settings name is not up yet and refuses connections; it comes 0.15 s later and knows all there is. It has to be asked again before
-// the store is.
+// The host that the settings name is not up yet and refuses connections; it comes 0.15 s later and knows all there is.
+// It has to be asked again before the store is.
 func TestStartBeforeTheNamedHostListens(t *testing.T) {
 	play(t, func(ctx context.Context) {
 		w := newWorld()
@@ -296,9 +298,10 @@
 	})
 }
 
-// A fleet starts while nothing changes, as with an object that is hardly ever written. The host that the settings name has read the store at once and
-// watches it a second and a half later, when it knows the others. All others heard from it what it read, and must hear from it again before that is too old:
-// each would make a call otherwise, 5,600 of them at once.
+// A fleet starts while nothing changes, as with an object that is hardly ever written. The host that the settings name
+// has read the store at once and watches it a second and a half later, when it knows the others. All others heard from
+// it what it read, and must hear from it again before that is too old: each would make a call otherwise, 5,600 of them
+// at once.
 func TestStartWhileNothingChanges(t *testing.T) {
 	play(t, func(ctx context.Context) {
 		w := newWorld()
@@ -313,8 +316,8 @@
 	})
 }
 
-// A power cut took the hosts that the settings name, and they don't return. A host that starts, and that no client waits for, must know all there is two
-// seconds later.
+// A power cut took the hosts that the settings name, and they don't return. A host that starts, and that no client
+// waits for, must know all there is two seconds later.
 func TestStartWithoutTheNamedHosts(t *testing.T) {
 	play(t, func(ctx context.Context) {
 		w := newWorld()
@@ -324,8 +327,8 @@
 	})
 }
 
-// The history is dropped while a configuration is written: the watch that waits hears nothing and only its end tells. The change must
-// still be in force within its bound.
+// The history is dropped while a configuration is written: the watch that waits hears nothing and only its end tells.
+// The change must still be in force within its bound.
 func TestDeafWatch(t *testing.T) {
 	play(t, func(ctx context.Context) {
 		w := newWorld()
@@ -341,8 +344,8 @@
 	})
 }
 
-// The host that others hear from is cut off from the store, or stops answering. They have to ask the store themselves before the bound
-// of a change is over.
+// The host that others hear from is cut off from the store, or stops answering. They have to ask the store themselves
+// before the bound of a change is over.
 func TestParentCutOff(t *testing.T) {
 	play(t, func(ctx context.Context) {
 		w := newWorld()
@@ -357,8 +360,8 @@
 	})
 }
 
-// A host starts while the store turns it away and serves the others. Its neighbours know the configuration; without them it would
-// refuse every request until the store takes it again.
+// A host starts while the store turns it away and serves the others. Its neighbours know the configuration; without
+// them it would refuse every request until the store takes it again.
 func TestStartWhileTurnedAway(t *testing.T) {
 	play(t, func(ctx context.Context) {
 		w := newWorld()
@@ -376,9 +379,9 @@
 	})
 }
 
-// The store falls silent for some seconds: it takes calls and answers none. An operator's change that waited for it is written the
-// moment it is back, and a client asks for the new route. Each host waits for a call of its own that will never be answered, or
-// rests after one; wherever it is in that, the change has to be in force within its bound.
+// The store falls silent for some seconds: it takes calls and answers none. An operator's change that waited for it is
+// written the moment it is back, and a client asks for the new route. Each host waits for a call of its own that will
+// never be answered, or rests after one; wherever it is in that, the change has to be in force within its bound.
 func TestSilentStoreComesBack(t *testing.T) {
 	for step := range 40 {
 		play(t, func(ctx context.Context) {
@@ -400,8 +403,8 @@
 	}
 }
 
-// The store is away for long. A host that hears nothing fresh has to try it, but not for each kind of object by itself: in a fleet of hundreds that is
-// most of what an outage costs. Its pause grows to two seconds in five calls.
+// The store is away for long. A host that hears nothing fresh has to try it, but not for each kind of object by itself:
+// in a fleet of hundreds that is most of what an outage costs. Its pause grows to two seconds in five calls.
 func TestOutageCostsOneCallARound(t *testing.T) {
 	play(t, func(ctx context.Context) {
 		configs, replicas := newWorld(), newWorld()
@@ -432,9 +435,9 @@
 	})
 }
 
-// The store is away while the index is cut anew, and comes back. A host reads the configuration, which names new shards, and the list of replicas
-// only at its own next try, up to a second later: until then every page fails. Both have to be known together, whenever the store
-// comes back, on a host that hears from another one too.
+// The store is away while the index is cut anew, and comes back. A host reads the configuration, which names new
+// shards, and the list of replicas only at its own next try, up to a second later: until then every page fails. Both
+// have to be known together, whenever the store comes back, on a host that hears from another one too.
 func TestKindsReturnTogether(t *testing.T) {
 	for i := range 40 {
 		for _, lonely := range []bool{true, false} {
--- a/entry/internal/source/outage.go
+++ b/entry/internal/source/outage.go
@@ -7,10 +7,12 @@
 
 // Outage tells the followers of one host that the store is away, and that it is back.
 //
-// A call that failed says so for all kinds of objects: of 295 hosts that heard nothing fresh in an outage of six seconds, each asked for both kinds every two.
+// A call that failed says so for all kinds of objects: of 295 hosts that heard nothing fresh in an outage of six
+// seconds, each asked for both kinds every two.
 //
-// Each kind of object has its own follower, and each leaves the store alone for up to a second after a call that failed. Where the configuration was
-// read at the store's return and named new shards, their replicas were read 0.4 s later, and every page of 84 hosts failed until then.
+// Each kind of object has its own follower, and each leaves the store alone for up to a second after a call that
+// failed. Where the configuration was read at the store's return and named new shards, their replicas were read 0.4 s
+// later, and every page of 84 hosts failed until then.
 type Outage struct {
 	mu   sync.Mutex
 	back chan struct{}
@@ -51,8 +53,8 @@
 	return o.failed, !o.failed.IsZero()
 }
 
-// claim reports whether a follower may call the store, and keeps the others from it for a while where it is away. seen is what failedAt returned when
-// the follower decided: two whose rests end at once must not both call.
+// claim reports whether a follower may call the store, and keeps the others from it for a while where it is away. seen
+// is what failedAt returned when the follower decided: two whose rests end at once must not both call.
 func (o *Outage) claim(seen, now time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/entry/internal/source/rejects.go
+++ b/entry/internal/source/rejects.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// mostLines is how many lines one reply of the store may cause, and mostKnown how many objects are remembered as told of: another writer
-	// may leave thousands of objects that can't be read, and each list shows all of them again.
+	// mostLines is how many lines one reply of the store may cause, and mostKnown how many objects are remembered as
+	// told of: another writer may leave thousands of objects that can't be read, and each list shows all of them again.
 	mostLines = 8
 	mostKnown = 4096
 )
@@ -47,7 +47,8 @@
 	}
 }
 
-// remember notes that an object was told of. Once too many are known, all are forgotten: a line too many is cheaper than memory without bound.
+// remember notes that an object was told of. Once too many are known, all are forgotten: a line too many is cheaper
+// than memory without bound.
 func (r *rejects) remember(rej feed.Rejected) {
 	if len(r.known) >= mostKnown {
 		clear(r.known)
--- a/entry/internal/source/rejects_test.go
+++ b/entry/internal/source/rejects_test.go
@@ -12,8 +12,9 @@
 	"guavaspring.org/core/feed"
 )
 
-// Another writer leaves ten thousand entries that can't be read, and each list of the store shows them all again. The log must say so without
-// being filled by it: a line for each of the first, one for the rest, and none for what was told already.
+// Another writer leaves ten thousand entries that can't be read, and each list of the store shows them all again. The
+// log must say so without being filled by it: a line for each of the first, one for the rest, and none for what was
+// told already.
 func TestRejectsAreToldOnce(t *testing.T) {
 	lines, counted := 0, 0
 	log := funcr.New(func(string, string) { lines++ }, funcr.Options{})
--- a/entry/internal/source/start.go
+++ b/entry/internal/source/start.go
@@ -9,19 +9,20 @@
 )
 
 const (
-	// firstWait bounds the wait for the hosts that the settings name at a start without clients. Those are up 0.3 s after the others at the latest, have
-	// read the store a moment later, and then have hundreds of hosts to answer, each of which would call the store if it waited no longer.
+	// firstWait bounds the wait for the hosts that the settings name at a start without clients. Those are up 0.3 s
+	// after the others at the latest, have read the store a moment later, and then have hundreds of hosts to answer,
+	// each of which would call the store if it waited no longer.
 	firstWait = 2 * time.Second
-	// firstAgain is how soon one of those that takes no connection yet is tried again, and firstNext how long one may take to answer before the
-	// next is asked as well.
+	// firstAgain is how soon one of those that takes no connection yet is tried again, and firstNext how long one may
+	// take to answer before the next is asked as well.
 	firstAgain = 40 * time.Millisecond
 	firstNext  = 120 * time.Millisecond
 )
 
 // first asks the hosts that the settings name for all there is before the store is called, one after the other.
 //
-// It answers a fleet that starts at once: where each host lists each kind by itself, as those named are not up yet, thousands of hosts make more calls than
-// the store takes in a second. A client that waits ends it.
+// It answers a fleet that starts at once: where each host lists each kind by itself, as those named are not up yet,
+// thousands of hosts make more calls than the store takes in a second. A client that waits ends it.
 func (f *Follower[T]) first(ctx context.Context) {
 	if f.opts.First == nil {
 		return
@@ -48,7 +49,8 @@
 	}
 }
 
-// askFirst asks one host, from some time on, until it has all there is. The age of its reply is negative where ctx ends before that.
+// askFirst asks one host, from some time on, until it has all there is. The age of its reply is negative where ctx ends
+// before that.
 func (f *Follower[T]) askFirst(ctx context.Context, p Parent[T], after time.Duration) relay.Reply[T] {
 	clock.Sleep(ctx, f.opts.Clock, after)
 	for ctx.Err() == nil {
--- a/entry/internal/spend/spend.go
+++ b/entry/internal/spend/spend.go
@@ -6,26 +6,29 @@
 )
 
 const (
-	// steps is into how many parts a window is cut. Each part counts whole, so that the bound holds for windows that slide between them too.
+	// steps is into how many parts a window is cut. Each part counts whole, so that the bound holds for windows that
+	// slide between them too.
 	steps = 20
 	// caution is the share of the bound that is used: hosts that join or are replaced count from nothing for a window.
 	caution = 0.9
-	// hedgeFloor is the share of a window's allowance that only retries may use. A retry mends a failure that was seen, a hedge one that is only feared.
+	// hedgeFloor is the share of a window's allowance that only retries may use. A retry mends a failure that was seen,
+	// a hedge one that is only feared.
 	hedgeFloor = 0.25
 )
 
 // Options is the bound on extra tries.
 type Options struct {
-	// Ratio is the share of the requests that may be tried again, and Slack a number besides, in each Window, of all hosts together.
+	// Ratio is the share of the requests that may be tried again, and Slack a number besides, in each Window, of all
+	// hosts together.
 	Ratio, Slack float64
 	Window       time.Duration
 }
 
 // Budget is one host's part of the bound for one service.
 //
-// It answers a fault that makes many tries fail or be late at once. Each of them sent again doubles the load on replicas that
-// can bear it least. A token bucket alone lets a full burst pass on top of a full rate within one window; this counts
-// what was sent in the window itself.
+// It answers a fault that makes many tries fail or be late at once. Each of them sent again doubles the load on
+// replicas that can bear it least. A token bucket alone lets a full burst pass on top of a full rate within one window;
+// this counts what was sent in the window itself.
 type Budget struct {
 	opts Options
 
@@ -74,8 +77,8 @@
 	return true
 }
 
-// known returns the requests of the last window, or of the one before it where those were more: the load may fall, but what was
-// allowed by it is not to be taken back at once.
+// known returns the requests of the last window, or of the one before it where those were more: the load may fall, but
+// what was allowed by it is not to be taken back at once.
 func (b *Budget) known() float64 {
 	var last, before float64
 	for i := range int64(steps) {
--- a/entry/internal/spend/spend_test.go
+++ b/entry/internal/spend/spend_test.go
@@ -12,8 +12,9 @@
 
 const window = 10 * time.Second
 
-// Six hosts serve a shard whose replicas fail for a while at random moments, with a load that changes. Whatever the hosts are asked to
-// send again, the shard must not get more extra tries than the bound allows in any ten seconds, wherever they begin.
+// Six hosts serve a shard whose replicas fail for a while at random moments, with a load that changes. Whatever the
+// hosts are asked to send again, the shard must not get more extra tries than the bound allows in any ten seconds,
+// wherever they begin.
 func TestNoWindowExceedsTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const hosts = 6
@@ -50,8 +51,8 @@
 	extra bool
 }
 
-// around returns the extra tries in the window that ends at end, and the most requests of that window, the one before it, or the one
-// half a window before.
+// around returns the extra tries in the window that ends at end, and the most requests of that window, the one before
+// it, or the one half a window before.
 func around(events []event, end time.Duration) (extra, known float64) {
 	count := func(end time.Duration, extra bool) float64 {
 		n := 0.0
--- a/entry/internal/startup/startup.go
+++ b/entry/internal/startup/startup.go
@@ -8,14 +8,15 @@
 	"guavaspring.org/core/clock"
 )
 
-// HoldFor is how long requests wait for the configuration and the replicas, from the first one on. That one has the host call the store, which answers in
-// milliseconds; what is not known after this time is not to be had, and waiting would only keep clients from other hosts.
+// HoldFor is how long requests wait for the configuration and the replicas, from the first one on. That one has the
+// host call the store, which answers in milliseconds; what is not known after this time is not to be had, and waiting
+// would only keep clients from other hosts.
 const HoldFor = 150 * time.Millisecond
 
 // Startup is the start of one host.
 //
-// It answers the moment after all hosts lost power: clients are back at once, and a host that refuses them until it has made its two calls
-// sends each of them away for longer than the calls take.
+// It answers the moment after all hosts lost power: clients are back at once, and a host that refuses them until it has
+// made its two calls sends each of them away for longer than the calls take.
 type Startup struct {
 	clock clock.Clock
 
--- a/entry/internal/startup/startup_test.go
+++ b/entry/internal/startup/startup_test.go
@@ -11,8 +11,9 @@
 	"guavaspring.org/entry/internal/startup"
 )
 
-// All hosts lost power and are back. A client's request reaches one that has not heard from the store yet, and is told to come back though the
-// host would know all it needs 20 ms later. Where the store is away, the request must not be kept from other hosts for long.
+// All hosts lost power and are back. A client's request reaches one that has not heard from the store yet, and is told
+// to come back though the host would know all it needs 20 ms later. Where the store is away, the request must not be
+// kept from other hosts for long.
 func TestFirstRequests(t *testing.T) {
 	tests := []struct {
 		name         string
--- a/entry/internal/status/writer.go
+++ b/entry/internal/status/writer.go
@@ -47,7 +47,8 @@
 	Number func(ctx context.Context, h member.Host, service string) (int64, error)
 }
 
-// Writer writes the status of each service whose first watcher this host is: a watcher, since others don't see proposals.
+// Writer writes the status of each service whose first watcher this host is: a watcher, since others don't see
+// proposals.
 //
 // Hosts that disagree on who is a member may both be first for a while; the conditional update keeps the object whole,
 // and both write the same but for what only one of them sees.
@@ -116,7 +117,8 @@
 		"refused", report.Refused, "asked", report.Hosts.Asked, "in_force", report.Hosts.InForce)
 }
 
-// unchanged reports whether there is nothing new to write: hosts are only asked again after a change, or until all have it.
+// unchanged reports whether there is nothing new to write: hosts are only asked again after a change, or until all have
+// it.
 func (w *Writer) unchanged(last, now platform.Status) bool {
 	if last.Hosts.InForce < last.Hosts.Asked {
 		return false
--- a/entry/internal/steer/steer.go
+++ b/entry/internal/steer/steer.go
@@ -15,14 +15,17 @@
 
 // The weights of hosts. docs/design/addresses.md gives the runs that chose them.
 const (
-	// otherZone is the weight of a host outside the caller's zone: a third of the callers of each zone already use two zones, so that a zone whose callers are many spills over.
+	// otherZone is the weight of a host outside the caller's zone: a third of the callers of each zone already use two
+	// zones, so that a zone whose callers are many spills over.
 	otherZone = 0.5
 	// full is the load from which a host is chosen for fewer callers, and fullWeight its weight then.
 	full       = 0.9
 	fullWeight = 0.25
-	// evenLoad bounds how much load counts among the chosen hosts: an idle one gets three times what a full one gets, no more, since loads lag and callers would all move at once.
+	// evenLoad bounds how much load counts among the chosen hosts: an idle one gets three times what a full one gets,
+	// no more, since loads lag and callers would all move at once.
 	evenLoad = 0.5
-	// keepSpread is the part of the time to keep an answer that is drawn at random, so that callers that asked together do not ask together again.
+	// keepSpread is the part of the time to keep an answer that is drawn at random, so that callers that asked together
+	// do not ask together again.
 	keepSpread = 0.2
 )
 
@@ -129,15 +132,17 @@
 	return d - time.Duration(s.opts.Float64()*keepSpread*float64(d))
 }
 
-// Place returns the hosts that serve a service in self's region: all of them as long as there are at most limit, else the few that come first for its name.
+// Place returns the hosts that serve a service in self's region: all of them as long as there are at most limit, else
+// the few that come first for its name.
 //
-// A host has connections for about one service at the largest size. Callers that came to any host would make
-// each host open connections to each service's replicas, beyond what the replicas take. One in eight of limit
-// is left for hosts that are being replaced, whose connections are still open.
+// A host has connections for about one service at the largest size. Callers that came to any host would make each host
+// open connections to each service's replicas, beyond what the replicas take. One in eight of limit is left for hosts
+// that are being replaced, whose connections are still open.
 func Place(hosts []member.Host, self member.Host, service string, limit int) []member.Host {
 	state := member.StateAlive
 	if !has(hosts, self.Region, state) {
-		// Every other host is suspect or gone, which is more likely an error of this one: hand out what may still serve.
+		// Every other host is suspect or gone, which is more likely an error of this one: hand out what may still
+		// serve.
 		state = member.StateSuspect
 	}
 	n := count(hosts, self.Region, state)
@@ -218,7 +223,8 @@
 	return w
 }
 
-// top returns the n hosts with the highest rank above 0, highest first; n is small, so that a fleet is looked through once and not sorted.
+// top returns the n hosts with the highest rank above 0, highest first; n is small, so that a fleet is looked through
+// once and not sorted.
 func top(hosts []member.Host, n int, rank func(h *member.Host) float64) []member.Host {
 	type ranked struct {
 		host *member.Host
@@ -242,7 +248,8 @@
 	return list
 }
 
-// score is the weighted rendezvous score: of two hosts, each comes first for a share of names that is proportional to its weight.
+// score is the weighted rendezvous score: of two hosts, each comes first for a share of names that is proportional to
+// its weight.
 //
 // It hashes the address rather than the ID, so that a host that was restarted gets its callers back.
 func score(weight float64, service, caller string, host netip.AddrPort) float64 {
--- a/entry/internal/subquery/job.go
+++ b/entry/internal/subquery/job.go
@@ -34,8 +34,8 @@
 	res     exchange.Result
 }
 
-// wait takes the ends of tries until none is under way or timeout is due. Where once is set it returns as soon as there is something to tell: a part
-// that comes a moment after the first reply must not wait for a replica that pauses.
+// wait takes the ends of tries until none is under way or timeout is due. Where once is set it returns as soon as there
+// is something to tell: a part that comes a moment after the first reply must not wait for a replica that pauses.
 func (j *job) wait(timeout <-chan time.Time, once bool) {
 	for len(j.replicas) > 0 {
 		if once && len(j.untold) > 0 && len(j.ends) == 0 {
--- a/entry/internal/subquery/messages.go
+++ b/entry/internal/subquery/messages.go
@@ -11,14 +11,15 @@
 type Args struct {
 	// Job names the subquery among those of all hosts.
 	Job uint64
-	// Version is the configuration in force where the query came; a host with another one in force declines, since it could send the request to
-	// shards that its own replicas have seen the end of.
+	// Version is the configuration in force where the query came; a host with another one in force declines, since it
+	// could send the request to shards that its own replicas have seen the end of.
 	Version int64
 	Request opaque.Request
 	Shards  []string
 	// Top is how many records the whole answer holds.
 	Top int
-	// Left is how long the replicas may work, First how long the first reply may wait for all parts, and Within the time in which a part is of use.
+	// Left is how long the replicas may work, First how long the first reply may wait for all parts, and Within the
+	// time in which a part is of use.
 	Left, First, Within time.Duration
 	// Usual and Unloaded are the times of the route's replies, in all and while nothing queues.
 	Usual, Unloaded time.Duration
--- a/entry/internal/subquery/server.go
+++ b/entry/internal/subquery/server.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// lingerFor is how long tries go on after the last call about them, as long as a host leaves its own tries alone once its answer has left. A host
-	// that asked and is gone asks no more.
+	// lingerFor is how long tries go on after the last call about them, as long as a host leaves its own tries alone
+	// once its answer has left. A host that asked and is gone asks no more.
 	lingerFor = 300 * time.Millisecond
 	// mostShards and mostJobs bound what other hosts can make this one hold.
 	mostShards = 1024
@@ -40,8 +40,8 @@
 
 // Server is the net/rpc service that other hosts call.
 //
-// It sends one try of each shard and never a second one: which shards are worth one, and whether the budget allows it, is for the host to decide
-// that knows the whole query, and the tries of one request stay within what its route allows.
+// It sends one try of each shard and never a second one: which shards are worth one, and whether the budget allows it,
+// is for the host to decide that knows the whole query, and the tries of one request stay within what its route allows.
 type Server struct {
 	opts Options
 
--- a/entry/internal/subquery/server_test.go
+++ b/entry/internal/subquery/server_test.go
@@ -63,7 +63,8 @@
 	return n
 }
 
-// A host asks another one for parts of a page. All that were in time come with the greatest records of them in one list.
+// A host asks another one for parts of a page. All that were in time come with the greatest records of them in one
+// list.
 func TestPartsComeMerged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t)
@@ -77,8 +78,8 @@
 	})
 }
 
-// A subquery comes to a host that must not send it: it leaves, has another configuration in force, or the deadline has passed on the way. Nothing may
-// reach a replica, so that the host that asked can send the tries itself.
+// A subquery comes to a host that must not send it: it leaves, has another configuration in force, or the deadline has
+// passed on the way. Nothing may reach a replica, so that the host that asked can send the tries itself.
 func TestDeclinedSendsNothing(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -105,7 +106,8 @@
 	}
 }
 
-// The host that asked is lost while a replica is slow. Nobody asks for the rest; the try must not go on for long, and the subquery be forgotten.
+// The host that asked is lost while a replica is slow. Nobody asks for the rest; the try must not go on for long, and
+// the subquery be forgotten.
 func TestNobodyAsksForTheRest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t)
@@ -121,7 +123,8 @@
 	})
 }
 
-// A replica is slow, and the host that asked goes on asking. The subquery must live as long as it does, and tell the part once it is there.
+// A replica is slow, and the host that asked goes on asking. The subquery must live as long as it does, and tell the
+// part once it is there.
 func TestRestIsTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t)
@@ -139,7 +142,8 @@
 	})
 }
 
-// The host that asked has given up: its client left. The tries end at once, and a second call of the same name sends nothing more meanwhile.
+// The host that asked has given up: its client left. The tries end at once, and a second call of the same name sends
+// nothing more meanwhile.
 func TestDropEndsTries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t)
--- a/entry/internal/traffic/meter.go
+++ b/entry/internal/traffic/meter.go
@@ -10,7 +10,8 @@
 // Cause says what bytes are for.
 type Cause string
 
-// The causes of traffic. What hosts tell each other is counted by the host that opened the connection, in both directions.
+// The causes of traffic. What hosts tell each other is counted by the host that opened the connection, in both
+// directions.
 const (
 	// Replicas is for requests to replicas and their replies.
 	Replicas Cause = "replicas"
@@ -90,7 +91,8 @@
 	return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help, ConstLabels: labels}, func() float64 { return float64(n.Load()) })
 }
 
-// Fields returns what crossed the border of the zone and what stayed inside, by cause, as key-value pairs for a log line, in bytes both ways.
+// Fields returns what crossed the border of the zone and what stayed inside, by cause, as key-value pairs for a log
+// line, in bytes both ways.
 func (m *Meter) Fields() []any {
 	var kv []any
 	for _, cause := range causes {
--- a/entry/internal/unloaded/time.go
+++ b/entry/internal/unloaded/time.go
@@ -7,11 +7,12 @@
 )
 
 const (
-	// creep is how fast the time may rise, as a share of it a second: work that has become longer for good is known as such after a minute or
-	// two, and a burst of twenty seconds, whose queues look the same, raises it by a fifth at the most.
+	// creep is how fast the time may rise, as a share of it a second: work that has become longer for good is known as
+	// such after a minute or two, and a burst of twenty seconds, whose queues look the same, raises it by a fifth at
+	// the most.
 	creep = 0.01
-	// creepRefused is how fast it may rise while nearly all requests are refused for it. A queue is gone within a fraction of a second then; what
-	// still takes long is slow, and refusing more brings nothing.
+	// creepRefused is how fast it may rise while nearly all requests are refused for it. A queue is gone within a
+	// fraction of a second then; what still takes long is slow, and refusing more brings nothing.
 	creepRefused = 0.5
 	// refusedFor is how long after such a refusal the time rises faster.
 	refusedFor = time.Second
@@ -19,8 +20,8 @@
 
 // Time is how long a reply takes while nothing queues; the zero value knows nothing yet.
 //
-// It is the least median seen, which may rise slowly. The replicas don't say how long a request waited there, and no host sees what the others
-// have sent; but the longest calm that was seen tells what of a reply's time is work.
+// It is the least median seen, which may rise slowly. The replicas don't say how long a request waited there, and no
+// host sees what the others have sent; but the longest calm that was seen tells what of a reply's time is work.
 type Time struct {
 	mu      sync.Mutex
 	value   time.Duration
--- a/entry/internal/warmup/warmup.go
+++ b/entry/internal/warmup/warmup.go
@@ -63,7 +63,8 @@
 	Listed, Versions int
 }
 
-// Ready reports whether a host can answer as well as another: it has the list of replicas, and knows a version of each service that has any.
+// Ready reports whether a host can answer as well as another: it has the list of replicas, and knows a version of each
+// service that has any.
 //
 // A service whose document came before its replicas must not count, or each start of any host would last for Limit
 // until somebody starts them.
--- a/entry/internal/writes/model_test.go
+++ b/entry/internal/writes/model_test.go
@@ -65,7 +65,8 @@
 	late  time.Duration
 	lost  bool
 	twice bool
-	// sends says how the tries of this request end at the replicas, in turn; pause holds the host before the first byte.
+	// sends says how the tries of this request end at the replicas, in turn; pause holds the host before the first
+	// byte.
 	sends []string
 	pause time.Duration
 	off   time.Duration
--- a/entry/main.go
+++ b/entry/main.go
@@ -1,4 +1,5 @@
-// Command entry is the program of an entry host: it takes queries and writes from callers and runs them on upstream replicas.
+// Command entry is the program of an entry host: it takes queries and writes from callers and runs them on upstream
+// replicas.
 package main
 
 import (
--- a/entry/onplatform.go
+++ b/entry/onplatform.go
@@ -67,8 +67,8 @@
 	return list
 }
 
-// reload reads the settings again at each SIGHUP until ctx ends. Of what may change while a process runs, only the addresses of
-// other hosts matter to it; the signal would otherwise end the process.
+// reload reads the settings again at each SIGHUP until ctx ends. Of what may change while a process runs, only the
+// addresses of other hosts matter to it; the signal would otherwise end the process.
 func reload(ctx context.Context, path string, seeds *atomic.Pointer[[]netip.AddrPort], log logr.Logger) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
--- a/entry/onplatform_test.go
+++ b/entry/onplatform_test.go
@@ -173,8 +173,9 @@
 	s.say("%s: %s", what, line)
 }
 
-// A whole session: two hosts start from the store, answer a query over three shards and a write, follow a changed configuration, name a shard
-// whose replica leaves as missing, refuse truly what can't run, and one of them stops without cutting off a client.
+// A whole session: two hosts start from the store, answer a query over three shards and a write, follow a changed
+// configuration, name a shard whose replica leaves as missing, refuse truly what can't run, and one of them stops
+// without cutting off a client.
 func TestSessionOnPlatform(t *testing.T) {
 	s := &session{t: t, store: platformtest.NewStore(), runs: map[string]int{}}
 	srv := httptest.NewServer(s.store)
@@ -245,9 +246,10 @@
 	s.compare("testdata/platform_session.txt")
 }
 
-// Another program writes nonsense beside the replicas' entries and then over one of them, and over the configuration. Clients get whole pages
-// all the while, but for the shard whose only entry can't be read, which is named as missing until it is good again. At last a replica
-// starts again under its id and address, and is used as the new one that it is.
+// Another program writes nonsense beside the replicas' entries and then over one of them, and over the configuration.
+// Clients get whole pages all the while, but for the shard whose only entry can't be read, which is named as missing
+// until it is good again. At last a replica starts again under its id and address, and is used as the new one that it
+// is.
 func TestSessionWithForgedEntries(t *testing.T) {
 	s := &session{t: t, store: platformtest.NewStore(), runs: map[string]int{}}
 	srv := httptest.NewServer(s.store)
@@ -290,9 +292,9 @@
 	s.compare("testdata/platform_forged.txt")
 }
 
-// An operator evacuates the zone of two replicas, and a host starts while that holds and the store is away. No request reaches the zone at either host; a
-// page goes out without the shard that is only there, and a write to a service that is only there is refused as not run. Once the zone is released,
-// whole pages go out again.
+// An operator evacuates the zone of two replicas, and a host starts while that holds and the store is away. No request
+// reaches the zone at either host; a page goes out without the shard that is only there, and a write to a service that
+// is only there is refused as not run. Once the zone is released, whole pages go out again.
 func TestSessionWithEvacuation(t *testing.T) {
 	s := &session{t: t, store: platformtest.NewStore(), runs: map[string]int{}}
 	srv := httptest.NewServer(s.store)
--- a/gsctl/internal/hostcosts/sum.go
+++ b/gsctl/internal/hostcosts/sum.go
@@ -16,7 +16,8 @@
 	// msgCosts and msgStarted are the names of the lines that are read.
 	msgCosts   = "host_costs"
 	msgStarted = "host_started"
-	// ownZone, otherZone and storeCalls mark the fields of a line of costs: bytes of a cause by where they went, and calls to the platform.
+	// ownZone, otherZone and storeCalls mark the fields of a line of costs: bytes of a cause by where they went, and
+	// calls to the platform.
 	ownZone    = "_own_zone"
 	otherZone  = "_other_zone"
 	storeCalls = "store_"
@@ -37,7 +38,8 @@
 // AddFiles adds the logs at paths.
 func (s *Sum) AddFiles(paths []string) error { return loglines.Files(paths, s.Add) }
 
-// Add adds one log. The last word before the object of a line names its host, where collectors put the lines of several hosts into one file.
+// Add adds one log. The last word before the object of a line names its host, where collectors put the lines of several
+// hosts into one file.
 func (s *Sum) Add(name string, log io.Reader) error {
 	err := loglines.Scan(log, func(before, object []byte) {
 		host := name
@@ -94,7 +96,8 @@
 	return costs
 }
 
-// Print writes the sums: bytes by cause, inside availability zones and between them, and calls to the platform by what they are for.
+// Print writes the sums: bytes by cause, inside availability zones and between them, and calls to the platform by what
+// they are for.
 func (s *Sum) Print(w io.Writer) error {
 	for host := range maps.Clone(s.last) {
 		s.end(host)
--- a/gsctl/internal/hostlog/reader.go
+++ b/gsctl/internal/hostlog/reader.go
@@ -66,7 +66,8 @@
 	msgStopped  = "host_stopped"
 )
 
-// lost says where the host was lost under the request: it started again, and neither the request's end nor its own stop came before.
+// lost says where the host was lost under the request: it started again, and neither the request's end nor its own stop
+// came before.
 func (r *Reader) lost(about, beliefs []line) {
 	last := about[len(about)-1]
 	if last.msg != msgAdmitted {
@@ -166,8 +167,8 @@
 	}
 }
 
-// near returns how the host's beliefs changed before the last line about the request. Of replicas only those of services that the
-// request was sent to are told.
+// near returns how the host's beliefs changed before the last line about the request. Of replicas only those of
+// services that the request was sent to are told.
 func (r *Reader) near(about, beliefs []line) []line {
 	last := about[len(about)-1].at
 	var near []line
--- a/gsctl/internal/loglines/lines.go
+++ b/gsctl/internal/loglines/lines.go
@@ -28,8 +28,9 @@
 	return nil
 }
 
-// Scan passes on each line that holds an object, from its first brace on, and what stands before that: collectors put a time or a host's name there. Other
-// programs write to the same stream, so that an object may be cut off; take must not keep the slices.
+// Scan passes on each line that holds an object, from its first brace on, and what stands before that: collectors put a
+// time or a host's name there. Other programs write to the same stream, so that an object may be cut off; take must not
+// keep the slices.
 func Scan(log io.Reader, take func(before, object []byte)) error {
 	sc := bufio.NewScanner(log)
 	sc.Buffer(nil, longest)
--- a/gsctl/internal/operator/operator.go
+++ b/gsctl/internal/operator/operator.go
@@ -57,10 +57,11 @@
 	return nil
 }
 
-// Apply proposes the document at path, if nobody has changed the service's document since the version it was taken from.
+// Apply proposes the document at path, if nobody has changed the service's document since the version it was taken
+// from.
 //
-// Two teams that edit one document at the same time would otherwise undo each other's change without
-// either of them being told; the platform's conditional update lets exactly one of them through.
+// Two teams that edit one document at the same time would otherwise undo each other's change without either of them
+// being told; the platform's conditional update lets exactly one of them through.
 func (o *Operator) Apply(ctx context.Context, path string) error {
 	f, err := docfile.Read(path)
 	if err != nil {
--- a/load/internal/baseline/doc.go
+++ b/load/internal/baseline/doc.go
@@ -1,2 +1,3 @@
-// Package baseline is the plain policy that guavaspring is compared with: a random replica, no hedge, no retry, no admission.
+// Package baseline is the plain policy that guavaspring is compared with: a random replica, no hedge, no retry, no
+// admission.
 package baseline
--- a/load/internal/baseline/server.go
+++ b/load/internal/baseline/server.go
@@ -41,7 +41,8 @@
 	Deadline time.Duration
 }
 
-// Server answers queries as plainly as can be, through the same HTTP server and client as an entry host: one random holder for each shard, and what has not come by the deadline is missing.
+// Server answers queries as plainly as can be, through the same HTTP server and client as an entry host: one random
+// holder for each shard, and what has not come by the deadline is missing.
 type Server struct {
 	opts     Options
 	platform *platform.Client
--- a/load/internal/compare/compare.go
+++ b/load/internal/compare/compare.go
@@ -10,10 +10,12 @@
 // leastRuns is how many earlier runs it takes to know how much runs of one version differ.
 const leastRuns = 3
 
-// margin is how far over the earlier runs' own spread a ratio has to lie; the spread of few runs understates the true one.
+// margin is how far over the earlier runs' own spread a ratio has to lie; the spread of few runs understates the true
+// one.
 const margin = 1.01
 
-// Quantiles are those that Judge compares: the median shows a change of every request, the 99th percentile one of the tail. docs/design/compare.md has the trial.
+// Quantiles are those that Judge compares: the median shows a change of every request, the 99th percentile one of the
+// tail. docs/design/compare.md has the trial.
 var Quantiles = []float64{0.5, 0.99}
 
 // ErrTooFew means that there are not enough earlier runs to compare with.
@@ -32,7 +34,8 @@
 // Slower reports whether the newer run is slower than earlier ones differ among themselves.
 func (f Finding) Slower() bool { return f.Ratio > f.Bound }
 
-// Judge compares a run with the earlier ones, quantile by quantile; ErrTooFew where there are fewer than three of these.
+// Judge compares a run with the earlier ones, quantile by quantile; ErrTooFew where there are fewer than three of
+// these.
 func Judge(newer Run, earlier []Run) ([]Finding, error) {
 	if len(earlier) < leastRuns || len(newer) == 0 || slices.ContainsFunc(earlier, func(r Run) bool { return len(r) == 0 }) {
 		return nil, ErrTooFew
@@ -49,7 +52,8 @@
 	return findings, nil
 }
 
-// RatioToMedianRun returns the latency of the run at a quantile over that of the median one among the others, so that one disturbed run among them does not count.
+// RatioToMedianRun returns the latency of the run at a quantile over that of the median one among the others, so that
+// one disturbed run among them does not count.
 func RatioToMedianRun(quantile float64, run Run, others []Run) float64 {
 	each := make([]float64, len(others))
 	for i, other := range others {
--- a/load/internal/drive/drive.go
+++ b/load/internal/drive/drive.go
@@ -107,7 +107,8 @@
 // Samples returns every query of the run.
 func (d *Driver) Samples() []measure.Sample { return d.samples }
 
-// Explain reads the explanation of the answer that covered least, or took longest, into reply and returns that answer; the next worst stands in for one whose host is gone.
+// Explain reads the explanation of the answer that covered least, or took longest, into reply and returns that answer;
+// the next worst stands in for one whose host is gone.
 func (d *Driver) Explain(ctx context.Context, reply any) (caller.Answer, error) {
 	err := errors.New("no answer to explain")
 	for _, w := range d.worst {
--- a/load/internal/drive/faults.go
+++ b/load/internal/drive/faults.go
@@ -55,7 +55,8 @@
 	}
 }
 
-// fail notes a fault that could not be set as an untruth of the run itself, so that the run does not count as one with the fault.
+// fail notes a fault that could not be set as an untruth of the run itself, so that the run does not count as one with
+// the fault.
 func (d *Driver) fail(err error) {
 	if err == nil {
 		return
--- a/load/internal/drive/queries.go
+++ b/load/internal/drive/queries.go
@@ -67,9 +67,11 @@
 }
 
 const (
-	// grace is how much longer than the deadline a caller waits for the answer that was cut off at the deadline to arrive.
+	// grace is how much longer than the deadline a caller waits for the answer that was cut off at the deadline to
+	// arrive.
 	grace = 300 * time.Millisecond
-	// lateness is how far over its deadline an answer may arrive and still count as in time: the way back and the machine's scheduling.
+	// lateness is how far over its deadline an answer may arrive and still count as in time: the way back and the
+	// machine's scheduling.
 	lateness = 15 * time.Millisecond
 )
 
@@ -96,8 +98,8 @@
 	d.worst = d.worst[:min(len(d.worst), keptWorst)]
 }
 
-// sendPoison plays a caller that sends a query again and again, each time as a new request, though it crashes what runs it.
-// Its text differs from run to run: a quarantine outlasts a run, and the next one would measure no crash at all.
+// sendPoison plays a caller that sends a query again and again, each time as a new request, though it crashes what runs
+// it. Its text differs from run to run: a quarantine outlasts a run, and the next one would measure no crash at all.
 func (d *Driver) sendPoison(ctx context.Context) {
 	p := d.opts.Scene.Poison
 	for n := range p.Times {
--- a/load/internal/hosts/caller.go
+++ b/load/internal/hosts/caller.go
@@ -63,13 +63,15 @@
 	Refusal time.Duration
 }
 
-// QueryRequest is one query; Deadline is when its answer is wanted, and the context may wait a little longer for one that was cut off then.
+// QueryRequest is one query; Deadline is when its answer is wanted, and the context may wait a little longer for one
+// that was cut off then.
 type QueryRequest struct {
 	Service  string
 	ID       string
 	Deadline time.Time
 	Query    caller.Query
-	// Retry asks to send a refused query once more, after the time that the refusal names, where the deadline leaves it.
+	// Retry asks to send a refused query once more, after the time that the refusal names, where the deadline leaves
+	// it.
 	Retry bool
 }
 
@@ -128,7 +130,8 @@
 	Reason string
 }
 
-// Write sends a write under one ticket, and again under the same ticket while its outcome is unknown: at first to the same host, then to another.
+// Write sends a write under one ticket, and again under the same ticket while its outcome is unknown: at first to the
+// same host, then to another.
 //
 // A new ticket is taken only where no connection to the first one's host was made: then the write surely did not run.
 func (c *Caller) Write(ctx context.Context, service string, w caller.Write) (WriteResult, error) {
@@ -232,7 +235,8 @@
 	return a.Address, ticket, true
 }
 
-// pick returns an address by weight that is not among those that failed, asking for a new answer where the kept one is too old.
+// pick returns an address by weight that is not among those that failed, asking for a new answer where the kept one is
+// too old.
 func (c *Caller) pick(ctx context.Context, service string, failed []netip.AddrPort) (caller.Address, error) {
 	if addr, ok := c.fromKept(service, failed); ok {
 		return addr, nil
--- a/load/internal/hosts/caller_test.go
+++ b/load/internal/hosts/caller_test.go
@@ -70,7 +70,8 @@
 }
 
 func TestQueryGoesToAnotherAddressWhenAConnectionFails(t *testing.T) {
-	// The address answer holds a host that has died since; its weight makes it the first choice. The next answer must come within one more attempt.
+	// The address answer holds a host that has died since; its weight makes it the first choice. The next answer must
+	// come within one more attempt.
 	c := qt.New(t)
 	h := &fakeHost{answer: complete}
 	alive := serve(c, h)
@@ -116,7 +117,8 @@
 }
 
 func TestWriteOfUnknownOutcomeIsSentAgainUnderItsOwnTicket(t *testing.T) {
-	// The reply is lost twice. A caller that took a new ticket would make the write run again; this one repeats the first.
+	// The reply is lost twice. A caller that took a new ticket would make the write run again; this one repeats the
+	// first.
 	c := qt.New(t)
 	h := &fakeHost{write: func(n int, _ string) caller.WriteOutcome {
 		if n < 3 {
@@ -135,7 +137,8 @@
 }
 
 func TestWriteTakesANewTicketOnlyWhereNoConnectionWasMade(t *testing.T) {
-	// The ticket's host has died and refuses connections, so the write surely did not run, and another host's ticket may be used.
+	// The ticket's host has died and refuses connections, so the write surely did not run, and another host's ticket
+	// may be used.
 	c := qt.New(t)
 	h := &fakeHost{write: func(int, string) caller.WriteOutcome { return caller.WriteDone }}
 	alive := serve(c, h)
--- a/load/internal/measure/measure.go
+++ b/load/internal/measure/measure.go
@@ -51,13 +51,15 @@
 	Policy string `json:"policy"`
 	Round  int    `json:"round"`
 
-	// Complete covers complete answers, All every answer that is not a refusal, Others those but the hot caller's, Refusals the time to a refusal.
+	// Complete covers complete answers, All every answer that is not a refusal, Others those but the hot caller's,
+	// Refusals the time to a refusal.
 	Complete Quantiles `json:"complete"`
 	All      Quantiles `json:"all"`
 	Others   Quantiles `json:"others"`
 	Refusals Quantiles `json:"refusals"`
 
-	// CoverageMean, CoverageWorst and CompleteShare are over the answers that are not refusals; an error covers nothing.
+	// CoverageMean, CoverageWorst and CompleteShare are over the answers that are not refusals; an error covers
+	// nothing.
 	CoverageMean  float64 `json:"coverage_mean"`
 	CoverageWorst float64 `json:"coverage_worst"`
 	CompleteShare float64 `json:"complete_share"`
--- a/load/internal/measure/measure_test.go
+++ b/load/internal/measure/measure_test.go
@@ -11,7 +11,8 @@
 )
 
 func TestSummaryOfARun(t *testing.T) {
-	// Four answers after the warmup: whole, whole but late, partial, none at all; one refusal. The hot caller's and the warmup's are told apart.
+	// Four answers after the warmup: whole, whole but late, partial, none at all; one refusal. The hot caller's and the
+	// warmup's are told apart.
 	c := qt.New(t)
 	at := 2 * time.Second
 	ms := time.Millisecond
--- a/load/internal/report/samples.go
+++ b/load/internal/report/samples.go
@@ -12,7 +12,8 @@
 	"guavaspring.org/load/internal/measure"
 )
 
-// ReadSamples returns when every query in a file of samples was scheduled and how long it took, without the refused ones.
+// ReadSamples returns when every query in a file of samples was scheduled and how long it took, without the refused
+// ones.
 func ReadSamples(file string) ([]measure.Sample, error) {
 	f, err := os.Open(file)
 	if err != nil {
--- a/load/internal/report/table.go
+++ b/load/internal/report/table.go
@@ -185,7 +185,8 @@
 	return SpreadOf(values), nil
 }
 
-// Measures holds the measures that an aim may name; each is computed from a run and the reference run of the same round.
+// Measures holds the measures that an aim may name; each is computed from a run and the reference run of the same
+// round.
 var Measures = map[string]func(run, ref measure.Summary) float64{
 	"p99_ratio":             func(run, ref measure.Summary) float64 { return run.All.P99 / ref.All.P99 },
 	"p99_ms":                func(run, _ measure.Summary) float64 { return run.All.P99 },
--- a/load/internal/scene/scene.go
+++ b/load/internal/scene/scene.go
@@ -17,7 +17,8 @@
 	// Name is also the name of its file, and About says in a sentence what happens.
 	Name  string `yaml:"name"`
 	About string `yaml:"about"`
-	// Service is queried at Rate a second by Callers callers for Duration; what was scheduled during Warmup is not counted.
+	// Service is queried at Rate a second by Callers callers for Duration; what was scheduled during Warmup is not
+	// counted.
 	Service  string            `yaml:"service"`
 	Rate     float64           `yaml:"rate"`
 	Callers  int               `yaml:"callers"`
@@ -37,7 +38,8 @@
 	Policies []string `yaml:"policies"`
 	// Faults are set in the course of the run.
 	Faults []Fault `yaml:"faults"`
-	// Reference changes the scene into the one that its ratios are taken against, such as the same without the fault; nil for none.
+	// Reference changes the scene into the one that its ratios are taken against, such as the same without the fault;
+	// nil for none.
 	Reference *Reference `yaml:"reference"`
 	// Aims are what the table compares the runs with.
 	Aims []Aim `yaml:"aims"`
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -95,7 +95,8 @@
 	ts.Fatalf("found no %d free ports in a row", n)
 }
 
-// Ports below the range that the system gives to outgoing connections, so that none of those takes a port between the search and its use.
+// Ports below the range that the system gives to outgoing connections, so that none of those takes a port between the
+// search and its use.
 const (
 	lowestPort  = 10000
 	highestPort = 32000
@@ -172,7 +173,8 @@
 	untilPause = 20 * time.Millisecond
 )
 
-// until PATTERN PROGRAM ARGS... runs a program again and again until what it prints matches; the program "get" reads a URL.
+// until PATTERN PROGRAM ARGS... runs a program again and again until what it prints matches; the program "get" reads a
+// URL.
 func until(ts *testscript.TestScript, _ bool, args []string) {
 	if len(args) < 2 {
 		ts.Fatalf("usage: until PATTERN PROGRAM ARGS...")
--- a/soak/internal/check/check.go
+++ b/soak/internal/check/check.go
@@ -94,7 +94,8 @@
 	}
 }
 
-// page judges the answer to a query over shards: its parts are its own, of one version, and its records the greatest of them.
+// page judges the answer to a query over shards: its parts are its own, of one version, and its records the greatest of
+// them.
 func (c *Check) page(s *client.Seen) {
 	parts := map[string]bool{}
 	var records []string
@@ -127,8 +128,8 @@
 	c.fresh(s, oldest, newest)
 }
 
-// versions returns the oldest and the newest version whose shards the parts and the missing ones may be, zero for none. They differ where
-// the shard that tells versions apart is among the missing.
+// versions returns the oldest and the newest version whose shards the parts and the missing ones may be, zero for none.
+// They differ where the shard that tells versions apart is among the missing.
 func (c *Check) versions(parts map[string]bool, missing int) (oldest, newest int) {
 	for v, shards := range c.world.Shards() {
 		in := 0
--- a/soak/internal/check/check_test.go
+++ b/soak/internal/check/check_test.go
@@ -90,8 +90,8 @@
 	return []byte(strings.Join(all[:3], ""))
 }
 
-// A page lacks the one shard that tells two versions apart, while the newer is on its way: it may be of either. Taken for one of the newer,
-// it made each later page of the older a finding (seed 102).
+// A page lacks the one shard that tells two versions apart, while the newer is on its way: it may be of either. Taken
+// for one of the newer, it made each later page of the older a finding (seed 102).
 func TestPageThatMayBeOfTwoVersions(t *testing.T) {
 	w := world.New()
 	defer w.Close()
--- a/soak/internal/client/client.go
+++ b/soak/internal/client/client.go
@@ -16,7 +16,8 @@
 const (
 	// keep is how long an answer of a directory is used; one client in four keeps it three times as long.
 	keep = 1500 * time.Millisecond
-	// Patience is how long a client waits, in the header; it listens patienceSlack longer to see whether an answer came at all.
+	// Patience is how long a client waits, in the header; it listens patienceSlack longer to see whether an answer came
+	// at all.
 	Patience      = 2 * time.Second
 	patienceSlack = 4 * time.Second
 	// writeShare is the share of requests that must not run twice.
--- a/soak/internal/faults/driver.go
+++ b/soak/internal/faults/driver.go
@@ -33,7 +33,8 @@
 	World *world.World
 	Hosts []*hosts.Host
 	Check *check.Check
-	// Restarts lets replicas be killed that return under their id; without it a seed plays as it did before there were any.
+	// Restarts lets replicas be killed that return under their id; without it a seed plays as it did before there were
+	// any.
 	Restarts bool
 	// Say writes down what is done.
 	Say func(format string, args ...any)
--- a/soak/internal/hosts/host.go
+++ b/soak/internal/hosts/host.go
@@ -51,7 +51,8 @@
 // Name returns the host's name.
 func (h *Host) Name() string { return h.opts.Name }
 
-// Front returns the address for clients, Directory that for clients that ask which hosts to use, Readiness that of the platform's checks.
+// Front returns the address for clients, Directory that for clients that ask which hosts to use, Readiness that of the
+// platform's checks.
 func (h *Host) Front() string { return fmt.Sprintf("%s:%d", h.opts.IP, h.opts.Port) }
 
 // Readiness returns the address of the platform's checks.
@@ -60,8 +61,8 @@
 // Directory returns the address for clients that ask which hosts to use.
 func (h *Host) Directory() string { return fmt.Sprintf("%s:%d", h.opts.IP, h.opts.Port+2) }
 
-// Start runs the process, unless it runs already: disturbances of one host overlap, and a second process would be lost sight of
-// and outlive the soak.
+// Start runs the process, unless it runs already: disturbances of one host overlap, and a second process would be lost
+// sight of and outlive the soak.
 func (h *Host) Start(ctx context.Context) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/soak/internal/hosts/host_test.go
+++ b/soak/internal/hosts/host_test.go
@@ -13,8 +13,8 @@
 	"guavaspring.org/soak/internal/hosts"
 )
 
-// Two disturbances kill the same host and both start it again. A second process would find its ports taken, be lost sight of, and the first
-// outlive the soak.
+// Two disturbances kill the same host and both start it again. A second process would find its ports taken, be lost
+// sight of, and the first outlive the soak.
 func TestStartTwiceRunsOneProcess(t *testing.T) {
 	dir := t.TempDir()
 	program := filepath.Join(dir, "program")
--- a/soak/internal/subnet/subnet.go
+++ b/soak/internal/subnet/subnet.go
@@ -25,8 +25,8 @@
 
 // Reserve takes the subnet that belongs to a seed, or the next one that is free.
 //
-// Two soaks on the same addresses each send requests to the other's hosts, and both find writes that ran twice or not at all. A
-// port that is looked for before the hosts start doesn't prevent it, as both find it free.
+// Two soaks on the same addresses each send requests to the other's hosts, and both find writes that ran twice or not
+// at all. A port that is looked for before the hosts start doesn't prevent it, as both find it free.
 func Reserve(ctx context.Context, seed uint64) (*Subnet, error) {
 	var cfg net.ListenConfig
 	for i := range uint64(subnets) {
--- a/soak/internal/world/world.go
+++ b/soak/internal/world/world.go
@@ -127,7 +127,8 @@
 	r.left = time.Now()
 }
 
-// Restart kills the replica's process, and starts it again under its id after some time; a write that the old process had given up comes last.
+// Restart kills the replica's process, and starts it again under its id after some time; a write that the old process
+// had given up comes last.
 func (r *Replica) Restart(down time.Duration) {
 	r.mu.Lock()
 	late := platformtest.ReplicaStarted(r.Service, r.Proxy.Addr(), "ready", r.started, r.sequence+1)
--- a/standin/internal/fault/faults.go
+++ b/standin/internal/fault/faults.go
@@ -37,7 +37,8 @@
 	// Foreign is how many of the next queries are answered with the reply of an earlier request.
 	Foreign int `json:"foreign"`
 
-	// Crash, Silence and Cold act once, when they are received: crash now, let no open connection answer any more, start cold.
+	// Crash, Silence and Cold act once, when they are received: crash now, let no open connection answer any more,
+	// start cold.
 	Crash   bool `json:"crash,omitempty"`
 	Silence bool `json:"silence,omitempty"`
 	Cold    bool `json:"cold,omitempty"`
--- a/standin/internal/objects/server_test.go
+++ b/standin/internal/objects/server_test.go
@@ -33,7 +33,8 @@
 }
 
 func TestCallsOverTheLimitAreTurnedAway(t *testing.T) {
-	// A burst of writes meets the limit of two a second; a second later writes work again, and reads were never touched.
+	// A burst of writes meets the limit of two a second; a second later writes work again, and reads were never
+	// touched.
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		plat := newCaller(objects.Options{WritesPerSecond: 2, ReadsPerSecond: 100})
@@ -78,7 +79,8 @@
 }
 
 func TestOutageEndsWaitingWatches(t *testing.T) {
-	// A watch waits while the platform goes down: it is answered with the outage at once, and so are new calls until the end.
+	// A watch waits while the platform goes down: it is answered with the outage at once, and so are new calls until
+	// the end.
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		plat := newCaller(objects.Options{})
--- a/standin/internal/replica/work.go
+++ b/standin/internal/replica/work.go
@@ -23,7 +23,8 @@
 
 var errShed = errors.New("every slot is taken")
 
-// hits returns the hits that every holder of the shard gives for the query; whoever knows version, shard map and query can check them.
+// hits returns the hits that every holder of the shard gives for the query; whoever knows version, shard map and query
+// can check them.
 func hits(h upstream.Holding, q upstream.Query) []upstream.Hit {
 	list := make([]upstream.Hit, 0, hitsPerShard)
 	data, _ := json.Marshal(struct {
