--- a/entry/internal/endpoints/reported.go
+++ b/entry/internal/endpoints/reported.go
@@ -27,7 +27,7 @@
 // It answers machines that replicas share with others, and queues that other hosts fill. Of a replica that turns four
 // times slower for half a second a host learns by the replies that come late, which are as often long pieces of work,
 // so that it counts the first one little; by the time that it knows, the machine is as quick as before, and the replica
-// is left alone for seconds. And of seventy hosts none sees what the others send. The replica's word tells both at
+// is left alone for seconds. And of many hosts none sees what the others send. The replica's word tells both at
 // once. Its speed is believed as far as it foretold the replies: some replicas say nothing, or the same always.
 type reported struct {
 	// pace is how long work takes there, in times of the usual, zero where that was never said; queue is how many
--- a/entry/internal/scatter/resend.go
+++ b/entry/internal/scatter/resend.go
@@ -10,8 +10,8 @@
 // may go once more to one that turned it away.
 //
 // It answers replicas that turn away requests at random, or for a moment, without running them. A request may go to so
-// many replicas of a shard and no more; where half of all turn away six in ten, one shard in three loses both, and a
-// page over 36 shards as good as always. What was not run can be asked again of the same replica, which costs a
+// many replicas of a shard and no more; where half of all turn away six in ten, one shard in three loses both, and of
+// pages over many shards hardly one has enough. What was not run can be asked again of the same replica, which costs a
 // millisecond and one of the extra tries that all hosts share.
 func (p *plan) mayResend(s *shard, res exchange.Result) bool {
 	exhausted := s.sent >= p.Route.Attempts
