scatter: Keep a request that goes again within the replicas that it may reach

Cause: where a request that goes again to a replica that turned it away found no connection left there, it waited for room like a first try, and was then sent to any replica that had not had it: a third one. Ruled out: the choice among replicas, which keeps to those that turned it away. Change: a shard whose tries are spent goes again or is given up, and waits no more like a first try.

--- a/entry/internal/scatter/resend.go
+++ b/entry/internal/scatter/resend.go
@@ -15,7 +15,8 @@
 // millisecond and one of the extra tries that all hosts share.
 func (p *plan) mayResend(s *shard, res exchange.Result) bool {
 	exhausted := s.sent >= p.Route.Attempts
-	return exhausted && res.Kind == upstream.KindShed && len(s.turnedAway) > 0 && s.resent < resends && p.now.Add(2*p.timing.usual).Before(p.end())
+	notRun := res.Kind == upstream.KindShed || res.Busy
+	return exhausted && notRun && len(s.turnedAway) > 0 && s.resent < resends && p.now.Add(2*p.timing.usual).Before(p.end())
 }
 
 // resend sends a shard once more to the best of the replicas that turned it away, a usual reply after the last of them
--- a/entry/internal/scatter/scatter_test.go
+++ b/entry/internal/scatter/scatter_test.go
@@ -24,6 +24,7 @@
 	"guavaspring.org/entry/internal/replicatest"
 	"guavaspring.org/entry/internal/scatter"
 	"guavaspring.org/entry/internal/spend"
+	"guavaspring.org/platform/platformtest"
 	"guavaspring.org/platform/wire"
 )
 
@@ -322,6 +323,40 @@
 	})
 }
 
+// Replicas turn away what comes, and requests that go to them again find the few connections that the host may hold there taken by each other. Each must wait for
+// one of the two replicas that turned it away: a third replica is one more than a request may go to.
+func TestResendStaysWithinAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 1000)
+		var mu sync.Mutex
+		reached := map[string]map[int]bool{}
+		for n := range 3 {
+			full := replicatest.Full()
+			b.farm.Add("s0", n, func(r *http.Request, body []byte) replicatest.Answer {
+				mu.Lock()
+				defer mu.Unlock()
+				id := platformtest.Read(r).ID
+				if reached[id] == nil {
+					reached[id] = map[int]bool{}
+				}
+				reached[id][n] = true
+				return full(r, body)
+			})
+		}
+		b.usual()
+		b.table.SetLimits(map[string]route.Service{"s0": {MaxConns: 2}})
+		var asks sync.WaitGroup
+		for range 12 {
+			asks.Go(func() { b.ask(t.Context(), plain(true)) })
+		}
+		asks.Wait()
+		for id, replicas := range reached {
+			qt.Check(t, len(replicas) <= 2, qt.IsTrue, qt.Commentf("%s reached %d replicas", id, len(replicas)))
+		}
+		time.Sleep(3 * time.Second)
+	})
+}
+
 // Every replica is full. What is refused must say truly that it has not run.
 func TestFullReplicasRanNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/internal/scatter/tries.go
+++ b/entry/internal/scatter/tries.go
@@ -236,7 +236,7 @@
 	switch {
 	case !p.Route.Idempotent && !res.Kind.NotRun():
 		p.miss(i, why, "it may have run and is not sent again")
-	case res.Busy:
+	case res.Busy && s.sent < p.Route.Attempts:
 		// The connection that was free is taken: the replica may be tried again.
 		s.tried = s.tried[:len(s.tried)-1]
 		p.wait(i, First)
