front, homes, endpoints: Follow each kind by one piece of code, and find a name's routes once

The three kinds that a host follows, and how old its word of each is, stood three times in the same shape. homes.Of matched host names by itself, over all routes at each look-up of a client, and otherwise than route.Table does, which lowers case and drops a port: it takes the routes that Table.Of returns, as Table.Find does. A reason that was an error value and used as text only is a constant.

--- a/core/route/table.go
+++ b/core/route/table.go
@@ -29,12 +29,17 @@
 // Config returns the configuration that the table was made of.
 func (t *Table) Config() *Config { return &t.config }
 
-// Find returns the route of the host name whose prefix is the longest that begins path, or nil.
-func (t *Table) Find(host, path string) *Route {
+// Of returns the routes of a host name, those with the longest prefixes first; the slice must not be changed.
+func (t *Table) Of(host string) []*Route {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
-	for _, r := range t.hosts[strings.ToLower(host)] {
+	return t.hosts[strings.ToLower(host)]
+}
+
+// Find returns the route of the host name whose prefix is the longest that begins path, or nil.
+func (t *Table) Find(host, path string) *Route {
+	for _, r := range t.Of(host) {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
--- a/entry/internal/endpoints/cold.go
+++ b/entry/internal/endpoints/cold.go
@@ -1,7 +1,6 @@
 package endpoints
 
 import (
-	"errors"
 	"slices"
 	"time"
 
@@ -12,8 +11,8 @@
 // and the time that one of them may wait for a connection.
 const coldWindow = 1300 * time.Millisecond
 
-// errCold is why a request was not sent that would have been too much for a cold replica.
-var errCold = errors.New("the replica is cold and has got what it bears of this host")
+// tooCold is why a request was not sent that would have been too much for a cold replica.
+const tooCold = "the replica is cold and has got what it bears of this host"
 
 // cold is what a service's replicas bear while they are cold.
 type cold struct {
--- a/entry/internal/endpoints/replica.go
+++ b/entry/internal/endpoints/replica.go
@@ -242,7 +242,7 @@
 func (r *Replica) Send(ctx context.Context, call Call) exchange.Result {
 	began := r.clock.Now()
 	if !r.takeCold(began) {
-		return exchange.Result{Kind: upstream.KindNotSent, Detail: errCold.Error(), Busy: true}
+		return exchange.Result{Kind: upstream.KindNotSent, Detail: tooCold, Busy: true}
 	}
 	n := r.begin(began)
 	if !call.ForOther {
--- a/entry/internal/endpoints/rows.go
+++ b/entry/internal/endpoints/rows.go
@@ -108,7 +108,8 @@
 func (t *Table) add(row platform.Replica, now time.Time) {
 	near := row.Zone == t.opts.Zone
 	r := &Replica{
-		clock: t.opts.Clock, service: t.service(row.Service), near: near, region: t.opts.Regions[row.Zone], evacuated: t.opts.Evacuated, coldShare: t.opts.ColdShare, row: row, usable: row.State != platform.StateLeaving,
+		clock: t.opts.Clock, service: t.service(row.Service), near: near, region: t.opts.Regions[row.Zone],
+		evacuated: t.opts.Evacuated, coldShare: t.opts.ColdShare, row: row, usable: row.State != platform.StateLeaving,
 		running: map[uint64]time.Time{}, slowness: 1, seen: now,
 		pool: exchange.New(exchange.Options{
 			Clock: t.opts.Clock, Addr: row.Addr, Codec: t.opts.Codec, Dial: t.opts.Dial,
--- a/entry/internal/front/follow.go
+++ b/entry/internal/front/follow.go
@@ -2,26 +2,50 @@
 
 import (
 	"context"
+	"time"
 
 	"guavaspring.org/core/feed"
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/route"
 	"guavaspring.org/entry/internal/events"
+	"guavaspring.org/entry/internal/relay"
 	"guavaspring.org/entry/internal/source"
 )
 
-func (f *Front) followConfig(ctx context.Context) {
-	apply := func(batch feed.Batch[route.Config], _ bool) { f.applyConfig(batch) }
-	source.New(source.Options[route.Config]{
-		Clock: f.opts.Clock, Log: f.opts.Log, Name: "config", List: f.opts.Store.ListConfig, Watch: f.opts.Store.WatchConfig,
-		First:   func() []source.Parent[route.Config] { return first[route.Config](f.joined, f.opts.Seeds(), "Configs") },
+// kind is one kind of the store's objects that a host follows.
+type kind[T any] struct {
+	// name is the kind's in logs and metrics, and method the one of relay.Methods by which hosts tell each other of it.
+	name, method string
+	list         func(ctx context.Context) (feed.Batch[T], error)
+	watch        func(ctx context.Context, since int64, wait time.Duration) (feed.Batch[T], error)
+	copy         *relay.Copy[T]
+	// replace takes a list of all objects, change those that changed; returned says that the store was away until a
+	// moment ago.
+	replace, change func(batch feed.Batch[T], returned bool)
+	// bound is how soon a change has to be known here.
+	bound time.Duration
+}
+
+// follow keeps f in step with a kind until ctx ends.
+func follow[T any](ctx context.Context, f *Front, k kind[T]) {
+	source.New(source.Options[T]{
+		Clock: f.opts.Clock, Log: f.opts.Log, Name: k.name, List: k.list, Watch: k.watch,
+		First:   func() []source.Parent[T] { return first[T](f.joined, f.opts.Seeds(), k.method) },
 		Settled: f.settled, Wanted: f.startup.Wanted(),
-		Parents: func() ([]source.Parent[route.Config], bool) { return parents[route.Config](f.joined, "Configs") },
-		Copy:    f.joined.configs, Replace: apply, Change: apply, Reconnect: f.opts.Store.Reconnect, Bound: f.opts.Apply,
-		Rejected: f.counts.Unreadable("config"), Outage: f.outage,
+		Parents: func() ([]source.Parent[T], bool) { return parents[T](f.joined, k.method) },
+		Copy:    k.copy, Replace: k.replace, Change: k.change, Reconnect: f.opts.Store.Reconnect, Bound: k.bound,
+		Rejected: f.counts.Unreadable(k.name), Outage: f.outage,
 	}).Run(ctx)
 }
 
+func (f *Front) followConfig(ctx context.Context) {
+	apply := func(batch feed.Batch[route.Config], _ bool) { f.applyConfig(batch) }
+	follow(ctx, f, kind[route.Config]{
+		name: "config", method: "Configs", list: f.opts.Store.ListConfig, watch: f.opts.Store.WatchConfig, copy: f.joined.configs,
+		replace: apply, change: apply, bound: f.opts.Apply,
+	})
+}
+
 // applyConfig puts the newest configuration in force; one that is older than what is in force never comes back.
 func (f *Front) applyConfig(batch feed.Batch[route.Config]) {
 	for _, e := range batch.Entries {
@@ -65,18 +89,10 @@
 }
 
 func (f *Front) followEvacuations(ctx context.Context) {
-	source.New(source.Options[platform.Evacuation]{
-		Clock: f.opts.Clock, Log: f.opts.Log, Name: "evacuations", List: f.opts.Store.ListEvacuations, Watch: f.opts.Store.WatchEvacuations,
-		First: func() []source.Parent[platform.Evacuation] {
-			return first[platform.Evacuation](f.joined, f.opts.Seeds(), "Evacuations")
-		},
-		Settled: f.settled, Wanted: f.startup.Wanted(),
-		Parents: func() ([]source.Parent[platform.Evacuation], bool) {
-			return parents[platform.Evacuation](f.joined, "Evacuations")
-		},
-		Copy: f.joined.evacuations, Replace: f.replaceEvacuations, Change: f.changeEvacuations, Reconnect: f.opts.Store.Reconnect, Bound: f.opts.Evacuate,
-		Rejected: f.counts.Unreadable("evacuations"), Outage: f.outage,
-	}).Run(ctx)
+	follow(ctx, f, kind[platform.Evacuation]{
+		name: "evacuations", method: "Evacuations", list: f.opts.Store.ListEvacuations, watch: f.opts.Store.WatchEvacuations,
+		copy: f.joined.evacuations, replace: f.replaceEvacuations, change: f.changeEvacuations, bound: f.opts.Evacuate,
+	})
 }
 
 func (f *Front) replaceReplicas(batch feed.Batch[platform.Replica], returned bool) {
@@ -85,16 +101,8 @@
 }
 
 func (f *Front) followReplicas(ctx context.Context) {
-	source.New(source.Options[platform.Replica]{
-		Clock: f.opts.Clock, Log: f.opts.Log, Name: "replicas", List: f.opts.Store.ListReplicas, Watch: f.opts.Store.WatchReplicas,
-		First: func() []source.Parent[platform.Replica] {
-			return first[platform.Replica](f.joined, f.opts.Seeds(), "Replicas")
-		},
-		Settled: f.settled, Wanted: f.startup.Wanted(),
-		Parents: func() ([]source.Parent[platform.Replica], bool) {
-			return parents[platform.Replica](f.joined, "Replicas")
-		},
-		Copy: f.joined.replicas, Replace: f.replaceReplicas, Change: f.table.Change, Reconnect: f.opts.Store.Reconnect, Bound: f.opts.Drain,
-		Rejected: f.counts.Unreadable("replicas"), Outage: f.outage,
-	}).Run(ctx)
+	follow(ctx, f, kind[platform.Replica]{
+		name: "replicas", method: "Replicas", list: f.opts.Store.ListReplicas, watch: f.opts.Store.WatchReplicas, copy: f.joined.replicas,
+		replace: f.replaceReplicas, change: f.table.Change, bound: f.opts.Drain,
+	})
 }
--- a/entry/internal/front/metrics.go
+++ b/entry/internal/front/metrics.go
@@ -33,29 +33,22 @@
 	return 0
 }
 
-func (f *Front) configAge() time.Duration {
-	st, _ := f.joined.configs.State()
-	return f.age(st)
-}
+func (f *Front) configAge() time.Duration { return age(f.opts.Clock.Now(), f.joined.configs) }
 
-func (f *Front) replicasAge() time.Duration {
-	st, _ := f.joined.replicas.State()
-	return f.age(st)
-}
+func (f *Front) replicasAge() time.Duration { return age(f.opts.Clock.Now(), f.joined.replicas) }
 
-func (f *Front) evacuationsAge() time.Duration {
-	st, _ := f.joined.evacuations.State()
-	return f.age(st)
-}
+func (f *Front) evacuationsAge() time.Duration { return age(f.opts.Clock.Now(), f.joined.evacuations) }
 
 // never is the age of what was never known.
 const never = -time.Second
 
-func (f *Front) age(st relay.State) time.Duration {
+// age returns how long before now the store was known to hold nothing newer than a copy.
+func age[T any](now time.Time, c *relay.Copy[T]) time.Duration {
+	st, _ := c.State()
 	if st.Confirmed.IsZero() {
 		return never
 	}
-	return f.opts.Clock.Now().Sub(st.Confirmed)
+	return now.Sub(st.Confirmed)
 }
 
 // costsEvery is how often the log says what the host costs: often enough to tell the start of a host from what follows.
--- a/entry/internal/homes/homes.go
+++ b/entry/internal/homes/homes.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"guavaspring.org/core/route"
 	"guavaspring.org/entry/internal/member"
@@ -16,14 +15,12 @@
 	return len(homes) == 0 || slices.Contains(homes, region)
 }
 
-// Of returns the regions in which every route with homes of a host name has one, and false where no route of the name
-// has homes.
-func Of(cfg *route.Config, host string) ([]string, bool) {
+// Of returns the regions in which every one of some routes that has homes has one, and false where none has any.
+func Of(routes []*route.Route) ([]string, bool) {
 	var common []string
 	found := false
-	for i := range cfg.Routes {
-		r := &cfg.Routes[i]
-		if !strings.EqualFold(r.Host, host) || len(r.Homes) == 0 {
+	for _, r := range routes {
+		if len(r.Homes) == 0 {
 			continue
 		}
 		if !found {
--- a/entry/internal/homes/homes_test.go
+++ b/entry/internal/homes/homes_test.go
@@ -40,13 +40,13 @@
 // Two routes of a name have homes, and a third has none. A client may send on any of them, so that it is sent where
 // both may be seen.
 func TestHomesOfAName(t *testing.T) {
-	cfg := &route.Config{Routes: []route.Route{
+	table := route.NewTable(route.Config{Routes: []route.Route{
 		{Host: "a", Homes: []string{"east", "west"}}, {Host: "a", Homes: []string{"west", "north"}}, {Host: "a"}, {Host: "b"},
-	}}
-	got, bound := homes.Of(cfg, "a")
+	}})
+	got, bound := homes.Of(table.Of("a"))
 	qt.Assert(t, got, qt.DeepEquals, []string{"west"})
 	qt.Assert(t, bound, qt.IsTrue)
-	_, bound = homes.Of(cfg, "b")
+	_, bound = homes.Of(table.Of("b"))
 	qt.Assert(t, bound, qt.IsFalse)
 	qt.Assert(t, homes.Allow(nil, "east"), qt.IsTrue)
 	qt.Assert(t, homes.Allow([]string{"west"}, "east"), qt.IsFalse)
