--- a/entry/internal/crossing/crossing.go
+++ b/entry/internal/crossing/crossing.go
@@ -25,10 +25,9 @@
 // Groups returns the parts of a query that are asked through a host in another zone, where zones have hosts that take
 // them and draw is a random number, 0 to 1. A shard that is in none is asked directly.
 //
-// It answers queries over many shards each of which has its replicas in some of the zones: of 90 shards with three
-// replicas in five zones a host has no near one for 36, whose parts crossed the border at 1.4 KB each, half of all that
-// did. A host there gathers them in its own zone, at no more delay than the way there takes anyway, and sends on 50
-// records of 16 bytes.
+// It answers queries over many shards each of which has its replicas in some of the zones: for those without a near one
+// whole parts cross the border. A host there gathers them in its own zone, at no more delay than the way there takes
+// anyway, and sends on the greatest records of all of them.
 func Groups(shards []Shard, zones []string, draw float64) []Group {
 	left := make([]int, 0, len(shards))
 	for i, s := range shards {
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -280,7 +280,7 @@
 //
 // A host that can't serve yet does not name itself. When all hosts have lost power and are back, most of those that are
 // asked know nobody, and are weak: clients that get no address go on with the strong hosts that they knew, and those
-// that got a weak one that had still to read 150 KB of replicas over its slow link were answered late.
+// that got a weak one that had still to read all replicas over its slow link were answered late.
 func (f *Front) addresses(c opaque.Caller) ([]netip.AddrPort, time.Duration, error) {
 	list := addressesOf(f.nearest(c, f.joined.addresses(f.ready() == nil)))
 	if len(list) == 0 {
--- a/entry/internal/peers/server.go
+++ b/entry/internal/peers/server.go
@@ -70,10 +70,9 @@
 // admit takes a connection in, and closes the one that was not used for the longest time where there are too many, so
 // that a broken or hostile host can't exhaust this one's memory.
 //
-// It guards against a large fleet that starts: each of 295 hosts turns to the three that the settings name, by two
-// connections that it then hardly uses. Where newcomers were refused, those three were out of reach for hosts that had
-// work for them until the old ones were two minutes old, and 54 parts of queries of one quiet half minute failed with
-// them.
+// It guards against a large fleet that starts: each host turns to the three that the settings name, by two connections
+// that it then hardly uses. Where newcomers were refused, those three would be out of reach for hosts that have work for
+// them until the old connections end, and parts of queries fail with them.
 func (s *server) admit(c *counted) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/internal/peers/watch.go
+++ b/entry/internal/peers/watch.go
@@ -20,9 +20,8 @@
 // reach.
 //
 // It answers a host or a zone that loses power. Callers are sent to few hosts, and each connection to one that is gone
-// costs its caller a second, which is more than most have. The probes of neighbours find it after one to eight seconds,
-// as each takes its turn, and tell it with probes, so that half of the hosts name it to callers for four seconds, and
-// some for more than eight.
+// costs its caller a second, which is more than most have. The probes of neighbours find it after some seconds, as
+// each takes its turn, and tell it with probes, so that hosts go on naming it to callers for longer than these have.
 func (p *Peers) watchAll(ctx context.Context) {
 	var running sync.WaitGroup
 	p.every(ctx, watchEvery, func() {
--- a/entry/internal/pick/pick.go
+++ b/entry/internal/pick/pick.go
@@ -82,10 +82,10 @@
 // Before reports whether a replica with an estimate goes before another one: the quicker one, and before all others one
 // in the host's own zone that is quick enough.
 //
-// It answers the bytes between zones, which are paid for, and are most of what a page over many shards moves. Where
-// their price was added to the estimate, a request or two under way and the random part of it outweighed the price, and
-// a host with near replicas for three in five shards fetched three parts in four from elsewhere. Where replicas have
-// queues the shortest one goes first: whether a request is answered in time is worth more than the bytes.
+// It answers the bytes between zones, which are paid for, and are most of what a page over many shards moves. A price
+// that is added to the estimate is outweighed by a request or two under way and the random part of it, so that most
+// parts come from elsewhere all the same. Where replicas have queues the shortest one goes first: whether a request is
+// answered in time is worth more than the bytes.
 func (n Need) Before(a Replica, estimate time.Duration, b Replica, other time.Duration) bool {
 	if near := n.nearEnough(a, estimate); near != n.nearEnough(b, other) {
 		return near
--- a/entry/internal/relay/server.go
+++ b/entry/internal/relay/server.go
@@ -24,8 +24,8 @@
 	// Full says that Entries holds all objects, not only those that changed.
 	Full    bool
 	Entries []feed.Entry[T]
-	// Packed holds all objects in place of Entries, until Unpack: 295 hosts that start at once fetched 50 KB each, two
-	// thirds of all that hosts told each other in the first 16 s.
+	// Packed holds all objects in place of Entries, until Unpack: they are most of what hosts tell each other where a
+	// fleet starts at once.
 	Packed []byte
 	// Revision is the store's revision that this brings the asker to.
 	Revision int64
--- a/entry/internal/relay/tree.go
+++ b/entry/internal/relay/tree.go
@@ -19,7 +19,7 @@
 //
 // Each availability zone has a tree of its own. Its first host hears from those that watch, which may be elsewhere, and
 // passes on inside the zone, so that news and what a starting host needs cross a zone's border once and not once for
-// each host: of 295 hosts in five zones that started at once, four in five heard everything, 50 KB, from another zone.
+// each host, also where all start at once.
 //
 // Hosts that disagree on who is a member may ask each other in a ring. None of them then hears anything fresh, and each
 // asks the store itself.
--- a/entry/internal/source/outage.go
+++ b/entry/internal/source/outage.go
@@ -7,12 +7,12 @@
 
 // Outage tells the followers of one host that the store is away, and that it is back.
 //
-// A call that failed says so for all kinds of objects: of 295 hosts that heard nothing fresh in an outage of six
-// seconds, each asked for both kinds every two.
+// A call that failed says so for all kinds of objects: otherwise each host that hears nothing fresh asks for each kind by
+// itself all through an outage.
 //
 // Each kind of object has its own follower, and each leaves the store alone for up to a second after a call that
-// failed. Where the configuration was read at the store's return and named new shards, their replicas were read 0.4 s
-// later, and every page of 84 hosts failed until then.
+// failed. Where the configuration is read at the store's return and names new shards, their replicas would be read later,
+// and every page fail until then.
 type Outage struct {
 	mu   sync.Mutex
 	back chan struct{}
