--- /dev/null
+++ b/core/apikey/key_test.go
@@ -0,0 +1,31 @@
+package apikey_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/apikey"
+)
+
+// Guards against a key that can be read from a log line or from what hosts tell each other.
+func TestDigestDoesNotShowTheKey(t *testing.T) {
+	const text = "rvnzqjynjcfv8nmpby25"
+	key := apikey.Of(text)
+	qt.Assert(t, strings.Contains(fmt.Sprintf("%s %v %x %q", key, key, key[:], key[:]), text), qt.IsFalse)
+	qt.Assert(t, len(key.String()), qt.Equals, 8)
+}
+
+func TestKeysAreToldApart(t *testing.T) {
+	qt.Assert(t, apikey.Of("a"), qt.Equals, apikey.Of("a"))
+	qt.Assert(t, apikey.Of("a"), qt.Not(qt.Equals), apikey.Of("A"))
+	qt.Assert(t, apikey.Of("a").IsZero(), qt.IsFalse)
+}
+
+// Guards against an empty key that counts as one.
+func TestEmptyTextIsNoKey(t *testing.T) {
+	qt.Assert(t, apikey.Of("").IsZero(), qt.IsTrue)
+	qt.Assert(t, apikey.Of("").String(), qt.Equals, "none")
+}
--- a/core/opaque/request.go
+++ b/core/opaque/request.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"guavaspring.org/core/apikey"
 )
 
 // Request is one attempt of a client, whose method, target and body reach a replica unchanged.
@@ -19,6 +21,10 @@
 	// left out.
 	Header http.Header
 	Body   []byte
+	// Key is the digest of the key that the client sent, zero where it sent none that can be read.
+	Key apikey.Key
+	// Customer is whose request it is, as replicas are told; empty where no key was needed.
+	Customer string
 	// Patience is how long the client will wait, zero where it didn't say.
 	Patience time.Duration
 }
@@ -53,6 +59,10 @@
 type Codec struct {
 	// Decode reads a client's request whose body has been read.
 	Decode func(r *http.Request, body []byte) Request
+	// StripKey removes the client's key from the fields that are forwarded.
+	StripKey func(h http.Header)
+	// AskForKey writes into the header of a refusal how a key is sent.
+	AskForKey func(h http.Header)
 	// AppendHead appends the request line and header with which a request is sent to a replica that may use the time
 	// left.
 	AppendHead func(b []byte, r *Request, replica string, left time.Duration) []byte
--- a/core/route/config.go
+++ b/core/route/config.go
@@ -11,6 +11,11 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Keyed says that requests need a customer's key, except on public routes.
+	Keyed     bool
+	Customers []Customer
+	// Unreadable counts the customers that could not be read; nobody has their keys.
+	Unreadable int
 }
 
 // Route says where the requests of a host name and path prefix go.
@@ -38,6 +43,8 @@
 	Shards []string
 	// Homes are the regions in which alone requests may run; none means any.
 	Homes []string
+	// Public requests need no key.
+	Public bool
 	// TopK is how many of the greatest records an answer holds.
 	TopK int
 	// LeastShare is the share of the shards, 0 to 1, below which an answer is no success.
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -5,6 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"guavaspring.org/core/apikey"
 	"guavaspring.org/core/route"
 )
 
@@ -49,3 +50,21 @@
 		qt.Check(t, r.LeastShards(), qt.Equals, test.want, qt.Commentf("%d shards, share %v", test.shards, test.share))
 	}
 }
+
+// Guards against a key that finds another customer, or one that a newer configuration took away.
+func TestCustomerOfAKey(t *testing.T) {
+	table := route.NewTable(route.Config{Keyed: true, Customers: []route.Customer{
+		{Name: "quilts", Keys: []apikey.Key{apikey.Of("k1"), apikey.Of("k2")}},
+		{Name: "boards", Keys: []apikey.Key{apikey.Of("k3"), apikey.Of("k1"), {}}},
+	}})
+	tests := []struct{ key, want string }{{"k1", "quilts"}, {"k2", "quilts"}, {"k3", "boards"}, {"K1", ""}, {"", ""}, {"k4", ""}}
+	for _, test := range tests {
+		got := ""
+		if c := table.Customer(apikey.Of(test.key)); c != nil {
+			got = c.Name
+		}
+		qt.Check(t, got, qt.Equals, test.want, qt.Commentf(test.key))
+	}
+	qt.Assert(t, table.CustomerNamed("boards").Name, qt.Equals, "boards")
+	qt.Assert(t, table.CustomerNamed("k1"), qt.IsNil)
+}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -4,17 +4,24 @@
 	"net"
 	"slices"
 	"strings"
+
+	"guavaspring.org/core/apikey"
 )
 
 // Table finds the route of a request in one version of the configuration.
 type Table struct {
 	config Config
 	hosts  map[string][]*Route
+	keys   map[apikey.Key]*Customer
+	names  map[string]*Customer
 }
 
 // NewTable returns the table of cfg, which must not be changed any more.
 func NewTable(cfg Config) *Table {
-	t := &Table{config: cfg, hosts: map[string][]*Route{}}
+	t := &Table{config: cfg, hosts: map[string][]*Route{}, keys: map[apikey.Key]*Customer{}, names: map[string]*Customer{}}
+	for i := range cfg.Customers {
+		t.add(&cfg.Customers[i])
+	}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
 		name := strings.ToLower(r.Host)
@@ -26,6 +33,24 @@
 	return t
 }
 
+// add lets a customer be found; of two that have a key or a name, it stays with the first.
+func (t *Table) add(c *Customer) {
+	if t.names[c.Name] == nil {
+		t.names[c.Name] = c
+	}
+	for _, key := range c.Keys {
+		if t.keys[key] == nil && !key.IsZero() {
+			t.keys[key] = c
+		}
+	}
+}
+
+// Customer returns the customer that has a key, or nil.
+func (t *Table) Customer(key apikey.Key) *Customer { return t.keys[key] }
+
+// CustomerNamed returns the customer with a name, or nil.
+func (t *Table) CustomerNamed(name string) *Customer { return t.names[name] }
+
 // Config returns the configuration that the table was made of.
 func (t *Table) Config() *Config { return &t.config }
 
--- /dev/null
+++ b/entry/internal/allowance/account.go
@@ -0,0 +1,286 @@
+package allowance
+
+import (
+	"math"
+	"time"
+
+	"guavaspring.org/core/route"
+	"guavaspring.org/entry/internal/bucket"
+	"guavaspring.org/entry/internal/member"
+)
+
+const (
+	// loanFor is how long what a keeper granted beyond one request is good for.
+	loanFor = 200 * time.Millisecond
+	// refusedFor is how long the keeper's refusal is taken as its answer to the requests that follow.
+	refusedFor = 50 * time.Millisecond
+	// demandOver is over how long the requests of a customer are averaged.
+	demandOver = time.Second
+	// advanceAgain is how long a bucket gets no more tokens in advance after it got some.
+	advanceAgain = 10 * time.Second
+	// mostLoan is the most tokens of one loan.
+	mostLoan = 1 << 16
+)
+
+// account is what one host knows of a customer's limit.
+type account struct {
+	// pool is the bucket that this host keeps as the customer's keeper or deputy, and parts are the parts in it. An idle
+	// pool, which no host has asked for, belongs to a deputy or to a keeper of a moment ago.
+	pool     *bucket.Bucket
+	pooledAt time.Time
+	parts    partners
+	// keeperSince is when this host became the customer's keeper; zero means that it isn't.
+	keeperSince time.Time
+	// advancedAt is when the pool last got tokens in advance.
+	advancedAt time.Time
+	// own is the bucket of this host's own part, for the time in which it reaches nobody.
+	own reserve
+	// lender has this host's part until lentUntil.
+	lender    string
+	lentUntil time.Time
+	// loan tokens are good until loanEnd.
+	loan    int
+	loanEnd time.Time
+	// refusedUntil is how long the lender's refusal counts, comeBack when a client that it concerns should come back,
+	// and refused counts those since.
+	refusedUntil, comeBack time.Time
+	refused                int
+	// asking counts the requests that wait for an answer of another host.
+	asking int
+	// demand is how many requests a second came lately, as of demandAt.
+	demand   float64
+	demandAt time.Time
+}
+
+// count notes a request.
+func (a *account) count(now time.Time) {
+	if !a.demandAt.IsZero() {
+		a.demand *= math.Exp(-now.Sub(a.demandAt).Seconds() / demandOver.Seconds())
+	}
+	a.demand += 1 / demandOver.Seconds()
+	a.demandAt = now
+}
+
+// want returns how many tokens to ask for: one, and what will be used before a loan ends, unless another request asks
+// for that.
+func (a *account) want() int {
+	if a.asking > 0 {
+		return 1
+	}
+	return min(mostLoan, max(1, int(a.demand*loanFor.Seconds())))
+}
+
+// borrow takes a token of a loan.
+func (a *account) borrow(now time.Time) bool {
+	if a.loan == 0 || !now.Before(a.loanEnd) {
+		return false
+	}
+	a.loan--
+	return true
+}
+
+// free returns how long this host's part still belongs to another lender than one with an id.
+func (a *account) free(now time.Time, lender string) time.Duration {
+	if a.lender == lender {
+		return 0
+	}
+	return max(0, a.lentUntil.Sub(now))
+}
+
+// lend notes that a lender has this host's part from now on, for as long as it is asked.
+func (a *account) lend(now time.Time, lender string) {
+	a.lender, a.lentUntil = lender, now.Add(partFor)
+	a.own.pause(now)
+}
+
+// granted takes over what a lender granted for a request and those that follow it.
+func (a *account) granted(now time.Time, tokens int) {
+	if !now.Before(a.loanEnd) {
+		a.loan = 0
+	}
+	a.loan += tokens - 1
+	a.loanEnd = now.Add(loanFor)
+}
+
+// refusal takes over a lender's refusal.
+func (a *account) refusal(now time.Time, after time.Duration) {
+	a.refusedUntil = now.Add(min(after, refusedFor))
+	a.comeBack = now.Add(after)
+}
+
+// untold returns how many requests were refused since the lender was told last.
+func (a *account) untold() int {
+	n := a.refused
+	a.refused = 0
+	return n
+}
+
+// keep brings the bucket up to date that this host keeps as the customer's keeper, with the parts of all serving hosts
+// but of those that seem to have gone elsewhere.
+func (a *account) keep(now time.Time, c *route.Customer, f *fleet, slack float64) *bucket.Bucket {
+	if now.Sub(a.keeperSince) <= provenFor {
+		return a.stand(now, c, f, slack)
+	}
+	share := float64(a.parts.brought(now)+a.parts.idle(now, f.proven)) / f.parts()
+	rate, depth := c.PerSecond*share, c.Burst*float64(len(f.serving))/f.parts()+spare*slack
+	if a.pool == nil {
+		a.pool = bucket.New(now, rate, depth, spare*slack+rate*(now.Sub(a.keeperSince)-provenFor).Seconds())
+	}
+	a.pool.Set(now, rate, depth)
+	a.pooledAt = now
+	return a.pool
+}
+
+// stand brings the bucket up to date that this host keeps as the customer's deputy, or as its keeper since a moment ago.
+// It has the parts that were brought to it, as those of other hosts may be with another one, and so much besides that
+// the customer stays within what may run over its limit until all hosts know who its keeper is.
+func (a *account) stand(now time.Time, c *route.Customer, f *fleet, slack float64) *bucket.Bucket {
+	if a.pool == nil {
+		a.pool = bucket.New(now, 0, 0, 0)
+	}
+	if now.Sub(a.pooledAt) > partFor {
+		a.pool.Resume(now)
+	}
+	rate := c.PerSecond * float64(a.parts.brought(now)) / f.parts()
+	unsure := c.PerSecond * float64(a.parts.idle(now, f.proven)) / f.parts()
+	rate += min(unsure, bridge*slack/provenFor.Seconds())
+	a.pool.Set(now, rate, c.Burst*float64(len(f.serving))/f.parts()+spare*slack)
+	a.pooledAt = now
+	if slack > 0 && (a.advancedAt.IsZero() || now.Sub(a.advancedAt) > advanceAgain) {
+		a.pool.Add(spare * slack)
+		a.advancedAt = now
+	}
+	return a.pool
+}
+
+// assign notes whether this host is the customer's keeper from now on.
+func (a *account) assign(now time.Time, keeper bool) {
+	switch {
+	case !keeper && !a.keeperSince.IsZero():
+		a.keeperSince = time.Time{}
+		if a.pool != nil {
+			// What comes from now on is given out by another host.
+			a.pool.Set(now, 0, math.Inf(1))
+		}
+	case keeper && a.keeperSince.IsZero():
+		a.keeperSince = now
+	}
+}
+
+// alone brings the bucket of this host's own part up to date, which it has once no lender has it any more.
+func (a *account) alone(now time.Time, c *route.Customer, share, advance float64) *bucket.Bucket {
+	if now.Before(a.lentUntil) {
+		share = 0
+	}
+	return a.own.at(now, c.PerSecond*share, max(1, c.Burst*share), advance)
+}
+
+// reserve is a bucket that is used at times, and gets tokens only while it is.
+type reserve struct {
+	bucket *bucket.Bucket
+	// usedAt is when it was used last, and advancedAt when it last got tokens in advance.
+	usedAt, advancedAt time.Time
+}
+
+// at brings the bucket up to date. What came while it was not used was given out by somebody else.
+func (r *reserve) at(now time.Time, rate, depth, advance float64) *bucket.Bucket {
+	switch {
+	case r.bucket == nil:
+		r.bucket = bucket.New(now, rate, depth, 0)
+	case now.Sub(r.usedAt) > partFor:
+		r.bucket.Resume(now)
+	}
+	r.bucket.Set(now, rate, depth)
+	r.usedAt = now
+	if advance > 0 && (r.advancedAt.IsZero() || now.Sub(r.advancedAt) > advanceAgain) {
+		r.bucket.Add(advance)
+		r.advancedAt = now
+	}
+	return r.bucket
+}
+
+// pause stops the bucket until it is used again.
+func (r *reserve) pause(now time.Time) {
+	if r.bucket != nil {
+		r.bucket.Fill(now)
+		r.usedAt = time.Time{}
+	}
+}
+
+// partners are the hosts that brought their parts of a customer's limit to this one, by id.
+type partners map[string]*partner
+
+// partner is one of them.
+type partner struct {
+	// from is when its part is free to be used here, and last when it asked last.
+	from, last time.Time
+	// gap is the usual time between what it asks, over calls requests.
+	gap   time.Duration
+	calls int
+}
+
+const (
+	// partFor is how long the part of a host that asked for tokens belongs to the one that was asked. Both go by it: the
+	// one does not use its part elsewhere meanwhile, the other not for longer.
+	partFor = 500 * time.Millisecond
+	// regularGap and regularCalls are within which time, and after how many times, a host asks as it does with requests
+	// that come all the time.
+	regularGap, regularCalls = partFor / 2, 4
+	// silentGaps is how many times its usual gap such a host is silent before it counts as gone.
+	silentGaps = 3
+	// forgetPartner is how long after its last word it is remembered that a host asked regularly.
+	forgetPartner = 10 * time.Second
+)
+
+// ask notes that a host asks, whose part is free in a while.
+func (p partners) ask(now time.Time, id string, free time.Duration) {
+	h := p[id]
+	if h == nil || now.Sub(h.last) > forgetPartner {
+		h = &partner{last: now, from: now.Add(free)}
+		p[id] = h
+	}
+	if now.Sub(h.last) > partFor {
+		h.calls, h.gap = 0, 0
+		h.from = now.Add(free)
+	}
+	h.calls++
+	h.gap += (now.Sub(h.last) - h.gap) / time.Duration(min(h.calls, 2*regularCalls))
+	h.last = now
+}
+
+// brought returns how many parts were brought and may be used now.
+func (p partners) brought(now time.Time) int {
+	n := 0
+	for id, h := range p {
+		switch {
+		case now.Sub(h.last) > forgetPartner:
+			delete(p, id)
+		case h.here(now):
+			n++
+		}
+	}
+	return n
+}
+
+// idle returns how many of the serving hosts have nothing to ask for, so that their parts are unused. One that asked
+// all the time and fell silent is not idle: it may be cut off, and use its part for the requests that still come to it.
+func (p partners) idle(now time.Time, serving []member.Host) int {
+	n := 0
+	for i := range serving {
+		h := p[serving[i].ID]
+		if h == nil || !h.here(now) && !h.gone(now) && now.Sub(h.last) > partFor {
+			n++
+		}
+	}
+	return n
+}
+
+// here reports whether a part may be used here.
+func (h *partner) here(now time.Time) bool {
+	return !now.Before(h.from) && now.Sub(h.last) <= partFor
+}
+
+// gone reports whether the host asked all the time and fell silent.
+func (h *partner) gone(now time.Time) bool {
+	return h.calls >= regularCalls && h.gap < regularGap && now.Sub(h.last) > silentGaps*h.gap
+}
--- /dev/null
+++ b/entry/internal/allowance/model_test.go
@@ -0,0 +1,398 @@
+package allowance_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/route"
+	"guavaspring.org/entry/internal/allowance"
+	"guavaspring.org/entry/internal/bucket"
+	"guavaspring.org/entry/internal/member"
+)
+
+// The promise to customers: in any window no more than the rate times the window and the burst, a tenth and slack more.
+const (
+	window = 5 * time.Second
+	excess = 0.1
+	slack  = 20
+)
+
+// model is a fleet whose hosts hear of each other's losses late, and customers whose clients come to any serving host.
+type model struct {
+	t         *testing.T
+	rnd       *rand.Rand
+	hosts     []*modelHost
+	customers []*modelCustomer
+	byName    map[string]*modelCustomer
+	byID      map[string]*modelHost
+	// changed is when a host changed last, and up holds those that run.
+	changed time.Time
+	up      []*modelHost
+}
+
+type modelHost struct {
+	m      *model
+	n      int
+	row    member.Host
+	ledger *allowance.Ledger
+	// down and cut say that the host doesn't run, or that it and the others don't reach each other.
+	down, cut bool
+	began     time.Time
+	// changed is when down or cut changed last, and delay how long this host needs to hear of a change.
+	changed time.Time
+	delay   time.Duration
+	known   []bool
+	serving []member.Host
+}
+
+type modelCustomer struct {
+	route.Customer
+	// usual is how many requests a second come, and times by how much more now.
+	usual, times float64
+	// fair is what the limit allows on one host that gets all requests.
+	fair *bucket.Bucket
+	ran  []time.Time
+	// allowed counts the requests that fair lets in, and refused those of them that the fleet did not.
+	allowed, refused int
+}
+
+func newModel(t *testing.T, serving, customers int, seed uint64) *model {
+	m := &model{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), byName: map[string]*modelCustomer{}, byID: map[string]*modelHost{}}
+	for n := range serving {
+		m.hosts = append(m.hosts, m.newHost(n))
+	}
+	const perHost, skew = 20.0, 1.2
+	sum := 0.0
+	for n := range customers {
+		sum += math.Pow(float64(n+1), -skew)
+	}
+	for n := range customers {
+		usual := perHost * float64(serving) * math.Pow(float64(n+1), -skew) / sum
+		// A limit is one and a half times the usual, in whole numbers.
+		limit := math.Ceil(1.5 * usual)
+		c := &modelCustomer{Customer: route.Customer{Name: fmt.Sprint("customer-", n), PerSecond: limit, Burst: limit}, usual: usual, times: 1}
+		c.fair = bucket.New(time.Now(), limit, limit, limit)
+		m.customers = append(m.customers, c)
+		m.byName[c.Name] = c
+	}
+	m.look()
+	// All have known each other for a while.
+	time.Sleep(10 * time.Second)
+	return m
+}
+
+func (m *model) newHost(n int) *modelHost {
+	h := &modelHost{m: m, n: n, began: time.Now().Add(-time.Minute), delay: time.Duration(500+m.rnd.IntN(1500)) * time.Millisecond}
+	h.start("first")
+	h.began = time.Now().Add(-time.Minute)
+	return h
+}
+
+// start begins a new process on the host.
+func (h *modelHost) start(incarnation string) {
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(h.n >> 16), byte(h.n >> 8), byte(h.n)}), 7000)
+	delete(h.m.byID, h.row.ID)
+	h.row = member.Host{ID: fmt.Sprint(h.n, "-", incarnation), Peer: addr, State: member.StateAlive}
+	h.m.byID[h.row.ID] = h
+	h.began = time.Now()
+	h.known, h.serving = nil, nil
+	h.ledger = allowance.New(allowance.Options{
+		Clock: clock.System{}, Slack: slack, Excess: excess, View: h.view, Customer: h.m.customer,
+		Ask: func(_ context.Context, keeper member.Host, args allowance.Args) (allowance.Reply, error) {
+			return h.ask(keeper, args)
+		},
+	})
+}
+
+func (m *model) customer(name string) *route.Customer {
+	return &m.byName[name].Customer
+}
+
+const settled = 1500 * time.Millisecond
+
+func (h *modelHost) view() allowance.View {
+	return allowance.View{Self: h.row.ID, Serving: h.serving, Settled: time.Since(h.began) >= settled}
+}
+
+var errUnreached = errors.New("no connection")
+
+func (h *modelHost) ask(keeper member.Host, args allowance.Args) (allowance.Reply, error) {
+	other := h.m.byID[keeper.ID]
+	if other == nil || other.down || other.cut || h.cut {
+		return allowance.Reply{}, errUnreached
+	}
+	var rep allowance.Reply
+	err := other.ledger.Lend(&args, &rep)
+	return rep, err
+}
+
+// look lets every host hear of the changes that are old enough for it.
+func (m *model) look() {
+	m.up = nil
+	for _, h := range m.hosts {
+		if h.changed.After(m.changed) {
+			m.changed = h.changed
+		}
+		if !h.down {
+			m.up = append(m.up, h)
+		}
+	}
+	if m.hosts[0].known != nil && time.Since(m.changed) > slowestNews {
+		return
+	}
+	for _, h := range m.up {
+		h.look()
+		h.ledger.Look()
+	}
+}
+
+const (
+	// slowestNews is how long the last host needs to hear of a change.
+	slowestNews = 2500 * time.Millisecond
+	// lookEvery is how often hosts hear of changes.
+	lookEvery = 100 * time.Millisecond
+)
+
+func (h *modelHost) look() {
+	known := make([]bool, len(h.m.hosts))
+	var list []member.Host
+	for i, other := range h.m.hosts {
+		alive := other == h || !other.down && !other.cut && !h.cut
+		if late := time.Since(other.changed) < h.delay || time.Since(h.changed) < h.delay; late && h.known != nil && i < len(h.known) {
+			alive = h.known[i]
+		}
+		known[i] = alive
+		if alive {
+			list = append(list, other.row)
+		}
+	}
+	h.known = known
+	if !sameRows(list, h.serving) {
+		h.serving = list
+	}
+}
+
+func sameRows(a, b []member.Host) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].ID != b[i].ID {
+			return false
+		}
+	}
+	return true
+}
+
+// run plays requests for a while.
+func (m *model) run(d time.Duration) {
+	const step = 10 * time.Millisecond
+	looked := time.Time{}
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(step) {
+		if time.Since(looked) >= lookEvery {
+			looked = time.Now()
+			m.look()
+		}
+		for _, c := range m.customers {
+			for range m.poisson(c.usual * c.times * step.Seconds()) {
+				m.request(c)
+			}
+		}
+	}
+}
+
+func (m *model) poisson(mean float64) int {
+	n := 0
+	for limit, p := math.Exp(-mean), m.rnd.Float64(); p > limit; p *= m.rnd.Float64() {
+		n++
+	}
+	return n
+}
+
+func (m *model) request(c *modelCustomer) {
+	d := m.up[m.rnd.IntN(len(m.up))].ledger.Take(context.Background(), allowance.Request{Customer: &c.Customer, Deadline: time.Now().Add(time.Second)})
+	now := time.Now()
+	if d.Admitted {
+		c.ran = append(c.ran, now)
+	}
+	if c.fair.Take(now, 1) == 1 {
+		c.allowed++
+		if !d.Admitted {
+			c.refused++
+		}
+	}
+}
+
+// refused returns the share of the requests within the limits that were refused since the last call.
+func (m *model) refused() float64 {
+	allowed, refused := 0, 0
+	for _, c := range m.customers {
+		allowed, refused = allowed+c.allowed, refused+c.refused
+		c.allowed, c.refused = 0, 0
+	}
+	return float64(refused) / float64(max(1, allowed))
+}
+
+// check holds every window of every customer against its limit.
+func (m *model) check() {
+	m.t.Helper()
+	worst := 0.0
+	for _, c := range m.customers {
+		most := c.most()
+		limit := c.PerSecond*window.Seconds() + c.Burst
+		room := excess*limit + slack
+		worst = max(worst, (float64(most)-limit)/room)
+		if float64(most) > limit+room {
+			m.t.Errorf("%s: %d requests ran in a window of %v; at most %.0f may", c.Name, most, window, limit+room)
+		}
+	}
+	m.t.Logf("of what may run over a limit, %.2f was used at most", worst)
+}
+
+// most returns the most requests that ran in any window.
+func (c *modelCustomer) most() int {
+	first, most := 0, 0
+	for i, at := range c.ran {
+		for at.Sub(c.ran[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// few returns a share of the hosts, at least one.
+func (m *model) few(share float64) []*modelHost {
+	list := make([]*modelHost, 0, len(m.hosts))
+	for _, i := range m.rnd.Perm(len(m.hosts))[:max(1, int(share*float64(len(m.hosts))))] {
+		list = append(list, m.hosts[i])
+	}
+	return list
+}
+
+var sizes = []struct {
+	// serving is how many hosts clients are sent to, of fleets of 6, 73, 295, 985 and 5,600.
+	serving, customers int
+}{{6, 82}, {15, 82}, {50, 300}}
+
+// sized runs a scene on fleets of several sizes.
+func sized(t *testing.T, scene func(t *testing.T, m *model)) {
+	for _, size := range sizes {
+		t.Run(fmt.Sprint(size.serving, "_hosts"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				scene(t, newModel(t, size.serving, size.customers, uint64(size.serving)))
+			})
+		})
+	}
+}
+
+// Guards against customers within their limits that are refused since their clients come to different hosts.
+func TestWithinTheLimitIsServed(t *testing.T) {
+	sized(t, func(t *testing.T, m *model) {
+		m.run(10 * time.Second)
+		m.check()
+		got := m.refused()
+		t.Logf("refused within the limits: %.4f", got)
+		qt.Assert(t, got <= 0.01, qt.IsTrue, qt.Commentf("%.4f", got))
+	})
+}
+
+// Guards against a customer that sends many times its limit to all hosts and gets more than its limit.
+func TestFarBeyondTheLimit(t *testing.T) {
+	sized(t, func(t *testing.T, m *model) {
+		for _, times := range []float64{7, 25} {
+			for _, c := range m.customers[:3] {
+				c.times = times
+			}
+			m.run(8 * time.Second)
+		}
+		m.check()
+		hot := m.customers[0]
+		qt.Assert(t, float64(len(hot.ran)) >= 0.95*(16*hot.PerSecond), qt.IsTrue, qt.Commentf("%d ran of %.0f", len(hot.ran), 16*hot.PerSecond))
+	})
+}
+
+// Guards against hosts that are cut off from each other and give out the limit on both sides of the cut.
+func TestCutHostsKeepToTheirParts(t *testing.T) {
+	sized(t, func(t *testing.T, m *model) {
+		for _, c := range m.customers[:3] {
+			c.times = 7
+		}
+		m.run(3 * time.Second)
+		cut := m.few(0.34)
+		for range 3 {
+			for _, h := range cut {
+				h.cut, h.changed = !h.cut, time.Now()
+			}
+			m.run(6 * time.Second)
+		}
+		m.check()
+	})
+}
+
+// Guards against buckets that are full again whenever another host takes them over.
+func TestReplacedHosts(t *testing.T) {
+	sized(t, func(t *testing.T, m *model) {
+		m.run(5 * time.Second)
+		m.refused()
+		for range 3 {
+			gone := m.few(0.2)
+			for _, h := range gone {
+				h.down, h.changed = true, time.Now()
+			}
+			m.run(2 * time.Second)
+			for _, h := range gone {
+				h.down, h.changed = false, time.Now()
+				h.start(fmt.Sprint("later-", time.Now().UnixNano()))
+			}
+			m.run(3 * time.Second)
+		}
+		m.check()
+		got := m.refused()
+		t.Logf("refused within the limits while a fifth of the hosts is replaced: %.4f", got)
+		qt.Assert(t, got <= 0.05, qt.IsTrue, qt.Commentf("%.4f", got))
+	})
+}
+
+// Guards against a fleet whose hosts all start at once, know nobody, and each give out the limit.
+func TestAllHostsStartAtOnce(t *testing.T) {
+	sized(t, func(t *testing.T, m *model) {
+		for _, c := range m.customers {
+			c.times = 7
+		}
+		m.run(3 * time.Second)
+		for range 2 {
+			for _, h := range m.hosts {
+				h.changed = time.Now()
+				h.start(fmt.Sprint("later-", time.Now().UnixNano()))
+			}
+			m.run(6 * time.Second)
+		}
+		m.check()
+	})
+}
+
+// Guards against a lower limit that takes longer than its window to bind.
+func TestLowerLimit(t *testing.T) {
+	sized(t, func(t *testing.T, m *model) {
+		hot := m.customers[0]
+		hot.times = 7
+		m.run(6 * time.Second)
+		hot.PerSecond /= 4
+		hot.Burst /= 4
+		m.run(window)
+		hot.ran = nil
+		m.run(window)
+		m.check()
+	})
+}
--- /dev/null
+++ b/entry/internal/allowance/view.go
@@ -0,0 +1,183 @@
+package allowance
+
+import (
+	"net/netip"
+	"time"
+
+	"guavaspring.org/entry/internal/member"
+)
+
+const (
+	// rememberFor is how long a host that has vanished keeps its part of every limit: it may be cut off and go on. Hosts
+	// that are gone for good are replaced within a minute.
+	rememberFor = time.Minute
+	// noteEvery is how often it is noted which hosts serve.
+	noteEvery = time.Second
+	// provenFor is how long a host is known before it keeps buckets: one that has just started doesn't know the others,
+	// and what it would keep is in good hands.
+	provenFor = 2 * time.Second
+	// mostKeepers is how many hosts keep buckets, so that each host has connections to few.
+	mostKeepers = 16
+	// keepers is the purpose by which the hosts are ranked that keep buckets.
+	keepers = "allowance keepers"
+)
+
+// View is what a host knows of the others.
+type View struct {
+	// Self is the id of the host itself.
+	Self string
+	// Serving are the hosts that clients are sent to and that are not suspected; the slice is replaced as a whole when
+	// one of them changes.
+	Serving []member.Host
+	// Settled says that the host has had the time to meet the others.
+	Settled bool
+	// Leaving says that the host stops, and that others take over what it keeps.
+	Leaving bool
+}
+
+// fleet is what follows from the serving hosts: who keeps which customer's bucket, and how many parts a limit has.
+type fleet struct {
+	// serving are the hosts of the newest view, and since is when the keepers became what they are.
+	serving []member.Host
+	since   time.Time
+	// self is this host.
+	self string
+	// keepers are those that keep buckets, and ranked what was worked out for each customer.
+	keepers []member.Host
+	ranked  map[string]ranking
+	// proven are the serving hosts that are known for long enough, met holds when each serving host was first seen, by id, and provenAt when the next of them is proven; zero means
+	// that all are.
+	proven   []member.Host
+	met      map[string]time.Time
+	provenAt time.Time
+	// seen holds when each serving host was seen last, by address, as of noted.
+	seen  map[netip.AddrPort]time.Time
+	noted time.Time
+}
+
+// ranking is what follows from the serving hosts for one customer.
+type ranking struct {
+	// keeper keeps the customer's bucket, and deputy is asked by those that don't reach it, empty where there is none.
+	keeper, deputy string
+	// place is that of this host among the serving ones, or their number where it isn't one of them.
+	place int
+}
+
+func newFleet() fleet {
+	return fleet{met: map[string]time.Time{}, seen: map[netip.AddrPort]time.Time{}}
+}
+
+// update takes over a view and reports whether the keepers may have changed.
+func (f *fleet) update(now time.Time, v View) bool {
+	changed := !same(f.serving, v.Serving)
+	if changed || now.Sub(f.noted) > noteEvery {
+		f.note(now, v.Serving)
+	}
+	if !changed && (f.provenAt.IsZero() || now.Before(f.provenAt)) {
+		return false
+	}
+	f.self, f.serving, f.since, f.ranked = v.Self, v.Serving, now, map[string]ranking{}
+	f.meet(now, v)
+	f.prove(now)
+	f.keepers = member.Ranked(f.proven, keepers)
+	f.keepers = f.keepers[:min(mostKeepers, len(f.keepers))]
+	return true
+}
+
+// same reports whether two lists name the same hosts.
+func same(a, b []member.Host) bool {
+	if len(a) != len(b) || len(a) == 0 || &a[0] == &b[0] {
+		return len(a) == len(b)
+	}
+	for i := range a {
+		if a[i].ID != b[i].ID {
+			return false
+		}
+	}
+	return true
+}
+
+// note remembers which hosts serve now, and forgets those that have not for a while.
+func (f *fleet) note(now time.Time, serving []member.Host) {
+	f.noted = now
+	for _, h := range serving {
+		f.seen[h.Peer] = now
+	}
+	for addr, at := range f.seen {
+		if now.Sub(at) > rememberFor {
+			delete(f.seen, addr)
+		}
+	}
+}
+
+// meet notes when the hosts were first seen. A host that has just started itself, or looks for the first time, can't
+// tell who has, and takes all as proven.
+func (f *fleet) meet(now time.Time, v View) {
+	before := f.met
+	f.met = make(map[string]time.Time, len(f.serving))
+	for _, h := range f.serving {
+		at, known := before[h.ID]
+		switch {
+		case known:
+		case !v.Settled, len(before) == 0:
+			at = now.Add(-provenFor)
+		default:
+			at = now
+		}
+		f.met[h.ID] = at
+	}
+}
+
+// prove finds the serving hosts that are known for long enough.
+func (f *fleet) prove(now time.Time) {
+	f.proven, f.provenAt = nil, time.Time{}
+	for _, h := range f.serving {
+		at := f.met[h.ID].Add(provenFor)
+		if !now.Before(at) {
+			f.proven = append(f.proven, h)
+			continue
+		}
+		if f.provenAt.IsZero() || at.Before(f.provenAt) {
+			f.provenAt = at
+		}
+	}
+}
+
+// of returns what follows for a customer.
+func (f *fleet) of(customer string) ranking {
+	r, ok := f.ranked[customer]
+	if ok {
+		return r
+	}
+	r.place = len(f.serving)
+	for i, h := range member.Ranked(f.serving, customer) {
+		if h.ID == f.self {
+			r.place = i
+		}
+	}
+	list := member.Ranked(f.keepers, customer)
+	if len(list) > 0 {
+		r.keeper = list[0].ID
+	}
+	if len(list) > 1 {
+		r.deputy = list[1].ID
+	}
+	f.ranked[customer] = r
+	return r
+}
+
+// keeps reports whether this host is a customer's keeper.
+func (f *fleet) keeps(customer string) bool { return f.self != "" && f.of(customer).keeper == f.self }
+
+// host returns the serving host with an id.
+func (f *fleet) host(id string) member.Host {
+	for _, h := range f.keepers {
+		if h.ID == id {
+			return h
+		}
+	}
+	return member.Host{}
+}
+
+// parts returns into how many parts a limit is cut: one for each host that serves, or did a moment ago.
+func (f *fleet) parts() float64 { return float64(max(1, len(f.seen))) }
--- a/entry/internal/forward/answers_test.go
+++ b/entry/internal/forward/answers_test.go
@@ -36,7 +36,7 @@
 	config := route.NewTable(route.Config{Version: 1, Routes: routes})
 	return New(Options{
 		Clock: clock.System{}, Log: logr.Discard(), Codec: &codec, Table: table, Config: func() *route.Table { return config }, Quarantine: q,
-		Runner: scatter.New(scatter.Options{Clock: clock.System{}, Share: share, Quarantine: q}), Ended: func(*requestlog.Entry) {}, Refused: func(requestlog.Cause) {},
+		Runner: scatter.New(scatter.Options{Clock: clock.System{}, Share: share, Quarantine: q}), Ended: func(*requestlog.Entry) {}, Refused: func(requestlog.Refusal) {},
 		Requests: requestlog.New(requestlog.Options{Clock: clock.System{}, Log: logr.Discard()}),
 	})
 }
--- a/entry/internal/forward/forwarder.go
+++ b/entry/internal/forward/forwarder.go
@@ -12,13 +12,16 @@
 
 	"github.com/go-logr/logr"
 
+	"guavaspring.org/core/apikey"
 	"guavaspring.org/core/clock"
 	"guavaspring.org/core/opaque"
 	"guavaspring.org/core/route"
 	"guavaspring.org/core/upstream"
+	"guavaspring.org/entry/internal/allowance"
 	"guavaspring.org/entry/internal/endpoints"
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/exchange"
+	"guavaspring.org/entry/internal/homes"
 	"guavaspring.org/entry/internal/learned"
 	"guavaspring.org/entry/internal/quarantine"
 	"guavaspring.org/entry/internal/records"
@@ -36,6 +39,8 @@
 	// retryShed is when to come back where replicas were full or their connections taken: a few replies later there is
 	// room.
 	retryShed = 100 * time.Millisecond
+	// cameBefore is how much less than usual a client waits that was refused before: it took the way there and back.
+	cameBefore = 5 * time.Millisecond
 	// defaultTimeout is how long a request may take where neither the client nor the route says.
 	defaultTimeout = 10 * time.Second
 )
@@ -49,6 +54,14 @@
 	largeHeader = "the header is over the limit"
 	// crashes is why a request is refused that took replicas down, whoever sent it.
 	crashes = "the request is quarantined: replicas crashed under it"
+	// unknownKey is why a request is refused whose key is missing or no customer has.
+	unknownKey = "no customer has the key"
+	// overAllowance is why a request is refused whose customer has had all that it may.
+	overAllowance = "the customer's allowance is used up"
+	// noKeeper is why a request is refused while it can't be told whether its customer has had all that it may.
+	noKeeper = "the customer's allowance can't be checked now"
+	// noHome is why a request is refused whose route and customer have homes in different regions.
+	noHome = "no region is a home of both the route and the customer"
 )
 
 // Options configures a Forwarder.
@@ -65,6 +78,8 @@
 	Runner *scatter.Runner
 	// Quarantine holds the requests that crash replicas.
 	Quarantine *quarantine.Quarantine
+	// Allowance decides whether a request is within its customer's limit; nil means that no customer has one.
+	Allowance func(ctx context.Context, req allowance.Request) allowance.Decision
 	// Await waits at the start of a host until it knows the configuration and the replicas, and reports whether it
 	// does; nil means that nothing is waited for.
 	Await func(ctx context.Context) bool
@@ -74,7 +89,7 @@
 	// is written.
 	Ended func(e *requestlog.Entry)
 	// Refused is told of each request that was refused before it was sent anywhere.
-	Refused func(cause requestlog.Cause)
+	Refused func(r requestlog.Refusal)
 }
 
 // Forwarder is the HTTP handler of clients' requests.
@@ -92,6 +107,11 @@
 	if opts.Known == nil {
 		opts.Known = func() bool { return opts.Config() != nil && opts.Table.Known() }
 	}
+	if opts.Allowance == nil {
+		opts.Allowance = func(context.Context, allowance.Request) allowance.Decision {
+			return allowance.Decision{Admitted: true, Source: allowance.SourceUnlimited}
+		}
+	}
 	return &Forwarder{opts: opts}
 }
 
@@ -102,44 +122,104 @@
 		f.turnAway(w, r, refusal{status: http.StatusServiceUnavailable, after: retryUnknown, cause: requestlog.CauseUnknown, why: unknown})
 		return
 	}
+	q, ref := f.query(r, arrived)
+	if ref != nil {
+		f.turnAway(w, r, *ref)
+		return
+	}
+	f.opts.Requests.Admitted(q)
+	rep := f.opts.Runner.Run(r.Context(), *q)
+	e := requestlog.Entry{Query: q, Report: &rep, ConfigVersion: q.Version}
+	e.Status = f.answer(w, q.Route, &rep)
+	e.Took = f.opts.Clock.Now().Sub(arrived)
+	f.opts.Ended(&e)
+	f.opts.Requests.Write(&e)
+}
+
+// query reads a request and decides whether it may run, or returns how it is refused. What its header alone decides is
+// decided before the body is read.
+func (f *Forwarder) query(r *http.Request, arrived time.Time) (*scatter.Query, *refusal) {
 	table := f.opts.Config()
 	limits := table.Config().Limits
 	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
-		f.turnAway(w, r, refusal{status: http.StatusRequestHeaderFieldsTooLarge, cause: requestlog.CauseHeader, why: largeHeader})
-		return
+		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, cause: requestlog.CauseHeader, why: largeHeader}
+	}
+	req := f.opts.Codec.Decode(r, nil)
+	rt := table.Find(req.Host, req.Path)
+	var customer *route.Customer
+	if rt != nil {
+		var ref *refusal
+		if customer, ref = f.authenticate(table, rt, &req); ref != nil {
+			return nil, ref
+		}
 	}
 	body, err := readBody(r, limits.BodyBytes)
 	if err != nil {
-		f.badBody(w, r, err)
-		return
+		return nil, badBody(err)
 	}
-	req := f.opts.Codec.Decode(r, body)
-	rt := table.Find(req.Host, req.Path)
+	req.Body = body
 	if rt == nil {
-		f.turnAway(w, r, refusal{
+		return nil, &refusal{
 			status: http.StatusNotFound, cause: requestlog.CauseNoRoute, why: noRoute, detail: "version " + strconv.FormatInt(table.Config().Version, 10),
-		})
-		return
+		}
 	}
-	fp := quarantine.Fingerprint(req.Host, []byte(req.Method), []byte(req.Target), req.Body)
-	verdict := f.opts.Quarantine.Check(fp)
+	q := &scatter.Query{Request: &req, Route: rt, Learned: f.learnedOf(rt), Arrived: arrived, Deadline: deadline(arrived, &req, rt), Version: table.Config().Version}
+	if ref := f.admit(r.Context(), q, customer); ref != nil {
+		return nil, ref
+	}
+	q.Shards = f.shards(rt)
+	return q, nil
+}
+
+// authenticate finds out whose request it is, or returns why it is refused. The key goes no further than here.
+func (f *Forwarder) authenticate(table *route.Table, rt *route.Route, req *opaque.Request) (*route.Customer, *refusal) {
+	if !table.Config().Keyed {
+		return nil, nil
+	}
+	f.opts.Codec.StripKey(req.Header)
+	customer := table.Customer(req.Key)
+	if customer == nil {
+		if rt.Public {
+			return nil, nil
+		}
+		return nil, &refusal{
+			status: http.StatusUnauthorized, cause: requestlog.CauseKey, why: unknownKey,
+			detail: "key " + req.Key.String() + ", version " + strconv.FormatInt(table.Config().Version, 10),
+		}
+	}
+	req.Customer, req.Key = customer.Name, apikey.Key{}
+	return customer, nil
+}
+
+// admit decides whether a request whose route and customer are known is sent on, and returns how it is refused where
+// not. The customer's allowance comes last: a request that something else refuses takes nothing of it.
+func (f *Forwarder) admit(ctx context.Context, q *scatter.Query, customer *route.Customer) *refusal {
+	var ok bool
+	if q.Homes, ok = homes.Common(q.Route, customer); !ok {
+		return &refusal{status: http.StatusServiceUnavailable, after: retryGone, cause: requestlog.CauseHomes, why: noHome, customer: q.Request.Customer}
+	}
+	q.Fingerprint = quarantine.Fingerprint(q.Request.Host, []byte(q.Request.Method), []byte(q.Request.Target), q.Request.Body)
+	verdict := f.opts.Quarantine.Check(q.Fingerprint)
 	if verdict.Refused {
-		f.turnAway(w, r, refusal{
-			status: http.StatusServiceUnavailable, after: verdict.RetryAfter, cause: requestlog.CauseCrashes, why: crashes, detail: "fingerprint " + fp,
-		})
-		return
+		return &refusal{
+			status: http.StatusServiceUnavailable, after: verdict.RetryAfter, cause: requestlog.CauseCrashes, why: crashes,
+			detail: "fingerprint " + q.Fingerprint, customer: q.Request.Customer,
+		}
 	}
-	q := scatter.Query{
-		Request: &req, Route: rt, Shards: f.shards(rt), Learned: f.learnedOf(rt), Arrived: arrived, Deadline: deadline(arrived, &req, rt),
-		Version: table.Config().Version, Fingerprint: fp, Suspect: verdict.Suspect,
+	q.Suspect = verdict.Suspect
+	again := q.Learned.Arriving.Waited(q.Request.Patience) >= cameBefore
+	d := f.opts.Allowance(ctx, allowance.Request{Customer: customer, Deadline: q.Deadline, Again: again})
+	if d.Admitted {
+		return nil
 	}
-	f.opts.Requests.Admitted(&q)
-	rep := f.opts.Runner.Run(r.Context(), q)
-	e := requestlog.Entry{Query: &q, Report: &rep, ConfigVersion: table.Config().Version}
-	e.Status = f.answer(w, rt, &rep)
-	e.Took = f.opts.Clock.Now().Sub(arrived)
-	f.opts.Ended(&e)
-	f.opts.Requests.Write(&e)
+	ref := &refusal{
+		status: http.StatusTooManyRequests, after: d.RetryAfter, cause: requestlog.CauseAllowance, why: overAllowance,
+		detail: "decided by " + string(d.Source), customer: q.Request.Customer,
+	}
+	if !d.Over() {
+		ref.status, ref.cause, ref.why = http.StatusServiceUnavailable, requestlog.CauseNoKeeper, noKeeper
+	}
+	return ref
 }
 
 func deadline(arrived time.Time, req *opaque.Request, rt *route.Route) time.Time {
@@ -217,12 +297,12 @@
 	return body, err
 }
 
-func (f *Forwarder) badBody(w http.ResponseWriter, r *http.Request, err error) {
+func badBody(err error) *refusal {
 	status := http.StatusBadRequest
 	if errors.Is(err, errTooLarge) {
 		status = http.StatusRequestEntityTooLarge
 	}
-	f.turnAway(w, r, refusal{status: status, cause: requestlog.CauseBody, why: err.Error()})
+	return &refusal{status: status, cause: requestlog.CauseBody, why: err.Error()}
 }
 
 // refusal is how a request is refused before it is sent anywhere.
@@ -233,6 +313,8 @@
 	cause requestlog.Cause
 	// why is told to the client; detail only the log holds.
 	why, detail string
+	// customer is whose request it is, empty where that is not known.
+	customer string
 }
 
 func (f *Forwarder) turnAway(w http.ResponseWriter, r *http.Request, ref refusal) {
@@ -240,10 +322,14 @@
 	if ref.detail != "" {
 		reason += "; " + ref.detail
 	}
-	f.opts.Requests.Refused(requestlog.Refusal{
-		ID: f.opts.Codec.Decode(r, nil).ID, Host: r.Host, Path: r.URL.Path, Status: ref.status, Cause: ref.cause, Reason: reason,
-	})
-	f.opts.Refused(ref.cause)
+	refused := requestlog.Refusal{
+		ID: f.opts.Codec.Decode(r, nil).ID, Host: r.Host, Path: r.URL.Path, Status: ref.status, Cause: ref.cause, Reason: reason, Customer: ref.customer,
+	}
+	f.opts.Requests.Refused(refused)
+	f.opts.Refused(refused)
+	if ref.status == http.StatusUnauthorized {
+		f.opts.Codec.AskForKey(w.Header())
+	}
 	if ref.after > 0 {
 		refuse(w, ref.status, ref.after, ref.why)
 		return
--- a/entry/internal/forward/forwarder_test.go
+++ b/entry/internal/forward/forwarder_test.go
@@ -58,7 +58,7 @@
 	table := endpoints.New(endpoints.Options{Clock: clock.System{}, Log: logr.Discard(), Codec: &codec, Share: func() float64 { return 1 }})
 	f := New(Options{
 		Clock: clock.System{}, Log: logr.Discard(), Codec: &codec, Table: table, Config: func() *route.Table { return known },
-		Runner: scatter.New(scatter.Options{Clock: clock.System{}, Share: func() float64 { return 1 }}), Ended: func(*requestlog.Entry) {}, Refused: func(requestlog.Cause) {},
+		Runner: scatter.New(scatter.Options{Clock: clock.System{}, Share: func() float64 { return 1 }}), Ended: func(*requestlog.Entry) {}, Refused: func(requestlog.Refusal) {},
 		Requests: requestlog.New(requestlog.Options{Clock: clock.System{}, Log: logr.Discard()}), Quarantine: quarantine.New(quarantine.Options{Clock: clock.System{}}),
 	})
 	ask := func(body string) *httptest.ResponseRecorder {
--- a/entry/internal/front/follow.go
+++ b/entry/internal/front/follow.go
@@ -61,7 +61,8 @@
 		}
 		f.table.SetLimits(e.Value.Services)
 		f.config.Store(route.NewTable(e.Value))
-		events.ConfigInForce.Log(f.opts.Log, "version", e.Value.Version, "routes", len(e.Value.Routes), "services", len(e.Value.Services))
+		events.ConfigInForce.Log(f.opts.Log, "version", e.Value.Version, "routes", len(e.Value.Routes), "services", len(e.Value.Services),
+			"customers", len(e.Value.Customers), "customers_unreadable", e.Value.Unreadable)
 	}
 	f.noteKnown()
 }
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -22,6 +22,7 @@
 	"guavaspring.org/core/opaque"
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/route"
+	"guavaspring.org/entry/internal/allowance"
 	"guavaspring.org/entry/internal/coldshare"
 	"guavaspring.org/entry/internal/drainer"
 	"guavaspring.org/entry/internal/endpoints"
@@ -117,6 +118,10 @@
 	LinesLost  func() uint64
 	// Traffic counts the bytes of the host's connections; nil means one of its own.
 	Traffic *traffic.Meter
+	// QuotaSlack is how many requests of a customer over its limit may run in a window, on all hosts together.
+	QuotaSlack int
+	// QuotaExcess is the share of a customer's limit that may run over it besides.
+	QuotaExcess float64
 	// Spend bounds the tries beyond the first of each request, of all hosts together.
 	Spend spend.Options
 }
@@ -141,6 +146,8 @@
 	crashers *quarantine.Quarantine
 	// gathers takes parts of other hosts' queries.
 	gathers *subquery.Server
+	// allowances holds what customers may still send.
+	allowances *allowance.Ledger
 }
 
 // New returns a host that does nothing until Run.
@@ -157,7 +164,8 @@
 	})
 	f.crashers = f.newQuarantine()
 	f.gathers = f.newSubqueryServer()
-	j, err := join(opts, rand.Text(), f.gathers)
+	f.allowances = f.newAllowances()
+	j, err := join(opts, rand.Text(), map[string]any{subqueryService: f.gathers, allowanceService: f.allowances})
 	if err != nil {
 		return nil, err
 	}
@@ -211,7 +219,7 @@
 	fwd := forward.New(forward.Options{
 		Clock: f.opts.Clock, Log: f.opts.Log, Codec: &f.opts.Codec, Config: f.config.Load, Table: f.table, Known: f.known, Await: f.startup.Await,
 		Runner: scatter.New(scatter.Options{Clock: f.opts.Clock, Share: f.part, Quarantine: f.crashers, Subqueries: f.subqueries(), Region: f.opts.Region}), Quarantine: f.crashers,
-		Requests: f.log, Ended: f.ended, Refused: f.counts.Refused,
+		Allowance: f.allowances.Take, Requests: f.log, Ended: f.ended, Refused: f.counts.Refused,
 	})
 	clients := f.server(f.opts.Front, f.drain.Filter(fwd))
 	clients.IdleTimeout = 0
@@ -243,12 +251,13 @@
 	return idleFor
 }
 
-// share lets the shares of the replicas' connections follow the number of hosts until ctx ends.
+// share lets the shares of the replicas' connections and of the customers' limits follow the hosts until ctx ends.
 func (f *Front) share(ctx context.Context) {
 	for ctx.Err() == nil {
 		if t := f.config.Load(); t != nil {
 			f.table.SetLimits(t.Config().Services)
 		}
+		f.allowances.Look()
 		clock.Sleep(ctx, f.opts.Clock, shareEvery)
 	}
 }
--- a/entry/internal/front/joined.go
+++ b/entry/internal/front/joined.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"guavaspring.org/core/clock"
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/route"
 	"guavaspring.org/entry/internal/accepted"
@@ -22,12 +23,12 @@
 	"guavaspring.org/entry/internal/relay"
 	"guavaspring.org/entry/internal/rumor"
 	"guavaspring.org/entry/internal/source"
-	"guavaspring.org/entry/internal/subquery"
 	"guavaspring.org/entry/internal/traffic"
 )
 
 // joined is what makes this host one of many: the list of hosts and the traffic with them.
 type joined struct {
+	clock     clock.Clock
 	list      *member.List
 	peers     *peers.Peers
 	directory *directory.Directory
@@ -45,25 +46,32 @@
 type placed struct {
 	// list is the first row of the member list, which is replaced as a whole with each change.
 	list *member.Host
-	// serving are the hosts that clients are sent to, share is the part of all that this host takes.
+	// self is this host's id.
+	self string
+	// serving are the hosts that clients are sent to, share is the part of all that this host takes. The slice stays the
+	// same while the hosts do, whatever else changes in the member list.
 	serving []member.Host
-	share   float64
+	// since is when the serving hosts became what they are.
+	since time.Time
+	share float64
 	// zones holds the serving hosts of other zones.
 	zones zoneHosts
 	// watched are the serving hosts that this one looks after.
 	watched []member.Host
 }
 
-// join opens the port for other hosts; the host joins once run is called.
-func join(opts Options, incarnation string, subqueries *subquery.Server) (*joined, error) {
+// join opens the port for other hosts, which may call some services by name; the host joins once run is called.
+func join(opts Options, incarnation string, services map[string]any) (*joined, error) {
 	var cfg net.ListenConfig
 	l, err := cfg.Listen(context.Background(), "tcp", opts.Peer.String())
 	if err != nil {
 		return nil, fmt.Errorf("listen for other hosts: %w", err)
 	}
 	j := &joined{
+		clock:   opts.Clock,
 		configs: relay.NewLastGoodCopy[route.Config](), replicas: relay.NewCopy[platform.Replica](), evacuations: relay.NewCopy[platform.Evacuation](),
 	}
+	services[relayService] = &relay.Methods{Clock: opts.Clock, ConfigCopy: j.configs, ReplicaCopy: j.replicas, EvacuationCopy: j.evacuations}
 	self := member.Host{ID: incarnation, Caller: opts.Front, Peer: opts.Peer, Zone: opts.Zone, Region: opts.Region, Cores: opts.Cores, LinkBits: opts.LinkBits}
 	j.list = member.New(member.Options{Self: self, Rand: member.NewRand(), Changed: memberlog.Changed(opts.Log)})
 	j.directory = directory.New(directory.Options{
@@ -75,11 +83,7 @@
 		// Documents and replica lists of the project's own interface are not shared here: both come from the platform's
 		// store.
 		Store: accepted.New(func(accepted.Generation) {}), Listing: listing.New(opts.Clock), Replicas: func() []platform.Replica { return nil },
-		Services: map[string]any{
-			relayService:    &relay.Methods{Clock: opts.Clock, ConfigCopy: j.configs, ReplicaCopy: j.replicas, EvacuationCopy: j.evacuations},
-			subqueryService: subqueries,
-		},
-		Rumors: j.rumors,
+		Services: services, Rumors: j.rumors,
 		Opened: func(c net.Conn, addr netip.AddrPort, use peers.Use) net.Conn {
 			return opts.Traffic.Conn(c, causes[use], j.crosses(addr))
 		},
@@ -197,9 +201,22 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.placed.list != &hosts[0] {
-		self := j.list.Self()
-		serving := placement.Serving(hosts)
-		j.placed = placed{list: &hosts[0], serving: serving, share: placement.Share(hosts, self.ID, leastHosts), zones: byZone(self, serving), watched: placement.Watched(hosts, self.ID)}
+		j.placed = j.placedBy(hosts)
 	}
 	return j.placed
 }
+
+// placedBy decides for a member list; j.mu must be held.
+func (j *joined) placedBy(hosts []member.Host) placed {
+	self := j.list.Self()
+	serving := placement.Serving(hosts)
+	sameID := func(a, b member.Host) bool { return a.ID == b.ID }
+	since := j.clock.Now()
+	if slices.EqualFunc(serving, j.placed.serving, sameID) {
+		serving, since = j.placed.serving, j.placed.since
+	}
+	return placed{
+		list: &hosts[0], self: self.ID, serving: serving, since: since, share: placement.Share(hosts, self.ID, leastHosts),
+		zones: byZone(self, serving), watched: placement.Watched(hosts, self.ID),
+	}
+}
--- a/entry/internal/frontmetrics/metrics.go
+++ b/entry/internal/frontmetrics/metrics.go
@@ -50,8 +50,23 @@
 	through  prometheus.Counter
 	refused  *prometheus.CounterVec
 	rejected *prometheus.CounterVec
+	// customers counts requests by customer; named bounds how many customers it tells apart.
+	customers *prometheus.CounterVec
+	named     names
 }
 
+// mostCustomers is how many customers have counters of their own; the others share one.
+const mostCustomers = 200
+
+// otherCustomers is the label of those that share one.
+const otherCustomers = "other"
+
+// The outcomes of customers' requests, as label values; a refusal's is its cause.
+const (
+	outcomeAnswered = "answered"
+	outcomeFailed   = "failed"
+)
+
 // The kinds of requests, as label values.
 const (
 	kindGather = "gather"
@@ -73,8 +88,9 @@
 		through:  prometheus.NewCounter(prometheus.CounterOpts{Name: "guavaspring_shards_through_total", Help: "Shards of requests that another host asked, in its availability zone."}),
 		refused:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "guavaspring_refused_total", Help: "Requests refused before they were sent anywhere, by cause; those refused for overload count as forwarded."}, []string{"cause"}),
 	}
+	m.customers = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "guavaspring_customer_requests_total", Help: "Requests by customer and outcome, which is the cause where a request was refused before it was sent anywhere."}, []string{"customer", "outcome"})
 	m.rejected = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "guavaspring_objects_unreadable_total", Help: "Objects of the store that can't be read, once for each revision, by kind."}, []string{"kind"})
-	m.registry.MustRegister(m.requests, m.seconds, m.extra, m.missed, m.through, m.refused, m.rejected, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.registry.MustRegister(m.requests, m.seconds, m.extra, m.missed, m.through, m.refused, m.rejected, m.customers, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registry.MustRegister(opts.More...)
 	for _, c := range []struct {
 		name, help string
@@ -124,13 +140,28 @@
 	m.extra.WithLabelValues("hedge").Add(float64(e.Report.Hedges))
 	m.extra.WithLabelValues("retry").Add(float64(e.Report.Retries))
 	m.extra.WithLabelValues("denied").Add(float64(e.Report.Denied))
+	outcome := outcomeAnswered
+	if e.Status >= http.StatusInternalServerError {
+		outcome = outcomeFailed
+	}
+	m.customer(e.Query.Request.Customer, outcome)
 	if e.Report.Ending == scatter.Partial {
 		m.missed.Add(float64(len(e.Query.Shards) - e.Report.Answered))
 	}
 }
 
 // Refused counts a request that was refused before it was sent anywhere.
-func (m *Metrics) Refused(cause requestlog.Cause) { m.refused.WithLabelValues(string(cause)).Inc() }
+func (m *Metrics) Refused(r requestlog.Refusal) {
+	m.refused.WithLabelValues(string(r.Cause)).Inc()
+	m.customer(r.Customer, string(r.Cause))
+}
+
+// customer counts a request of a customer, which is empty where none is known.
+func (m *Metrics) customer(name, outcome string) {
+	if name != "" {
+		m.customers.WithLabelValues(m.named.label(name), outcome).Inc()
+	}
+}
 
 // Unreadable returns what counts objects of a kind that can't be read.
 func (m *Metrics) Unreadable(kind string) func(n int) {
--- a/entry/internal/frontmetrics/metrics_test.go
+++ b/entry/internal/frontmetrics/metrics_test.go
@@ -1,6 +1,7 @@
 package frontmetrics_test
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -9,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"guavaspring.org/core/opaque"
 	"guavaspring.org/core/route"
 	"guavaspring.org/entry/internal/endpoints"
 	"guavaspring.org/entry/internal/frontmetrics"
@@ -30,7 +32,7 @@
 // of these it was; shards count as left out where an answer lacked them, and not where there was no answer.
 func TestWhatHappenedIsCounted(t *testing.T) {
 	m := newMetrics()
-	page := &scatter.Query{Route: &route.Route{Shards: []string{"a", "b", "c"}}, Shards: make([]*endpoints.Service, 3)}
+	page := &scatter.Query{Request: &opaque.Request{}, Route: &route.Route{Shards: []string{"a", "b", "c"}}, Shards: make([]*endpoints.Service, 3)}
 	for _, e := range []struct {
 		rep    scatter.Report
 		status int
@@ -42,7 +44,7 @@
 	} {
 		m.Forwarded(&requestlog.Entry{Query: page, Report: &e.rep, Status: e.status})
 	}
-	m.Refused(requestlog.CauseCrashes)
+	m.Refused(requestlog.Refusal{Cause: requestlog.CauseCrashes})
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/metrics", nil))
 	got := strings.Split(w.Body.String(), "\n")
@@ -64,3 +66,26 @@
 		qt.Check(t, got, qt.Contains, want)
 	}
 }
+
+// Guards against a series on every host for each of thousands of customers.
+func TestCustomersAreCountedWithinABound(t *testing.T) {
+	m := newMetrics()
+	for n := range 1000 {
+		m.Refused(requestlog.Refusal{Cause: requestlog.CauseAllowance, Customer: fmt.Sprint("customer-", n)})
+	}
+	m.Refused(requestlog.Refusal{Cause: requestlog.CauseKey})
+	query := &scatter.Query{Request: &opaque.Request{Customer: "customer-3"}, Route: &route.Route{}}
+	m.Forwarded(&requestlog.Entry{Query: query, Report: &scatter.Report{Ending: scatter.Complete}, Status: http.StatusOK})
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/metrics", nil))
+	got := strings.Split(w.Body.String(), "\n")
+	for _, want := range []string{
+		`guavaspring_customer_requests_total{customer="customer-3",outcome="answered"} 1`,
+		`guavaspring_customer_requests_total{customer="customer-3",outcome="over_allowance"} 1`,
+		`guavaspring_customer_requests_total{customer="other",outcome="over_allowance"} 800`,
+		`guavaspring_refused_total{cause="unknown_key"} 1`,
+	} {
+		qt.Check(t, got, qt.Contains, want)
+	}
+	qt.Check(t, strings.Count(w.Body.String(), "guavaspring_customer_requests_total{"), qt.Equals, 202)
+}
--- a/entry/internal/homes/homes.go
+++ b/entry/internal/homes/homes.go
@@ -32,6 +32,24 @@
 	return common, found
 }
 
+// Common returns the regions in which alone a request may run of a route and a customer, either of which may have homes;
+// it reports false where both have some and none in common. The customer may be nil.
+func Common(r *route.Route, c *route.Customer) ([]string, bool) {
+	switch {
+	case c == nil || len(c.Homes) == 0:
+		return r.Homes, true
+	case len(r.Homes) == 0:
+		return c.Homes, true
+	}
+	var both []string
+	for _, region := range r.Homes {
+		if slices.Contains(c.Homes, region) {
+			both = append(both, region)
+		}
+	}
+	return both, len(both) > 0
+}
+
 // Nearest returns the hosts of some to which a client in a region is sent: those in its own region, which may see what
 // it sends wherever the homes are; where there are none, those in the homes, and any only where the name has no homes.
 func Nearest(hosts []member.Host, region string, homes []string, bound bool) []member.Host {
--- a/entry/internal/homes/homes_test.go
+++ b/entry/internal/homes/homes_test.go
@@ -51,3 +51,25 @@
 	qt.Assert(t, homes.Allow(nil, "east"), qt.IsTrue)
 	qt.Assert(t, homes.Allow([]string{"west"}, "east"), qt.IsFalse)
 }
+
+// Guards against a customer's data that leaves its homes since the route has none, or others.
+func TestCommonHomes(t *testing.T) {
+	tests := []struct {
+		route, customer, want []string
+		ok                    bool
+	}{
+		{nil, nil, nil, true},
+		{[]string{"east"}, nil, []string{"east"}, true},
+		{nil, []string{"east"}, []string{"east"}, true},
+		{[]string{"east", "west"}, []string{"west", "north"}, []string{"west"}, true},
+		{[]string{"east"}, []string{"west"}, nil, false},
+	}
+	for _, test := range tests {
+		got, ok := homes.Common(&route.Route{Homes: test.route}, &route.Customer{Homes: test.customer})
+		qt.Check(t, got, qt.DeepEquals, test.want)
+		qt.Check(t, ok, qt.Equals, test.ok)
+	}
+	got, ok := homes.Common(&route.Route{Homes: []string{"east"}}, nil)
+	qt.Check(t, got, qt.DeepEquals, []string{"east"})
+	qt.Check(t, ok, qt.IsTrue)
+}
--- a/entry/internal/learned/route.go
+++ b/entry/internal/learned/route.go
@@ -15,6 +15,8 @@
 	Unloaded unloaded.Time
 	// Patience holds how long clients say that they wait.
 	Patience patience.Usual
+	// Arriving is how long the clients of all requests wait, those included that are refused before they are sent.
+	Arriving patience.Usual
 }
 
 // Replied takes over how long a reply took.
--- a/entry/internal/requestlog/log.go
+++ b/entry/internal/requestlog/log.go
@@ -67,7 +67,7 @@
 		return
 	}
 	q, rep := e.Query, e.Report
-	events.Forwarded.Log(l.opts.Log, "request", q.Request.ID, "route", q.Route.Name, "ending", rep.Ending, "status", e.Status,
+	events.Forwarded.Log(l.opts.Log, "request", q.Request.ID, "route", q.Route.Name, "customer", q.Request.Customer, "ending", rep.Ending, "status", e.Status,
 		"took_ms", e.Took.Milliseconds(), "objective_ms", q.Route.Objective.Milliseconds(), "allowed_ms", q.Deadline.Sub(q.Arrived).Milliseconds(),
 		"answered", rep.Answered, "shards", len(q.Shards), "hedges", rep.Hedges, "retries", rep.Retries, "denied", rep.Denied, "ran", rep.Ran,
 		"config", e.ConfigVersion, "config_age_ms", e.ConfigAge.Milliseconds(), "replicas_age_ms", e.ReplicasAge.Milliseconds(),
@@ -79,7 +79,7 @@
 // is what is left to tell that the request had come.
 func (l *Log) Admitted(q *scatter.Query) {
 	if !q.Route.Idempotent && l.admitted.Allow(l.opts.Clock.Now()) {
-		events.Admitted.Log(l.opts.Log, "request", q.Request.ID, "route", q.Route.Name, "service", q.Shards[0].Name, "allowed_ms", q.Deadline.Sub(q.Arrived).Milliseconds())
+		events.Admitted.Log(l.opts.Log, "request", q.Request.ID, "route", q.Route.Name, "customer", q.Request.Customer, "service", q.Shards[0].Name, "allowed_ms", q.Deadline.Sub(q.Arrived).Milliseconds())
 	}
 }
 
@@ -96,6 +96,14 @@
 	CauseHeader Cause = "large_header"
 	// CauseBody means that the body is over the configured limit, or could not be read.
 	CauseBody Cause = "bad_body"
+	// CauseKey means that the key is missing or no customer of the configuration in force has it.
+	CauseKey Cause = "unknown_key"
+	// CauseAllowance means that the customer has had as many requests as it may.
+	CauseAllowance Cause = "over_allowance"
+	// CauseNoKeeper means that no host could be asked whether the customer has.
+	CauseNoKeeper Cause = "allowance_unknown"
+	// CauseHomes means that the route and the customer have homes in different regions.
+	CauseHomes Cause = "no_common_home"
 	// CauseCrashes means that replicas crashed under the request.
 	CauseCrashes Cause = "quarantined"
 )
@@ -106,12 +114,14 @@
 	Status         int
 	Cause          Cause
 	Reason         string
+	// Customer is whose request it was, empty where that was not known.
+	Customer string
 }
 
 // Refused writes the line of a request that was refused before it was sent anywhere.
 func (l *Log) Refused(r Refusal) {
 	if l.troubled.Allow(l.opts.Clock.Now()) {
-		events.Refused.Log(l.opts.Log, "request", r.ID, "host", r.Host, "path", r.Path, "status", r.Status, "cause", r.Cause, "reason", r.Reason)
+		events.Refused.Log(l.opts.Log, "request", r.ID, "host", r.Host, "path", r.Path, "status", r.Status, "cause", r.Cause, "customer", r.Customer, "reason", r.Reason)
 	}
 }
 
--- a/entry/internal/scatter/admit.go
+++ b/entry/internal/scatter/admit.go
@@ -19,7 +19,7 @@
 func (p *plan) unservable() bool {
 	served := 0
 	for i, s := range p.Shards {
-		if s.Served(p.Route.Homes) {
+		if s.Served(p.Homes) {
 			served++
 			continue
 		}
--- a/entry/internal/scatter/scatter.go
+++ b/entry/internal/scatter/scatter.go
@@ -88,7 +88,9 @@
 	// Shards are the services that it is sent to, one replica each.
 	Shards []*endpoints.Service
 	// Learned holds what was learned from the route's requests.
-	Learned           *learned.Route
+	Learned *learned.Route
+	// Homes are the regions in which alone it may run; none means any.
+	Homes             []string
 	Arrived, Deadline time.Time
 	// Version is the configuration that names the shards.
 	Version int64
--- a/entry/internal/scatter/subqueries.go
+++ b/entry/internal/scatter/subqueries.go
@@ -69,7 +69,7 @@
 	if sub.Zones == nil || len(p.Route.Shards) == 0 || !p.Route.Idempotent || p.Suspect || !p.bearsSubqueries() {
 		return
 	}
-	if !homes.Allow(p.Route.Homes, p.run.opts.Region) {
+	if !homes.Allow(p.Homes, p.run.opts.Region) {
 		// Only the host that the client chose may see the request outside its homes.
 		return
 	}
@@ -113,7 +113,7 @@
 	p.report.Through += len(shards)
 	args := &subquery.Args{
 		Job: rand.Uint64(), Version: p.Version, Request: *p.Request, Shards: names, Top: p.Route.TopK, Left: p.Deadline.Sub(p.now), First: p.timing.hedge,
-		Within: p.cutoff().Sub(p.now), Usual: p.timing.usual, Unloaded: p.unloaded, Homes: p.Route.Homes, Fingerprint: p.Fingerprint,
+		Within: p.cutoff().Sub(p.now), Usual: p.timing.usual, Unloaded: p.unloaded, Homes: p.Homes, Fingerprint: p.Fingerprint,
 	}
 	go p.follow(sub, args)
 }
--- a/entry/internal/scatter/tries.go
+++ b/entry/internal/scatter/tries.go
@@ -74,7 +74,7 @@
 	if within <= 0 {
 		within = p.end().Sub(p.now)
 	}
-	return endpoints.Need{Need: pick.Need{Usual: p.timing.usual, Within: within}, Homes: p.Route.Homes, Tried: p.shards[i].tried}
+	return endpoints.Need{Need: pick.Need{Usual: p.timing.usual, Within: within}, Homes: p.Homes, Tried: p.shards[i].tried}
 }
 
 // wait lets shard i wait for room at its replicas.
--- a/entry/onplatform.go
+++ b/entry/onplatform.go
@@ -50,6 +50,7 @@
 		Cores: s.Cores, LinkBits: s.LinkBits,
 		Metrics: netip.AddrPortFrom(s.Front.Addr(), metricsPort), StoreCalls: func() []frontmetrics.StoreCalls { return storeCalls(c) }, LinesLost: lost, Traffic: meter,
 		Grace: s.Grace, MaxKeep: s.MaxKeep, Apply: s.ApplyConfig, Drain: s.Drain, Evacuate: s.Evacuate,
+		QuotaSlack: s.QuotaSlack, QuotaExcess: s.QuotaExcess,
 		Spend: spend.Options{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 	})
 	if err != nil {
