source, relay: Read the store again before the others are stale, and pass on what a list changes

Cause: when the store forgets its history the watches that wait hear nothing and are lost. A host that watches and knows something fresh then rested for 3 s, which ended at the moment at which what all others knew became too old: every host listed all replicas (9 pages of 500) in the same second. It grows with hosts times replicas and hurts no small fleet (164 calls at 17 hosts).

Ruled out: weak hosts that watch (strong ones first: 1,617 / 1,622 calls, not kept).

A watching host whose watch was lost reads again at once, and its watch ends so early that a loss is known a tenth of the bound before the others are stale. What a list brings is passed on as changes to the hosts that are in step: whole lists of 4,000 replicas took longer than what the hosts knew stayed fresh (1,065 list pages with the first change alone).

The test with 4 and 50 hosts was red at all 30 moments before.

--- a/entry/internal/relay/copy.go
+++ b/entry/internal/relay/copy.go
@@ -60,6 +60,10 @@
 }
 
 // Replace takes over a list of all objects as of at, and reports whether it is at least as new as the copy.
+//
+// Hosts that were in step with the copy get what the list changes, and not all of it: a host that watches the store has
+// to list all objects whenever the store forgets its history, and thousands of replicas passed on to each of a thousand
+// hosts take longer than what these know stays fresh.
 func (c *Copy[T]) Replace(batch feed.Batch[T], at time.Time, returned bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -74,11 +78,43 @@
 		}
 		c.entries[e.Name] = e
 	}
-	c.log, c.from = nil, batch.Revision
+	if c.revision == 0 {
+		c.from = batch.Revision
+	} else {
+		c.keep(feed.Batch[T]{Revision: batch.Revision, Entries: c.since(before)})
+	}
 	c.confirm(batch.Revision, at, returned)
 	return true
 }
 
+// since returns what has changed of the objects that the copy held before.
+func (c *Copy[T]) since(before map[string]feed.Entry[T]) []feed.Entry[T] {
+	var list []feed.Entry[T]
+	for name, e := range c.entries {
+		if old, ok := before[name]; !ok || old.Revision != e.Revision || old.Unreadable != e.Unreadable {
+			list = append(list, e)
+		}
+	}
+	for name, old := range before {
+		if _, ok := c.entries[name]; !ok {
+			list = append(list, feed.Entry[T]{Name: name, Revision: max(old.Revision, c.revision), Deleted: true})
+		}
+	}
+	return list
+}
+
+// keep adds changes to the log, of which the oldest go.
+func (c *Copy[T]) keep(news feed.Batch[T]) {
+	if len(news.Entries) == 0 {
+		return
+	}
+	c.log = append(c.log, news)
+	if len(c.log) > keptBatches {
+		c.from = c.log[0].Revision
+		c.log = c.log[1:]
+	}
+}
+
 // Change takes over what changed up to the batch's revision as of at. It returns what of it is news, and reports
 // whether the batch is at least as new as the copy.
 //
@@ -102,13 +138,7 @@
 			c.entries[e.Name] = e
 		}
 	}
-	if len(news.Entries) > 0 {
-		c.log = append(c.log, news)
-	}
-	if len(c.log) > keptBatches {
-		c.from = c.log[0].Revision
-		c.log = c.log[1:]
-	}
+	c.keep(news)
 	c.confirm(batch.Revision, at, returned)
 	return news, true
 }
--- a/entry/internal/relay/relay_test.go
+++ b/entry/internal/relay/relay_test.go
@@ -163,3 +163,37 @@
 		}
 	}
 }
+
+// Guards against a list that is passed on whole to hosts that are in step: of thousands of replicas a few have changed.
+func TestListIsPassedOnAsChanges(t *testing.T) {
+	now := time.Unix(100, 0)
+	list := func(revision int64, values ...int64) feed.Batch[int64] {
+		b := feed.Batch[int64]{Revision: revision}
+		for i, v := range values {
+			if v > 0 {
+				b.Entries = append(b.Entries, feed.Entry[int64]{Name: fmt.Sprint(i), Revision: v, Value: v})
+			}
+		}
+		return b
+	}
+	c := relay.NewCopy[int64]()
+	c.Replace(list(9, 1, 2, 3, 0), now, false)
+	_, full, _ := c.Since(0)
+	qt.Assert(t, full, qt.IsTrue)
+	// The second has changed, the third is gone, the fourth is new.
+	c.Replace(list(15, 1, 12, 0, 14), now, false)
+	news, full, _ := c.Since(9)
+	qt.Assert(t, full, qt.IsFalse)
+	got := map[string]feed.Entry[int64]{}
+	for _, e := range news.Entries {
+		got[e.Name] = e
+	}
+	qt.Assert(t, len(got), qt.Equals, 3)
+	qt.Check(t, got["1"].Value, qt.Equals, int64(12))
+	qt.Check(t, got["2"].Deleted, qt.IsTrue)
+	qt.Check(t, got["3"].Value, qt.Equals, int64(14))
+	// One that heard nothing before the first list gets all.
+	all, full, _ := c.Since(5)
+	qt.Assert(t, full, qt.IsTrue)
+	qt.Assert(t, len(all.Entries), qt.Equals, 3)
+}
--- a/entry/internal/source/follower.go
+++ b/entry/internal/source/follower.go
@@ -26,6 +26,9 @@
 	// nothing from others asks the store itself; the rest is for one list.
 	waitPart  = 0.55
 	stalePart = 0.75
+	// leadPart is the part of the bound that is left to a host that watches, from the moment it knows that a watch was
+	// lost, to read all again before the others find what they know too old.
+	leadPart = 0.1
 	// confirmIn is how long the end of a watch takes to be known on all hosts, on one that has slept through it too.
 	confirmIn = 400 * time.Millisecond
 	// askMargin is how much sooner a parent answers than this host gives up on it.
@@ -147,14 +150,17 @@
 	switch {
 	case rest > 0:
 		f.untilBack(ctx, func(ctx context.Context) {
-			if len(parents) > 0 {
-				f.hear(ctx, parents)
-				return
+			switch {
+			case len(parents) == 0, watches && rest < staleAsk:
+				clock.Sleep(ctx, f.opts.Clock, rest)
+			case watches:
+				f.hear(ctx, parents, rest)
+			default:
+				f.hear(ctx, parents, f.opts.Bound)
 			}
-			clock.Sleep(ctx, f.opts.Clock, rest)
 		})
 	case len(parents) > 0 && f.hearsFirst(parents, watches):
-		f.hear(ctx, parents)
+		f.hear(ctx, parents, f.opts.Bound)
 	case !watches && !f.opts.Outage.claim(failed, f.opts.Clock.Now()):
 		// Another follower of this host is calling the store.
 	default:
@@ -203,7 +209,12 @@
 		return 0
 	}
 	pause = min(pause, f.longest(watches))
-	if !f.stale() {
+	switch left := f.left(); {
+	case left <= 0:
+	case watches:
+		// The others wait for this host, and would all call the store at the moment at which it did.
+		pause = min(tryAgain, max(pause, left-part(leadPart, f.opts.Bound)))
+	default:
 		pause = tryAgain
 	}
 	return pause - f.opts.Clock.Now().Sub(tried)
@@ -223,12 +234,12 @@
 
 func part(p float64, d time.Duration) time.Duration { return time.Duration(p * float64(d)) }
 
-// hear asks one parent for what is new. One that is silent, behind, or without news of the store is passed over next
-// time.
-func (f *Follower[T]) hear(ctx context.Context, parents []Parent[T]) {
+// hear asks one parent for what is new, within a time. One that is silent, behind, or without news of the store is
+// passed over next time.
+func (f *Follower[T]) hear(ctx context.Context, parents []Parent[T], within time.Duration) {
 	parent := parents[f.next%len(parents)]
 	before, _ := f.opts.Copy.State()
-	left := max(f.left(), staleAsk)
+	left := min(max(f.left(), staleAsk), within)
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	wait := max(0, left-askMargin)
@@ -326,10 +337,11 @@
 	}
 }
 
-// watchWait returns how long one watch waits. The first one after a start ends sooner: what the hosts below heard is as
+// watchWait returns how long one watch waits: so long that its loss is known in time to read all again. The first one after a start ends sooner: what the hosts below heard is as
 // old as the list that was read before, and each would ask the store itself before it hears that nothing has changed.
 func (f *Follower[T]) watchWait() time.Duration {
-	return max(0, min(part(waitPart, f.opts.Bound), f.left()-confirmIn))
+	most := max(part(leadPart, f.opts.Bound), part(stalePart-leadPart, f.opts.Bound)-watchMargin)
+	return max(0, min(part(waitPart, f.opts.Bound), most, f.left()-confirmIn))
 }
 
 // lost notes an outage, after which the store is left alone for a while.
--- a/entry/internal/source/follower_test.go
+++ b/entry/internal/source/follower_test.go
@@ -28,9 +28,9 @@
 	deaf bool
 	// away holds the hosts that the store turns away.
 	away map[string]bool
-	// silent lets every call hang until its caller gives up.
-	silent bool
-	calls  map[string]int
+	// silent lets every call hang until its caller gives up, and mute every watch.
+	silent, mute bool
+	calls        map[string]int
 }
 
 func newWorld() *world {
@@ -69,6 +69,12 @@
 	return w.revision, w.changed, w.deaf, nil
 }
 
+func (w *world) isMute() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.mute
+}
+
 func batch(revision int64) feed.Batch[int64] {
 	return feed.Batch[int64]{Revision: revision, Entries: []feed.Entry[int64]{{Name: "main", Revision: revision, Value: revision}}}
 }
@@ -161,6 +167,10 @@
 			if err != nil {
 				return feed.Batch[int64]{}, err
 			}
+			if w.isMute() {
+				<-ctx.Done()
+				return feed.Batch[int64]{}, ctx.Err()
+			}
 			if deaf {
 				clock.Sleep(ctx, clock.System{}, wait)
 				return feed.Batch[int64]{}, feed.ErrHistoryGone
@@ -403,6 +413,33 @@
 	}
 }
 
+// Guards against a watch that is lost and lets all hosts read the store at once: those that watch have to read it again
+// before what the others know is too old. Of a thousand hosts each would list thousands of replicas in the same second.
+func TestLostWatchCostsTheWatchersAlone(t *testing.T) {
+	for _, hosts := range []int{4, 50} {
+		for step := range 30 {
+			play(t, func(ctx context.Context) {
+				w := newWorld()
+				first, second := w.follow(ctx, "first"), w.follow(ctx, "second")
+				first.hear(second)
+				second.hear(first)
+				for range hosts {
+					w.follow(ctx, "other", first, second)
+				}
+				time.Sleep(10*time.Second + time.Duration(step)*100*time.Millisecond)
+				before := 0
+				w.set(func() { before, w.mute = w.calls["other"], true })
+				time.Sleep(2 * bound)
+				w.set(func() { w.mute = false })
+				time.Sleep(2 * bound)
+				w.set(func() {
+					qt.Check(t, w.calls["other"]-before, qt.Equals, 0, qt.Commentf("%d hosts, watches lost from %d00 ms on", hosts, step))
+				})
+			})
+		}
+	}
+}
+
 // The store is away for long. A host that hears nothing fresh has to try it, but not for each kind of object by itself:
 // in a fleet of hundreds that is most of what an outage costs. Its pause grows to two seconds in five calls.
 func TestOutageCostsOneCallARound(t *testing.T) {
