subset, endpoints: Keep a host of a large fleet to few replicas, and publish what changed

Cause: 50 hosts that callers are sent to sent each of 4,050 replicas 0.03 requests a second. Each change of one replica also rebuilt the lists of all services on every host.

A host keeps to five replicas of a service in its zone and three in others, and to eight where its zone has none. Hosts and replicas take each other in the order of one hash of both, up to a replica's part: no replica has more than one host above the mean at 6 to 280 serving hosts, and a host that leaves moves 0.5 to 3% of the choices, a replica up to 9%. While its own are full, slow or gone a host looks at all. Services of eight replicas or fewer are used as before.

Ways weighed: rendezvous alone (chosen unevenly); rounds of a permutation (all move with each host that leaves); fewer serving hosts (the loss of one is more).

--- a/entry/internal/endpoints/rows.go
+++ b/entry/internal/endpoints/rows.go
@@ -88,6 +88,9 @@
 	if row.State != r.row.State {
 		events.ReplicaDraining.Log(t.opts.Log, "replica", row.ID, "service", row.Service, "state", row.State)
 	}
+	if row.State != r.row.State || row.Slots != r.row.Slots || !r.lapsed.IsZero() {
+		t.touched[row.Service] = true
+	}
 	if row.State != r.row.State || !r.lapsed.IsZero() {
 		r.usable = row.State != platform.StateLeaving
 	}
@@ -122,5 +125,10 @@
 	r.noteRow(now)
 	r.noteEvacuation(now)
 	t.replicas[row.ID] = r
+	if t.members[row.Service] == nil {
+		t.members[row.Service] = map[string]*Replica{}
+	}
+	t.members[row.Service][row.ID] = r
+	t.touched[row.Service] = true
 	events.ReplicaSeen.Log(t.opts.Log, "replica", row.ID, "service", row.Service, "addr", row.Addr.String(), "state", row.State)
 }
--- a/entry/internal/endpoints/service.go
+++ b/entry/internal/endpoints/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"guavaspring.org/entry/internal/homes"
+	"guavaspring.org/entry/internal/member"
 	"guavaspring.org/entry/internal/pick"
 	"guavaspring.org/entry/internal/queueing"
 	"guavaspring.org/entry/internal/room"
@@ -33,6 +34,10 @@
 	list atomic.Pointer[[]*Replica]
 	// zones are the availability zones that hold a replica which serves.
 	zones atomic.Pointer[zones]
+	// hosts returns the id of this host and the hosts that clients are sent to, or is nil, and chosen are the replicas
+	// that this host keeps to for the newest of both.
+	hosts  func() (self string, serving []member.Host)
+	chosen atomic.Pointer[chosen]
 	// cold is what the service's replicas bear while they are cold.
 	cold atomic.Pointer[cold]
 	// conns is the most connections that this host may hold to each replica.
@@ -106,12 +111,39 @@
 // Connections returns the most connections that this host may hold to each replica.
 func (s *Service) Connections() int { return int(s.conns.Load()) }
 
+// publish takes over the service's replicas, of which serves tells which are there for new requests.
+func (s *Service) publish(now time.Time, members map[string]*Replica, serves func(*Replica) bool) {
+	list := make([]*Replica, 0, len(members))
+	z, slots := &zones{}, int64(0)
+	for _, r := range members {
+		list = append(list, r)
+		if serves(r) {
+			slots += int64(room.Slots(r.row.Slots))
+			z.add(r)
+		}
+	}
+	s.list.Store(&list)
+	s.slots.Store(slots)
+	s.zones.Store(z)
+	s.Wake(now)
+}
+
 // zones is where a service's serving replicas are; near says that one is in the host's own zone.
 type zones struct {
 	near           bool
 	names, regions []string
 }
 
+func (z *zones) add(r *Replica) {
+	z.near = z.near || r.near
+	if !slices.Contains(z.regions, r.region) {
+		z.regions = append(z.regions, r.region)
+	}
+	if !slices.Contains(z.names, r.row.Zone) {
+		z.names = append(z.names, r.row.Zone)
+	}
+}
+
 // Zones returns the availability zones that hold a replica which neither leaves nor stands in an evacuated zone, and
 // whether the host's own is one of them; the slice must not be changed.
 func (s *Service) Zones() (near bool, names []string) {
@@ -151,16 +183,33 @@
 	Seen pick.Replica
 }
 
-// Pick returns the replica that goes first among those that were not tried.
+// widenFrom is how many times the usual the best of the replicas that a host keeps to is expected to take before the
+// others are looked at.
+const widenFrom = 2.5
+
+// Pick returns the replica that goes first among those that were not tried: one of those that the host keeps to, or any
+// while these are full, slow or gone.
+func (s *Service) Pick(now time.Time, need Need, draw func() float64) (Choice, Verdict) {
+	list := s.Replicas()
+	if kept := s.kept(list); len(need.Among) == 0 && len(kept) < len(list) {
+		c, verdict := s.pick(now, kept, need, draw)
+		if verdict == Found && float64(c.Estimate) <= widenFrom*float64(need.Usual) {
+			return c, verdict
+		}
+	}
+	return s.pick(now, list, need, draw)
+}
+
+// pick returns the replica of some that goes first.
 //
 // One that has room but is too slow to be of use is passed over while another is only full: a try there would take one
 // of the few that a request has, where a short wait brings a better one.
-func (s *Service) Pick(now time.Time, need Need, draw func() float64) (Choice, Verdict) {
+func (s *Service) pick(now time.Time, list []*Replica, need Need, draw func() float64) (Choice, Verdict) {
 	var best, rested Choice
 	busy := time.Duration(-1)
 	use, part := s.use(now), s.part()
 	need.Queues = use >= occupiedFrom
-	for _, r := range s.Replicas() {
+	for _, r := range list {
 		if need.excludes(r) {
 			continue
 		}
--- a/entry/internal/endpoints/table.go
+++ b/entry/internal/endpoints/table.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -16,7 +15,7 @@
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/route"
 	"guavaspring.org/entry/internal/events"
-	"guavaspring.org/entry/internal/room"
+	"guavaspring.org/entry/internal/member"
 	"guavaspring.org/entry/internal/spend"
 )
 
@@ -45,6 +44,9 @@
 	Spend   spend.Options
 	// Share returns the part, 0 to 1, of what all hosts together may do that this host takes.
 	Share func() float64
+	// Hosts returns the id of this host and the hosts that clients are sent to, among which the replicas are divided; nil
+	// means that this host uses all of them.
+	Hosts func() (self string, serving []member.Host)
 	// Evacuated reports whether nothing may be sent to the replicas of an availability zone; nil means that no zone is
 	// evacuated.
 	Evacuated func(zone string) bool
@@ -65,8 +67,12 @@
 	mu       sync.Mutex
 	services map[string]*Service
 	replicas map[string]*Replica
-	limits   map[string]route.Service
-	listed   bool
+	// members holds the replicas of each service by id, and touched the services whose replicas have changed since they
+	// were published.
+	members map[string]map[string]*Replica
+	touched map[string]bool
+	limits  map[string]route.Service
+	listed  bool
 	// ended holds the last rows of replicas that are gone.
 	ended ended
 	// doubted holds rows that are older than the one in use, of a process that may be the newer one nevertheless.
@@ -86,7 +92,7 @@
 	if opts.Evacuated == nil {
 		opts.Evacuated = func(string) bool { return false }
 	}
-	return &Table{opts: opts, services: map[string]*Service{}, replicas: map[string]*Replica{}, ended: ended{rows: map[string]endedRow{}}, doubted: map[string]platform.Replica{}}
+	return &Table{opts: opts, services: map[string]*Service{}, replicas: map[string]*Replica{}, members: map[string]map[string]*Replica{}, touched: map[string]bool{}, ended: ended{rows: map[string]endedRow{}}, doubted: map[string]platform.Replica{}}
 }
 
 // Service returns a service, which need not have replicas.
@@ -99,7 +105,7 @@
 func (t *Table) service(name string) *Service {
 	s := t.services[name]
 	if s == nil {
-		s = &Service{Name: name, Budget: spend.New(t.opts.Spend), part: t.opts.Share}
+		s = &Service{Name: name, Budget: spend.New(t.opts.Spend), part: t.opts.Share, hosts: t.opts.Hosts}
 		s.list.Store(&[]*Replica{})
 		s.zones.Store(&zones{})
 		s.conns.Store(int64(t.connections(name)))
@@ -163,6 +169,7 @@
 	now := t.opts.Clock.Now()
 	for _, r := range t.replicas {
 		r.noteEvacuation(now)
+		t.touched[r.row.Service] = true
 	}
 	t.publish()
 }
@@ -229,6 +236,8 @@
 func (t *Table) drop(r *Replica) {
 	r.usable = false
 	delete(t.replicas, r.row.ID)
+	delete(t.members[r.row.Service], r.row.ID)
+	t.touched[r.row.Service] = true
 	t.dialed += r.pool.Dialed()
 }
 
@@ -250,46 +259,19 @@
 	}
 }
 
-// publish gives each service the list of its replicas.
+// publish gives each service whose replicas have changed the list of them. A fleet's replicas change many times a second,
+// and all other services have theirs.
 func (t *Table) publish() {
-	lists, slots := map[string][]*Replica{}, map[string]int64{}
-	for _, r := range t.replicas {
-		lists[r.row.Service] = append(lists[r.row.Service], r)
-		if t.serves(r) {
-			slots[r.row.Service] += int64(room.Slots(r.row.Slots))
+	for name := range t.touched {
+		t.service(name).publish(t.opts.Clock.Now(), t.members[name], t.serves)
+		if len(t.members[name]) == 0 {
+			delete(t.members, name)
 		}
 	}
-	for name := range lists {
-		t.service(name)
-	}
-	for name, s := range t.services {
-		list := lists[name]
-		s.list.Store(&list)
-		s.slots.Store(slots[name])
-		s.zones.Store(t.zonesOf(list))
-		s.Wake(t.opts.Clock.Now())
-	}
+	clear(t.touched)
 }
 
 // serves reports whether a replica is there for new requests: it does not leave, and its zone is not evacuated.
 func (t *Table) serves(r *Replica) bool {
 	return r.row.State != platform.StateLeaving && !t.opts.Evacuated(r.row.Zone)
 }
-
-// zonesOf returns where those of some replicas are that serve.
-func (t *Table) zonesOf(list []*Replica) *zones {
-	z := &zones{}
-	for _, r := range list {
-		if !t.serves(r) {
-			continue
-		}
-		z.near = z.near || r.near
-		if !slices.Contains(z.regions, r.region) {
-			z.regions = append(z.regions, r.region)
-		}
-		if !slices.Contains(z.names, r.row.Zone) {
-			z.names = append(z.names, r.row.Zone)
-		}
-	}
-	return z
-}
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -159,7 +159,7 @@
 	f.drain = drainer.New(drainer.Options{Clock: opts.Clock, Announce: f.announce, Grace: func() time.Duration { return opts.Grace - finishIn }})
 	f.zones = evacuation.New(evacuation.Options{Clock: opts.Clock, Log: opts.Log, Changed: func() { f.table.Refresh() }})
 	f.table = endpoints.New(endpoints.Options{
-		Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Share: f.part, Evacuated: f.zones.Has, ColdShare: f.coldShare, Regions: opts.Regions,
+		Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Share: f.part, Evacuated: f.zones.Has, ColdShare: f.coldShare, Regions: opts.Regions, Hosts: f.servingHosts,
 		Opened: func(c net.Conn, near bool) net.Conn { return opts.Traffic.Conn(c, traffic.Replicas, !near) },
 	})
 	f.crashers = f.newQuarantine()
@@ -268,6 +268,12 @@
 // part returns which part of what all hosts together may do this one takes.
 func (f *Front) part() float64 { return f.joined.share() }
 
+// servingHosts returns this host's id and the hosts that clients are sent to.
+func (f *Front) servingHosts() (self string, serving []member.Host) {
+	p := f.joined.place()
+	return p.self, p.serving
+}
+
 // coldShare returns how many requests a second this host may send to a cold replica.
 func (f *Front) coldShare(replica string, perSecond float64) int {
 	return f.cold.Of(replica, perSecond)
--- /dev/null
+++ b/entry/internal/subset/subset_test.go
@@ -0,0 +1,141 @@
+package subset_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/entry/internal/member"
+	"guavaspring.org/entry/internal/subset"
+)
+
+// layout is a fleet: how many hosts and replicas of one service there are in each zone.
+type layout struct {
+	name            string
+	hosts, replicas []int
+}
+
+var layouts = []layout{
+	{"6 hosts", []int{2, 2, 2}, []int{1, 1, 1}},
+	{"15 hosts, 12 replicas", []int{5, 5, 5}, []int{4, 4, 4}},
+	{"50 hosts, two zones without replicas", []int{10, 10, 10, 10, 10}, []int{15, 15, 15, 0, 0}},
+	{"100 hosts, twice the replicas", []int{20, 20, 20, 20, 20}, []int{30, 30, 30, 0, 0}},
+	{"280 hosts, replicas everywhere", []int{56, 56, 56, 56, 56}, []int{21, 21, 21, 21, 21}},
+	{"zones of different size", []int{4, 10, 20}, []int{30, 10, 12}},
+}
+
+func (l layout) make() ([]member.Host, []subset.Replica) {
+	var hosts []member.Host
+	var replicas []subset.Replica
+	for zone, n := range l.hosts {
+		for i := range n {
+			hosts = append(hosts, member.Host{ID: fmt.Sprintf("host-%d-%d", zone, i), Zone: fmt.Sprint(zone), State: member.StateAlive})
+		}
+	}
+	for zone, n := range l.replicas {
+		for i := range n {
+			replicas = append(replicas, subset.Replica{ID: fmt.Sprintf("replica-%d-%d", zone, i), Zone: fmt.Sprint(zone)})
+		}
+	}
+	return hosts, replicas
+}
+
+// chosen returns the ids of the replicas that each host keeps to.
+func chosen(hosts []member.Host, replicas []subset.Replica) map[string][]string {
+	by := map[string][]string{}
+	for _, h := range hosts {
+		for _, n := range subset.Choose(h.ID, hosts, replicas) {
+			by[h.ID] = append(by[h.ID], replicas[n].ID)
+		}
+	}
+	return by
+}
+
+// Guards against replicas that many hosts choose while others have nothing to do.
+func TestReplicasAreChosenEvenly(t *testing.T) {
+	for _, l := range layouts {
+		hosts, replicas := l.make()
+		by := chosen(hosts, replicas)
+		for zone := range l.hosts {
+			count := map[string]int{}
+			sum, most, n := 0, 0, 0
+			for _, r := range replicas {
+				if r.Zone != fmt.Sprint(zone) {
+					continue
+				}
+				for _, h := range hosts {
+					if h.Zone == r.Zone && slices.Contains(by[h.ID], r.ID) {
+						count[r.ID]++
+					}
+				}
+				n, sum, most = n+1, sum+count[r.ID], max(most, count[r.ID])
+			}
+			if n == 0 {
+				continue
+			}
+			mean := float64(sum) / float64(n)
+			qt.Check(t, float64(most) <= mean+1, qt.IsTrue, qt.Commentf("%s: zone %d: one replica by %d hosts, %.2f in the mean", l.name, zone, most, mean))
+		}
+	}
+}
+
+// Guards against hosts that keep to so many replicas that each is used too rarely for its connection to stay open, and
+// to so few that a second try finds none.
+func TestEveryHostHasEnough(t *testing.T) {
+	for _, l := range layouts {
+		hosts, replicas := l.make()
+		for id, list := range chosen(hosts, replicas) {
+			qt.Check(t, len(list) >= min(3, len(replicas)) && len(list) <= 8, qt.IsTrue, qt.Commentf("%s: %s keeps to %d", l.name, id, len(list)))
+		}
+	}
+}
+
+// Guards against a host or replica that comes or goes and moves all the others: each would open its connections anew.
+func TestChangesMoveLittle(t *testing.T) {
+	for _, l := range layouts {
+		hosts, replicas := l.make()
+		before := chosen(hosts, replicas)
+		scenes := []struct {
+			name     string
+			hosts    []member.Host
+			replicas []subset.Replica
+		}{
+			{"a host leaves", slices.Delete(slices.Clone(hosts), 1, 2), replicas},
+			{"a replica leaves", hosts, slices.Delete(slices.Clone(replicas), 1, 2)},
+		}
+		for _, scene := range scenes {
+			after := chosen(scene.hosts, scene.replicas)
+			kept, all := 0, 0
+			for _, h := range scene.hosts {
+				for _, id := range after[h.ID] {
+					all++
+					if slices.Contains(before[h.ID], id) {
+						kept++
+					}
+				}
+			}
+			moved := 1 - float64(kept)/float64(all)
+			t.Logf("%s: %s: %.3f of the choices moved", l.name, scene.name, moved)
+			qt.Check(t, moved <= 0.2, qt.IsTrue, qt.Commentf("%s: %s: %.2f moved", l.name, scene.name, moved))
+		}
+	}
+}
+
+// Guards against hosts that clients are not sent to and that would share what the others were promised.
+func TestOtherHostsUseAll(t *testing.T) {
+	hosts, replicas := layouts[2].make()
+	qt.Assert(t, len(subset.Choose("stranger", hosts, replicas)), qt.Equals, len(replicas))
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, l := range layouts {
+		hosts, replicas := l.make()
+		b.Run(l.name, func(b *testing.B) {
+			for b.Loop() {
+				subset.Choose(hosts[0].ID, hosts, replicas)
+			}
+		})
+	}
+}
