allowance: Give out no part twice after a start, and none of hosts that have none

Cause, from the grants of one customer: eleven hosts brought a part to a keeper that knew of nine, since hosts that only clients with old addresses come to brought one as well: 1.22 times the limit. Besides, hosts that start together count few others, so that each takes its part for larger than it is, and count weak hosts that serve only as long as no strong one is known.

Hosts that clients are not sent to bring no part, and a share is never more than the whole. A host that has met the others a moment ago gives out half, unless one that asks has known them for long; who asks says how many parts it counts; a host that lives and does not serve any more has none. A host that is asked and is not the keeper names the one that is, and three stand in for a keeper in turn.

--- a/entry/internal/allowance/account.go
+++ b/entry/internal/allowance/account.go
@@ -18,6 +18,9 @@
 	demandOver = time.Second
 	// advanceAgain is how long a bucket gets no more tokens in advance after it got some.
 	advanceAgain = 10 * time.Second
+	// unsurePart is the part of what a deputy or a new keeper gives out of the parts that nobody brought to it. Most of
+	// them are unused, as the keeper before it is gone; where it is only cut off, few hosts reach it.
+	unsurePart = 0.35
 	// mostLoan is the most tokens of one loan.
 	mostLoan = 1 << 16
 )
@@ -121,8 +124,8 @@
 	if now.Sub(a.keeperSince) <= provenFor {
 		return a.stand(now, c, f, slack)
 	}
-	share := float64(a.parts.brought(now)+a.parts.idle(now, f.proven)) / f.parts()
-	rate, depth := c.PerSecond*share, c.Burst*float64(len(f.serving))/f.parts()+spare*slack
+	share := f.share(a.parts.brought(now) + a.parts.idle(now, f.proven))
+	rate, depth := c.PerSecond*share, c.Burst*f.share(len(f.serving))+spare*slack
 	if a.pool == nil {
 		a.pool = bucket.New(now, rate, depth, spare*slack+rate*(now.Sub(a.keeperSince)-provenFor).Seconds())
 	}
@@ -141,10 +144,10 @@
 	if now.Sub(a.pooledAt) > partFor {
 		a.pool.Resume(now)
 	}
-	rate := c.PerSecond * float64(a.parts.brought(now)) / f.parts()
-	unsure := c.PerSecond * float64(a.parts.idle(now, f.proven)) / f.parts()
-	rate += min(unsure, bridge*slack/provenFor.Seconds())
-	a.pool.Set(now, rate, c.Burst*float64(len(f.serving))/f.parts()+spare*slack)
+	rate := c.PerSecond * f.share(a.parts.brought(now))
+	unsure := min(c.PerSecond-rate, c.PerSecond*f.share(a.parts.idle(now, f.proven)))
+	rate += max(min(unsure, bridge*slack/provenFor.Seconds()), unsurePart*unsure)
+	a.pool.Set(now, rate, c.Burst*f.share(len(f.serving))+spare*slack)
 	a.pooledAt = now
 	if slack > 0 && (a.advancedAt.IsZero() || now.Sub(a.advancedAt) > advanceAgain) {
 		a.pool.Add(spare * slack)
--- a/entry/internal/allowance/ledger.go
+++ b/entry/internal/allowance/ledger.go
@@ -25,8 +25,12 @@
 	// faster is the part of what may run over a limit for each request within it by which tokens come faster than the
 	// limit says: the hosts' clocks and ways differ, and a customer just within its limit is to be refused nothing.
 	faster = 0.4
-	// mostAsks is how many hosts are asked for one request: the keeper and its deputy.
-	mostAsks = 2
+	// youngFor is how long after it has met the others a host gives out youngPart of a limit and of what may run over
+	// it: where all start at once each may know half of the others, and takes the parts for twice what they are.
+	youngFor, youngPart = 2 * time.Second, 0.5
+	// mostAsks is how many hosts are asked for one request: the keeper that this host knows, the one that that host
+	// knows, and a deputy.
+	mostAsks = 3
 	// forgetEvery is how often accounts are dropped whose customers are gone from the configuration.
 	forgetEvery = 10 * time.Second
 )
@@ -85,9 +89,10 @@
 		return Decision{Admitted: true, Source: SourceUnlimited}
 	}
 	l.count(c)
+	var from referral
 	for range mostAsks {
 		now := l.opts.Clock.Now()
-		d, ask := l.decide(now, &req)
+		d, ask := l.decide(now, &req, from)
 		if ask == nil {
 			return d
 		}
@@ -95,10 +100,19 @@
 		if d, ok := l.answered(c, ask, rep, err); ok {
 			return d
 		}
+		if rep.Keeper.ID != "" {
+			from = referral{by: ask.host.ID, to: rep.Keeper}
+		}
 	}
 	return l.own(c)
 }
 
+// referral is what a host said that was asked and doesn't decide.
+type referral struct {
+	by string
+	to member.Host
+}
+
 // Look takes note of the hosts that serve, so that it is known how long each has served when a request comes.
 func (l *Ledger) Look() {
 	now, v := l.opts.Clock.Now(), l.opts.View()
@@ -128,8 +142,8 @@
 	l.account(c.Name).count(l.opts.Clock.Now())
 }
 
-// decide decides by what this host knows, or returns what to ask.
-func (l *Ledger) decide(now time.Time, req *Request) (Decision, *question) {
+// decide decides by what this host and one that has referred it to another know, or returns what to ask.
+func (l *Ledger) decide(now time.Time, req *Request, from referral) (Decision, *question) {
 	c, v := req.Customer, l.opts.View()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -138,20 +152,28 @@
 	r := l.fleet.of(c.Name)
 	switch {
 	case r.keeper == v.Self && v.Settled:
-		return taken(now, l.pool(now, c, a, v.Self, a.free(now, v.Self)), req.Again, SourceKept), nil
+		return taken(now, l.pool(now, c, a, l.self(now, a)), req.Again, SourceKept), nil
 	case !req.Again && a.borrow(now):
 		return Decision{Admitted: true, Source: SourceLoan}, nil
 	case now.Before(a.refusedUntil):
 		a.refused++
 		return Decision{Source: SourceRefused, RetryAfter: a.comeBack.Sub(now)}, nil
+	case l.reachable(now, v, from.to.ID):
+		return Decision{}, l.question(now, v, req, a, from.to)
 	case l.reachable(now, v, r.keeper):
-		return Decision{}, l.question(v, req, a, r.keeper)
-	case r.deputy == v.Self && v.Settled:
-		return taken(now, l.pool(now, c, a, v.Self, a.free(now, v.Self)), req.Again, SourceDeputy), nil
-	case l.reachable(now, v, r.deputy):
-		q := l.question(v, req, a, r.deputy)
-		q.from = SourceDeputy
+		q := l.question(now, v, req, a, l.fleet.host(r.keeper))
+		// The one that it has named doesn't answer.
+		q.args.Deputy = from.by == r.keeper
 		return Decision{}, q
+	case r.first(v.Self) && v.Settled:
+		return taken(now, l.pool(now, c, a, l.self(now, a)), req.Again, SourceDeputy), nil
+	}
+	for _, id := range r.deputies {
+		if l.reachable(now, v, id) {
+			q := l.question(now, v, req, a, l.fleet.host(id))
+			q.from, q.args.Deputy = SourceDeputy, true
+			return Decision{}, q
+		}
 	}
 	return l.alone(now, v, c, a), nil
 }
@@ -161,9 +183,10 @@
 	return id != "" && id != v.Self && !now.Before(l.resting[id])
 }
 
-func (l *Ledger) question(v View, req *Request, a *account, id string) *question {
-	q := &question{host: l.fleet.host(id), from: SourceKeeper, args: Args{
-		Customer: req.Customer.Name, From: v.Self, Again: req.Again, Want: a.want(), Refused: a.untold(), Free: a.free(l.opts.Clock.Now(), id),
+func (l *Ledger) question(now time.Time, v View, req *Request, a *account, host member.Host) *question {
+	q := &question{host: host, from: SourceKeeper, args: Args{
+		Customer: req.Customer.Name, From: v.Self, Again: req.Again, Want: a.want(), Refused: a.untold(), Serves: l.fleet.serves(), Free: a.free(now, host.ID),
+		Parts: l.fleet.known(), Old: !l.fleet.young(now),
 	}}
 	a.asking++
 	return q
@@ -221,17 +244,34 @@
 	return a
 }
 
-// pool returns the bucket that this host keeps for hosts that ask it, one of which asks now and has its part free in a
-// while. A host that is asked though it is neither keeper nor deputy, by one that knows others than it does, has the
+// asker is a host that asks for tokens; its part, where clients are sent to it, is free in a while.
+type asker struct {
+	id     string
+	serves bool
+	free   time.Duration
+}
+
+// self returns this host as one that asks itself.
+func (l *Ledger) self(now time.Time, a *account) asker {
+	return asker{id: l.fleet.self, serves: l.fleet.serves(), free: a.free(now, l.fleet.self)}
+}
+
+// pool returns the bucket that this host keeps for hosts that ask it, one of which asks now. A host that is asked though it is neither keeper nor deputy, by one that knows others than it does, has the
 // parts that are brought to it and no more.
-func (l *Ledger) pool(now time.Time, c *route.Customer, a *account, asker string, free time.Duration) *bucket.Bucket {
-	a.parts.ask(now, asker, free)
+func (l *Ledger) pool(now time.Time, c *route.Customer, a *account, asker asker) *bucket.Bucket {
+	if asker.serves {
+		a.parts.ask(now, asker.id, asker.free)
+	}
 	slack := float64(l.opts.Slack)
 	c = l.generous(c)
-	switch r := l.fleet.of(c.Name); l.fleet.self {
-	case r.keeper:
+	if l.fleet.young(now) {
+		slack *= youngPart
+		c.PerSecond *= youngPart
+	}
+	switch r := l.fleet.of(c.Name); {
+	case r.keeper == l.fleet.self:
 		return a.keep(now, c, &l.fleet, slack)
-	case r.deputy:
+	case r.first(l.fleet.self):
 		return a.stand(now, c, &l.fleet, slack)
 	}
 	return a.stand(now, c, &l.fleet, 0)
@@ -258,7 +298,7 @@
 func (l *Ledger) alone(now time.Time, v View, c *route.Customer, a *account) Decision {
 	share, tokens := 0.0, 0.0
 	place := l.fleet.of(c.Name).place
-	serves := place < len(l.fleet.serving)
+	serves := l.fleet.serves()
 	if serves && v.Settled {
 		share = 1 / l.fleet.parts()
 	}
@@ -285,6 +325,8 @@
 	case err != nil:
 		l.resting[q.host.ID] = now.Add(keeperRest)
 		return Decision{}, false
+	case rep.Keeper.ID != "":
+		return Decision{}, false
 	case rep.Declined != "":
 		l.resting[q.host.ID] = now.Add(declinedRest)
 		return Decision{}, false
@@ -300,17 +342,22 @@
 	return Decision{Source: q.from, RetryAfter: rep.RetryAfter}, true
 }
 
-// Lend grants tokens to another host, or declines where this host doesn't decide about the customer.
+// Lend grants tokens to another host, or declines where this host doesn't decide about the customer, and says who does.
 func (l *Ledger) Lend(args *Args, rep *Reply) error {
 	now, v, c := l.opts.Clock.Now(), l.opts.View(), l.opts.Customer(args.Customer)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.update(now, v)
+	l.fleet.hear(now, args)
 	if rep.Declined = declines(v, c); rep.Declined != "" {
 		return nil
 	}
+	if r := l.fleet.of(c.Name); !args.Deputy && r.keeper != v.Self && r.keeper != args.From && r.keeper != "" {
+		rep.Declined, rep.Keeper = "another host keeps the customer's bucket", l.fleet.host(r.keeper)
+		return nil
+	}
 	a := l.account(c.Name)
-	b := l.pool(now, c, a, args.From, args.Free)
+	b := l.pool(now, c, a, asker{id: args.From, serves: args.Serves, free: args.Free})
 	for range min(args.Refused, mostLoan) {
 		b.Refuse(now)
 	}
--- a/entry/internal/allowance/messages.go
+++ b/entry/internal/allowance/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"guavaspring.org/core/route"
+	"guavaspring.org/entry/internal/member"
 )
 
 // Request is one request of a customer.
@@ -21,14 +22,21 @@
 	Customer string
 	// From is the id of the asking host.
 	From string
+	// Deputy says that the asking host doesn't reach the keeper, and asks this one in its place.
+	Deputy bool
 	// Again says that it is for a client that comes back.
 	Again bool
 	// Want is how many requests may run if all of it is granted.
 	Want int
 	// Refused counts the requests that the asking host has refused without asking since it asked last.
 	Refused int
-	// Free is how long the asking host's part of the limit still belongs to another host.
-	Free time.Duration
+	// Parts is into how many parts the asking host cuts a limit, and Old says that it has met the others long ago.
+	Parts int
+	Old   bool
+	// Serves says that clients are sent to the asking host, so that it has a part of the limit, and Free how long that
+	// still belongs to another host.
+	Serves bool
+	Free   time.Duration
 }
 
 // Reply is what the keeper grants.
@@ -36,6 +44,8 @@
 	Granted int
 	// Declined says why the host doesn't decide about the customer, empty where it does.
 	Declined string
+	// Keeper is the host that decides, where this one knows it.
+	Keeper member.Host
 	// RetryAfter is when to come back where nothing was granted.
 	RetryAfter time.Duration
 }
--- a/entry/internal/allowance/model_test.go
+++ b/entry/internal/allowance/model_test.go
@@ -45,6 +45,8 @@
 	n      int
 	row    member.Host
 	ledger *allowance.Ledger
+	// weak says that clients are not sent to the host, though some still come.
+	weak bool
 	// down and cut say that the host doesn't run, or that it and the others don't reach each other.
 	down, cut bool
 	began     time.Time
@@ -53,6 +55,9 @@
 	delay   time.Duration
 	known   []bool
 	serving []member.Host
+	// listed is when the serving hosts became what they are, and meets how long after its start the host meets each.
+	listed time.Time
+	meets  []time.Duration
 }
 
 type modelCustomer struct {
@@ -93,19 +98,23 @@
 
 func (m *model) newHost(n int) *modelHost {
 	h := &modelHost{m: m, n: n, began: time.Now().Add(-time.Minute), delay: time.Duration(500+m.rnd.IntN(1500)) * time.Millisecond}
-	h.start("first")
+	h.start("first", welcome)
 	h.began = time.Now().Add(-time.Minute)
 	return h
 }
 
-// start begins a new process on the host.
-func (h *modelHost) start(incarnation string) {
+// start begins a new process on the host, which meets the last of the others after a while.
+func (h *modelHost) start(incarnation string, slowest time.Duration) {
 	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(h.n >> 16), byte(h.n >> 8), byte(h.n)}), 7000)
 	delete(h.m.byID, h.row.ID)
 	h.row = member.Host{ID: fmt.Sprint(h.n, "-", incarnation), Peer: addr, State: member.StateAlive}
 	h.m.byID[h.row.ID] = h
 	h.began = time.Now()
-	h.known, h.serving = nil, nil
+	h.known, h.serving, h.listed = nil, nil, time.Now()
+	h.meets = make([]time.Duration, len(h.m.hosts))
+	for i := range h.meets {
+		h.meets[i] = time.Duration(h.m.rnd.Int64N(int64(slowest)))
+	}
 	h.ledger = allowance.New(allowance.Options{
 		Clock: clock.System{}, Slack: slack, Excess: excess, View: h.view, Customer: h.m.customer,
 		Ask: func(_ context.Context, keeper member.Host, args allowance.Args) (allowance.Reply, error) {
@@ -118,10 +127,20 @@
 	return &m.byName[name].Customer
 }
 
-const settled = 1500 * time.Millisecond
+const (
+	// settled is how long after its start a host counts as having met the others, and met how long that takes where it
+	// meets nobody new.
+	settled = 1500 * time.Millisecond
+	met     = 400 * time.Millisecond
+	// slowestMeeting is how long after its start a host meets the last of the others that start with it, and welcome how
+	// long that takes where one of those that run already tells it of all.
+	slowestMeeting = 2 * time.Second
+	welcome        = 300 * time.Millisecond
+)
 
 func (h *modelHost) view() allowance.View {
-	return allowance.View{Self: h.row.ID, Serving: h.serving, Settled: time.Since(h.began) >= settled}
+	known := len(h.serving) > 1 && time.Since(h.listed) >= met
+	return allowance.View{Self: h.row.ID, Serving: h.serving, Hosts: h.serving, Settled: known || time.Since(h.began) >= settled}
 }
 
 var errUnreached = errors.New("no connection")
@@ -147,7 +166,7 @@
 			m.up = append(m.up, h)
 		}
 	}
-	if m.hosts[0].known != nil && time.Since(m.changed) > slowestNews {
+	if m.hosts[len(m.hosts)-1].known != nil && m.hosts[0].known != nil && time.Since(m.changed) > slowestNews {
 		return
 	}
 	for _, h := range m.up {
@@ -167,21 +186,33 @@
 	known := make([]bool, len(h.m.hosts))
 	var list []member.Host
 	for i, other := range h.m.hosts {
-		alive := other == h || !other.down && !other.cut && !h.cut
-		if late := time.Since(other.changed) < h.delay || time.Since(h.changed) < h.delay; late && h.known != nil && i < len(h.known) {
-			alive = h.known[i]
-		}
-		known[i] = alive
-		if alive {
+		known[i] = h.believes(i, other)
+		if known[i] && !other.weak {
 			list = append(list, other.row)
 		}
 	}
 	h.known = known
 	if !sameRows(list, h.serving) {
-		h.serving = list
+		h.serving, h.listed = list, time.Now()
 	}
 }
 
+// believes reports whether the host holds another one for alive. It meets the others one after the other once it has
+// started, and hears of what becomes of them later.
+func (h *modelHost) believes(i int, other *modelHost) bool {
+	reached := !other.down && !other.cut && !h.cut
+	late := time.Since(other.changed) < h.delay || time.Since(h.changed) < h.delay && h.began.Before(h.changed)
+	switch {
+	case other == h:
+		return true
+	case i < len(h.meets) && time.Since(h.began) < h.meets[i]:
+		return false
+	case late && i < len(h.known) && h.began.Before(other.changed):
+		return h.known[i]
+	}
+	return reached
+}
+
 func sameRows(a, b []member.Host) bool {
 	if len(a) != len(b) {
 		return false
@@ -322,6 +353,26 @@
 	})
 }
 
+// Guards against hosts that have no part of the limit, as clients with old addresses alone come to them, and bring one
+// all the same.
+func TestWeakHostsBringNoPart(t *testing.T) {
+	sized(t, func(t *testing.T, m *model) {
+		for n := range len(m.hosts) {
+			h := m.newHost(len(m.hosts) + n)
+			h.weak = true
+			m.hosts = append(m.hosts, h)
+		}
+		for _, h := range m.hosts {
+			h.known = nil
+		}
+		for _, c := range m.customers[:3] {
+			c.times = 7
+		}
+		m.run(15 * time.Second)
+		m.check()
+	})
+}
+
 // Guards against hosts that are cut off from each other and give out the limit on both sides of the cut.
 func TestCutHostsKeepToTheirParts(t *testing.T) {
 	sized(t, func(t *testing.T, m *model) {
@@ -353,7 +404,7 @@
 			m.run(2 * time.Second)
 			for _, h := range gone {
 				h.down, h.changed = false, time.Now()
-				h.start(fmt.Sprint("later-", time.Now().UnixNano()))
+				h.start(fmt.Sprint("later-", time.Now().UnixNano()), welcome)
 			}
 			m.run(3 * time.Second)
 		}
@@ -372,9 +423,9 @@
 		}
 		m.run(3 * time.Second)
 		for range 2 {
+			m.changed = time.Now()
 			for _, h := range m.hosts {
-				h.changed = time.Now()
-				h.start(fmt.Sprint("later-", time.Now().UnixNano()))
+				h.start(fmt.Sprint("later-", time.Now().UnixNano()), slowestMeeting)
 			}
 			m.run(6 * time.Second)
 		}
--- a/entry/internal/allowance/view.go
+++ b/entry/internal/allowance/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"guavaspring.org/entry/internal/member"
@@ -18,6 +19,8 @@
 	provenFor = 2 * time.Second
 	// mostKeepers is how many hosts keep buckets, so that each host has connections to few.
 	mostKeepers = 16
+	// mostDeputies is how many hosts are asked in a keeper's place.
+	mostDeputies = 3
 	// keepers is the purpose by which the hosts are ranked that keep buckets.
 	keepers = "allowance keepers"
 )
@@ -29,6 +32,8 @@
 	// Serving are the hosts that clients are sent to and that are not suspected; the slice is replaced as a whole when
 	// one of them changes.
 	Serving []member.Host
+	// Hosts are all that are known, with their states.
+	Hosts []member.Host
 	// Settled says that the host has had the time to meet the others.
 	Settled bool
 	// Leaving says that the host stops, and that others take over what it keeps.
@@ -53,12 +58,20 @@
 	// seen holds when each serving host was seen last, by address, as of noted.
 	seen  map[netip.AddrPort]time.Time
 	noted time.Time
+	// told is into how many parts other hosts cut a limit, as of toldAt.
+	told   int
+	toldAt time.Time
+	// settledAt is when this host had met the others; zero where it had when it looked first, has not yet, or knows that
+	// another one had long before.
+	settledAt time.Time
+	unsettled bool
 }
 
 // ranking is what follows from the serving hosts for one customer.
 type ranking struct {
-	// keeper keeps the customer's bucket, and deputy is asked by those that don't reach it, empty where there is none.
-	keeper, deputy string
+	// keeper keeps the customer's bucket, and deputies are asked in turn by those that don't reach it.
+	keeper   string
+	deputies []string
 	// place is that of this host among the serving ones, or their number where it isn't one of them.
 	place int
 }
@@ -69,9 +82,13 @@
 
 // update takes over a view and reports whether the keepers may have changed.
 func (f *fleet) update(now time.Time, v View) bool {
+	if f.unsettled && v.Settled {
+		f.settledAt = now
+	}
+	f.unsettled = !v.Settled
 	changed := !same(f.serving, v.Serving)
 	if changed || now.Sub(f.noted) > noteEvery {
-		f.note(now, v.Serving)
+		f.note(now, v)
 	}
 	if !changed && (f.provenAt.IsZero() || now.Before(f.provenAt)) {
 		return false
@@ -97,10 +114,20 @@
 	return true
 }
 
-// note remembers which hosts serve now, and forgets those that have not for a while.
-func (f *fleet) note(now time.Time, serving []member.Host) {
+// note remembers which hosts serve now, and forgets those that have not for a while, and those that live and don't serve
+// any more: these know that they have no part.
+func (f *fleet) note(now time.Time, v View) {
 	f.noted = now
-	for _, h := range serving {
+	if !v.Settled {
+		// Of the few hosts that it knows the weak ones serve, too.
+		clear(f.seen)
+	}
+	for _, h := range v.Hosts {
+		if h.State == member.StateAlive {
+			delete(f.seen, h.Peer)
+		}
+	}
+	for _, h := range v.Serving {
 		f.seen[h.Peer] = now
 	}
 	for addr, at := range f.seen {
@@ -159,13 +186,18 @@
 	if len(list) > 0 {
 		r.keeper = list[0].ID
 	}
-	if len(list) > 1 {
-		r.deputy = list[1].ID
+	for n := 1; n < min(len(list), 1+mostDeputies); n++ {
+		r.deputies = append(r.deputies, list[n].ID)
 	}
 	f.ranked[customer] = r
 	return r
 }
 
+// serves reports whether clients are sent to this host.
+func (f *fleet) serves() bool {
+	return slices.ContainsFunc(f.serving, func(h member.Host) bool { return h.ID == f.self })
+}
+
 // keeps reports whether this host is a customer's keeper.
 func (f *fleet) keeps(customer string) bool { return f.self != "" && f.of(customer).keeper == f.self }
 
@@ -179,5 +211,29 @@
 	return member.Host{}
 }
 
-// parts returns into how many parts a limit is cut: one for each host that serves, or did a moment ago.
-func (f *fleet) parts() float64 { return float64(max(1, len(f.seen))) }
+// parts returns into how many parts a limit is cut: one for each host that serves, or did a moment ago, as far as this
+// host or one that has asked it knows.
+func (f *fleet) parts() float64 { return float64(max(f.known(), f.told)) }
+
+// share returns which share of a limit some parts are.
+func (f *fleet) share(parts int) float64 { return min(1, float64(parts)/f.parts()) }
+
+// known returns the same as far as this host knows.
+func (f *fleet) known() int { return max(1, len(f.seen)) }
+
+// hear takes over what a host knows that asks. What it says counts for a moment: it may have met hosts that this one
+// hears of a little later.
+func (f *fleet) hear(now time.Time, args *Args) {
+	if args.Parts >= f.told || now.Sub(f.toldAt) > provenFor {
+		f.told, f.toldAt = args.Parts, now
+	}
+	if args.Old {
+		f.settledAt = time.Time{}
+	}
+}
+
+// young reports whether this host, and perhaps all others, have met a moment ago.
+func (f *fleet) young(now time.Time) bool { return f.unsettled || now.Sub(f.settledAt) < youngFor }
+
+// first reports whether this host is the first that is asked in a keeper's place.
+func (r *ranking) first(self string) bool { return len(r.deputies) > 0 && r.deputies[0] == self }
--- a/entry/internal/front/allowances.go
+++ b/entry/internal/front/allowances.go
@@ -36,7 +36,7 @@
 func (f *Front) allowanceView() allowance.View {
 	p := f.joined.place()
 	met := len(p.serving) > 1 && f.opts.Clock.Now().Sub(p.since) >= metFor
-	return allowance.View{Self: p.self, Serving: p.serving, Settled: f.settled() || met, Leaving: f.drain.Leaving()}
+	return allowance.View{Self: p.self, Serving: p.serving, Hosts: f.joined.list.Hosts(), Settled: f.settled() || met, Leaving: f.drain.Leaving()}
 }
 
 // customer returns the customer with a name in the configuration in force, or nil.
