--- a/entry/internal/allowance/ledger.go
+++ b/entry/internal/allowance/ledger.go
@@ -57,9 +57,10 @@
 // It answers customers whose requests come to any host while their limit holds for all hosts together. A limit is cut
 // into equal parts, one for each host that clients are sent to. The hosts that see each other put their parts together
 // in one bucket, kept by the one of them that ranks first for the customer, which grants each request where it comes.
-// Hosts that don't reach that one bring their parts to the one that ranks second, and a host that reaches neither has
-// its own part left. So no two hosts give out the same part for longer than they need to hear of each other, and the
-// sum stays within the limit through cuts, losses and disagreement.
+// Hosts that don't reach that one bring their parts to those that rank next, and a host that reaches none of them has
+// its own part left. Who has brought its part does not use it elsewhere for a while, and who was brought it does not
+// use it for longer. What may run over a limit covers the moments in which a keeper counts parts of hosts that have
+// nothing to ask for.
 //
 // With fixed parts alone, a customer of one request a second whose clients come to some of fifty hosts finds none that
 // has a whole token for it.
@@ -185,8 +186,8 @@
 
 func (l *Ledger) question(now time.Time, v View, req *Request, a *account, host member.Host) *question {
 	q := &question{host: host, from: SourceKeeper, args: Args{
-		Customer: req.Customer.Name, From: v.Self, Again: req.Again, Want: a.want(), Refused: a.untold(), Serves: l.fleet.serves(), Free: a.free(now, host.ID),
-		Parts: l.fleet.known(), Old: !l.fleet.young(now),
+		Customer: req.Customer.Name, From: v.Self, Again: req.Again, Want: a.want(), Refused: a.untold(),
+		Serves: l.fleet.serves(), Free: a.free(now, host.ID), Parts: l.fleet.known(), Old: !l.fleet.young(now),
 	}}
 	a.asking++
 	return q
@@ -256,8 +257,8 @@
 	return asker{id: l.fleet.self, serves: l.fleet.serves(), free: a.free(now, l.fleet.self)}
 }
 
-// pool returns the bucket that this host keeps for hosts that ask it, one of which asks now. A host that is asked though it is neither keeper nor deputy, by one that knows others than it does, has the
-// parts that are brought to it and no more.
+// pool returns the bucket that this host keeps for hosts that ask it, one of which asks now. A host that is asked though
+// it is neither the keeper nor the first in its place has the parts that are brought to it and no more.
 func (l *Ledger) pool(now time.Time, c *route.Customer, a *account, asker asker) *bucket.Bucket {
 	if asker.serves {
 		a.parts.ask(now, asker.id, asker.free)
