gsctl: Tell from the hosts' logs which customers were refused, and why

Refusals by customer, cause and what decided them, with the first and the last; unknown keys by the digest that the log has.

--- /dev/null
+++ b/gsctl/internal/customers/refusals.go
@@ -0,0 +1,98 @@
+package customers
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"guavaspring.org/gsctl/internal/loglines"
+)
+
+// msgRefused is the name of the lines that are read.
+const msgRefused = "request_refused"
+
+// unknownKey is the cause of refusals that belong to no customer; their reason names the key's digest.
+const unknownKey = "unknown_key"
+
+// row is one customer's refusals for one cause and reason.
+type row struct {
+	customer, cause, reason string
+}
+
+// span is how many refusals there were, and when.
+type span struct {
+	count       int
+	first, last time.Time
+}
+
+// Refusals counts refused requests by customer and cause.
+type Refusals struct{ rows map[row]*span }
+
+// New returns no refusals.
+func New() *Refusals { return &Refusals{rows: map[row]*span{}} }
+
+// AddFiles adds the logs at paths.
+func (s *Refusals) AddFiles(paths []string) error { return loglines.Files(paths, s.Add) }
+
+// Add adds one log.
+func (s *Refusals) Add(name string, log io.Reader) error {
+	err := loglines.Scan(log, func(_, object []byte) { s.line(object) })
+	if err != nil {
+		return fmt.Errorf("read log %s: %w", name, err)
+	}
+	return nil
+}
+
+func (s *Refusals) line(raw []byte) {
+	var line struct {
+		Time     time.Time `json:"ts"`
+		Msg      string    `json:"msg"`
+		Cause    string    `json:"cause"`
+		Customer string    `json:"customer"`
+		Reason   string    `json:"reason"`
+	}
+	if json.Unmarshal(raw, &line) != nil || line.Msg != msgRefused || line.Customer == "" && line.Cause != unknownKey {
+		return
+	}
+	// What the client was told comes first, and what decided it after that.
+	_, detail, _ := strings.Cut(line.Reason, "; ")
+	at := row{customer: cmp.Or(line.Customer, "-"), cause: line.Cause, reason: detail}
+	n := s.rows[at]
+	if n == nil {
+		n = &span{first: line.Time, last: line.Time}
+		s.rows[at] = n
+	}
+	n.count++
+	if line.Time.Before(n.first) {
+		n.first = line.Time
+	}
+	if line.Time.After(n.last) {
+		n.last = line.Time
+	}
+}
+
+// Print writes the refusals, those of the customer that was refused most often first.
+func (s *Refusals) Print(w io.Writer) error {
+	sums := map[string]int{}
+	rows := make([]row, 0, len(s.rows))
+	for at, n := range s.rows {
+		sums[at.customer] += n.count
+		rows = append(rows, at)
+	}
+	slices.SortFunc(rows, func(a, b row) int {
+		return cmp.Or(cmp.Compare(sums[b.customer], sums[a.customer]), cmp.Compare(a.customer, b.customer),
+			cmp.Compare(s.rows[b].count, s.rows[a].count), cmp.Compare(a.cause, b.cause), cmp.Compare(a.reason, b.reason))
+	})
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "customer\trefused\tcause\tdetail\tfirst\tlast")
+	for _, at := range rows {
+		n := s.rows[at]
+		fmt.Fprintf(out, "%s\t%d\t%s\t%s\t%s\t%s\n", at.customer, n.count, at.cause, at.reason, n.first.Format(time.RFC3339), n.last.Format(time.RFC3339))
+	}
+	return out.Flush()
+}
--- a/gsctl/main.go
+++ b/gsctl/main.go
@@ -16,6 +16,7 @@
 
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/settings"
+	"guavaspring.org/gsctl/internal/customers"
 	"guavaspring.org/gsctl/internal/hostcosts"
 	"guavaspring.org/gsctl/internal/hostlog"
 	"guavaspring.org/gsctl/internal/operator"
@@ -42,6 +43,8 @@
 	traceBefore := trace.Flag("before", "How long before the request's last line the host's changed beliefs are told.").Default("10s").Duration()
 	costs := app.Command("costs", "Add up what the hosts' logs say of their traffic between availability zones and of their calls to the platform.")
 	costsLogs := costs.Arg("log", "The log of one host or of several.").Required().Strings()
+	refusals := app.Command("customers", "Print from the hosts' logs which customers were refused, how often and why; keys by their digests.")
+	refusalsLogs := refusals.Arg("log", "The log of one host or of several.").Required().Strings()
 	cmd, err := app.Parse(os.Args[1:])
 	if err != nil {
 		settings.Fail(os.Stderr, "gsctl", err)
@@ -78,6 +81,11 @@
 		if err = sum.AddFiles(*costsLogs); err == nil {
 			err = sum.Print(os.Stdout)
 		}
+	case refusals.FullCommand():
+		sum := customers.New()
+		if err = sum.AddFiles(*refusalsLogs); err == nil {
+			err = sum.Print(os.Stdout)
+		}
 	}
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "gsctl: %v\n", err)
@@ -86,7 +94,7 @@
 }
 
 // local are the commands that don't need the platform.
-var local = []string{"check", "explain", "trace", "costs"}
+var local = []string{"check", "explain", "trace", "costs", "customers"}
 
 // clientFor returns the platform's client, which only some commands need.
 func clientFor(cmd string, addr netip.AddrPort) (*platform.Client, error) {
