source, frontmetrics: Report answers that are refused for their age, and publish the host's own metrics first

What monitoring kept of the metrics was their first 4 KB, all of it Go's runtime: the host's own now come first.

--- a/entry/internal/events/events.go
+++ b/entry/internal/events/events.go
@@ -38,6 +38,8 @@
 
 	ZoneEvacuated = event.New(1210, "zone_evacuated", "An operator's order reached this host that nothing more is sent to the replicas of an availability zone.")
 	ZoneReleased  = event.New(1211, "zone_released", "The order to send nothing to the replicas of an availability zone was taken back; after says how long it held here.")
+
+	AnswerOlder = event.New(1212, "answer_older", "An answer of the platform or of another host is older than what is known here and was not taken over; the first of those in a row.")
 )
 
 // Events of requests, 1300 to 1399.
--- a/entry/internal/front/follow.go
+++ b/entry/internal/front/follow.go
@@ -34,7 +34,7 @@
 		Settled: f.settled, Wanted: f.startup.Wanted(),
 		Parents: func() ([]source.Parent[T], bool) { return parents[T](f.joined, k.method) },
 		Copy:    k.copy, Replace: k.replace, Change: k.change, Reconnect: f.opts.Store.Reconnect, Bound: k.bound,
-		Rejected: f.counts.Unreadable(k.name), Outage: f.outage,
+		Rejected: f.counts.Unreadable(k.name), Older: f.counts.Older(k.name), Outage: f.outage,
 	}).Run(ctx)
 }
 
--- a/entry/internal/frontmetrics/metrics.go
+++ b/entry/internal/frontmetrics/metrics.go
@@ -42,14 +42,16 @@
 
 // Metrics counts requests.
 type Metrics struct {
-	registry *prometheus.Registry
-	requests *prometheus.CounterVec
-	seconds  *prometheus.HistogramVec
-	extra    *prometheus.CounterVec
-	missed   prometheus.Counter
-	through  prometheus.Counter
-	refused  *prometheus.CounterVec
-	rejected *prometheus.CounterVec
+	// runtime holds the metrics of the process and of Go, which are published after all others.
+	registry, runtime *prometheus.Registry
+	requests          *prometheus.CounterVec
+	seconds           *prometheus.HistogramVec
+	extra             *prometheus.CounterVec
+	missed            prometheus.Counter
+	through           prometheus.Counter
+	refused           *prometheus.CounterVec
+	rejected          *prometheus.CounterVec
+	older             *prometheus.CounterVec
 	// customers counts requests by customer; named bounds how many customers it tells apart.
 	customers *prometheus.CounterVec
 	named     names
@@ -81,6 +83,7 @@
 func New(opts Options) *Metrics {
 	m := &Metrics{
 		registry: prometheus.NewRegistry(),
+		runtime:  prometheus.NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "guavaspring_forwarded_total", Help: "Requests, by kind, ending and status of the answer."}, []string{"kind", "ending", "status"}),
 		seconds:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "guavaspring_forwarded_seconds", Help: "Time from a request's arrival to its answer.", Buckets: buckets}, []string{"kind"}),
 		extra:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "guavaspring_extra_tries_total", Help: "Tries beyond the first of a shard, and those that the budget denied."}, []string{"what"}),
@@ -90,7 +93,9 @@
 	}
 	m.customers = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "guavaspring_customer_requests_total", Help: "Requests by customer and outcome, which is the cause where a request was refused before it was sent anywhere."}, []string{"customer", "outcome"})
 	m.rejected = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "guavaspring_objects_unreadable_total", Help: "Objects of the store that can't be read, once for each revision, by kind."}, []string{"kind"})
-	m.registry.MustRegister(m.requests, m.seconds, m.extra, m.missed, m.through, m.refused, m.rejected, m.customers, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.older = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "guavaspring_answers_older_total", Help: "Answers of the store or of other hosts that were older than what was known, by kind."}, []string{"kind"})
+	m.registry.MustRegister(m.requests, m.seconds, m.extra, m.missed, m.through, m.refused, m.rejected, m.older, m.customers)
+	m.runtime.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registry.MustRegister(opts.More...)
 	for _, c := range []struct {
 		name, help string
@@ -169,6 +174,9 @@
 	return func(n int) { c.Add(float64(n)) }
 }
 
+// Older returns what counts answers of a kind that were older than what was known.
+func (m *Metrics) Older(kind string) func() { return m.older.WithLabelValues(kind).Inc }
+
 // statusClass bounds the values of the label: replicas may answer with any status.
 func statusClass(status int) string {
 	switch {
@@ -182,7 +190,13 @@
 	return "2xx"
 }
 
-// Handler returns the handler that publishes the metrics.
+// Handler returns the handler that publishes the metrics, the host's own first: a reader may keep only the beginning.
 func (m *Metrics) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	// Two bodies in a row can't be compressed one by one.
+	opts := promhttp.HandlerOpts{DisableCompression: true}
+	own, runtime := promhttp.HandlerFor(m.registry, opts), promhttp.HandlerFor(m.runtime, opts)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		own.ServeHTTP(w, r)
+		runtime.ServeHTTP(w, r)
+	})
 }
--- a/entry/internal/frontmetrics/metrics_test.go
+++ b/entry/internal/frontmetrics/metrics_test.go
@@ -89,3 +89,16 @@
 	}
 	qt.Check(t, strings.Count(w.Body.String(), "guavaspring_customer_requests_total{"), qt.Equals, 202)
 }
+
+// Guards against metrics that are cut off by those of the process: a collector that keeps 4 KB must see the host's own.
+func TestOwnMetricsComeFirst(t *testing.T) {
+	m := newMetrics()
+	m.Older("config")()
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/metrics", nil))
+	body := w.Body.String()
+	kept := body[:4<<10]
+	qt.Check(t, strings.Contains(kept, `guavaspring_answers_older_total{kind="config"} 1`), qt.IsTrue)
+	qt.Check(t, strings.Contains(kept, "guavaspring_config_version 7"), qt.IsTrue)
+	qt.Check(t, strings.Contains(body, "go_goroutines"), qt.IsTrue)
+}
--- a/entry/internal/source/follower.go
+++ b/entry/internal/source/follower.go
@@ -54,6 +54,9 @@
 	returnedFor = time.Second
 )
 
+// fromStore names the store in logs, where another host is named by its address.
+const fromStore = "store"
+
 // Parent is a host from which this one hears.
 type Parent[T any] struct {
 	// Name identifies the host in logs.
@@ -91,6 +94,8 @@
 	Outage *Outage
 	// Rejected is told how many objects were found that can't be read, each once; it may be nil.
 	Rejected func(n int)
+	// Older is called with each answer that is older than what is known; it may be nil.
+	Older func()
 	// Bound is how soon a change has to be known here. A watch may hear nothing while its history is being dropped, and
 	// tells so only at its end: its wait has to be well under the bound.
 	Bound time.Duration
@@ -111,7 +116,9 @@
 	collect time.Duration
 	// next is which parent is asked next, and failed how many in a row brought nothing.
 	next, failed int
-	rejects      *rejects
+	// older says that the last answer was older than what is known.
+	older   bool
+	rejects *rejects
 }
 
 // New returns a follower that does nothing until Run.
@@ -125,6 +132,9 @@
 	if opts.Rejected == nil {
 		opts.Rejected = func(int) {}
 	}
+	if opts.Older == nil {
+		opts.Older = func() {}
+	}
 	return &Follower[T]{opts: opts, rejects: newRejects(opts.Log, opts.Name, opts.Rejected)}
 }
 
@@ -246,7 +256,7 @@
 	began := f.opts.Clock.Now()
 	rep, err := parent.Ask(ctx, relay.Args{Since: before.Revision, Wait: wait})
 	if err == nil && rep.Age >= 0 && rep.Revision >= before.Revision {
-		f.heard(rep)
+		f.heard(parent.Name, rep)
 	}
 	after, _ := f.opts.Copy.State()
 	switch {
@@ -268,29 +278,47 @@
 	}
 }
 
-func (f *Follower[T]) heard(rep relay.Reply[T]) {
+func (f *Follower[T]) heard(from string, rep relay.Reply[T]) {
 	at := f.opts.Clock.Now().Add(-rep.Age)
 	batch := feed.Batch[T]{Entries: rep.Entries, Revision: rep.Revision}
 	f.listed = true
 	if rep.Full {
-		f.replace(batch, at, rep.Returned)
+		f.replace(from, batch, at, rep.Returned)
 		return
 	}
-	f.change(batch, at, rep.Returned)
+	f.change(from, batch, at, rep.Returned)
 }
 
-func (f *Follower[T]) replace(batch feed.Batch[T], at time.Time, returned bool) {
-	if f.opts.Copy.Replace(batch, at, returned) {
+func (f *Follower[T]) replace(from string, batch feed.Batch[T], at time.Time, returned bool) {
+	ok := f.opts.Copy.Replace(batch, at, returned)
+	f.noteAge(from, batch.Revision, ok)
+	if ok {
 		f.opts.Replace(batch, returned)
 	}
 }
 
-func (f *Follower[T]) change(batch feed.Batch[T], at time.Time, returned bool) {
-	if news, ok := f.opts.Copy.Change(batch, at, returned); ok && len(news.Entries) > 0 {
+func (f *Follower[T]) change(from string, batch feed.Batch[T], at time.Time, returned bool) {
+	news, ok := f.opts.Copy.Change(batch, at, returned)
+	f.noteAge(from, batch.Revision, ok)
+	if ok && len(news.Entries) > 0 {
 		f.opts.Change(news, returned)
 	}
 }
 
+// noteAge logs and counts an answer that was refused for its age.
+func (f *Follower[T]) noteAge(from string, revision int64, taken bool) {
+	before := f.older
+	f.older = !taken
+	if taken {
+		return
+	}
+	f.opts.Older()
+	if !before {
+		st, _ := f.opts.Copy.State()
+		events.AnswerOlder.Log(f.opts.Log, "kind", f.opts.Name, "from", from, "revision", revision, "known", st.Revision)
+	}
+}
+
 // read makes one call to the store: a list where nothing is known or what is known may have a hole, a watch otherwise.
 func (f *Follower[T]) read(ctx context.Context) {
 	defer func() { f.tried = f.opts.Clock.Now() }()
@@ -311,7 +339,7 @@
 		return
 	}
 	f.listed = true
-	f.replace(batch, began, f.succeeded())
+	f.replace(fromStore, batch, began, f.succeeded())
 	f.rejects.report(batch.Rejected)
 }
 
@@ -331,7 +359,7 @@
 		f.lost(ctx, err)
 	default:
 		now := f.opts.Clock.Now()
-		f.change(batch, now, f.succeeded())
+		f.change(fromStore, batch, now, f.succeeded())
 		f.rejects.report(batch.Rejected)
 		f.putOff(ctx, now.Sub(began))
 	}
--- a/entry/internal/source/follower_test.go
+++ b/entry/internal/source/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,12 +13,17 @@
 	"github.com/go-logr/logr"
 
 	"guavaspring.org/core/clock"
+	"guavaspring.org/core/event"
 	"guavaspring.org/core/feed"
 	"guavaspring.org/entry/internal/relay"
 	"guavaspring.org/entry/internal/source"
 )
 
-const bound = 3 * time.Second
+const (
+	bound = 3 * time.Second
+	// storeTakes is how long the store takes for an answer.
+	storeTakes = 4 * time.Millisecond
+)
 
 // world is a store with one object that holds a number, and hosts that follow it.
 type world struct {
@@ -507,3 +513,28 @@
 		}
 	}
 }
+
+// Guards against answers that are refused for their age without a trace: hosts that take over nothing look healthy.
+func TestOlderAnswersAreReported(t *testing.T) {
+	play(t, func(ctx context.Context) {
+		w := newWorld()
+		w.revision = 9
+		var lines strings.Builder
+		older := 0
+		opts := w.options(&host{name: "watcher", copy: relay.NewCopy[int64](), watches: true}, source.NewOutage())
+		opts.Log = event.NewLogger(&lines)
+		opts.Older = func() { w.set(func() { older++ }) }
+		list := opts.List
+		opts.List = func(ctx context.Context) (feed.Batch[int64], error) {
+			clock.Sleep(ctx, clock.System{}, storeTakes)
+			return list(ctx)
+		}
+		go source.New(opts).Run(ctx)
+		time.Sleep(time.Second)
+		w.set(func() { w.revision = 5 })
+		time.Sleep(2 * bound)
+		w.set(func() { qt.Check(t, older > 1, qt.IsTrue) })
+		qt.Check(t, strings.Count(lines.String(), `"msg":"answer_older"`), qt.Equals, 1)
+		qt.Check(t, strings.Contains(lines.String(), `"kind":"config","from":"store","revision":5,"known":9`), qt.IsTrue, qt.Commentf("%s", lines.String()))
+	})
+}
--- a/entry/internal/source/start.go
+++ b/entry/internal/source/start.go
@@ -37,13 +37,17 @@
 		}
 	}()
 	parents := f.opts.First()
-	replies := make(chan relay.Reply[T], len(parents))
+	type answer struct {
+		from string
+		rep  relay.Reply[T]
+	}
+	answers := make(chan answer, len(parents))
 	for i, p := range parents {
-		go func() { replies <- f.askFirst(ctx, p, time.Duration(i)*firstNext) }()
+		go func() { answers <- answer{p.Name, f.askFirst(ctx, p, time.Duration(i)*firstNext)} }()
 	}
 	for range parents {
-		if rep := <-replies; rep.Age >= 0 {
-			f.heard(rep)
+		if a := <-answers; a.rep.Age >= 0 {
+			f.heard(a.from, a.rep)
 			return
 		}
 	}
