source: Wait after an answer that is too old to be taken over

What callers saw: nothing by itself.

Cause: an answer that the copy refuses confirms nothing, so that the host stays too old and lists again at once; only calls that failed were followed by a wait.

Now the wait after such an answer grows as after a failed one, to 2 s in five calls (0.25 s on the two hosts that watch), and hosts hear from each other meanwhile. It doesn't mend the incident, whose cause is that those answers are refused at all.

--- a/entry/internal/source/follower.go
+++ b/entry/internal/source/follower.go
@@ -116,9 +116,10 @@
 	collect time.Duration
 	// next is which parent is asked next, and failed how many in a row brought nothing.
 	next, failed int
-	// older says that the last answer was older than what is known.
-	older   bool
-	rejects *rejects
+	// older says that the last answer was older than what is known, and olderPause is the wait after one of the store.
+	older      bool
+	olderPause time.Duration
+	rejects    *rejects
 }
 
 // New returns a follower that does nothing until Run.
@@ -211,7 +212,7 @@
 // as long, though its neighbours know all that it lacks. Where it is away for all, the first host that reaches it again
 // has all others know within one call.
 func (f *Follower[T]) rest(watches bool) time.Duration {
-	down, tried, pause := f.down, f.tried, f.pause
+	down, tried, pause := f.down || f.olderPause > 0, f.tried, max(f.pause, f.olderPause)
 	if at, away := f.opts.Outage.failedAt(); away && !watches && at.After(tried) {
 		down, tried, pause = true, at, hearPause
 	}
@@ -289,20 +290,24 @@
 	f.change(from, batch, at, rep.Returned)
 }
 
-func (f *Follower[T]) replace(from string, batch feed.Batch[T], at time.Time, returned bool) {
+// replace takes over a list, and reports whether it was new enough.
+func (f *Follower[T]) replace(from string, batch feed.Batch[T], at time.Time, returned bool) bool {
 	ok := f.opts.Copy.Replace(batch, at, returned)
 	f.noteAge(from, batch.Revision, ok)
 	if ok {
 		f.opts.Replace(batch, returned)
 	}
+	return ok
 }
 
-func (f *Follower[T]) change(from string, batch feed.Batch[T], at time.Time, returned bool) {
+// change takes over changes, and reports whether they were new enough.
+func (f *Follower[T]) change(from string, batch feed.Batch[T], at time.Time, returned bool) bool {
 	news, ok := f.opts.Copy.Change(batch, at, returned)
 	f.noteAge(from, batch.Revision, ok)
 	if ok && len(news.Entries) > 0 {
 		f.opts.Change(news, returned)
 	}
+	return ok
 }
 
 // noteAge logs and counts an answer that was refused for its age.
@@ -339,7 +344,7 @@
 		return
 	}
 	f.listed = true
-	f.replace(fromStore, batch, began, f.succeeded())
+	f.backOff(f.replace(fromStore, batch, began, f.succeeded()))
 	f.rejects.report(batch.Rejected)
 }
 
@@ -359,12 +364,22 @@
 		f.lost(ctx, err)
 	default:
 		now := f.opts.Clock.Now()
-		f.change(fromStore, batch, now, f.succeeded())
+		f.backOff(f.change(fromStore, batch, now, f.succeeded()))
 		f.rejects.report(batch.Rejected)
 		f.putOff(ctx, now.Sub(began))
 	}
 }
 
+// backOff lets the wait after an answer of the store grow while its answers are too old to be taken over. Such a call
+// confirms nothing, and would be made again at once.
+func (f *Follower[T]) backOff(taken bool) {
+	if taken {
+		f.olderPause = 0
+		return
+	}
+	f.olderPause = min(max(firstPause, 2*f.olderPause), hearPause)
+}
+
 // watchWait returns how long one watch waits: so long that its loss is known in time to read all again. The first one after a start ends sooner: what the hosts below heard is as
 // old as the list that was read before, and each would ask the store itself before it hears that nothing has changed.
 func (f *Follower[T]) watchWait() time.Duration {
