--- a/core/platform/client.go
+++ b/core/platform/client.go
@@ -44,8 +44,11 @@
 	// Version grows by one with each update of this object; zero means that it does not exist.
 	Version int64 `json:"version"`
 	// Revision is the platform's global counter at the object's last update.
-	Revision int64           `json:"revision"`
-	Body     json.RawMessage `json:"body"`
+	Revision int64 `json:"revision"`
+	// Era counts how often the platform came back from an older copy of itself before the object was read, which makes
+	// versions of two eras incomparable; zero where the platform doesn't say it.
+	Era  int64           `json:"era,omitempty"`
+	Body json.RawMessage `json:"body"`
 }
 
 // ReplicaState is what the platform's host list says of an upstream replica.
--- a/core/route/config.go
+++ b/core/route/config.go
@@ -18,6 +18,9 @@
 	Unreadable int
 }
 
+// OlderThan reports whether c is an earlier version than other.
+func (c Config) OlderThan(other Config) bool { return c.Version < other.Version }
+
 // Route says where the requests of a host name and path prefix go.
 type Route struct {
 	Name string
--- a/entry/internal/events/events.go
+++ b/entry/internal/events/events.go
@@ -40,6 +40,9 @@
 	ZoneReleased  = event.New(1211, "zone_released", "The order to send nothing to the replicas of an availability zone was taken back; after says how long it held here.")
 
 	AnswerOlder = event.New(1212, "answer_older", "An answer of the platform or of another host is older than what is known here and was not taken over; the first of those in a row.")
+	StoreEra    = event.New(1213, "store_era", "Objects of a kind were read in another era of the platform's store than before: it came back from an older copy of itself, or this host has just started. Kept is how many objects stay what they were, as the copy is older.")
+	EraUnsaid   = event.New(1215, "era_unsaid", "An answer of the platform's store doesn't say the era, or says something that is no number; revisions are compared as if it were the one that is known. Written once until an answer says it.")
+	KeptTaken   = event.New(1214, "kept_taken", "Another host keeps objects from an earlier era of the platform's store, which the store's copy has older or not at all; they were taken over. News is how many were new here.")
 )
 
 // Events of requests, 1300 to 1399.
--- a/entry/internal/front/follow.go
+++ b/entry/internal/front/follow.go
@@ -33,6 +33,7 @@
 		First:   func() []source.Parent[T] { return first[T](f.joined, f.opts.Seeds(), k.method) },
 		Settled: f.settled, Wanted: f.startup.Wanted(),
 		Parents: func() ([]source.Parent[T], bool) { return parents[T](f.joined, k.method) },
+		Others:  func() []source.Parent[T] { return others[T](f.joined, k.method) },
 		Copy:    k.copy, Replace: k.replace, Change: k.change, Reconnect: f.opts.Store.Reconnect, Bound: k.bound,
 		Rejected: f.counts.Unreadable(k.name), Older: f.counts.Older(k.name), Outage: f.outage,
 	}).Run(ctx)
--- a/entry/internal/front/joined.go
+++ b/entry/internal/front/joined.go
@@ -68,8 +68,10 @@
 		return nil, fmt.Errorf("listen for other hosts: %w", err)
 	}
 	j := &joined{
-		clock:   opts.Clock,
-		configs: relay.NewLastGoodCopy[route.Config](), replicas: relay.NewCopy[platform.Replica](), evacuations: relay.NewCopy[platform.Evacuation](),
+		clock:       opts.Clock,
+		configs:     relay.NewCopy(relay.Options[route.Config]{LastGood: true, KeepAbsent: true, Older: route.Config.OlderThan}),
+		replicas:    relay.NewCopy(relay.Options[platform.Replica]{Older: platform.Replica.OlderThan, KeepFor: replicasKept}),
+		evacuations: relay.NewCopy(relay.Options[platform.Evacuation]{KeepAbsent: true, KeepFor: evacuationsKept}),
 	}
 	services[relayService] = &relay.Methods{Clock: opts.Clock, ConfigCopy: j.configs, ReplicaCopy: j.replicas, EvacuationCopy: j.evacuations}
 	self := member.Host{ID: incarnation, Caller: opts.Front, Peer: opts.Peer, Zone: opts.Zone, Region: opts.Region, Cores: opts.Cores, LinkBits: opts.LinkBits}
@@ -111,6 +113,17 @@
 	settled = 1500 * time.Millisecond
 )
 
+// evacuationsKept is how long an evacuation that the store has lost holds, and one that it has again does not, unless an
+// operator writes it again.
+const evacuationsKept = 5 * time.Minute
+
+// replicasKept is the same for rows of replicas. The store drops a row that was not written for three heartbeats, so that
+// one that is there for longer is of a replica that lives.
+const replicasKept = 10 * time.Second
+
+// mostOthers is how many other hosts are asked at once what they keep from an earlier era of the store.
+const mostOthers = 2
+
 // relayService is the name under which hosts serve what they read from the store.
 const relayService = "Relay"
 
@@ -154,6 +167,18 @@
 	return list, watches
 }
 
+// others returns how to ask a few hosts, any of those that are alive, by one method of relay.Methods.
+func others[T any](j *joined, method string) []source.Parent[T] {
+	hosts, self := j.list.Hosts(), j.list.Self().ID
+	var list []source.Parent[T]
+	for _, n := range rand.Perm(len(hosts)) {
+		if h := hosts[n]; h.ID != self && h.State == member.StateAlive && len(list) < mostOthers {
+			list = append(list, parent[T](j, h.Peer, method))
+		}
+	}
+	return list
+}
+
 func (j *joined) run(ctx context.Context) {
 	var duties sync.WaitGroup
 	duties.Go(func() { j.peers.Run(ctx) })
--- /dev/null
+++ b/entry/internal/relay/earlier_test.go
@@ -0,0 +1,320 @@
+package relay_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"guavaspring.org/core/feed"
+	"guavaspring.org/core/platform"
+	"guavaspring.org/entry/internal/relay"
+)
+
+const keepFor = 5 * time.Minute
+
+func replicasCopy() *relay.Copy[platform.Replica] {
+	return relay.NewCopy(relay.Options[platform.Replica]{Older: platform.Replica.OlderThan, KeepFor: keepFor})
+}
+
+func evacuationsCopy() *relay.Copy[platform.Evacuation] {
+	return relay.NewCopy(relay.Options[platform.Evacuation]{KeepAbsent: true, KeepFor: keepFor})
+}
+
+// at returns a batch of an era.
+func at[T any](era, revision int64, entries ...feed.Entry[T]) feed.Batch[T] {
+	return feed.Batch[T]{Era: era, Revision: revision, Entries: entries}
+}
+
+func row(id string, revision, sequence int64, state platform.ReplicaState) feed.Entry[platform.Replica] {
+	return feed.Entry[platform.Replica]{Name: id, Revision: revision, Value: platform.Replica{ID: id, State: state, Sequence: sequence, Started: time.UnixMilli(1).UTC()}}
+}
+
+func order(zone string, revision int64) feed.Entry[platform.Evacuation] {
+	return feed.Entry[platform.Evacuation]{Name: zone, Revision: revision, Value: platform.Evacuation{Zone: zone}}
+}
+
+func deleted[T any](name string, revision int64) feed.Entry[T] {
+	return feed.Entry[T]{Name: name, Revision: revision, Deleted: true}
+}
+
+// holds describes what a copy holds, in order.
+func holds[T any](c *relay.Copy[T], show func(feed.Entry[T]) string) []string {
+	all, _, _ := c.Since(feed.Position{})
+	list := []string{}
+	for _, e := range all.Entries {
+		list = append(list, show(e))
+	}
+	slices.Sort(list)
+	return list
+}
+
+func showRow(e feed.Entry[platform.Replica]) string {
+	return fmt.Sprintf("%s %s %d", e.Name, e.Value.State, e.Value.Sequence)
+}
+
+func showName[T any](e feed.Entry[T]) string { return e.Name }
+
+// Guards against replicas that the store's copy brings back: those that are gone, and those that have begun to drain.
+func TestCopyBringsNoReplicaBack(t *testing.T) {
+	now := time.Unix(100, 0)
+	c := replicasCopy()
+	c.Replace(at(1, 10, row("gone", 3, 4, platform.StateLive), row("drains", 4, 4, platform.StateLive), row("stays", 5, 4, platform.StateLive), row("again", 6, 4, platform.StateLive)), now, false)
+	c.Change(at(1, 14,
+		deleted[platform.Replica]("gone", 11), row("drains", 12, 9, platform.StateLeaving), row("new", 13, 1, platform.StateLive), deleted[platform.Replica]("again", 14)), now, false)
+	list := at(2, 12, row("gone", 3, 4, platform.StateLive), row("drains", 4, 4, platform.StateLive), row("stays", 11, 9, platform.StateLive), row("again", 12, 5, platform.StateLive))
+	for range 2 {
+		qt.Assert(t, c.Replace(list, now, false), qt.IsTrue)
+		// The one that is new is found once it writes again, and the one that has written again is there.
+		qt.Check(t, holds(c, showRow), qt.DeepEquals, []string{"again live 5", "drains leaving 9", "stays live 9"})
+	}
+	c.Change(at(2, 15, row("new", 13, 2, platform.StateLive), deleted[platform.Replica]("gone", 14), row("drains", 15, 10, platform.StateLeaving)), now, false)
+	qt.Check(t, holds(c, showRow), qt.DeepEquals, []string{"again live 5", "drains leaving 10", "new live 2", "stays live 9"})
+	kept, _ := c.Kept()
+	qt.Check(t, kept, qt.HasLen, 0)
+	c.Change(at(2, 17, deleted[platform.Replica]("drains", 16), row("gone", 17, 20, platform.StateLive)), now, false)
+	qt.Check(t, holds(c, showRow), qt.DeepEquals, []string{"again live 5", "gone live 20", "new live 2", "stays live 9"})
+}
+
+// Guards against a replica that lives and is left out for good: its row expired in the lost seconds, the store's copy has
+// it, and the replica's next write changes nothing that the store counts as a change.
+func TestLivingReplicaIsLeftOutForAWhile(t *testing.T) {
+	now := time.Unix(100, 0)
+	c := replicasCopy()
+	c.Replace(at(1, 10, row("a", 3, 4, platform.StateLive)), now, false)
+	c.Change(at(1, 11, deleted[platform.Replica]("a", 11)), now, false)
+	c.Replace(at(2, 10, row("a", 3, 4, platform.StateLive)), now, false)
+	qt.Check(t, holds(c, showRow), qt.DeepEquals, []string{})
+	news, _ := c.Change(at[platform.Replica](2, 10), now.Add(keepFor), false)
+	qt.Check(t, news.Entries, qt.HasLen, 1)
+	qt.Check(t, holds(c, showRow), qt.DeepEquals, []string{"a live 4"})
+}
+
+// Guards against an order to evacuate a zone, or its end, that the store's copy undoes.
+func TestCopyUndoesNoEvacuation(t *testing.T) {
+	now := time.Unix(100, 0)
+	newCopy := func() *relay.Copy[platform.Evacuation] {
+		c := evacuationsCopy()
+		c.Replace(at(1, 10, order("released", 5)), now, false)
+		c.Change(at(1, 12, order("ordered", 11), deleted[platform.Evacuation]("released", 12)), now, false)
+		c.Replace(at(2, 10, order("released", 5)), now, false)
+		return c
+	}
+	for _, tc := range []struct {
+		name string
+		then func(c *relay.Copy[platform.Evacuation])
+		want []string
+	}{
+		{"nothing is written", func(*relay.Copy[platform.Evacuation]) {}, []string{"ordered"}},
+		{"all is listed again", func(c *relay.Copy[platform.Evacuation]) { c.Replace(at(2, 11, order("released", 5)), now, false) }, []string{"ordered"}},
+		{"both are written again", func(c *relay.Copy[platform.Evacuation]) {
+			c.Change(at(2, 12, order("ordered", 11), deleted[platform.Evacuation]("released", 12)), now, false)
+		}, []string{"ordered"}},
+		{"the order is written again, and its end", func(c *relay.Copy[platform.Evacuation]) {
+			c.Change(at(2, 12, order("ordered", 11), deleted[platform.Evacuation]("ordered", 12)), now, false)
+		}, []string{}},
+		{"the zone is evacuated anew", func(c *relay.Copy[platform.Evacuation]) { c.Change(at(2, 12, order("released", 12)), now, false) }, []string{"ordered", "released"}},
+		{"a list shows it anew", func(c *relay.Copy[platform.Evacuation]) { c.Replace(at(2, 12, order("released", 12)), now, false) }, []string{"ordered", "released"}},
+		{"nobody writes for long", func(c *relay.Copy[platform.Evacuation]) {
+			c.Change(at[platform.Evacuation](2, 12), now.Add(keepFor), false)
+		}, []string{"released"}},
+		{"a second drill", func(c *relay.Copy[platform.Evacuation]) { c.Replace(at(3, 10, order("released", 5)), now, false) }, []string{"ordered"}},
+		{"an answer of the old era", func(c *relay.Copy[platform.Evacuation]) {
+			qt.Check(t, c.Replace(at(1, 99, order("released", 5)), now, false), qt.IsFalse)
+			_, ok := c.Change(at(1, 99, deleted[platform.Evacuation]("ordered", 98)), now, false)
+			qt.Check(t, ok, qt.IsFalse)
+		}, []string{"ordered"}},
+	} {
+		c := newCopy()
+		tc.then(c)
+		qt.Check(t, holds(c, showName), qt.DeepEquals, tc.want, qt.Commentf("%s", tc.name))
+	}
+}
+
+// Guards against a host that starts after the store came back and learns less than the others know.
+func TestKeptIsPassedOn(t *testing.T) {
+	now := time.Unix(100, 0)
+	old := evacuationsCopy()
+	old.Replace(at(1, 10, order("released", 5)), now, false)
+	old.Change(at(1, 12, order("ordered", 11), deleted[platform.Evacuation]("released", 12)), now, false)
+	old.Replace(at(2, 10, order("released", 5)), now, false)
+	started := evacuationsCopy()
+	started.Replace(at(2, 10, order("released", 5)), now, false)
+	kept, sum := old.Kept()
+	news := started.Merge(kept, now)
+	qt.Check(t, news.Entries, qt.HasLen, 2)
+	qt.Check(t, holds(started, showName), qt.DeepEquals, []string{"ordered"})
+	started.Replace(at(2, 11, order("released", 5)), now, false)
+	qt.Check(t, holds(started, showName), qt.DeepEquals, []string{"ordered"})
+	_, same := started.Kept()
+	qt.Check(t, same, qt.Equals, sum)
+	// A second drill changes nothing of that.
+	started.Replace(at(3, 10, order("released", 5)), now, false)
+	qt.Check(t, holds(started, showName), qt.DeepEquals, []string{"ordered"})
+	started.Replace(at(3, 11, order("released", 5)), now, false)
+	// What was written since counts, whatever a host that lags still keeps.
+	started.Change(at(3, 13, order("ordered", 12), deleted[platform.Evacuation]("ordered", 13)), now, false)
+	started.Merge(kept, now)
+	qt.Check(t, holds(started, showName), qt.DeepEquals, []string{})
+}
+
+// Guards against a host of the old era that is served from changes it can't be: it had seen what its parent never did.
+func TestHostAheadOfItsParentGetsAll(t *testing.T) {
+	now := time.Unix(100, 0)
+	parent := replicasCopy()
+	parent.Replace(at(1, 10, row("a", 9, 1, platform.StateLive)), now, false)
+	parent.Replace(at(2, 8, row("a", 8, 1, platform.StateLive)), now, false)
+	for _, tc := range []struct {
+		reached feed.Position
+		full    bool
+	}{
+		{feed.Position{Era: 1, Revision: 10}, false},
+		{feed.Position{Era: 1, Revision: 11}, true},
+		{feed.Position{Era: 2, Revision: 7}, true},
+		{feed.Position{Era: 2, Revision: 8}, false},
+		{feed.Position{Revision: 10}, true},
+	} {
+		_, full, _ := parent.Since(tc.reached)
+		qt.Check(t, full, qt.Equals, tc.full, qt.Commentf("at %+v", tc.reached))
+	}
+}
+
+// eraModel is a store that comes back from older copies, and two hosts: one reads it, the other hears from the first.
+type eraModel struct {
+	era, revision, version int64
+	// store is what the store holds, truth what the operator wrote.
+	store map[string]feed.Entry[int64]
+	truth map[string]int64
+	// copies are what the store may come back from.
+	copies []eraCopy
+	hosts  [2]*relay.Copy[int64]
+	newest [2]map[string]int64
+}
+
+type eraCopy struct {
+	revision int64
+	store    map[string]feed.Entry[int64]
+}
+
+func newEraModel() *eraModel {
+	m := &eraModel{era: 1, revision: 10, store: map[string]feed.Entry[int64]{}, truth: map[string]int64{}}
+	m.copies = []eraCopy{m.copy()}
+	m.start(0)
+	m.start(1)
+	return m
+}
+
+// start lets a host begin anew.
+func (m *eraModel) start(i int) {
+	opts := relay.Options[int64]{KeepAbsent: true, Older: func(got, held int64) bool { return got < held }}
+	m.hosts[i], m.newest[i] = relay.NewCopy(opts), map[string]int64{}
+}
+
+func (m *eraModel) now() time.Time { return time.Unix(m.revision, 0) }
+
+func (m *eraModel) copy() eraCopy { return eraCopy{m.revision, maps.Clone(m.store)} }
+
+func (m *eraModel) restore(c eraCopy) {
+	m.era, m.revision, m.store = m.era+1, c.revision, maps.Clone(c.store)
+	m.copies = []eraCopy{m.copy()}
+}
+
+func (m *eraModel) write(name string, version int64) {
+	m.revision++
+	m.store[name] = feed.Entry[int64]{Name: name, Revision: m.revision, Value: version}
+	m.truth[name] = version
+}
+
+// writeLost lets the operator write again what the store has lost.
+func (m *eraModel) writeLost() {
+	for name, version := range m.truth {
+		if m.store[name].Value != version {
+			m.write(name, version)
+		}
+	}
+}
+
+// read lets the first host list all objects.
+func (m *eraModel) read(t *rapid.T) {
+	list := at(m.era, m.revision, slices.Collect(maps.Values(m.store))...)
+	if !m.hosts[0].Replace(list, m.now(), false) {
+		t.Fatal("a list of the store was refused")
+	}
+}
+
+// hear lets the second host hear from the first.
+func (m *eraModel) hear() {
+	st, _ := m.hosts[1].State()
+	batch, full, _ := m.hosts[0].Since(st.Position)
+	if batch.Position().Before(st.Position) || batch.Revision == 0 {
+		return
+	}
+	if full {
+		m.hosts[1].Replace(batch, m.now(), false)
+	} else {
+		m.hosts[1].Change(batch, m.now(), false)
+	}
+	kept, _ := m.hosts[0].Kept()
+	m.hosts[1].Merge(kept, m.now())
+}
+
+// check holds that no version went back on a host.
+func (m *eraModel) check(t *rapid.T) {
+	for i, h := range m.hosts {
+		all, _, _ := h.Since(feed.Position{})
+		held := map[string]int64{}
+		for _, e := range all.Entries {
+			held[e.Name] = e.Value
+		}
+		for name, v := range m.newest[i] {
+			if held[name] < v {
+				t.Fatalf("host %d went back from version %d of %s to %d", i, v, name, held[name])
+			}
+		}
+		m.newest[i] = held
+	}
+}
+
+// A store writes versions of objects at random and comes back from older copies; the operator writes again what was lost,
+// later. One host lists, another hears from it, and both start anew now and then. No version may be undone on a host
+// that knew it, and both must hold what the store holds once all is written again.
+func TestCopiesAgreeThroughEras(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newEraModel()
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"write", "write", "copy", "restore", "write lost", "start", "read", "read", "hear"}).Draw(t, "step") {
+			case "write":
+				m.version++
+				m.write(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), m.version)
+			case "copy":
+				m.copies = append(m.copies, m.copy())
+			case "restore":
+				m.restore(rapid.SampledFrom(m.copies[max(0, len(m.copies)-2):]).Draw(t, "copy"))
+			case "write lost":
+				m.writeLost()
+			case "start":
+				m.start(rapid.IntRange(0, 1).Draw(t, "host"))
+			case "read":
+				m.read(t)
+			case "hear":
+				m.hear()
+			}
+			m.check(t)
+		}
+		for name, v := range m.truth {
+			m.write(name, v)
+		}
+		m.read(t)
+		m.hear()
+		m.check(t)
+		for i := range m.hosts {
+			if !maps.Equal(m.newest[i], m.truth) {
+				t.Fatalf("host %d holds %v, the store %v", i, m.newest[i], m.truth)
+			}
+		}
+	})
+}
--- a/entry/internal/relay/empty_test.go
+++ b/entry/internal/relay/empty_test.go
@@ -17,7 +17,7 @@
 // nothing, and take it: otherwise each host asks the store for the same.
 func TestNothingIsHeardToo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := relay.NewCopy[platform.Evacuation]()
+		c := relay.NewCopy(relay.Options[platform.Evacuation]{})
 		m := &relay.Methods{Clock: clock.System{}, EvacuationCopy: c}
 		c.Replace(feed.Batch[platform.Evacuation]{Revision: 7}, time.Now(), false)
 		var rep relay.Reply[platform.Evacuation]
--- a/entry/internal/relay/pack_test.go
+++ b/entry/internal/relay/pack_test.go
@@ -30,7 +30,7 @@
 // Hundreds of hosts start at once and fetch the list of replicas from the hosts that their settings name, whose links
 // are those of small machines. Each must get the whole list as it is, in a third of the bytes that the rows take.
 func TestAllObjectsTravelPacked(t *testing.T) {
-	c := relay.NewCopy[platform.Replica]()
+	c := relay.NewCopy(relay.Options[platform.Replica]{})
 	all := listOf(282)
 	c.Replace(all, time.Now(), false)
 	m := &relay.Methods{Clock: clock.System{}, ConfigCopy: nil, ReplicaCopy: c}
--- a/entry/internal/relay/relay_test.go
+++ b/entry/internal/relay/relay_test.go
@@ -18,7 +18,7 @@
 func TestFetchesBringTheWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		truth := map[string]int64{}
-		from, to := relay.NewCopy[int64](), map[string]int64{}
+		from, to := relay.NewCopy(relay.Options[int64]{}), map[string]int64{}
 		revision, reached := int64(10), int64(0)
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			switch rapid.IntRange(0, 3).Draw(t, "what") {
@@ -39,7 +39,7 @@
 				}
 				from.Replace(all, time.Unix(revision, 0), false)
 			case 3:
-				b, full, _ := from.Since(reached)
+				b, full, _ := from.Since(feed.Position{Revision: reached})
 				if full {
 					clear(to)
 				}
@@ -61,7 +61,7 @@
 
 // A host that was cut off brings an old list. What is known already must not go back.
 func TestOldListIsRefused(t *testing.T) {
-	c := relay.NewCopy[int64]()
+	c := relay.NewCopy(relay.Options[int64]{})
 	now := time.Unix(100, 0)
 	qt.Assert(t, c.Replace(feed.Batch[int64]{Revision: 9}, now, false), qt.IsTrue)
 	qt.Assert(t, c.Replace(feed.Batch[int64]{Revision: 8}, now, false), qt.IsFalse)
@@ -176,13 +176,13 @@
 		}
 		return b
 	}
-	c := relay.NewCopy[int64]()
+	c := relay.NewCopy(relay.Options[int64]{})
 	c.Replace(list(9, 1, 2, 3, 0), now, false)
-	_, full, _ := c.Since(0)
+	_, full, _ := c.Since(feed.Position{})
 	qt.Assert(t, full, qt.IsTrue)
 	// The second has changed, the third is gone, the fourth is new.
 	c.Replace(list(15, 1, 12, 0, 14), now, false)
-	news, full, _ := c.Since(9)
+	news, full, _ := c.Since(feed.Position{Revision: 9})
 	qt.Assert(t, full, qt.IsFalse)
 	got := map[string]feed.Entry[int64]{}
 	for _, e := range news.Entries {
@@ -193,7 +193,7 @@
 	qt.Check(t, got["2"].Deleted, qt.IsTrue)
 	qt.Check(t, got["3"].Value, qt.Equals, int64(14))
 	// One that heard nothing before the first list gets all.
-	all, full, _ := c.Since(5)
+	all, full, _ := c.Since(feed.Position{Revision: 5})
 	qt.Assert(t, full, qt.IsTrue)
 	qt.Assert(t, len(all.Entries), qt.Equals, 3)
 }
--- a/entry/internal/relay/server.go
+++ b/entry/internal/relay/server.go
@@ -12,9 +12,12 @@
 // mostWait bounds how long a call of another host waits here.
 const mostWait = 30 * time.Second
 
-// Args asks for what is newer than a revision.
+// Args asks for what is newer than a moment of the store's history.
 type Args struct {
-	Since int64
+	// Since is the revision that the asker has reached, and Era the era that it belongs to.
+	Since, Era int64
+	// Kept is the checksum of what the asker was told last of what the other host keeps from earlier eras.
+	Kept uint64
 	// Wait is how long to wait for something newer, or for the news that there is nothing.
 	Wait time.Duration
 }
@@ -27,14 +30,27 @@
 	// Packed holds all objects in place of Entries, until Unpack: they are most of what hosts tell each other where a
 	// fleet starts at once.
 	Packed []byte
-	// Revision is the store's revision that this brings the asker to.
-	Revision int64
+	// Revision is the store's revision that this brings the asker to, and Era the era that it belongs to.
+	Revision, Era int64
+	// Base is the revision up to which objects may be as the store's copy had them when the era began.
+	Base int64
+	// Kept holds what the host keeps from earlier eras, where the asker was told otherwise, and KeptSum its checksum.
+	Kept    []feed.Entry[T]
+	KeptSum uint64
 	// Age is how long ago the store was known to hold nothing newer; negative where it never was.
 	Age time.Duration
 	// Returned says that the store was away until a moment ago.
 	Returned bool
 }
 
+// Position returns the moment of the store's history that the asker has reached.
+func (a Args) Position() feed.Position { return feed.Position{Era: a.Era, Revision: a.Since} }
+
+// Batch returns what is newer as a batch.
+func (r Reply[T]) Batch() feed.Batch[T] {
+	return feed.Batch[T]{Entries: r.Entries, Era: r.Era, Revision: r.Revision, Base: r.Base}
+}
+
 // Methods is the net/rpc service that other hosts call.
 type Methods struct {
 	Clock          clock.Clock
@@ -45,36 +61,42 @@
 
 // Configs returns configurations that are newer than the asker's.
 func (m *Methods) Configs(args *Args, reply *Reply[route.Config]) error {
-	return serve(m.Clock, m.ConfigCopy, args, reply)
+	return Serve(m.Clock, m.ConfigCopy, args, reply)
 }
 
 // Replicas returns replicas that changed since the asker's revision.
 func (m *Methods) Replicas(args *Args, reply *Reply[platform.Replica]) error {
-	return serve(m.Clock, m.ReplicaCopy, args, reply)
+	return Serve(m.Clock, m.ReplicaCopy, args, reply)
 }
 
 // Evacuations returns evacuations that were ordered or taken back since the asker's revision.
 func (m *Methods) Evacuations(args *Args, reply *Reply[platform.Evacuation]) error {
-	return serve(m.Clock, m.EvacuationCopy, args, reply)
+	return Serve(m.Clock, m.EvacuationCopy, args, reply)
 }
 
-// serve waits until the copy is newer or fresher than it was, and answers with what the asker lacks.
-func serve[T any](clk clock.Clock, c *Copy[T], args *Args, reply *Reply[T]) error {
+// Serve waits until the copy is newer or fresher than it was, and answers with what the asker lacks.
+func Serve[T any](clk clock.Clock, c *Copy[T], args *Args, reply *Reply[T]) error {
 	st, changed := c.State()
-	if st.Revision <= args.Since {
+	if behind := st.Before(args.Position()); behind || st.Position == args.Position() && st.Kept == args.Kept {
 		select {
 		case <-changed:
 		case <-clk.After(min(args.Wait, mostWait)):
 		}
 		st, _ = c.State()
 	}
-	batch, full, returned := c.Since(args.Since)
-	reply.Revision, reply.Returned, reply.Age = batch.Revision, returned, -1
+	batch, full, returned := c.Since(args.Position())
+	reply.Revision, reply.Era, reply.Base, reply.Returned, reply.Age = batch.Revision, batch.Era, batch.Base, returned, -1
 	if !st.Confirmed.IsZero() {
 		reply.Age = clk.Now().Sub(st.Confirmed)
 	}
-	// A host that is itself behind the asker has nothing for it.
-	if batch.Revision < args.Since {
+	if args.Era <= batch.Era {
+		reply.Kept, reply.KeptSum = c.Kept()
+	}
+	if reply.KeptSum == args.Kept {
+		reply.Kept = nil
+	}
+	// A host that is itself behind the asker has nothing newer for it.
+	if batch.Position().Before(args.Position()) {
 		return nil
 	}
 	reply.Full = full && batch.Revision > 0
--- /dev/null
+++ b/entry/internal/source/era.go
@@ -0,0 +1,91 @@
+package source
+
+import (
+	"context"
+	"time"
+
+	"guavaspring.org/entry/internal/events"
+	"guavaspring.org/entry/internal/relay"
+)
+
+const (
+	// eraConsults is how often a host that has read the store in a new era asks others what they keep from earlier ones.
+	// They come to the new era within the time of a watch or two.
+	eraConsults = 4
+	// consultIn bounds the time that this may take.
+	consultIn = 300 * time.Millisecond
+)
+
+// told is what one host said last of what it keeps from earlier eras.
+type told struct {
+	from string
+	sum  uint64
+}
+
+// by returns the checksum that a host was heard to have, zero for none.
+func (t told) by(name string) uint64 {
+	if t.from != name {
+		return 0
+	}
+	return t.sum
+}
+
+// noteEra logs that the store has come back from a copy since a state of what is known, and reports whether it has.
+func (f *Follower[T]) noteEra(from string, before relay.State) bool {
+	f.older = false
+	after, _ := f.opts.Copy.State()
+	if after.Era == before.Era && before.Revision > 0 {
+		return false
+	}
+	f.told = told{}
+	f.consults = 0
+	if from == fromStore {
+		f.consults = eraConsults
+	}
+	kept, _ := f.opts.Copy.Kept()
+	events.StoreEra.Log(f.opts.Log, "kind", f.opts.Name, "from", from, "era", after.Era, "revision", after.Revision, "known_era", before.Era, "known", before.Revision, "kept", len(kept))
+	return before.Revision > 0
+}
+
+// noteUnsaid logs, once until that changes, that the store doesn't say its era: one that comes back from a copy is not
+// recognized then.
+func (f *Follower[T]) noteUnsaid(era int64) {
+	if era == 0 && !f.unsaid {
+		st, _ := f.opts.Copy.State()
+		events.EraUnsaid.Log(f.opts.Log, "kind", f.opts.Name, "known_era", st.Era)
+	}
+	f.unsaid = era == 0
+}
+
+// mergeKept takes over what another host keeps from earlier eras.
+func (f *Follower[T]) mergeKept(from string, rep relay.Reply[T]) {
+	f.told = told{from: from, sum: rep.KeptSum}
+	if len(rep.Kept) == 0 {
+		return
+	}
+	news := f.opts.Copy.Merge(rep.Kept, f.opts.Clock.Now())
+	events.KeptTaken.Log(f.opts.Log, "kind", f.opts.Name, "from", from, "era", rep.Era, "kept", len(rep.Kept), "news", len(news.Entries))
+	if len(news.Entries) > 0 {
+		f.opts.Change(news, true)
+	}
+}
+
+// consult asks other hosts what they keep from earlier eras.
+//
+// A host that has just started and reads the store itself knows no more than the copy that the store came back from.
+// Hosts that hear from another one are told by that; those that watch the store hear from nobody.
+func (f *Follower[T]) consult(ctx context.Context) {
+	if f.consults == 0 {
+		return
+	}
+	f.consults--
+	ctx, cancel := context.WithTimeout(ctx, consultIn)
+	defer cancel()
+	for _, p := range f.opts.Others() {
+		st, _ := f.opts.Copy.State()
+		rep, err := p.Ask(ctx, relay.Args{Since: st.Revision, Era: st.Era, Kept: f.told.by(p.Name)})
+		if err == nil && rep.Era == st.Era {
+			f.mergeKept(p.Name, rep)
+		}
+	}
+}
--- /dev/null
+++ b/entry/internal/source/era_test.go
@@ -0,0 +1,452 @@
+package source_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/feed"
+	"guavaspring.org/entry/internal/relay"
+	"guavaspring.org/entry/internal/source"
+)
+
+// storeTakes is how long the store takes for an answer.
+const storeTakes = 4 * time.Millisecond
+
+// eraStore is a store that holds one object, whose versions rise, and that comes back from copies.
+type eraStore struct {
+	mu       sync.Mutex
+	era      int64
+	revision int64
+	object   feed.Entry[int64]
+	changed  chan struct{}
+	// away holds the hosts that the store turns away; all says that it is away for each, and cut how often watches were
+	// cut.
+	away  map[string]bool
+	all   bool
+	calls map[string]int
+	// silent says that the store doesn't say its era.
+	silent bool
+}
+
+// eraCopy is what the store held at one moment.
+type eraCopy struct {
+	revision int64
+	object   feed.Entry[int64]
+}
+
+func newEraStore() *eraStore {
+	s := &eraStore{era: 1, revision: 100, changed: make(chan struct{}), away: map[string]bool{}, calls: map[string]int{}}
+	s.write(1)
+	return s
+}
+
+func (s *eraStore) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// write stores a version.
+func (s *eraStore) write(version int64) {
+	s.set(func() {
+		s.revision++
+		s.object = feed.Entry[int64]{Name: "main", Revision: s.revision, Value: version}
+	})
+}
+
+// others moves the counter on, as writes of other kinds do.
+func (s *eraStore) others(n int64) { s.set(func() { s.revision += n }) }
+
+func (s *eraStore) copy() eraCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return eraCopy{s.revision, s.object}
+}
+
+func (s *eraStore) restore(c eraCopy) {
+	s.set(func() {
+		s.era++
+		s.revision, s.object = c.revision, c.object
+	})
+}
+
+// batch returns what the store says now of what changed since a revision; s.mu must be held.
+func (s *eraStore) batch(since int64) feed.Batch[int64] {
+	b := feed.Batch[int64]{Era: s.era, Revision: s.revision}
+	if s.silent {
+		b.Era = 0
+	}
+	if s.object.Revision > since {
+		b.Entries = []feed.Entry[int64]{s.object}
+	}
+	return b
+}
+
+// look waits for the store's answer and returns whether it is away, what has changed since a revision, and what is closed
+// when something else does.
+func (s *eraStore) look(ctx context.Context, name string, since int64) (feed.Batch[int64], <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.all || s.away[name] {
+		return feed.Batch[int64]{}, nil, errAway
+	}
+	if since > s.revision {
+		return feed.Batch[int64]{}, nil, feed.ErrHistoryGone
+	}
+	return s.batch(since), s.changed, ctx.Err()
+}
+
+func (s *eraStore) called(ctx context.Context, name string) {
+	s.mu.Lock()
+	s.calls[name]++
+	s.mu.Unlock()
+	clock.Sleep(ctx, clock.System{}, storeTakes)
+}
+
+func (s *eraStore) watch(ctx context.Context, name string, since int64, wait time.Duration) (feed.Batch[int64], error) {
+	s.called(ctx, name)
+	end := time.After(wait)
+	for {
+		b, changed, err := s.look(ctx, name, since)
+		if err != nil || len(b.Entries) > 0 {
+			return b, err
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return b, nil
+		case <-ctx.Done():
+			return b, ctx.Err()
+		}
+	}
+}
+
+// eraHost is a host of a fleet.
+type eraHost struct {
+	*host
+	frozen bool
+	// lowest is the newest version ever in force, and undone those that went back.
+	newest int64
+	undone []string
+}
+
+// eraFleet is hosts that follow one store: the first two watch it, the others hear from these.
+type eraFleet struct {
+	store *eraStore
+	hosts []*eraHost
+}
+
+func (f *eraFleet) start(ctx context.Context, name string) *eraHost {
+	opts := relay.Options[int64]{LastGood: true, KeepAbsent: true, Older: func(got, held int64) bool { return got < held }}
+	h := &eraHost{host: &host{name: name, copy: relay.NewCopy(opts)}}
+	apply := func(b feed.Batch[int64], _ bool) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for _, e := range b.Entries {
+			if e.Deleted || e.Value < h.newest {
+				h.undone = append(h.undone, fmt.Sprintf("%s: version %d to %d", name, h.newest, e.Value))
+			}
+			h.seen, h.newest = e.Value, max(h.newest, e.Value)
+		}
+	}
+	go source.New(source.Options[int64]{
+		Clock: clock.System{}, Log: logr.Discard(), Name: "config", Bound: bound, Copy: h.copy, Replace: apply, Change: apply, Reconnect: func() {},
+		Parents: func() ([]source.Parent[int64], bool) { return f.parents(h) },
+		Others:  func() []source.Parent[int64] { return f.others(h) },
+		List: func(ctx context.Context) (feed.Batch[int64], error) {
+			f.thaw(ctx, h)
+			f.store.called(ctx, name)
+			b, _, err := f.store.look(ctx, name, 0)
+			return b, err
+		},
+		Watch: func(ctx context.Context, since int64, wait time.Duration) (feed.Batch[int64], error) {
+			b, err := f.store.watch(ctx, name, since, wait)
+			f.thaw(ctx, h)
+			return b, err
+		},
+	}).Run(ctx)
+	f.store.set(func() { f.hosts = append(f.hosts, h) })
+	return h
+}
+
+// thaw holds a host up while it is frozen.
+func (f *eraFleet) thaw(ctx context.Context, h *eraHost) {
+	for ctx.Err() == nil && h.isFrozen() {
+		clock.Sleep(ctx, clock.System{}, 10*time.Millisecond)
+	}
+}
+
+func (h *eraHost) isFrozen() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.frozen
+}
+
+func (h *eraHost) freeze(frozen bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.frozen = frozen
+}
+
+func (f *eraFleet) parents(h *eraHost) ([]source.Parent[int64], bool) {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	at := slices.Index(f.hosts, h)
+	var list []source.Parent[int64]
+	for i, p := range f.hosts[:min(2, len(f.hosts))] {
+		if i != at {
+			list = append(list, f.parent(p))
+		}
+	}
+	return list, at >= 0 && at < 2
+}
+
+func (f *eraFleet) others(h *eraHost) []source.Parent[int64] {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	var list []source.Parent[int64]
+	for _, p := range slices.Backward(f.hosts) {
+		if p != h && len(list) < 2 {
+			list = append(list, f.parent(p))
+		}
+	}
+	return list
+}
+
+func (f *eraFleet) parent(p *eraHost) source.Parent[int64] {
+	return source.Parent[int64]{Name: p.name, Ask: func(ctx context.Context, args relay.Args) (relay.Reply[int64], error) {
+		f.thaw(ctx, p)
+		return ask(ctx, p.host, args)
+	}}
+}
+
+// replace lets a new host take the place of one, whose process is gone.
+func (f *eraFleet) replace(ctx context.Context, i int) *eraHost {
+	h := f.start(ctx, f.hosts[i].name+"-again")
+	f.store.set(func() {
+		f.hosts = f.hosts[:len(f.hosts)-1]
+		f.hosts[i] = h
+	})
+	return h
+}
+
+// playEras plays a fleet whose hosts know version 1.
+func playEras(t *testing.T, hosts int, f func(ctx context.Context, fleet *eraFleet, s *eraStore)) {
+	play(t, func(ctx context.Context) {
+		s := newEraStore()
+		fleet := &eraFleet{store: s}
+		for i := range hosts {
+			fleet.start(ctx, fmt.Sprint("host-", i))
+		}
+		time.Sleep(5*time.Second + 7*time.Millisecond)
+		f(ctx, fleet, s)
+		for _, h := range fleet.hosts {
+			h.mu.Lock()
+			qt.Check(t, h.undone, qt.HasLen, 0)
+			h.mu.Unlock()
+		}
+	})
+}
+
+// inForce checks that a version is in force on all hosts, or a newer one.
+func (f *eraFleet) inForce(t *testing.T, version int64, when string) {
+	t.Helper()
+	for _, h := range f.hosts {
+		qt.Check(t, h.value() >= version, qt.IsTrue, qt.Commentf("%s: version %d on %s, want %d", when, h.value(), h.name, version))
+	}
+}
+
+// Guards against versions that are undone, or not taken over, by a store that comes back from an older copy; the drill
+// falls on any moment of a watch, cuts watches or not, and lasts no time or two seconds.
+func TestConfirmedVersionsOutliveRestore(t *testing.T) {
+	for step := range 20 {
+		for _, away := range []time.Duration{0, 2 * time.Second} {
+			for _, cut := range []string{"", "host-5"} {
+				playEras(t, 6, func(_ context.Context, fleet *eraFleet, s *eraStore) {
+					when := fmt.Sprintf("moment %d, away for %s, %q cut off", step, away, cut)
+					s.write(2)
+					old := s.copy()
+					s.others(3)
+					s.write(3)
+					time.Sleep(bound + time.Duration(step)*100*time.Millisecond)
+					fleet.inForce(t, 3, when+", before it")
+					s.set(func() { s.all, s.away[cut] = away > 0, cut != "" })
+					time.Sleep(away)
+					s.restore(old)
+					s.set(func() { s.all = false })
+					time.Sleep(time.Second)
+					// Its revision is under that of version 3.
+					s.write(4)
+					time.Sleep(bound)
+					fleet.inForce(t, 4, when)
+				})
+			}
+		}
+	}
+}
+
+// Guards against revisions of two eras that are compared: each new version has the revision that an older one had.
+func TestRevisionsAreGivenOutAgain(t *testing.T) {
+	for _, lost := range []int64{1, 2, 5} {
+		playEras(t, 5, func(_ context.Context, fleet *eraFleet, s *eraStore) {
+			old := s.copy()
+			version := int64(1)
+			for range lost {
+				version++
+				s.write(version)
+			}
+			time.Sleep(bound)
+			s.restore(old)
+			for range lost {
+				version++
+				s.write(version)
+			}
+			time.Sleep(bound)
+			fleet.inForce(t, version, fmt.Sprintf("%d lost", lost))
+		})
+	}
+}
+
+// Guards against hosts that mix eras up after two drills in short order, of which one host sleeps through one or both.
+func TestTwoRestoresInShortOrder(t *testing.T) {
+	for _, sleeper := range []int{0, 1, 4} {
+		for _, wake := range []time.Duration{300 * time.Millisecond, 3 * time.Second} {
+			playEras(t, 5, func(_ context.Context, fleet *eraFleet, s *eraStore) {
+				old := s.copy()
+				s.write(2)
+				time.Sleep(bound)
+				fleet.hosts[sleeper].freeze(true)
+				s.restore(old)
+				time.Sleep(wake)
+				s.write(3)
+				s.others(7)
+				time.Sleep(200 * time.Millisecond)
+				s.restore(old)
+				fleet.hosts[sleeper].freeze(false)
+				s.write(4)
+				time.Sleep(bound)
+				fleet.inForce(t, 4, fmt.Sprintf("host-%d slept, woke after %s", sleeper, wake))
+			})
+		}
+	}
+}
+
+// Guards against half of a fleet that can't reach the store and stays in its old era.
+func TestRestoreWhileHalfIsTurnedAway(t *testing.T) {
+	for _, first := range []int{0, 1} {
+		playEras(t, 8, func(_ context.Context, fleet *eraFleet, s *eraStore) {
+			old := s.copy()
+			s.write(2)
+			time.Sleep(bound)
+			s.set(func() {
+				for i := first; i < 8; i += 2 {
+					s.away[fmt.Sprint("host-", i)] = true
+				}
+			})
+			time.Sleep(time.Second)
+			s.restore(old)
+			time.Sleep(time.Second)
+			s.write(3)
+			time.Sleep(bound)
+			fleet.inForce(t, 3, fmt.Sprintf("host-%d and each second one turned away", first))
+			for _, h := range fleet.hosts {
+				st, _ := h.copy.State()
+				qt.Check(t, st.Era, qt.Equals, int64(2), qt.Commentf("%s", h.name))
+			}
+		})
+	}
+}
+
+// Guards against a host that starts after the drill and knows only the store's copy, while the others know more; the
+// hosts that watch the store are such as well.
+func TestHostsThatStartAfterRestore(t *testing.T) {
+	for _, started := range [][]int{{0}, {1}, {4}, {0, 1}, {0, 1, 4}} {
+		for _, after := range []time.Duration{0, 500 * time.Millisecond, 2 * time.Second} {
+			playEras(t, 6, func(ctx context.Context, fleet *eraFleet, s *eraStore) {
+				old := s.copy()
+				s.write(2)
+				time.Sleep(bound)
+				s.restore(old)
+				time.Sleep(after)
+				for _, i := range started {
+					fleet.hosts[i].freeze(true)
+					fleet.replace(ctx, i)
+				}
+				time.Sleep(bound)
+				fleet.inForce(t, 2, fmt.Sprintf("%v started %s after it", started, after))
+				s.write(3)
+				time.Sleep(bound)
+				fleet.inForce(t, 3, "after the next write")
+			})
+		}
+	}
+}
+
+// Guards against hosts that wait for a newer version than the store has, where all of them start after the drill.
+func TestAllHostsStartAfterRestore(t *testing.T) {
+	play(t, func(ctx context.Context) {
+		s := newEraStore()
+		old := s.copy()
+		s.write(2)
+		s.restore(old)
+		fleet := &eraFleet{store: s}
+		for i := range 5 {
+			fleet.start(ctx, fmt.Sprint("host-", i))
+		}
+		time.Sleep(time.Second)
+		fleet.inForce(t, 1, "as good as the copy")
+		s.write(3)
+		time.Sleep(bound)
+		fleet.inForce(t, 3, "the next write")
+	})
+}
+
+// Guards against a fleet whose hosts all call the store when it comes back from a copy: the two that watch it read it
+// anew, and all others hear from them.
+func TestRestoreCostsFewCalls(t *testing.T) {
+	for _, hosts := range []int{10, 60, 200} {
+		playEras(t, hosts, func(_ context.Context, fleet *eraFleet, s *eraStore) {
+			old := s.copy()
+			s.write(2)
+			time.Sleep(bound)
+			before := map[string]int{}
+			s.set(func() { before = maps.Clone(s.calls) })
+			s.restore(old)
+			time.Sleep(2 * bound)
+			total := 0
+			s.set(func() {
+				for name, n := range s.calls {
+					total += n - before[name]
+				}
+			})
+			// Two hosts make one list each, and a watch each second or so.
+			qt.Check(t, total <= 2*(2+6), qt.IsTrue, qt.Commentf("%d calls of %d hosts", total, hosts))
+			s.write(3)
+			time.Sleep(bound)
+			fleet.inForce(t, 3, fmt.Sprintf("%d hosts", hosts))
+		})
+	}
+}
+
+// Guards against a change of behaviour where the store never says its era.
+func TestStoreWithoutEras(t *testing.T) {
+	playEras(t, 5, func(_ context.Context, fleet *eraFleet, s *eraStore) {
+		s.set(func() { s.silent = true })
+		for version := range int64(5) {
+			s.write(version + 2)
+			time.Sleep(bound)
+			fleet.inForce(t, version+2, "without an era")
+		}
+	})
+}
--- a/entry/internal/source/follower.go
+++ b/entry/internal/source/follower.go
@@ -83,6 +83,8 @@
 	Settled func() bool
 	// Parents returns the hosts to hear from, and whether this host watches the store itself.
 	Parents func() (parents []Parent[T], watches bool)
+	// Others returns a few other hosts, never the same for long; nil means that there are none.
+	Others func() []Parent[T]
 	// Copy takes what was read, for the other hosts.
 	Copy *relay.Copy[T]
 	// Replace takes a list of all objects, Change those that changed; returned says that the store was away until a
@@ -116,6 +118,12 @@
 	collect time.Duration
 	// next is which parent is asked next, and failed how many in a row brought nothing.
 	next, failed int
+	// told is what the hosts that were asked said last of what they keep from earlier eras of the store.
+	told told
+	// consults is how many more times other hosts are asked for that.
+	consults int
+	// unsaid says that the store's last answer didn't bear its era.
+	unsaid bool
 	// older says that the last answer was older than what is known, and olderPause is the wait after one of the store.
 	older      bool
 	olderPause time.Duration
@@ -136,6 +144,9 @@
 	if opts.Older == nil {
 		opts.Older = func() {}
 	}
+	if opts.Others == nil {
+		opts.Others = func() []Parent[T] { return nil }
+	}
 	return &Follower[T]{opts: opts, rejects: newRejects(opts.Log, opts.Name, opts.Rejected)}
 }
 
@@ -255,8 +266,8 @@
 	defer cancel()
 	wait := max(0, left-askMargin)
 	began := f.opts.Clock.Now()
-	rep, err := parent.Ask(ctx, relay.Args{Since: before.Revision, Wait: wait})
-	if err == nil && rep.Age >= 0 && rep.Revision >= before.Revision {
+	rep, err := parent.Ask(ctx, relay.Args{Since: before.Revision, Era: before.Era, Kept: f.told.by(parent.Name), Wait: wait})
+	if err == nil && rep.Age >= 0 && !rep.Batch().Position().Before(before.Position) {
 		f.heard(parent.Name, rep)
 	}
 	after, _ := f.opts.Copy.State()
@@ -281,47 +292,54 @@
 
 func (f *Follower[T]) heard(from string, rep relay.Reply[T]) {
 	at := f.opts.Clock.Now().Add(-rep.Age)
-	batch := feed.Batch[T]{Entries: rep.Entries, Revision: rep.Revision}
 	f.listed = true
+	taken := false
 	if rep.Full {
-		f.replace(from, batch, at, rep.Returned)
-		return
+		taken = f.replace(from, rep.Batch(), at, rep.Returned)
+	} else {
+		taken = f.change(from, rep.Batch(), at, rep.Returned)
+	}
+	if taken {
+		f.mergeKept(from, rep)
 	}
-	f.change(from, batch, at, rep.Returned)
 }
 
 // replace takes over a list, and reports whether it was new enough.
 func (f *Follower[T]) replace(from string, batch feed.Batch[T], at time.Time, returned bool) bool {
-	ok := f.opts.Copy.Replace(batch, at, returned)
-	f.noteAge(from, batch.Revision, ok)
-	if ok {
-		f.opts.Replace(batch, returned)
+	before, _ := f.opts.Copy.State()
+	if !f.opts.Copy.Replace(batch, at, returned) {
+		f.noteOlder(from, batch)
+		return false
 	}
-	return ok
+	restored := f.noteEra(from, before)
+	all, _, _ := f.opts.Copy.Since(feed.Position{})
+	f.opts.Replace(all, returned || restored)
+	return true
 }
 
 // change takes over changes, and reports whether they were new enough.
 func (f *Follower[T]) change(from string, batch feed.Batch[T], at time.Time, returned bool) bool {
+	before, _ := f.opts.Copy.State()
 	news, ok := f.opts.Copy.Change(batch, at, returned)
-	f.noteAge(from, batch.Revision, ok)
-	if ok && len(news.Entries) > 0 {
-		f.opts.Change(news, returned)
+	if !ok {
+		f.noteOlder(from, batch)
+		return false
 	}
-	return ok
+	restored := f.noteEra(from, before)
+	if len(news.Entries) > 0 {
+		f.opts.Change(news, returned || restored)
+	}
+	return true
 }
 
-// noteAge logs and counts an answer that was refused for its age.
-func (f *Follower[T]) noteAge(from string, revision int64, taken bool) {
-	before := f.older
-	f.older = !taken
-	if taken {
-		return
-	}
+// noteOlder logs and counts an answer that was refused for its age.
+func (f *Follower[T]) noteOlder(from string, batch feed.Batch[T]) {
 	f.opts.Older()
-	if !before {
+	if !f.older {
 		st, _ := f.opts.Copy.State()
-		events.AnswerOlder.Log(f.opts.Log, "kind", f.opts.Name, "from", from, "revision", revision, "known", st.Revision)
+		events.AnswerOlder.Log(f.opts.Log, "kind", f.opts.Name, "from", from, "revision", batch.Revision, "known", st.Revision, "era", batch.Era, "known_era", st.Era)
 	}
+	f.older = true
 }
 
 // read makes one call to the store: a list where nothing is known or what is known may have a hole, a watch otherwise.
@@ -331,6 +349,7 @@
 		f.list(ctx)
 		return
 	}
+	f.consult(ctx)
 	f.watch(ctx)
 }
 
@@ -344,6 +363,7 @@
 		return
 	}
 	f.listed = true
+	f.noteUnsaid(batch.Era)
 	f.backOff(f.replace(fromStore, batch, began, f.succeeded()))
 	f.rejects.report(batch.Rejected)
 }
@@ -359,11 +379,15 @@
 	case errors.Is(err, feed.ErrHistoryGone):
 		events.HistoryGone.Log(f.opts.Log, "kind", f.opts.Name, "since", st.Revision)
 		f.listed = false
+	case err == nil && batch.Era > st.Era:
+		// The revision that was watched from stands for another moment now.
+		f.listed = false
 	case err != nil:
 		f.listed = false
 		f.lost(ctx, err)
 	default:
 		now := f.opts.Clock.Now()
+		f.noteUnsaid(batch.Era)
 		f.backOff(f.change(fromStore, batch, now, f.succeeded()))
 		f.rejects.report(batch.Rejected)
 		f.putOff(ctx, now.Sub(began))
--- a/entry/internal/source/follower_test.go
+++ b/entry/internal/source/follower_test.go
@@ -136,14 +136,14 @@
 
 // followBeside starts a host that shares what it knows of outages with another kind of object.
 func (w *world) followBeside(ctx context.Context, name string, outage *source.Outage, parents ...*host) *host {
-	h := &host{name: name, copy: relay.NewCopy[int64](), parents: parents, watches: len(parents) == 0}
+	h := &host{name: name, copy: relay.NewCopy(relay.Options[int64]{}), parents: parents, watches: len(parents) == 0}
 	go source.New(w.options(h, outage)).Run(ctx)
 	return h
 }
 
 // start starts a host whose settings name others; wanted is closed once a client waits.
 func (w *world) start(ctx context.Context, name string, wanted <-chan struct{}, named ...*host) *host {
-	h := &host{name: name, copy: relay.NewCopy[int64](), parents: named}
+	h := &host{name: name, copy: relay.NewCopy(relay.Options[int64]{}), parents: named}
 	opts := w.options(h, source.NewOutage())
 	opts.Wanted = wanted
 	opts.First = func() []source.Parent[int64] {
@@ -200,22 +200,24 @@
 	if down {
 		return relay.Reply[int64]{}, errors.New("connection refused")
 	}
-	st, changed := h.copy.State()
-	if st.Revision <= args.Since {
-		select {
-		case <-changed:
-		case <-time.After(args.Wait):
-		case <-ctx.Done():
-			return relay.Reply[int64]{}, ctx.Err()
-		}
-		st, _ = h.copy.State()
+	type answer struct {
+		rep relay.Reply[int64]
+		err error
 	}
-	b, full, _ := h.copy.Since(args.Since)
-	age := time.Duration(-1)
-	if !st.Confirmed.IsZero() {
-		age = time.Since(st.Confirmed)
+	done := make(chan answer, 1)
+	go func() {
+		var a answer
+		if a.err = relay.Serve(clock.System{}, h.copy, &args, &a.rep); a.err == nil {
+			a.err = a.rep.Unpack()
+		}
+		done <- a
+	}()
+	select {
+	case a := <-done:
+		return a.rep, a.err
+	case <-ctx.Done():
+		return relay.Reply[int64]{}, ctx.Err()
 	}
-	return relay.Reply[int64]{Full: full, Entries: b.Entries, Revision: b.Revision, Age: age}, nil
 }
 
 func play(t *testing.T, f func(ctx context.Context)) {
@@ -276,7 +278,7 @@
 	for _, wanted := range []bool{false, true} {
 		play(t, func(ctx context.Context) {
 			w := newWorld()
-			named := &host{name: "named", copy: relay.NewCopy[int64](), watches: true}
+			named := &host{name: "named", copy: relay.NewCopy(relay.Options[int64]{}), watches: true}
 			calls := make(chan struct{})
 			started := w.start(ctx, "new", calls, named)
 			time.Sleep(200 * time.Millisecond)
@@ -298,7 +300,7 @@
 func TestStartBeforeTheNamedHostListens(t *testing.T) {
 	play(t, func(ctx context.Context) {
 		w := newWorld()
-		named := &host{name: "named", copy: relay.NewCopy[int64](), watches: true, down: true}
+		named := &host{name: "named", copy: relay.NewCopy(relay.Options[int64]{}), watches: true, down: true}
 		named.copy.Replace(batch(1), time.Now(), false)
 		started := w.start(ctx, "new", nil, named)
 		time.Sleep(150 * time.Millisecond)
@@ -319,7 +321,7 @@
 	play(t, func(ctx context.Context) {
 		w := newWorld()
 		settled := time.Now().Add(1500 * time.Millisecond)
-		named := &host{name: "named", copy: relay.NewCopy[int64](), watches: true}
+		named := &host{name: "named", copy: relay.NewCopy(relay.Options[int64]{}), watches: true}
 		opts := w.options(named, source.NewOutage())
 		opts.Settled = func() bool { return time.Now().After(settled) }
 		go source.New(opts).Run(ctx)
@@ -334,7 +336,7 @@
 func TestStartWithoutTheNamedHosts(t *testing.T) {
 	play(t, func(ctx context.Context) {
 		w := newWorld()
-		started := w.start(ctx, "new", nil, &host{name: "named", copy: relay.NewCopy[int64](), watches: true})
+		started := w.start(ctx, "new", nil, &host{name: "named", copy: relay.NewCopy(relay.Options[int64]{}), watches: true})
 		time.Sleep(2010 * time.Millisecond)
 		qt.Check(t, started.value(), qt.Equals, int64(1))
 	})
@@ -449,7 +451,7 @@
 	play(t, func(ctx context.Context) {
 		configs, replicas := newWorld(), newWorld()
 		outage := source.NewOutage()
-		cut := &host{name: "cut", copy: relay.NewCopy[int64]()}
+		cut := &host{name: "cut", copy: relay.NewCopy(relay.Options[int64]{})}
 		config := configs.followBeside(ctx, "host", outage, cut)
 		replica := replicas.followBeside(ctx, "host", outage, cut)
 		time.Sleep(5 * time.Second)
@@ -518,7 +520,7 @@
 		w.revision = 9
 		var lines strings.Builder
 		older := 0
-		opts := w.options(&host{name: "watcher", copy: relay.NewCopy[int64](), watches: true}, source.NewOutage())
+		opts := w.options(&host{name: "watcher", copy: relay.NewCopy(relay.Options[int64]{}), watches: true}, source.NewOutage())
 		opts.Log = event.NewLogger(&lines)
 		opts.Older = func() { w.set(func() { older++ }) }
 		go source.New(opts).Run(ctx)
