source: Ask other hosts while a host that watches the store is turned away

What callers saw, in a test: a host that watches the store stays on the old version for as long as the store turns it away, if the store was away for all before that, though its neighbours know the new one. Found by the drills of TestConfirmedVersionsOutliveRestore.

Cause: once what it knows is too old, such a host waits 250 ms between two calls to the store, and a wait under 500 ms was slept through; it asked the other one that watches only while it was still fresh, and nobody where that one was turned away too.

Change: it asks another host in each wait of over 150 ms, and once it is too old any host besides the other one that watches. Failed before: TestWatcherTurnedAwayAfterAnOutage after 2.5 s and 10 s, TestHostsThatHearFromEachOtherGrowOld at all 20 moments on both hosts, and host-0 of TestConfirmedVersionsOutliveRestore.

--- a/entry/internal/source/era_test.go
+++ b/entry/internal/source/era_test.go
@@ -145,6 +145,18 @@
 type eraFleet struct {
 	store *eraStore
 	hosts []*eraHost
+	// delay is how long a message between two hosts takes.
+	delay time.Duration
+}
+
+func (f *eraFleet) setDelay(d time.Duration) { f.store.set(func() { f.delay = d }) }
+
+// travel takes as long as a message between two hosts.
+func (f *eraFleet) travel(ctx context.Context) {
+	f.store.mu.Lock()
+	d := f.delay
+	f.store.mu.Unlock()
+	clock.Sleep(ctx, clock.System{}, d)
 }
 
 func (f *eraFleet) start(ctx context.Context, name string) *eraHost {
@@ -226,8 +238,11 @@
 
 func (f *eraFleet) parent(p *eraHost) source.Parent[int64] {
 	return source.Parent[int64]{Name: p.name, Ask: func(ctx context.Context, args relay.Args) (relay.Reply[int64], error) {
+		f.travel(ctx)
 		f.thaw(ctx, p)
-		return ask(ctx, p.host, args)
+		rep, err := ask(ctx, p.host, args)
+		f.travel(ctx)
+		return rep, err
 	}}
 }
 
@@ -272,7 +287,7 @@
 func TestConfirmedVersionsOutliveRestore(t *testing.T) {
 	for step := range 20 {
 		for _, away := range []time.Duration{0, 2 * time.Second} {
-			for _, cut := range []string{"", "host-5"} {
+			for _, cut := range []string{"", "host-0", "host-5"} {
 				playEras(t, 6, func(_ context.Context, fleet *eraFleet, s *eraStore) {
 					when := fmt.Sprintf("moment %d, away for %s, %q cut off", step, away, cut)
 					s.write(2)
@@ -450,3 +465,19 @@
 		}
 	})
 }
+
+// Guards against two hosts that hear from each other and take that for news of the store: both are turned away by it, and
+// those that hear from them wait for a change that neither can know.
+func TestHostsThatHearFromEachOtherGrowOld(t *testing.T) {
+	for step := range 20 {
+		playEras(t, 6, func(_ context.Context, fleet *eraFleet, s *eraStore) {
+			fleet.setDelay(1400 * time.Microsecond)
+			time.Sleep(time.Duration(step) * 100 * time.Millisecond)
+			s.set(func() { s.away["host-0"], s.away["host-1"] = true, true })
+			time.Sleep(bound)
+			s.write(2)
+			time.Sleep(bound)
+			fleet.inForce(t, 2, fmt.Sprintf("moment %d", step))
+		})
+	}
+}
--- a/entry/internal/source/follower.go
+++ b/entry/internal/source/follower.go
@@ -173,8 +173,11 @@
 	case rest > 0:
 		f.untilBack(ctx, func(ctx context.Context) {
 			switch {
-			case len(parents) == 0, watches && rest < staleAsk:
+			case len(parents) == 0, watches && rest <= askMargin:
 				clock.Sleep(ctx, f.opts.Clock, rest)
+			case watches && f.stale():
+				// The other one that watches may be turned away as well.
+				f.hear(ctx, append(f.opts.Others(), parents...), rest)
 			case watches:
 				f.hear(ctx, parents, rest)
 			default:
--- a/entry/internal/source/follower_test.go
+++ b/entry/internal/source/follower_test.go
@@ -560,3 +560,25 @@
 		qt.Check(t, first.value(), qt.Equals, int64(10))
 	})
 }
+
+// Guards against a host that watches the store, is turned away by it after an outage for all, and asks nobody else.
+func TestWatcherTurnedAwayAfterAnOutage(t *testing.T) {
+	for _, outage := range []time.Duration{time.Second, 2500 * time.Millisecond, 10 * time.Second} {
+		play(t, func(ctx context.Context) {
+			w := newWorld()
+			first, second := w.follow(ctx, "first"), w.follow(ctx, "second")
+			first.hear(second)
+			second.hear(first)
+			child := w.follow(ctx, "child", first, second)
+			time.Sleep(10 * time.Second)
+			w.set(func() { w.away["first"], w.away["second"], w.away["child"] = true, true, true })
+			time.Sleep(outage)
+			w.set(func() { w.away["second"] = false })
+			time.Sleep(time.Second)
+			w.write()
+			time.Sleep(bound)
+			qt.Check(t, first.value(), qt.Equals, int64(2), qt.Commentf("the host that is turned away, after %s", outage))
+			qt.Check(t, child.value(), qt.Equals, int64(2), qt.Commentf("one that hears from it, after %s", outage))
+		})
+	}
+}
