relay, source: Count an answer's age from the earliest moment at which it may have left

Cause: the age in a reply was counted from its arrival, so that each message made what it brings younger by the time that it travelled, and a ring of hosts could go on without end.

Change: the reply says how long the question was held, and its age counts from the moment of asking plus that, which is no later than its leaving. The error is now the time of one message on the safe side. TestAgeGrowsWhileHostsHearFromEachOther failed at moment 1 and later before (225 ms), and holds the number of messages too.

--- a/entry/internal/relay/server.go
+++ b/entry/internal/relay/server.go
@@ -37,8 +37,10 @@
 	// Kept holds what the host keeps from earlier eras, where the asker was told otherwise, and KeptSum its checksum.
 	Kept    []feed.Entry[T]
 	KeptSum uint64
-	// Age is how long ago the store was known to hold nothing newer; negative where it never was.
+	// Age is how long before the reply the store was known to hold nothing newer; negative where it never was.
 	Age time.Duration
+	// Held is how long the question was held before it was answered.
+	Held time.Duration
 	// Returned says that the store was away until a moment ago.
 	Returned bool
 }
@@ -76,6 +78,7 @@
 
 // Serve waits until the copy is newer or fresher than it was, and answers with what the asker lacks.
 func Serve[T any](clk clock.Clock, c *Copy[T], args *Args, reply *Reply[T]) error {
+	began := clk.Now()
 	st, changed := c.State()
 	if behind := st.Before(args.Position()); behind || st.Position == args.Position() && st.Kept == args.Kept {
 		select {
@@ -84,6 +87,7 @@
 		}
 		st, _ = c.State()
 	}
+	reply.Held = clk.Now().Sub(began)
 	batch, full, returned := c.Since(args.Position())
 	reply.Revision, reply.Era, reply.Base, reply.Returned, reply.Age = batch.Revision, batch.Era, batch.Base, returned, -1
 	if !st.Confirmed.IsZero() {
--- a/entry/internal/source/era_test.go
+++ b/entry/internal/source/era_test.go
@@ -145,8 +145,9 @@
 type eraFleet struct {
 	store *eraStore
 	hosts []*eraHost
-	// delay is how long a message between two hosts takes.
+	// delay is how long a message between two hosts takes, and asked how often hosts were asked.
 	delay time.Duration
+	asked int
 }
 
 func (f *eraFleet) setDelay(d time.Duration) { f.store.set(func() { f.delay = d }) }
@@ -155,6 +156,7 @@
 func (f *eraFleet) travel(ctx context.Context) {
 	f.store.mu.Lock()
 	d := f.delay
+	f.asked++
 	f.store.mu.Unlock()
 	clock.Sleep(ctx, clock.System{}, d)
 }
@@ -481,3 +483,23 @@
 		})
 	}
 }
+
+// Guards against hosts that hear from each other and take what a message travels for news of the store, which is away.
+func TestAgeGrowsWhileHostsHearFromEachOther(t *testing.T) {
+	for step := range 20 {
+		playEras(t, 4, func(_ context.Context, fleet *eraFleet, s *eraStore) {
+			fleet.setDelay(1400 * time.Microsecond)
+			time.Sleep(time.Duration(step) * 100 * time.Millisecond)
+			away, asked := time.Now(), 0
+			s.set(func() { s.all, asked = true, fleet.asked })
+			time.Sleep(30 * time.Second)
+			// Each host asks another once in each wait, which is 100 ms at the least, and each answer counts as well.
+			s.set(func() { qt.Check(t, fleet.asked-asked <= 4*30*10*2, qt.IsTrue, qt.Commentf("%d messages in 30 s", fleet.asked-asked)) })
+			for _, h := range fleet.hosts {
+				st, _ := h.copy.State()
+				qt.Check(t, st.Confirmed.After(away), qt.IsFalse, qt.Commentf("%s, moment %d: the store was away for %s", h.name, step, st.Confirmed.Sub(away)))
+			}
+			s.set(func() { s.all = false })
+		})
+	}
+}
--- a/entry/internal/source/follower.go
+++ b/entry/internal/source/follower.go
@@ -271,7 +271,7 @@
 	began := f.opts.Clock.Now()
 	rep, err := parent.Ask(ctx, relay.Args{Since: before.Revision, Era: before.Era, Kept: f.told.by(parent.Name), Wait: wait})
 	if err == nil && rep.Age >= 0 && !rep.Batch().Position().Before(before.Position) {
-		f.heard(parent.Name, rep)
+		f.heard(parent.Name, rep, began)
 	}
 	after, _ := f.opts.Copy.State()
 	switch {
@@ -293,8 +293,10 @@
 	}
 }
 
-func (f *Follower[T]) heard(from string, rep relay.Reply[T]) {
-	at := f.opts.Clock.Now().Add(-rep.Age)
+// heard takes over the reply of a host that was asked at began. Its age counts from the earliest moment at which it may
+// have left: hosts that hear from each other would confirm each other otherwise, by the time that messages take.
+func (f *Follower[T]) heard(from string, rep relay.Reply[T], began time.Time) {
+	at := began.Add(rep.Held - rep.Age)
 	f.listed = true
 	taken := false
 	if rep.Full {
--- a/entry/internal/source/start.go
+++ b/entry/internal/source/start.go
@@ -38,32 +38,37 @@
 	}()
 	parents := f.opts.First()
 	type answer struct {
-		from string
-		rep  relay.Reply[T]
+		from  string
+		rep   relay.Reply[T]
+		began time.Time
 	}
 	answers := make(chan answer, len(parents))
 	for i, p := range parents {
-		go func() { answers <- answer{p.Name, f.askFirst(ctx, p, time.Duration(i)*firstNext)} }()
+		go func() {
+			rep, began := f.askFirst(ctx, p, time.Duration(i)*firstNext)
+			answers <- answer{p.Name, rep, began}
+		}()
 	}
 	for range parents {
 		if a := <-answers; a.rep.Age >= 0 {
-			f.heard(a.from, a.rep)
+			f.heard(a.from, a.rep, a.began)
 			return
 		}
 	}
 }
 
-// askFirst asks one host, from some time on, until it has all there is. The age of its reply is negative where ctx ends
-// before that.
-func (f *Follower[T]) askFirst(ctx context.Context, p Parent[T], after time.Duration) relay.Reply[T] {
+// askFirst asks one host, from some time on, until it has all there is, and returns when it was asked. The age of its
+// reply is negative where ctx ends before that.
+func (f *Follower[T]) askFirst(ctx context.Context, p Parent[T], after time.Duration) (relay.Reply[T], time.Time) {
 	clock.Sleep(ctx, f.opts.Clock, after)
 	for ctx.Err() == nil {
+		began := f.opts.Clock.Now()
 		rep, err := p.Ask(ctx, relay.Args{Wait: firstWait})
 		if err == nil && rep.Age >= 0 && rep.Full && rep.Revision > 0 {
-			return rep
+			return rep, began
 		}
 		// A host that is not up yet is the usual case.
 		clock.Sleep(ctx, f.opts.Clock, firstAgain)
 	}
-	return relay.Reply[T]{Age: -1}
+	return relay.Reply[T]{Age: -1}, time.Time{}
 }
