directory: Write the zone's object again when the platform has lost it

What callers saw: nothing yet. When the platform came back from an older copy, the object by which starting hosts find the others was lost, or old, for up to 30 s, and a write whose version had been given out again for something else would have hit what it never read.

Change: the writer of a zone reads again once its configuration is of another era, and writes at once what is missing; a write that was answered in another era than its read is checked again. Two calls a zone for a drill, three where the object is lost. Calls of the directory that fail are logged (directory_failed, 1572); they were swallowed. TestLostObjectIsWrittenAgain and TestWriteAcrossErasIsChecked failed before.

--- a/entry/internal/directory/directory.go
+++ b/entry/internal/directory/directory.go
@@ -39,6 +39,9 @@
 	List func(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error)
 	Get  func(ctx context.Context, kind platform.Kind, name string) (platform.Object, error)
 	Put  func(ctx context.Context, kind platform.Kind, name string, version int64, body []byte) (platform.Object, error)
+	// Era returns the era of the platform's objects, which rises when the platform comes back from an older copy of them;
+	// nil means that it never does.
+	Era func() int64
 	// Seeded is how long a host waits for the hosts that its settings name before it reads; one that joined by then
 	// doesn't read, since in a fleet that starts at once each read is a call to the platform.
 	Seeded time.Duration
@@ -60,12 +63,20 @@
 	started  time.Time
 	read     time.Time
 	wrote    time.Time
+	// era is the one that was known last, and lost says that what was read and written may be lost since.
+	era  int64
+	lost bool
 	// last is what the zone's object holds, as read or written last.
 	last []netip.AddrPort
 }
 
 // New returns a directory that does nothing until Run.
-func New(opts Options) *Directory { return &Directory{opts: opts} }
+func New(opts Options) *Directory {
+	if opts.Era == nil {
+		opts.Era = func() int64 { return 0 }
+	}
+	return &Directory{opts: opts}
+}
 
 // Contacts returns the addresses that were listed when the objects were read last.
 func (d *Directory) Contacts() []netip.AddrPort {
@@ -93,11 +104,14 @@
 	if d.started.IsZero() {
 		d.started = now
 	}
+	if era := d.opts.Era(); era != d.era {
+		d.era, d.lost = era, true
+	}
 	// A host that starts must not write over a fleet that it hasn't met yet. Where it waits for the hosts that its
 	// settings name, the others have the time to meet; in a large fleet that starts at once every third would take
 	// itself for the first of its zone, and write.
 	met := now.Sub(d.started) >= meetFor || !alone && d.opts.Seeded == 0
-	if d.read.IsZero() && d.opts.Seeded == 0 || alone || writer && met && now.Sub(d.read) >= readEvery {
+	if d.read.IsZero() && d.opts.Seeded == 0 || alone || writer && met && (d.lost || now.Sub(d.read) >= readEvery) {
 		d.readAll(ctx, now)
 	}
 	if writer && !d.read.IsZero() && met {
@@ -135,6 +149,7 @@
 	defer cancel()
 	objs, _, err := d.opts.List(ctx, platform.KindHosts)
 	if err != nil {
+		events.DirectoryFailed.Log(d.opts.Log, "call", "list", "reason", err.Error())
 		return
 	}
 	var contacts, own []netip.AddrPort
@@ -154,6 +169,10 @@
 	defer d.mu.Unlock()
 	// What another host wrote, which may have been cut off and alone, is compared with what should be there.
 	d.contacts, d.read, d.last = contacts, now, own
+	if d.lost {
+		// The zone's object may have to be written again.
+		d.wrote, d.lost = time.Time{}, false
+	}
 }
 
 // write stores the zone's first hosts if they changed.
@@ -168,6 +187,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := d.store(ctx, want); err != nil {
+		events.DirectoryFailed.Log(d.opts.Log, "call", "put", "reason", err.Error())
 		return
 	}
 	d.last, d.wrote = want, now
@@ -196,7 +216,11 @@
 	if err != nil {
 		return fmt.Errorf("encode directory of %s: %w", d.name(), err)
 	}
-	_, err = d.opts.Put(ctx, platform.KindHosts, d.name(), old.Version, b)
+	put, err := d.opts.Put(ctx, platform.KindHosts, d.name(), old.Version, b)
+	if err == nil && put.Era != old.Era {
+		d.lost = true
+		return fmt.Errorf("%w: directory of %s: version %d was read in era %d and written in era %d", platform.ErrConflict, d.name(), old.Version, old.Era, put.Era)
+	}
 	return err
 }
 
--- a/entry/internal/directory/directory_test.go
+++ b/entry/internal/directory/directory_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -233,3 +234,59 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a zone's object that the platform has lost, coming back from an older copy, and that is missing until
+// the hosts change.
+func TestLostObjectIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &store{objs: map[string]platform.Object{}}
+		var era atomic.Int64
+		known := hosts(3)
+		d := newDirectory(s, member.Ranked(known, "directory")[0], func() []member.Host { return known })
+		d.opts.Era = era.Load
+		ctx, cancel := context.WithCancel(t.Context())
+		go d.Run(ctx)
+		time.Sleep(time.Minute)
+		c.Assert(s.written(), qt.Equals, 1)
+		s.mu.Lock()
+		clear(s.objs)
+		calls := s.calls
+		s.mu.Unlock()
+		era.Add(1)
+		time.Sleep(3 * time.Second)
+		c.Check(s.written(), qt.Equals, 2)
+		s.mu.Lock()
+		c.Check(s.calls-calls <= 3, qt.IsTrue, qt.Commentf("%d calls", s.calls-calls))
+		s.mu.Unlock()
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a write whose condition holds by chance: the platform came back from an older copy after the object was
+// read, and its version was given out again for what another host wrote.
+func TestWriteAcrossErasIsChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &store{objs: map[string]platform.Object{}}
+		known := hosts(3)
+		d := newDirectory(s, member.Ranked(known, "directory")[0], func() []member.Host { return known })
+		restored := false
+		d.opts.Put = func(ctx context.Context, kind platform.Kind, name string, version int64, b []byte) (platform.Object, error) {
+			obj, err := s.put(ctx, kind, name, version, b)
+			if !restored {
+				restored, obj.Era = true, 1
+			}
+			return obj, err
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go d.Run(ctx)
+		time.Sleep(time.Second)
+		c.Check(d.last, qt.HasLen, 0)
+		time.Sleep(3 * time.Second)
+		c.Check(d.last, qt.HasLen, 3)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/entry/internal/events/membership.go
+++ b/entry/internal/events/membership.go
@@ -24,6 +24,7 @@
 var (
 	DirectoryWritten    = event.New(1570, "directory_written", "This host, the first of its zone, wrote the zone's object by which starting hosts find the others.")
 	DirectoryUnreadable = event.New(1571, "directory_unreadable", "The object of a zone in the directory could not be read and was left out.")
+	DirectoryFailed     = event.New(1572, "directory_failed", "The objects of the directory could not be read, or the zone's own not be written; it is tried again. Call says which.")
 )
 
 // Events of status, 1900 to 1999.
--- a/entry/internal/front/joined.go
+++ b/entry/internal/front/joined.go
@@ -78,6 +78,10 @@
 	j.list = member.New(member.Options{Self: self, Rand: member.NewRand(), Changed: memberlog.Changed(opts.Log)})
 	j.directory = directory.New(directory.Options{
 		Clock: opts.Clock, Log: opts.Log, List: opts.Store.List, Get: opts.Store.Get, Put: opts.Store.Put, Self: j.list.Self, Hosts: j.list.Hosts, Seeded: seeded,
+		Era: func() int64 {
+			st, _ := j.configs.State()
+			return st.Era
+		},
 	})
 	j.rumors = rumor.New(opts.Clock, func() int { return len(j.list.Hosts()) })
 	j.peers, err = peers.New(peers.Options{
--- a/entry/internal/source/era_test.go
+++ b/entry/internal/source/era_test.go
@@ -494,7 +494,9 @@
 			s.set(func() { s.all, asked = true, fleet.asked })
 			time.Sleep(30 * time.Second)
 			// Each host asks another once in each wait, which is 100 ms at the least, and each answer counts as well.
-			s.set(func() { qt.Check(t, fleet.asked-asked <= 4*30*10*2, qt.IsTrue, qt.Commentf("%d messages in 30 s", fleet.asked-asked)) })
+			s.set(func() {
+				qt.Check(t, fleet.asked-asked <= 4*30*10*2, qt.IsTrue, qt.Commentf("%d messages in 30 s", fleet.asked-asked))
+			})
 			for _, h := range fleet.hosts {
 				st, _ := h.copy.State()
 				qt.Check(t, st.Confirmed.After(away), qt.IsFalse, qt.Commentf("%s, moment %d: the store was away for %s", h.name, step, st.Confirmed.Sub(away)))
