platform, follow, status, standin: Order versions by the platform's era on the project's own interface

What callers would see: an edit that is proposed after the platform came back from an older copy is never in force, since its version was given out before for one that was lost; a watch goes on from a revision that stands for something else; an acceptance, a status or a zone's hosts that were written in the lost seconds are gone until they change.

Change: replies of the platform say its era (X-Platform-Era), objects the era of their last write. The client of core/platform puts it above the version, so that versions rise through eras for all who order or compare them, and sends it with conditional updates and watches, which continue only in the era that was read. A watcher that meets a new era records again, by the turns of the judges, what is in force and not held there; statuses and the directory are written again. The stand-in keeps and restores copies on command.

--- a/core/platform/client.go
+++ b/core/platform/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync"
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
@@ -26,6 +27,13 @@
 	KindHosts    Kind = "entry_hosts"
 )
 
+// HeaderEra says in each reply how often the platform came back from an older copy of its objects, and in a conditional
+// update when the object that was read had been written.
+const HeaderEra = "X-Platform-Era"
+
+// countBits is how many lower bits of a version count updates in one era; the era stands above them.
+const countBits = 40
+
 // MaxReply is the most bytes read from one reply of the platform.
 const MaxReply = 8 << 20
 
@@ -41,7 +49,9 @@
 type Object struct {
 	Kind Kind   `json:"kind"`
 	Name string `json:"name"`
-	// Version grows by one with each update of this object; zero means that it does not exist.
+	// Version grows by one with each update of this object; zero means that it does not exist. The version that a Client
+	// returns is higher after the platform came back from an older copy than all before, though the platform counts on
+	// from the copy.
 	Version int64 `json:"version"`
 	// Revision is the platform's global counter at the object's last update.
 	Revision int64 `json:"revision"`
@@ -99,6 +109,11 @@
 type Client struct {
 	http *khttp.Client
 	base string
+
+	mu sync.Mutex
+	// era is the newest that a reply bore, and watched that of the last watch of each kind.
+	era     int64
+	watched map[Kind]int64
 }
 
 // New returns a client of the platform at addr; each call lasts as long as its context allows.
@@ -110,22 +125,44 @@
 	if err != nil {
 		return nil, fmt.Errorf("platform client for %s: %w", addr, err)
 	}
-	return &Client{http: hc, base: "http://" + addr.String()}, nil
+	return &Client{http: hc, base: "http://" + addr.String(), watched: map[Kind]int64{}}, nil
+}
+
+// Era returns how often the platform came back from an older copy, as the replies until now say.
+func (c *Client) Era() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.era
+}
+
+// ordered returns an object whose version is higher than those of all earlier eras.
+func ordered(obj Object) Object {
+	obj.Version, obj.Era = obj.Era<<countBits|obj.Version, 0
+	return obj
+}
+
+func orderedAll(objs []Object) []Object {
+	for i := range objs {
+		objs[i] = ordered(objs[i])
+	}
+	return objs
 }
 
 // Get returns one object; ErrNotFound where it does not exist.
 func (c *Client) Get(ctx context.Context, kind Kind, name string) (Object, error) {
 	var obj Object
-	err := c.call(ctx, http.MethodGet, "/v1/objects/"+string(kind)+"/"+name, nil, nil, &obj)
-	return obj, err
+	_, err := c.call(ctx, http.MethodGet, "/v1/objects/"+string(kind)+"/"+name, nil, nil, &obj)
+	return ordered(obj), err
 }
 
 // Put stores body if the object's version still is version (zero: does not exist yet); ErrConflict otherwise.
 func (c *Client) Put(ctx context.Context, kind Kind, name string, version int64, body []byte) (Object, error) {
 	var obj Object
-	header := http.Header{"If-Match": {strconv.FormatInt(version, 10)}}
-	err := c.call(ctx, http.MethodPut, "/v1/objects/"+string(kind)+"/"+name, header, body, &obj)
-	return obj, err
+	header := http.Header{}
+	header.Set("If-Match", strconv.FormatInt(version&(1<<countBits-1), 10))
+	header.Set(HeaderEra, strconv.FormatInt(version>>countBits, 10))
+	_, err := c.call(ctx, http.MethodPut, "/v1/objects/"+string(kind)+"/"+name, header, body, &obj)
+	return ordered(obj), err
 }
 
 // List returns all objects of a kind and the global revision they were read at.
@@ -134,20 +171,28 @@
 		Revision int64    `json:"revision"`
 		Objects  []Object `json:"objects"`
 	}
-	err := c.call(ctx, http.MethodGet, "/v1/objects/"+string(kind), nil, nil, &reply)
-	return reply.Objects, reply.Revision, err
+	_, err := c.call(ctx, http.MethodGet, "/v1/objects/"+string(kind), nil, nil, &reply)
+	return orderedAll(reply.Objects), reply.Revision, err
 }
 
 // Watch waits at most wait for objects of a kind changed after the global revision, and returns them with the revision
-// to resume at.
+// to resume at. Where the platform came back from an older copy since the last watch, it returns all objects at once.
 func (c *Client) Watch(ctx context.Context, kind Kind, after int64, wait time.Duration) ([]Object, int64, error) {
 	var reply struct {
 		Revision int64    `json:"revision"`
 		Objects  []Object `json:"objects"`
 	}
-	path := fmt.Sprintf("/v1/watch/%s?after=%d&wait_ms=%d", kind, after, wait.Milliseconds())
-	err := c.call(ctx, http.MethodGet, path, nil, nil, &reply)
-	return reply.Objects, reply.Revision, err
+	c.mu.Lock()
+	era := c.watched[kind]
+	c.mu.Unlock()
+	path := fmt.Sprintf("/v1/watch/%s?after=%d&era=%d&wait_ms=%d", kind, after, era, wait.Milliseconds())
+	era, err := c.call(ctx, http.MethodGet, path, nil, nil, &reply)
+	if err == nil {
+		c.mu.Lock()
+		c.watched[kind] = era
+		c.mu.Unlock()
+	}
+	return orderedAll(reply.Objects), reply.Revision, err
 }
 
 // Replicas returns the platform's list of upstream replicas, which lags.
@@ -155,34 +200,48 @@
 	var reply struct {
 		Hosts []Replica `json:"hosts"`
 	}
-	err := c.call(ctx, http.MethodGet, "/v1/hosts", nil, nil, &reply)
+	_, err := c.call(ctx, http.MethodGet, "/v1/hosts", nil, nil, &reply)
 	return reply.Hosts, err
 }
 
-func (c *Client) call(ctx context.Context, method, path string, header http.Header, body []byte, reply any) error {
+// call makes one call and returns the era that its reply bears.
+func (c *Client) call(ctx context.Context, method, path string, header http.Header, body []byte, reply any) (int64, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return fmt.Errorf("platform request %s %s: %w", method, path, err)
+		return 0, fmt.Errorf("platform request %s %s: %w", method, path, err)
 	}
 	if header != nil {
 		req.Header = header
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return fmt.Errorf("%w: %s %s: %w", ErrUnavailable, method, path, err)
+		return 0, fmt.Errorf("%w: %s %s: %w", ErrUnavailable, method, path, err)
 	}
 	defer resp.Body.Close()
+	era := c.noteEra(resp.Header.Get(HeaderEra))
 	b, err := io.ReadAll(io.LimitReader(resp.Body, MaxReply))
 	if err != nil {
-		return fmt.Errorf("%w: %s %s: %w", ErrUnavailable, method, path, err)
+		return 0, fmt.Errorf("%w: %s %s: %w", ErrUnavailable, method, path, err)
 	}
 	if err := statusError(resp.StatusCode); err != nil {
-		return fmt.Errorf("%s %s: %w", method, path, err)
+		return 0, fmt.Errorf("%s %s: %w", method, path, err)
 	}
 	if err := json.Unmarshal(b, reply); err != nil {
-		return fmt.Errorf("%w: %s %s: %w", ErrUnavailable, method, path, err)
+		return 0, fmt.Errorf("%w: %s %s: %w", ErrUnavailable, method, path, err)
+	}
+	return era, nil
+}
+
+// noteEra reads the era of a reply; one that says none is of the first.
+func (c *Client) noteEra(text string) int64 {
+	era, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || era < 0 {
+		return 0
 	}
-	return nil
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.era = max(c.era, era)
+	return era
 }
 
 func statusError(code int) error {
--- /dev/null
+++ b/entry/internal/follow/era_test.go
@@ -0,0 +1,79 @@
+package follow
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/platform"
+	"guavaspring.org/entry/internal/accepted"
+)
+
+// laterEra is what the versions of the first era after the platform came back begin with.
+const laterEra = 1 << 40
+
+// Guards against an acceptance that the platform has lost with its newest writes: a host that starts would go by an older
+// one.
+func TestLostAcceptanceIsRecordedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, store := newFake(1), accepted.New(nil)
+		f := follower(p, store)
+		var era atomic.Int64
+		f.opts.Era = era.Load
+		newest, err := accepted.Decode([]byte(acceptedBody(7)))
+		qt.Assert(t, err, qt.IsNil)
+		store.Offer(newest)
+		k := key(platform.KindAccepted, desk)
+		lost := []platform.Object{{Kind: platform.KindAccepted, Name: desk, Version: 1, Body: []byte(acceptedBody(5))}}
+		p.history[k] = lost
+		held := func() (number int64, writes int) {
+			time.Sleep(5 * time.Second)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			gen, err := accepted.Decode(p.history[k][len(p.history[k])-1].Body)
+			qt.Assert(t, err, qt.IsNil)
+			return gen.Number, len(p.puts)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Judge(ctx)
+		f.takeAccepted(lost)
+		number, writes := held()
+		qt.Check(t, []any{number, writes}, qt.DeepEquals, []any{int64(5), 0})
+		era.Store(1)
+		f.takeAccepted(lost)
+		number, writes = held()
+		qt.Check(t, []any{number, writes}, qt.DeepEquals, []any{int64(7), 1})
+		inForce, _ := store.Get(desk)
+		qt.Check(t, inForce.Number, qt.Equals, int64(7))
+		cancel()
+	})
+}
+
+// Guards against a document that is never accepted, since its version was given out before for one that was lost, and
+// against an older document that the platform's copy brings back.
+func TestVersionOfALaterEraIsAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, store := newFake(1), accepted.New(nil)
+		f := follower(p, store)
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Judge(ctx)
+		inForce := func() int64 {
+			time.Sleep(settle)
+			gen, _ := store.Get(desk)
+			return gen.Number
+		}
+		f.propose([]platform.Object{proposalOf(7, good(7))})
+		qt.Assert(t, inForce(), qt.Equals, int64(7))
+		f.propose([]platform.Object{proposalOf(5, good(5))})
+		qt.Assert(t, inForce(), qt.Equals, int64(7))
+		f.propose([]platform.Object{proposalOf(laterEra|6, good(6))})
+		qt.Assert(t, inForce(), qt.Equals, int64(laterEra|6))
+		gen, _ := store.Get(desk)
+		qt.Assert(t, gen.Document.Upstream.Slots, qt.Equals, 6)
+		cancel()
+	})
+}
--- a/entry/internal/follow/follow.go
+++ b/entry/internal/follow/follow.go
@@ -37,6 +37,9 @@
 	ReplicasRead func(rows []listing.Row)
 	// Replicas receives the replica list when it changed, and again now and then.
 	Replicas func(ctx context.Context, list []platform.Replica)
+	// Era returns the era of the platform's objects, which rises when the platform comes back from an older copy of them;
+	// New takes that of Platform where it is nil, if there is one.
+	Era func() int64
 	// Self and Hosts return this host's row and every host that is not dead.
 	Self  func() member.Host
 	Hosts func() []member.Host
@@ -51,7 +54,10 @@
 	mu        sync.Mutex
 	down      bool
 	proposals map[string]*proposal
-	refusals  map[string]Refusal
+	// lost are the generations in force whose acceptance the platform has lost, and era the one of the last watch.
+	lost     map[string]*proposal
+	era      int64
+	refusals map[string]Refusal
 	// asked is a list taken over from another host, in use until the table has rows.
 	asked []platform.Replica
 
@@ -86,10 +92,16 @@
 	if opts.Listing == nil {
 		opts.Listing = listing.New(opts.Clock)
 	}
+	if opts.Era == nil {
+		opts.Era = func() int64 { return 0 }
+		if opts.Platform != nil {
+			opts.Era = opts.Platform.Era
+		}
+	}
 	if opts.ReplicasRead == nil {
 		opts.ReplicasRead = func([]listing.Row) {}
 	}
-	return &Follower{opts: opts, proposals: map[string]*proposal{}, refusals: map[string]Refusal{}}
+	return &Follower{opts: opts, proposals: map[string]*proposal{}, lost: map[string]*proposal{}, refusals: map[string]Refusal{}}
 }
 
 const (
@@ -121,7 +133,9 @@
 }
 
 // WatchAccepted puts in force what any host accepted, while this host is one of its zone's watchers.
-func (f *Follower) WatchAccepted(ctx context.Context) { f.watch(ctx, platform.KindAccepted, f.offer) }
+func (f *Follower) WatchAccepted(ctx context.Context) {
+	f.watch(ctx, platform.KindAccepted, f.takeAccepted)
+}
 
 // WatchDocuments takes up proposals, while this host is one of its zone's watchers.
 func (f *Follower) WatchDocuments(ctx context.Context) {
@@ -171,6 +185,48 @@
 	return objs, rev, err
 }
 
+// takeAccepted takes over what a watch of the acceptances brought. The first of a new era brings all there are: what is
+// in force and not among them was lost with the platform's older copy, and is recorded again.
+func (f *Follower) takeAccepted(objs []platform.Object) {
+	f.offer(objs)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if era := f.opts.Era(); era != f.era {
+		f.era = era
+		f.noteLost(objs)
+	}
+}
+
+// noteLost notes the generations in force that are higher than what the platform holds; f.mu must be held.
+func (f *Follower) noteLost(objs []platform.Object) {
+	held := map[string]int64{}
+	for _, obj := range objs {
+		if gen, err := accepted.Decode(obj.Body); err == nil {
+			held[gen.Service] = gen.Number
+		}
+	}
+	for _, gen := range f.opts.Store.All() {
+		if gen.Number > held[gen.Service] {
+			f.lost[gen.Service] = &proposal{obj: platform.Object{Name: gen.Service, Version: gen.Number}, seen: f.opts.Clock.Now()}
+		}
+	}
+}
+
+// recordLost records again what the platform has lost.
+func (f *Follower) recordLost(ctx context.Context) {
+	for _, p := range f.due(f.lost) {
+		gen, ok := f.opts.Store.Get(p.obj.Name)
+		if !ok {
+			continue
+		}
+		err := f.record(ctx, p.obj, gen)
+		if err != nil {
+			f.note(ctx, err)
+		}
+		f.settle(p, err)
+	}
+}
+
 func (f *Follower) offer(objs []platform.Object) {
 	for _, obj := range objs {
 		gen, err := accepted.Decode(obj.Body)
@@ -197,25 +253,32 @@
 // brought it has moved on and won't bring it a second time.
 func (f *Follower) Judge(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, p := range f.due() {
+		for _, p := range f.due(f.proposals) {
 			err := f.judge(ctx, p.obj)
 			if err != nil {
 				f.note(ctx, err)
 			}
-			f.mu.Lock()
-			p.settled, p.retry = err == nil, f.opts.Clock.Now().Add(retryAfter)
-			f.mu.Unlock()
+			f.settle(p, err)
 		}
+		f.recordLost(ctx)
 		clock.Sleep(ctx, f.opts.Clock, judgeEvery)
 	}
 }
 
-func (f *Follower) due() []*proposal {
+// settle notes how a proposal was judged; one that met an error is judged again.
+func (f *Follower) settle(p *proposal, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p.settled, p.retry = err == nil, f.opts.Clock.Now().Add(retryAfter)
+}
+
+// due returns those of some proposals whose time has come.
+func (f *Follower) due(proposals map[string]*proposal) []*proposal {
 	now := f.opts.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []*proposal
-	for name, p := range f.proposals {
+	for name, p := range proposals {
 		if !p.settled && !now.Before(p.seen.Add(f.turn(name))) && !now.Before(p.retry) {
 			list = append(list, p)
 		}
--- a/entry/internal/host/peers.go
+++ b/entry/internal/host/peers.go
@@ -46,7 +46,7 @@
 	self := member.Host{ID: rand.Text(), Caller: opts.Listen, Peer: opts.Peer, Zone: opts.Zone, Region: opts.Region}
 	j.list = member.New(member.Options{Self: self, Rand: member.NewRand(), Changed: memberlog.Changed(opts.Log)})
 	j.directory = directory.New(directory.Options{
-		Clock: opts.Clock, Log: opts.Log, List: client.List, Get: client.Get, Put: client.Put, Self: j.list.Self, Hosts: j.list.Hosts,
+		Clock: opts.Clock, Log: opts.Log, List: client.List, Get: client.Get, Put: client.Put, Self: j.list.Self, Hosts: j.list.Hosts, Era: client.Era,
 	})
 	j.rumors = rumor.New(opts.Clock, func() int { return len(j.list.Hosts()) })
 	j.peers, err = peers.New(peers.Options{
@@ -87,7 +87,7 @@
 func (h *Host) status(client *platform.Client) *status.Writer {
 	return status.New(status.Options{
 		Clock: h.opts.Clock, Log: h.opts.Log, Get: client.Get, Put: client.Put, Self: h.Self, Hosts: h.Hosts,
-		First: h.follower.First, Services: h.serviceNames, Report: h.report, Number: h.joined.peers.Number,
+		Era: client.Era, First: h.follower.First, Services: h.serviceNames, Report: h.report, Number: h.joined.peers.Number,
 	})
 }
 
--- a/entry/internal/status/writer.go
+++ b/entry/internal/status/writer.go
@@ -37,6 +37,9 @@
 	// Self and Hosts return this host's row and every host that is not dead.
 	Self  func() member.Host
 	Hosts func() []member.Host
+	// Era returns the era of the platform's objects, which rises when the platform comes back from an older copy of them;
+	// nil means that it never does.
+	Era func() int64
 	// First reports whether this host is the first watcher for a purpose.
 	First func(purpose string) bool
 	// Services returns the names of all services that are configured or proposed.
@@ -55,6 +58,8 @@
 type Writer struct {
 	opts  Options
 	state map[string]*state
+	// era is the one in which the statuses were written.
+	era int64
 }
 
 type state struct {
@@ -65,7 +70,12 @@
 }
 
 // New returns a writer that does nothing until Run.
-func New(opts Options) *Writer { return &Writer{opts: opts, state: map[string]*state{}} }
+func New(opts Options) *Writer {
+	if opts.Era == nil {
+		opts.Era = func() int64 { return 0 }
+	}
+	return &Writer{opts: opts, state: map[string]*state{}}
+}
 
 // Run writes changed statuses until ctx ends; during an outage of the platform it goes on trying at the same rate.
 func (w *Writer) Run(ctx context.Context) {
@@ -77,6 +87,11 @@
 
 func (w *Writer) tick(ctx context.Context) {
 	hosts := w.opts.Hosts()
+	if era := w.opts.Era(); era != w.era {
+		// What was written may be lost.
+		clear(w.state)
+		w.era = era
+	}
 	for _, name := range w.opts.Services() {
 		if !w.opts.First("status " + name) {
 			// Whoever is first again later must compare with what the others wrote meanwhile.
--- a/entry/internal/status/writer_test.go
+++ b/entry/internal/status/writer_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -77,6 +78,11 @@
 }
 
 func playStatus(t *testing.T, f func(c *qt.C, s *scene)) {
+	playStatusOf(t, nil, f)
+}
+
+// playStatusOf plays a platform that says its era.
+func playStatusOf(t *testing.T, era func() int64, f func(c *qt.C, s *scene)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &scene{lagging: map[string]bool{}, report: platform.Status{Service: "board-feed", Generation: 1, Proposed: 1}}
 		for i := range 7 {
@@ -86,7 +92,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		for _, self := range s.hosts {
 			go New(Options{
-				Clock: clock.System{}, Log: logr.Discard(), Get: s.get, Put: s.put, Number: s.number,
+				Clock: clock.System{}, Log: logr.Discard(), Get: s.get, Put: s.put, Number: s.number, Era: era,
 				Self: func() member.Host { return self }, Hosts: func() []member.Host { return s.hosts },
 				First:    func(purpose string) bool { return member.Ranked(s.hosts, purpose)[0].ID == self.ID },
 				Services: func() []string { return []string{"board-feed"} },
@@ -159,3 +165,19 @@
 		c.Assert(st.Replicas.Known, qt.Equals, 29)
 	})
 }
+
+// Guards against a status that the platform has lost, coming back from an older copy, and that is wrong until something
+// changes.
+func TestLostStatusIsWrittenAgain(t *testing.T) {
+	var era atomic.Int64
+	playStatusOf(t, era.Load, func(c *qt.C, s *scene) {
+		old := s.object
+		s.set(func(s *scene) { s.report.Generation = 2 })
+		time.Sleep(10 * time.Second)
+		s.set(func(s *scene) { s.object = old })
+		era.Add(1)
+		time.Sleep(10 * time.Second)
+		st, _ := s.written(c)
+		c.Assert(st.Generation, qt.Equals, int64(2))
+	})
+}
--- a/standin/internal/objects/server.go
+++ b/standin/internal/objects/server.go
@@ -39,6 +39,9 @@
 	changed  chan struct{}
 	hosts    map[string][]hostRow
 	hostLag  time.Duration
+	// era counts how often the platform came back from kept, which is a copy made on command.
+	era  int64
+	kept objectCopy
 	// downUntil, slowBy and old are faults set on command; old is the copy that reads are served from until oldUntil.
 	downUntil   time.Time
 	slowBy      time.Duration
@@ -61,6 +64,7 @@
 func New(opts Options) *Server {
 	return &Server{
 		objects: map[string]platform.Object{}, changed: make(chan struct{}), hosts: map[string][]hostRow{}, hostLag: opts.HostLag,
+		kept:  objectCopy{objects: map[string]platform.Object{}},
 		calls: map[string]int{}, reads: meter{Limit: opts.ReadsPerSecond}, writes: meter{Limit: opts.WritesPerSecond},
 	}
 }
@@ -81,6 +85,9 @@
 // api counts a call and lets the faults act on it before it is served.
 func (s *Server) api(name string, f http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		w.Header().Set(platform.HeaderEra, strconv.FormatInt(s.era, 10))
+		s.mu.Unlock()
 		if s.admit(w, r, name) {
 			f(w, r)
 		}
@@ -125,13 +132,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.objects[key]
-	if old.Version != want {
+	if written := r.Header.Get(platform.HeaderEra); old.Version != want || written != "" && written != strconv.FormatInt(old.Era, 10) {
 		fail(w, http.StatusConflict, fmt.Sprintf("version is %d", old.Version))
 		return
 	}
 	s.revision++
 	kind, name, _ := strings.Cut(key, "/")
-	obj := platform.Object{Kind: platform.Kind(kind), Name: name, Version: want + 1, Revision: s.revision, Body: body}
+	obj := platform.Object{Kind: platform.Kind(kind), Name: name, Version: want + 1, Revision: s.revision, Era: s.era, Body: body}
 	s.objects[key] = obj
 	s.wake()
 	write(w, obj)
@@ -171,6 +178,7 @@
 	}
 	s.watchers(1)
 	defer s.watchers(-1)
+	era := r.URL.Query().Get("era")
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		if s.down() {
@@ -178,9 +186,16 @@
 			return
 		}
 		s.mu.Lock()
+		now := strconv.FormatInt(s.era, 10)
+		restored := era != "" && era != now
+		if restored {
+			// The revision of the watch stands for something else by now.
+			after = 0
+		}
 		list, changed := s.since(mux.Vars(r)["kind"], after), s.changed
 		s.mu.Unlock()
-		if len(list.Objects) > 0 {
+		w.Header().Set(platform.HeaderEra, now)
+		if restored || len(list.Objects) > 0 {
 			write(w, list)
 			return
 		}
@@ -209,6 +224,9 @@
 		SlowMS int64 `json:"slow_ms"`
 		// OldMS is for how long reads are served from a copy of now.
 		OldMS int64 `json:"old_ms"`
+		// Keep makes a copy, and Restore brings the platform back from the last one: what was written since is gone.
+		Keep    bool `json:"keep"`
+		Restore bool `json:"restore"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
 		fail(w, http.StatusBadRequest, err.Error())
@@ -220,6 +238,13 @@
 	s.slowBy = time.Duration(f.SlowMS) * time.Millisecond
 	s.oldUntil = now.Add(time.Duration(f.OldMS) * time.Millisecond)
 	s.old = objectCopy{objects: maps.Clone(s.objects), revision: s.revision}
+	if f.Keep {
+		s.kept = s.old
+	}
+	if f.Restore {
+		s.era++
+		s.objects, s.revision = maps.Clone(s.kept.objects), s.kept.revision
+	}
 	s.wake()
 	s.mu.Unlock()
 	write(w, f)
--- a/standin/internal/objects/server_test.go
+++ b/standin/internal/objects/server_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"guavaspring.org/core/platform"
 	"guavaspring.org/standin/internal/objects"
 )
 
@@ -131,3 +132,39 @@
 	}
 	return list.Hosts[0].State
 }
+
+func TestPlatformComesBackFromACopy(t *testing.T) {
+	// What was written after the copy is gone, its version is given out again, and neither a watch nor an update takes
+	// the one for the other.
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		plat := newCaller(objects.Options{})
+		plat.call(http.MethodPut, "/v1/objects/document/s", "0", `1`)
+		plat.call(http.MethodPost, "/control/faults", "", `{"keep":true}`)
+		plat.call(http.MethodPut, "/v1/objects/document/s", "1", `2`)
+		plat.call(http.MethodPost, "/control/faults", "", `{"restore":true}`)
+		_, body := plat.call(http.MethodGet, "/v1/objects/document/s", "", "")
+		c.Assert(body, qt.JSONEquals, map[string]any{"kind": "document", "name": "s", "version": 1, "revision": 1, "body": 1})
+		code, _ := plat.call(http.MethodPut, "/v1/objects/document/s", "1", `3`)
+		c.Assert(code, qt.Equals, 200)
+		// The watcher had seen revision 2 of the era before.
+		_, body = plat.call(http.MethodGet, "/v1/watch/document?after=2&era=0&wait_ms=1000", "", "")
+		c.Assert(body, qt.JSONEquals, map[string]any{"revision": 2, "objects": []any{map[string]any{"kind": "document", "name": "s", "version": 2, "revision": 2, "era": 1, "body": 3}}})
+		began := time.Now()
+		_, body = plat.call(http.MethodGet, "/v1/watch/document?after=2&era=1&wait_ms=1000", "", "")
+		c.Assert(body, qt.JSONEquals, map[string]any{"revision": 2, "objects": []any{}})
+		c.Assert(time.Since(began), qt.Equals, time.Second)
+		// This one had read version 2 of the era before.
+		for _, read := range []struct {
+			era  string
+			want int
+		}{{"0", 409}, {"1", 200}} {
+			r := httptest.NewRequestWithContext(context.Background(), http.MethodPut, "/v1/objects/document/s", strings.NewReader(`4`))
+			r.Header.Set("If-Match", "2")
+			r.Header.Set(platform.HeaderEra, read.era)
+			w := httptest.NewRecorder()
+			plat.h.ServeHTTP(w, r)
+			c.Assert(w.Code, qt.Equals, read.want)
+		}
+	})
+}
