--- a/entry/internal/directory/directory_test.go
+++ b/entry/internal/directory/directory_test.go
@@ -280,13 +280,10 @@
 			}
 			return obj, err
 		}
-		ctx, cancel := context.WithCancel(t.Context())
-		go d.Run(ctx)
-		time.Sleep(time.Second)
+		d.tick(t.Context())
 		c.Check(d.last, qt.HasLen, 0)
-		time.Sleep(3 * time.Second)
+		time.Sleep(tickEvery)
+		d.tick(t.Context())
 		c.Check(d.last, qt.HasLen, 3)
-		cancel()
-		synctest.Wait()
 	})
 }
