directory, status: Play tests between two ticks, and read the scene under its lock

TestLostObjectIsWrittenAgain counted the regular reading of its minute where that fell on the moment of the test (4 calls where 3 are allowed, in 6 of 16 runs): it now plays between two ticks, with the same bound. TestLostStatusIsWrittenAgain read the scene without its lock.

--- a/entry/internal/directory/directory_test.go
+++ b/entry/internal/directory/directory_test.go
@@ -247,7 +247,8 @@
 		d.opts.Era = era.Load
 		ctx, cancel := context.WithCancel(t.Context())
 		go d.Run(ctx)
-		time.Sleep(time.Minute)
+		// Between two ticks, after the regular reading of this minute.
+		time.Sleep(time.Minute + tickEvery/2)
 		c.Assert(s.written(), qt.Equals, 1)
 		s.mu.Lock()
 		clear(s.objs)
--- a/entry/internal/status/writer_test.go
+++ b/entry/internal/status/writer_test.go
@@ -171,8 +171,8 @@
 func TestLostStatusIsWrittenAgain(t *testing.T) {
 	var era atomic.Int64
 	playStatusOf(t, era.Load, func(c *qt.C, s *scene) {
-		old := s.object
-		s.set(func(s *scene) { s.report.Generation = 2 })
+		var old platform.Object
+		s.set(func(s *scene) { old, s.report.Generation = s.object, 2 })
 		time.Sleep(10 * time.Second)
 		s.set(func(s *scene) { s.object = old })
 		era.Add(1)
