member, peers: Tell all hosts of a refutation that a comparison of tables brought about

What callers saw: a host that was accused wrongly, as its connections had fallen silent, was kept from them for seconds longer than the second and a half that it may take.

Where the accused host finds the accusation by comparing tables with another host, before it is told, it refutes; but what such a comparison brings is not passed on, and the refutation was dropped with it. By the time it is told, the accusation is older than its row, so that nothing is told either, and the refutation only rides on probes.

Change: the refutation is told at once, however the host learned of the accusation.

--- a/entry/internal/member/list.go
+++ b/entry/internal/member/list.go
@@ -189,7 +189,16 @@
 
 // Learn takes over rows that were found by comparing tables, and doesn't pass them on: others have had them for long,
 // and a host that joins a large fleet would have nothing but old rows to tell for hours, with real news among them.
-func (l *List) Learn(now time.Time, rows []Host) { l.merge(now, rows, false) }
+// Where a row accuses this host, it returns the row by which it refutes, which is news to all.
+func (l *List) Learn(now time.Time, rows []Host) (refutation Host, refuted bool) {
+	self := l.Self().ID
+	for _, h := range l.merge(now, rows, false) {
+		if h.ID == self {
+			return h, true
+		}
+	}
+	return Host{}, false
+}
 
 func (l *List) merge(now time.Time, rows []Host, news bool) (fresh []Host) {
 	l.mu.Lock()
--- a/entry/internal/peers/repair.go
+++ b/entry/internal/peers/repair.go
@@ -135,7 +135,9 @@
 }
 
 func (p *Peers) take(from netip.AddrPort, rows Rows) {
-	p.opts.List.Learn(p.opts.Clock.Now(), rows.Members)
+	if row, refuted := p.opts.List.Learn(p.opts.Clock.Now(), rows.Members); refuted {
+		p.news.Push(item{host: row})
+	}
 	p.hear(from, rows.Marks, rows.Rumors)
 	// What a repair brought is not told on: the others' sums show it to them, and a whole table would be thousands.
 	p.opts.Listing.Merge(rows.Replicas)
--- a/entry/internal/peers/watch_test.go
+++ b/entry/internal/peers/watch_test.go
@@ -82,3 +82,18 @@
 		qt.Assert(t, knowing(f, hosts, hosts[2], member.StateAlive), qt.Equals, len(hosts))
 	})
 }
+
+// Guards against a host that finds out by a comparison of tables that it is accused, and tells nobody that it lives.
+func TestAccusedHostThatLearnsByRepairIsBackAtOnce(t *testing.T) {
+	play(t, 60, func(f *fleet, hosts []*testHost) {
+		f.watch(nextFour(hosts[:6]))
+		time.Sleep(2 * time.Second)
+		accused := hosts[2].list.Self()
+		row, ok := hosts[0].list.Unreachable(time.Now(), accused, time.Now())
+		qt.Assert(t, ok, qt.IsTrue)
+		hosts[2].peers.take(hosts[0].addr, Rows{Members: []member.Host{row}})
+		hosts[0].peers.news.Push(item{host: row})
+		time.Sleep(1500 * time.Millisecond)
+		qt.Assert(t, knowing(f, hosts, hosts[2], member.StateAlive), qt.Equals, len(hosts))
+	})
+}
