--- a/core/clock/sleep.go
+++ b/core/clock/sleep.go
@@ -7,6 +7,9 @@
 
 // Sleep returns once d has passed on c or ctx has ended, whichever comes first.
 func Sleep(ctx context.Context, c Clock, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-c.After(d):
 	case <-ctx.Done():
--- a/entry/internal/relay/server.go
+++ b/entry/internal/relay/server.go
@@ -80,7 +80,7 @@
 func Serve[T any](clk clock.Clock, c *Copy[T], args *Args, reply *Reply[T]) error {
 	began := clk.Now()
 	st, changed := c.State()
-	if behind := st.Before(args.Position()); behind || st.Position == args.Position() && st.Kept == args.Kept {
+	if behind := st.Before(args.Position()); args.Wait > 0 && (behind || st.Position == args.Position() && st.Kept == args.Kept) {
 		select {
 		case <-changed:
 		case <-clk.After(min(args.Wait, mostWait)):
--- a/entry/internal/source/era_test.go
+++ b/entry/internal/source/era_test.go
@@ -158,7 +158,9 @@
 	d := f.delay
 	f.asked++
 	f.store.mu.Unlock()
-	clock.Sleep(ctx, clock.System{}, d)
+	if d > 0 {
+		clock.Sleep(ctx, clock.System{}, d)
+	}
 }
 
 func (f *eraFleet) start(ctx context.Context, name string) *eraHost {
