source: Take up every return of the store that another follower has seen

What callers saw, in a test: new shards named before their replicas are known, for up to 250 ms after an outage.

Cause: a follower that waits for the store's return worked out its wait first and then asked for the signal of the return. A return between the two was missed, and its own wait passed in full. The window was there before; a wait that is spent asking others is left and entered again several times.

--- a/entry/internal/source/follower.go
+++ b/entry/internal/source/follower.go
@@ -112,6 +112,8 @@
 	down  bool
 	back  time.Time
 	pause time.Duration
+	// returns is how often the store had come back before it was last called.
+	returns int
 	// tried is when the store was last called.
 	tried time.Time
 	// collect is how long the last watch that brought changes was followed by a pause.
@@ -168,10 +170,11 @@
 func (f *Follower[T]) step(ctx context.Context) {
 	parents, watches := f.opts.Parents()
 	failed, _ := f.opts.Outage.failedAt()
+	back := f.opts.Outage.Back()
 	rest := f.rest(watches)
 	switch {
 	case rest > 0:
-		f.untilBack(ctx, func(ctx context.Context) {
+		f.untilBack(ctx, back, func(ctx context.Context) {
 			switch {
 			case len(parents) == 0, watches && rest <= askMargin:
 				clock.Sleep(ctx, f.opts.Clock, rest)
@@ -196,10 +199,9 @@
 
 // untilBack does something while the store is left alone, and ends that once another follower of this host has reached
 // it.
-func (f *Follower[T]) untilBack(ctx context.Context, do func(ctx context.Context)) {
+func (f *Follower[T]) untilBack(ctx context.Context, back <-chan struct{}, do func(ctx context.Context)) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	back := f.opts.Outage.Back()
 	go func() {
 		select {
 		case <-back:
@@ -226,6 +228,10 @@
 // as long, though its neighbours know all that it lacks. Where it is away for all, the first host that reaches it again
 // has all others know within one call.
 func (f *Follower[T]) rest(watches bool) time.Duration {
+	if f.opts.Outage.count() != f.returns && f.olderPause == 0 {
+		// Another follower has reached it since.
+		return 0
+	}
 	down, tried, pause := f.down || f.olderPause > 0, f.tried, max(f.pause, f.olderPause)
 	if at, away := f.opts.Outage.failedAt(); away && !watches && at.After(tried) {
 		down, tried, pause = true, at, hearPause
@@ -350,6 +356,7 @@
 // read makes one call to the store: a list where nothing is known or what is known may have a hole, a watch otherwise.
 func (f *Follower[T]) read(ctx context.Context) {
 	defer func() { f.tried = f.opts.Clock.Now() }()
+	f.returns = f.opts.Outage.count()
 	if !f.listed || f.stale() {
 		f.list(ctx)
 		return
--- a/entry/internal/source/outage.go
+++ b/entry/internal/source/outage.go
@@ -16,6 +16,8 @@
 type Outage struct {
 	mu   sync.Mutex
 	back chan struct{}
+	// returns counts how often back was closed.
+	returns int
 	// failed is when a call failed last, zero where one succeeded after it.
 	failed time.Time
 }
@@ -30,11 +32,19 @@
 	return o.back
 }
 
+// count returns how often a follower has reached the store again.
+func (o *Outage) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.returns
+}
+
 // over says that a follower has reached the store after calls that failed.
 func (o *Outage) over() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.failed = time.Time{}
+	o.returns++
 	close(o.back)
 	o.back = make(chan struct{})
 }
