source: Read all kinds of objects anew once one has met a new era of the store

Cause: a watch that is not cut by the drill waits on, the one of the evacuations for up to 2.7 s. Its list then lacks the zone, which can't be told from a copy that lacks it: an order that the hosts know holds on until it is written again.

Change: the first follower of a host that meets a new era ends the watches of the others, which list at once; a list of an era before that is refused. What is written again and taken back within that moment, or before any host has reached the store, still can't be told apart and holds for five minutes (docs/design/eras.md). TestKindsEnterANewEraTogether holds the moment.

--- a/entry/internal/source/era.go
+++ b/entry/internal/source/era.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"guavaspring.org/core/feed"
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/relay"
 )
@@ -42,6 +44,7 @@
 	if from == fromStore {
 		f.consults = eraConsults
 	}
+	f.opts.Outage.enter(after.Era)
 	kept, _ := f.opts.Copy.Kept()
 	events.StoreEra.Log(f.opts.Log, "kind", f.opts.Name, "from", from, "era", after.Era, "revision", after.Revision, "known_era", before.Era, "known", before.Revision, "kept", len(kept))
 	return before.Revision > 0
@@ -57,6 +60,32 @@
 	f.unsaid = era == 0
 }
 
+// errEraOver means that the store has come back from a copy since the revision that was to be watched from.
+var errEraOver = errors.New("source: another kind of object was read in a newer era of the store")
+
+// watchInEra watches the store until another follower of this host has entered a newer era. All kinds are listed anew at
+// once then: what is written to the store before its list is read can't be told from what its copy had.
+func (f *Follower[T]) watchInEra(ctx context.Context, st relay.State, wait time.Duration) (feed.Batch[T], error) {
+	newest, entered := f.opts.Outage.newest()
+	if newest > st.Era {
+		return feed.Batch[T]{}, errEraOver
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-entered:
+			cancel(errEraOver)
+		case <-ctx.Done():
+		}
+	}()
+	batch, err := f.opts.Watch(ctx, st.Revision, wait)
+	if cause := context.Cause(ctx); errors.Is(cause, errEraOver) {
+		return feed.Batch[T]{}, cause
+	}
+	return batch, err
+}
+
 // mergeKept takes over what another host keeps from earlier eras.
 func (f *Follower[T]) mergeKept(from string, rep relay.Reply[T]) {
 	f.told = told{from: from, sum: rep.KeptSum}
--- a/entry/internal/source/era_test.go
+++ b/entry/internal/source/era_test.go
@@ -148,6 +148,8 @@
 	// delay is how long a message between two hosts takes, and asked how often hosts were asked.
 	delay time.Duration
 	asked int
+	// outage is shared with the fleet of another kind on the same hosts, nil for none.
+	outage *source.Outage
 }
 
 func (f *eraFleet) setDelay(d time.Duration) { f.store.set(func() { f.delay = d }) }
@@ -178,6 +180,7 @@
 	}
 	go source.New(source.Options[int64]{
 		Clock: clock.System{}, Log: logr.Discard(), Name: "config", Bound: bound, Copy: h.copy, Replace: apply, Change: apply, Reconnect: func() {},
+		Outage:  f.outage,
 		Parents: func() ([]source.Parent[int64], bool) { return f.parents(h) },
 		Others:  func() []source.Parent[int64] { return f.others(h) },
 		List: func(ctx context.Context) (feed.Batch[int64], error) {
@@ -507,3 +510,27 @@
 		})
 	}
 }
+
+// Guards against a kind of object that is read seconds after the others in a new era: what is written to the store before
+// its list can't be told from what the copy had.
+func TestKindsEnterANewEraTogether(t *testing.T) {
+	play(t, func(ctx context.Context) {
+		outage := source.NewOutage()
+		stores := []*eraStore{newEraStore(), newEraStore()}
+		var hosts []*eraHost
+		for _, s := range stores {
+			fleet := &eraFleet{store: s, outage: outage}
+			hosts = append(hosts, fleet.start(ctx, "host"))
+		}
+		time.Sleep(5 * time.Second)
+		for _, s := range stores {
+			s.restore(s.copy())
+		}
+		stores[0].write(2)
+		time.Sleep(10 * storeTakes)
+		for i, h := range hosts {
+			st, _ := h.copy.State()
+			qt.Check(t, st.Era, qt.Equals, int64(2), qt.Commentf("kind %d", i))
+		}
+	})
+}
--- a/entry/internal/source/follower.go
+++ b/entry/internal/source/follower.go
@@ -376,7 +376,13 @@
 	}
 	f.listed = true
 	f.noteUnsaid(batch.Era)
-	f.backOff(f.replace(fromStore, batch, began, f.succeeded()))
+	returned := f.succeeded()
+	if newest, _ := f.opts.Outage.newest(); batch.Era != 0 && batch.Era < newest {
+		f.noteOlder(fromStore, batch)
+		f.backOff(false)
+		return
+	}
+	f.backOff(f.replace(fromStore, batch, began, returned))
 	f.rejects.report(batch.Rejected)
 }
 
@@ -386,8 +392,10 @@
 	call, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
 	began := f.opts.Clock.Now()
-	batch, err := f.opts.Watch(call, st.Revision, wait)
+	batch, err := f.watchInEra(call, st, wait)
 	switch {
+	case errors.Is(err, errEraOver):
+		f.listed = false
 	case errors.Is(err, feed.ErrHistoryGone):
 		events.HistoryGone.Log(f.opts.Log, "kind", f.opts.Name, "since", st.Revision)
 		f.listed = false
--- a/entry/internal/source/outage.go
+++ b/entry/internal/source/outage.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Outage tells the followers of one host that the store is away, and that it is back.
+// Outage tells the followers of one host that the store is away, that it is back, and in which era.
 //
 // A call that failed says so for all kinds of objects: otherwise each host that hears nothing fresh asks for each kind by
 // itself all through an outage.
@@ -20,10 +20,34 @@
 	returns int
 	// failed is when a call failed last, zero where one succeeded after it.
 	failed time.Time
+	// era is the newest era of the store that a follower has entered, and entered is closed with the next.
+	era     int64
+	entered chan struct{}
 }
 
 // NewOutage returns an outage that nobody has seen the end of.
-func NewOutage() *Outage { return &Outage{back: make(chan struct{})} }
+func NewOutage() *Outage {
+	return &Outage{back: make(chan struct{}), entered: make(chan struct{})}
+}
+
+// enter says that a follower has read the store in an era.
+func (o *Outage) enter(era int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if era <= o.era {
+		return
+	}
+	o.era = era
+	close(o.entered)
+	o.entered = make(chan struct{})
+}
+
+// newest returns the newest era that a follower has entered, and a channel that is closed with the next.
+func (o *Outage) newest() (int64, <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.era, o.entered
+}
 
 // Back returns a channel that is closed once a follower reaches the store again.
 func (o *Outage) Back() <-chan struct{} {
