relay: Let hosts of an earlier version wait for news as before

A host of the version before says no era when it asks another; its position counted as one of the first era, so that it would be sent all objects at each question, without a wait, while a fleet is being replaced. It is now taken to be in the era of the host it asks, as it takes itself to be. TestAskerWithoutAnEraWaits failed before (no wait, all objects). The other way round nothing is taken over: a host that knows an era passes over replies without one, and asks the next parent or the store.

--- a/entry/internal/relay/earlier_test.go
+++ b/entry/internal/relay/earlier_test.go
@@ -5,11 +5,13 @@
 	"maps"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"guavaspring.org/core/clock"
 	"guavaspring.org/core/feed"
 	"guavaspring.org/core/platform"
 	"guavaspring.org/entry/internal/relay"
@@ -318,3 +320,17 @@
 		}
 	})
 }
+
+// Guards against a host of an earlier version, which says no era, being sent all objects without end.
+func TestAskerWithoutAnEraWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := replicasCopy()
+		c.Replace(at(3, 10, row("a", 9, 1, platform.StateLive)), time.Now(), false)
+		m := &relay.Methods{Clock: clock.System{}, ReplicaCopy: c}
+		began := time.Now()
+		var rep relay.Reply[platform.Replica]
+		qt.Assert(t, m.Replicas(&relay.Args{Since: 10, Wait: time.Second}, &rep), qt.IsNil)
+		qt.Check(t, time.Since(began), qt.Equals, time.Second)
+		qt.Check(t, rep.Full, qt.IsFalse)
+	})
+}
--- a/entry/internal/relay/server.go
+++ b/entry/internal/relay/server.go
@@ -80,6 +80,10 @@
 func Serve[T any](clk clock.Clock, c *Copy[T], args *Args, reply *Reply[T]) error {
 	began := clk.Now()
 	st, changed := c.State()
+	if args.Era == 0 && args.Since > 0 {
+		// A host of an earlier version doesn't say its era.
+		args.Era = st.Era
+	}
 	if behind := st.Before(args.Position()); args.Wait > 0 && (behind || st.Position == args.Position() && st.Kept == args.Kept) {
 		select {
 		case <-changed:
