--- a/entry/internal/relay/copy.go
+++ b/entry/internal/relay/copy.go
@@ -38,9 +38,9 @@
 	reached feed.Position
 	// base is the revision up to which objects may be as the store's copy had them when the present era began, and began
 	// the moment of that era at which this copy entered it.
-	base    int64
-	began   feed.Position
-	earlier earlier[T]
+	base     int64
+	began    feed.Position
+	retained retained[T]
 	// log holds the newest changes; a host at from or later can be served from it.
 	log  []feed.Batch[T]
 	from feed.Position
@@ -57,7 +57,7 @@
 
 // NewCopy returns an empty copy that was never confirmed.
 func NewCopy[T any](opts Options[T]) *Copy[T] {
-	return &Copy[T]{opts: opts, entries: map[string]feed.Entry[T]{}, earlier: newEarlier[T](), ends: map[int64]int64{}, changed: make(chan struct{})}
+	return &Copy[T]{opts: opts, entries: map[string]feed.Entry[T]{}, retained: newRetained[T](), ends: map[int64]int64{}, changed: make(chan struct{})}
 }
 
 // State is what a copy is as of one moment.
@@ -75,7 +75,7 @@
 func (c *Copy[T]) State() (State, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return State{Position: c.reached, Confirmed: c.confirmed, Kept: c.earlier.sum}, c.changed
+	return State{Position: c.reached, Confirmed: c.confirmed, Kept: c.retained.sum}, c.changed
 }
 
 // Replace takes over a list of all objects as of at, and reports whether it is at least as new as the copy. A list of a
@@ -102,7 +102,7 @@
 			c.entries[e.Name] = e
 		}
 	}
-	c.absent(before, listed, restored, at)
+	c.keepAbsent(before, listed, restored, at)
 	if c.reached.Revision == 0 {
 		c.from = to
 	} else {
@@ -144,24 +144,24 @@
 	return known
 }
 
-// absent decides on the objects that a list lacks.
-func (c *Copy[T]) absent(before map[string]feed.Entry[T], listed map[string]bool, restored bool, at time.Time) {
+// keepAbsent decides on the objects that a list lacks.
+func (c *Copy[T]) keepAbsent(before map[string]feed.Entry[T], listed map[string]bool, restored bool, at time.Time) {
 	for name, held := range before {
-		switch kept := c.earlier.holds(name); {
+		switch kept := c.retained.holds(name); {
 		case listed[name]:
 		case c.opts.KeepAbsent && (restored || kept) && !held.Unreadable:
 			c.entries[name] = held
-			c.earlier.keep(held, c.until(at, name), nil)
+			c.retained.keep(held, c.until(at, name), nil)
 		case !restored:
-			c.earlier.forget(name)
-			c.earlier.ended(held, at)
+			c.retained.forget(name)
+			c.retained.ended(held, at)
 		default:
-			c.earlier.forget(name)
+			c.retained.forget(name)
 		}
 	}
-	for _, name := range c.earlier.omitted() {
+	for _, name := range c.retained.omitted() {
 		if !listed[name] {
-			c.earlier.forget(name)
+			c.retained.forget(name)
 		}
 	}
 }
@@ -226,7 +226,7 @@
 		if known && e.Position().Before(held.Position()) || e.Unreadable && c.opts.LastGood {
 			continue
 		}
-		if e = c.merge(e, c.entries, restored, at); c.earlier.holds(e.Name) {
+		if e = c.merge(e, c.entries, restored, at); c.retained.holds(e.Name) {
 			continue
 		}
 		news.Entries = append(news.Entries, e)
--- a/entry/internal/relay/earlier.go
+++ b/entry/internal/relay/retained.go
@@ -13,8 +13,8 @@
 // may hold them again.
 const goneFor = 5 * time.Minute
 
-// earlier is what a copy knows from the store's earlier eras.
-type earlier[T any] struct {
+// retained is what a copy keeps from the store's earlier eras.
+type retained[T any] struct {
 	// gone holds the last entries of objects that were deleted a short while ago.
 	gone   map[string]timed[T]
 	pruned time.Time
@@ -34,32 +34,32 @@
 
 func (t timed[T]) over(now time.Time) bool { return !t.until.IsZero() && !now.Before(t.until) }
 
-func newEarlier[T any]() earlier[T] {
-	return earlier[T]{gone: map[string]timed[T]{}, kept: map[string]timed[T]{}}
+func newRetained[T any]() retained[T] {
+	return retained[T]{gone: map[string]timed[T]{}, kept: map[string]timed[T]{}}
 }
 
-func (h *earlier[T]) holds(name string) bool {
-	_, ok := h.kept[name]
+func (r *retained[T]) holds(name string) bool {
+	_, ok := r.kept[name]
 	return ok
 }
 
-func (h *earlier[T]) keep(e feed.Entry[T], until time.Time, stored *feed.Entry[T]) {
-	h.forget(e.Name)
-	h.kept[e.Name] = timed[T]{Entry: e, until: until, stored: stored}
-	h.sum ^= checksum(e)
+func (r *retained[T]) keep(e feed.Entry[T], until time.Time, stored *feed.Entry[T]) {
+	r.forget(e.Name)
+	r.kept[e.Name] = timed[T]{Entry: e, until: until, stored: stored}
+	r.sum ^= checksum(e)
 }
 
-func (h *earlier[T]) forget(name string) {
-	if old, ok := h.kept[name]; ok {
-		h.sum ^= checksum(old.Entry)
-		delete(h.kept, name)
+func (r *retained[T]) forget(name string) {
+	if old, ok := r.kept[name]; ok {
+		r.sum ^= checksum(old.Entry)
+		delete(r.kept, name)
 	}
 }
 
 // omitted returns the names of the objects that are left out.
-func (h *earlier[T]) omitted() []string {
+func (r *retained[T]) omitted() []string {
 	var names []string
-	for name, k := range h.kept {
+	for name, k := range r.kept {
 		if k.Deleted {
 			names = append(names, name)
 		}
@@ -68,16 +68,16 @@
 }
 
 // ended remembers an object that was deleted, and now and then forgets those that are too old.
-func (h *earlier[T]) ended(held feed.Entry[T], now time.Time) {
-	if now.Sub(h.pruned) >= goneFor {
-		h.pruned = now
-		for name, g := range h.gone {
+func (r *retained[T]) ended(held feed.Entry[T], now time.Time) {
+	if now.Sub(r.pruned) >= goneFor {
+		r.pruned = now
+		for name, g := range r.gone {
 			if g.over(now) {
-				delete(h.gone, name)
+				delete(r.gone, name)
 			}
 		}
 	}
-	h.gone[held.Name] = timed[T]{Entry: held, until: now.Add(goneFor)}
+	r.gone[held.Name] = timed[T]{Entry: held, until: now.Add(goneFor)}
 }
 
 func checksum[T any](e feed.Entry[T]) uint64 {
@@ -103,21 +103,21 @@
 	}
 	// What is deleted on the way to a new era was settled by the host above.
 	if settled := e.Deleted && restored; e.Revision <= c.base && !settled {
-		if instead, ok := c.instead(e, held, known, restored, at); ok {
-			return instead
+		if newer, ok := c.newerThan(e, held, known, restored, at); ok {
+			return newer
 		}
 	}
-	c.earlier.forget(e.Name)
+	c.retained.forget(e.Name)
 	if e.Deleted && known && !restored {
-		c.earlier.ended(held, at)
+		c.retained.ended(held, at)
 	}
 	return e
 }
 
-// instead returns what is known from an earlier era in place of an entry of the store's copy, and whether that is newer.
-func (c *Copy[T]) instead(e, held feed.Entry[T], known, restored bool, at time.Time) (feed.Entry[T], bool) {
+// newerThan returns what is known from an earlier era in place of an entry of the store's copy, and whether that is newer.
+func (c *Copy[T]) newerThan(e, held feed.Entry[T], known, restored bool, at time.Time) (feed.Entry[T], bool) {
 	if !restored {
-		kept, ok := c.earlier.kept[e.Name]
+		kept, ok := c.retained.kept[e.Name]
 		return kept.Entry, ok
 	}
 	newer, ok := held, known && held.Era < e.Era && c.outdates(e, held)
@@ -125,16 +125,16 @@
 		newer, ok = c.omits(e, at)
 	}
 	if ok {
-		c.earlier.keep(newer, c.until(at, e.Name), &e)
+		c.retained.keep(newer, c.until(at, e.Name), &e)
 	}
 	return newer, ok
 }
 
 // omits reports whether the store's copy has an object that was deleted since, and returns what stands for that.
 func (c *Copy[T]) omits(e feed.Entry[T], at time.Time) (feed.Entry[T], bool) {
-	gone, ok := c.earlier.gone[e.Name]
+	gone, ok := c.retained.gone[e.Name]
 	if !ok {
-		gone, ok = c.earlier.kept[e.Name]
+		gone, ok = c.retained.kept[e.Name]
 	}
 	if !ok || gone.Era >= e.Era || gone.over(at) || c.revives(e, gone.Entry) {
 		return feed.Entry[T]{}, false
@@ -158,7 +158,7 @@
 
 // until returns how long an object is kept; what is kept already stays for no longer than at first.
 func (c *Copy[T]) until(at time.Time, name string) time.Time {
-	if k, ok := c.earlier.kept[name]; ok {
+	if k, ok := c.retained.kept[name]; ok {
 		return k.until
 	}
 	if c.opts.KeepFor == 0 {
@@ -170,11 +170,11 @@
 // expire lets the store's word count for what was kept for long enough, and returns what changes by it.
 func (c *Copy[T]) expire(now time.Time) []feed.Entry[T] {
 	var news []feed.Entry[T]
-	for name, k := range c.earlier.kept {
+	for name, k := range c.retained.kept {
 		if !k.over(now) {
 			continue
 		}
-		c.earlier.forget(name)
+		c.retained.forget(name)
 		e := feed.Entry[T]{Name: name, Era: c.reached.Era, Revision: c.reached.Revision, Deleted: true}
 		if k.stored != nil {
 			e = *k.stored
@@ -189,11 +189,11 @@
 func (c *Copy[T]) Kept() ([]feed.Entry[T], uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := make([]feed.Entry[T], 0, len(c.earlier.kept))
-	for _, k := range c.earlier.kept {
+	list := make([]feed.Entry[T], 0, len(c.retained.kept))
+	for _, k := range c.retained.kept {
 		list = append(list, k.Entry)
 	}
-	return list, c.earlier.sum
+	return list, c.retained.sum
 }
 
 // Merge takes over what another host in the same era keeps from earlier ones, and returns what changes by it. A host that
@@ -202,28 +202,27 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	news := feed.Batch[T]{Era: c.reached.Era, Revision: c.reached.Revision}
-	sum := c.earlier.sum
+	sum := c.retained.sum
 	for _, k := range kept {
 		held, known := c.entries[k.Name]
 		if k.Era >= c.reached.Era || !c.yields(held, known, k) {
 			continue
 		}
 		var stored *feed.Entry[T]
-		switch own, ok := c.earlier.kept[k.Name]; {
+		switch own, ok := c.retained.kept[k.Name]; {
 		case ok:
 			stored = own.stored
 		case known:
 			stored = &held
 		}
-		c.earlier.keep(k, c.until(at, k.Name), stored)
+		c.retained.keep(k, c.until(at, k.Name), stored)
 		if known && held.Position() == k.Position() || !known && k.Deleted {
 			continue
 		}
 		c.put(k)
 		news.Entries = append(news.Entries, k)
 	}
-	c.keep(news)
-	if sum != c.earlier.sum {
+	if sum != c.retained.sum {
 		c.wake()
 	}
 	return news
@@ -232,8 +231,8 @@
 // yields reports whether what is known of an object is no more than the store's copy of it, and older than what another
 // host keeps.
 func (c *Copy[T]) yields(held feed.Entry[T], known bool, k feed.Entry[T]) bool {
-	own, kept := c.earlier.kept[k.Name]
-	gone, ended := c.earlier.gone[k.Name]
+	own, kept := c.retained.kept[k.Name]
+	gone, ended := c.retained.gone[k.Name]
 	switch {
 	case kept:
 		return own.Position().Before(k.Position())
--- a/entry/internal/source/era.go
+++ b/entry/internal/source/era.go
@@ -18,18 +18,18 @@
 	consultIn = 300 * time.Millisecond
 )
 
-// told is what one host said last of what it keeps from earlier eras.
-type told struct {
-	from string
+// keptSum is the checksum of what one host keeps from earlier eras, as received with its last reply.
+type keptSum struct {
+	host string
 	sum  uint64
 }
 
-// by returns the checksum that a host was heard to have, zero for none.
-func (t told) by(name string) uint64 {
-	if t.from != name {
+// of returns the checksum received from a host, zero for none.
+func (s keptSum) of(host string) uint64 {
+	if s.host != host {
 		return 0
 	}
-	return t.sum
+	return s.sum
 }
 
 // noteEra logs that the store has come back from a copy since a state of what is known, and reports whether it has.
@@ -39,7 +39,7 @@
 	if after.Era == before.Era && before.Revision > 0 {
 		return false
 	}
-	f.told = told{}
+	f.received = keptSum{}
 	f.consults = 0
 	if from == fromStore {
 		f.consults = eraConsults
@@ -67,7 +67,7 @@
 // watchInEra watches the store until another follower of this host has entered a newer era. All kinds are listed anew at
 // once then: what is written to the store before its list is read can't be told from what its copy had.
 func (f *Follower[T]) watchInEra(ctx context.Context, st relay.State, wait time.Duration) (feed.Batch[T], error) {
-	newest, entered := f.opts.Outage.newest()
+	newest, entered := f.opts.Outage.newestEra()
 	if newest > st.Era {
 		return feed.Batch[T]{}, errEraOver
 	}
@@ -89,7 +89,7 @@
 
 // mergeKept takes over what another host keeps from earlier eras.
 func (f *Follower[T]) mergeKept(from string, rep relay.Reply[T]) {
-	f.told = told{from: from, sum: rep.KeptSum}
+	f.received = keptSum{host: from, sum: rep.KeptSum}
 	if len(rep.Kept) == 0 {
 		return
 	}
@@ -102,8 +102,8 @@
 
 // consult asks other hosts what they keep from earlier eras.
 //
-// A host that has just started and reads the store itself knows no more than the copy that the store came back from.
-// Hosts that hear from another one are told by that; those that watch the store hear from nobody.
+// A host that has just started and reads the store itself has no more than the copy that the store came back from. Hosts
+// that ask a parent receive the rest with its replies; those that watch the store ask nobody.
 func (f *Follower[T]) consult(ctx context.Context) {
 	if f.consults == 0 {
 		return
@@ -113,7 +113,7 @@
 	defer cancel()
 	for _, p := range f.opts.Others() {
 		st, _ := f.opts.Copy.State()
-		rep, err := p.Ask(ctx, relay.Args{Since: st.Revision, Era: st.Era, Kept: f.told.by(p.Name)})
+		rep, err := p.Ask(ctx, relay.Args{Since: st.Revision, Era: st.Era, Kept: f.received.of(p.Name)})
 		if err == nil && rep.Era == st.Era {
 			f.mergeKept(p.Name, rep)
 		}
--- a/entry/internal/source/outage.go
+++ b/entry/internal/source/outage.go
@@ -42,8 +42,8 @@
 	o.entered = make(chan struct{})
 }
 
-// newest returns the newest era that a follower has entered, and a channel that is closed with the next.
-func (o *Outage) newest() (int64, <-chan struct{}) {
+// newestEra returns the newest era that a follower has entered, and a channel that is closed with the next.
+func (o *Outage) newestEra() (int64, <-chan struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.era, o.entered
@@ -56,8 +56,8 @@
 	return o.back
 }
 
-// count returns how often a follower has reached the store again.
-func (o *Outage) count() int {
+// returnCount returns how often a follower has reached the store again.
+func (o *Outage) returnCount() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.returns
