relay: Never take what another host keeps for newer than what is known here

What callers would see: a host goes back from version 81 to 79 after a drill, where its parent had not seen 81 before.

Cause: what a parent keeps from an earlier era has a revision of that era. Besides, of two kept versions the one read in the later era was taken for the newer, though a copy may show an old version in a late era; and a kept object that the store confirms was not passed on to hosts in the same era, which may lack it.

Change: an entry counts as written in the present era only if it was read in it; what others keep is compared by what the objects say of themselves, evacuations by position; what is kept no longer is part of the changes.

--- a/entry/internal/relay/copy.go
+++ b/entry/internal/relay/copy.go
@@ -92,6 +92,7 @@
 		return false
 	}
 	restored := c.enter(to, batch.Base)
+	kept := c.retained.names()
 	c.expire(at)
 	before := c.entries
 	c.entries = make(map[string]feed.Entry[T], len(batch.Entries))
@@ -106,7 +107,7 @@
 	if c.reached.Revision == 0 {
 		c.from = to
 	} else {
-		c.keep(feed.Batch[T]{Era: to.Era, Revision: to.Revision, Entries: c.since(before, to)})
+		c.keep(feed.Batch[T]{Era: to.Era, Revision: to.Revision, Entries: c.since(before, kept, to)})
 	}
 	c.confirm(to, at, returned || restored)
 	return true
@@ -166,23 +167,33 @@
 	}
 }
 
-// since returns what has changed of the objects that the copy held before.
-func (c *Copy[T]) since(before map[string]feed.Entry[T], to feed.Position) []feed.Entry[T] {
-	var list []feed.Entry[T]
+// since returns what has changed of the objects that the copy held before, and what it kept before in place of the
+// store's word: hosts in the same era may lack that.
+func (c *Copy[T]) since(before map[string]feed.Entry[T], kept []string, to feed.Position) []feed.Entry[T] {
+	changed := map[string]bool{}
 	for name, e := range c.entries {
 		if old, ok := before[name]; !ok || differ(old, e) {
-			list = append(list, e)
+			changed[name] = true
 		}
 	}
-	for name, old := range before {
+	for name := range before {
 		if _, ok := c.entries[name]; !ok {
-			revision := max(old.Revision, c.reached.Revision)
-			if to.Era != c.reached.Era {
-				revision = to.Revision
-			}
-			list = append(list, feed.Entry[T]{Name: name, Era: to.Era, Revision: revision, Deleted: true})
+			changed[name] = true
 		}
 	}
+	for _, name := range kept {
+		if !c.retained.holds(name) {
+			changed[name] = true
+		}
+	}
+	list := make([]feed.Entry[T], 0, len(changed))
+	for name := range changed {
+		e, ok := c.entries[name]
+		if !ok {
+			e = feed.Entry[T]{Name: name, Era: to.Era, Revision: to.Revision, Deleted: true}
+		}
+		list = append(list, e)
+	}
 	return list
 }
 
--- a/entry/internal/relay/retained.go
+++ b/entry/internal/relay/retained.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -56,6 +58,9 @@
 	}
 }
 
+// names returns the names of all that is kept.
+func (r *retained[T]) names() []string { return slices.Collect(maps.Keys(r.kept)) }
+
 // omitted returns the names of the objects that are left out.
 func (r *retained[T]) omitted() []string {
 	var names []string
@@ -102,7 +107,7 @@
 		return held
 	}
 	// What is deleted on the way to a new era was settled by the host above.
-	if settled := e.Deleted && restored; e.Revision <= c.base && !settled {
+	if settled := e.Deleted && restored; !settled && !c.written(e) {
 		if newer, ok := c.newerThan(e, held, known, restored, at); ok {
 			return newer
 		}
@@ -114,22 +119,44 @@
 	return e
 }
 
-// newerThan returns what is known from an earlier era in place of an entry of the store's copy, and whether that is newer.
+// written reports whether an entry was written in the present era: neither may it be as the store's copy had it, nor does
+// another host keep it from an earlier one.
+func (c *Copy[T]) written(e feed.Entry[T]) bool { return e.Era == c.began.Era && e.Revision > c.base }
+
+// newerThan returns what is known from an earlier era in place of an entry that was not written in the present one, and
+// whether that is newer.
 func (c *Copy[T]) newerThan(e, held feed.Entry[T], known, restored bool, at time.Time) (feed.Entry[T], bool) {
-	if !restored {
-		kept, ok := c.retained.kept[e.Name]
-		return kept.Entry, ok
-	}
-	newer, ok := held, known && held.Era < e.Era && c.outdates(e, held)
-	if !known {
+	kept, keeps := c.retained.kept[e.Name]
+	var newer feed.Entry[T]
+	ok := false
+	switch {
+	case e.Era < c.began.Era && known:
+		// Another host keeps it.
+		newer, ok = held, c.newer(held, e)
+	case !restored:
+		return kept.Entry, keeps
+	case known:
+		newer, ok = held, held.Era < e.Era && c.outdates(e, held)
+	default:
 		newer, ok = c.omits(e, at)
 	}
-	if ok {
-		c.retained.keep(newer, c.until(at, e.Name), &e)
+	if ok && !c.written(newer) {
+		c.retained.keep(newer, c.until(at, e.Name), c.storedFor(e))
 	}
 	return newer, ok
 }
 
+// storedFor returns what the store holds of an object of which an entry was received, nil where that is not known.
+func (c *Copy[T]) storedFor(e feed.Entry[T]) *feed.Entry[T] {
+	if e.Era == c.began.Era {
+		return &e
+	}
+	if kept, ok := c.retained.kept[e.Name]; ok {
+		return kept.stored
+	}
+	return nil
+}
+
 // omits reports whether the store's copy has an object that was deleted since, and returns what stands for that.
 func (c *Copy[T]) omits(e feed.Entry[T], at time.Time) (feed.Entry[T], bool) {
 	gone, ok := c.retained.gone[e.Name]
@@ -147,6 +174,15 @@
 	return !e.Unreadable && !held.Unreadable && c.opts.Older != nil && c.opts.Older(e.Value, held.Value)
 }
 
+// newer reports whether one entry of an object was written after another. The era of an entry is that in which it was
+// read, which may be later than the one in which it was written: what objects say of themselves goes first.
+func (c *Copy[T]) newer(e, than feed.Entry[T]) bool {
+	if readable := !e.Unreadable && !than.Unreadable && !e.Deleted && !than.Deleted; readable && c.opts.Older != nil {
+		return c.opts.Older(than.Value, e.Value)
+	}
+	return than.Position().Before(e.Position())
+}
+
 // revives reports whether an entry was written after its object was deleted. The store's copy holds no write of an
 // object that is later than the last one seen, so that where objects don't say which is newer their revisions do.
 func (c *Copy[T]) revives(e, gone feed.Entry[T]) bool {
@@ -235,7 +271,7 @@
 	gone, ended := c.retained.gone[k.Name]
 	switch {
 	case kept:
-		return own.Position().Before(k.Position())
+		return c.newer(k, own.Entry)
 	case !known && ended && !gone.Position().Before(k.Position()):
 		return k.Deleted
 	case !known:
--- a/entry/internal/relay/retained_test.go
+++ b/entry/internal/relay/retained_test.go
@@ -185,7 +185,7 @@
 	}
 }
 
-// eraModel is a store that comes back from older copies, and two hosts: one reads it, the other hears from the first.
+// eraModel is a store that comes back from older copies, and three hosts: two read it, and each hears from the others.
 type eraModel struct {
 	era, revision, version int64
 	// store is what the store holds, truth what the operator wrote.
@@ -193,8 +193,8 @@
 	truth map[string]int64
 	// copies are what the store may come back from.
 	copies []eraCopy
-	hosts  [2]*relay.Copy[int64]
-	newest [2]map[string]int64
+	hosts  [3]*relay.Copy[int64]
+	newest [3]map[string]int64
 }
 
 type eraCopy struct {
@@ -205,8 +205,9 @@
 func newEraModel() *eraModel {
 	m := &eraModel{era: 1, revision: 10, store: map[string]feed.Entry[int64]{}, truth: map[string]int64{}}
 	m.copies = []eraCopy{m.copy()}
-	m.start(0)
-	m.start(1)
+	for i := range m.hosts {
+		m.start(i)
+	}
 	return m
 }
 
@@ -233,35 +234,38 @@
 
 // writeLost lets the operator write again what the store has lost.
 func (m *eraModel) writeLost() {
-	for name, version := range m.truth {
-		if m.store[name].Value != version {
-			m.write(name, version)
+	for _, name := range slices.Sorted(maps.Keys(m.truth)) {
+		if m.store[name].Value != m.truth[name] {
+			m.write(name, m.truth[name])
 		}
 	}
 }
 
-// read lets the first host list all objects.
-func (m *eraModel) read(t *rapid.T) {
-	list := at(m.era, m.revision, slices.Collect(maps.Values(m.store))...)
-	if !m.hosts[0].Replace(list, m.now(), false) {
+// read lets a host list all objects.
+func (m *eraModel) read(t *rapid.T, i int) {
+	list := at[int64](m.era, m.revision)
+	for _, name := range slices.Sorted(maps.Keys(m.store)) {
+		list.Entries = append(list.Entries, m.store[name])
+	}
+	if !m.hosts[i].Replace(list, m.now(), false) {
 		t.Fatal("a list of the store was refused")
 	}
 }
 
-// hear lets the second host hear from the first.
-func (m *eraModel) hear() {
-	st, _ := m.hosts[1].State()
-	batch, full, _ := m.hosts[0].Since(st.Position)
-	if batch.Position().Before(st.Position) || batch.Revision == 0 {
+// hear lets one host hear from another.
+func (m *eraModel) hear(to, from int) {
+	st, _ := m.hosts[to].State()
+	batch, full, _ := m.hosts[from].Since(st.Position)
+	if batch.Position().Before(st.Position) || batch.Revision == 0 || to == from {
 		return
 	}
 	if full {
-		m.hosts[1].Replace(batch, m.now(), false)
+		m.hosts[to].Replace(batch, m.now(), false)
 	} else {
-		m.hosts[1].Change(batch, m.now(), false)
+		m.hosts[to].Change(batch, m.now(), false)
 	}
-	kept, _ := m.hosts[0].Kept()
-	m.hosts[1].Merge(kept, m.now())
+	kept, _ := m.hosts[from].Kept()
+	m.hosts[to].Merge(kept, m.now())
 }
 
 // check holds that no version went back on a host.
@@ -282,13 +286,13 @@
 }
 
 // A store writes versions of objects at random and comes back from older copies; the operator writes again what was lost,
-// later. One host lists, another hears from it, and both start anew now and then. No version may be undone on a host
-// that knew it, and both must hold what the store holds once all is written again.
+// later. Two hosts list, all hear from each other, and start anew now and then. No version may be undone on a host that
+// knew it, and all must hold what the store holds once all is written again.
 func TestCopiesAgreeThroughEras(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newEraModel()
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			switch rapid.SampledFrom([]string{"write", "write", "copy", "restore", "write lost", "start", "read", "read", "hear"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"write", "write", "copy", "restore", "write lost", "start", "read", "read", "hear", "hear"}).Draw(t, "step") {
 			case "write":
 				m.version++
 				m.write(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), m.version)
@@ -299,19 +303,20 @@
 			case "write lost":
 				m.writeLost()
 			case "start":
-				m.start(rapid.IntRange(0, 1).Draw(t, "host"))
+				m.start(rapid.IntRange(0, 2).Draw(t, "host"))
 			case "read":
-				m.read(t)
+				m.read(t, rapid.IntRange(0, 1).Draw(t, "host"))
 			case "hear":
-				m.hear()
+				m.hear(rapid.IntRange(0, 2).Draw(t, "to"), rapid.IntRange(0, 2).Draw(t, "from"))
 			}
 			m.check(t)
 		}
-		for name, v := range m.truth {
-			m.write(name, v)
+		for _, name := range slices.Sorted(maps.Keys(m.truth)) {
+			m.write(name, m.truth[name])
 		}
-		m.read(t)
-		m.hear()
+		m.read(t, 0)
+		m.read(t, 1)
+		m.hear(2, 0)
 		m.check(t)
 		for i := range m.hosts {
 			if !maps.Equal(m.newest[i], m.truth) {
@@ -334,3 +339,31 @@
 		qt.Check(t, rep.Full, qt.IsFalse)
 	})
 }
+
+// Guards against a host that goes back to what its parent keeps: the parent had not seen the newest version before the
+// drill, whose revision is above those of the new era.
+func TestParentKeepsLessThanItsChild(t *testing.T) {
+	now := time.Unix(100, 0)
+	version := func(revision, v int64) feed.Entry[int64] {
+		return feed.Entry[int64]{Name: "main", Revision: revision, Value: v}
+	}
+	for _, crossed := range []bool{false, true} {
+		var copies [2]*relay.Copy[int64]
+		for i := range copies {
+			copies[i] = relay.NewCopy(relay.Options[int64]{KeepAbsent: true, Older: func(got, held int64) bool { return got < held }})
+			copies[i].Replace(at(1, 18, version(18, 79)), now, false)
+		}
+		parent, child := copies[0], copies[1]
+		child.Change(at(1, 20, version(20, 81)), now, false)
+		parent.Replace(at(2, 12, version(9, 77)), now, false)
+		if crossed {
+			child.Replace(at(2, 12, version(9, 77)), now, false)
+		}
+		all, _, _ := parent.Since(feed.Position{})
+		child.Replace(all, now, false)
+		kept, _ := parent.Kept()
+		child.Merge(kept, now)
+		held, _, _ := child.Since(feed.Position{})
+		qt.Check(t, held.Entries[0].Value, qt.Equals, int64(81), qt.Commentf("crossed before: %v", crossed))
+	}
+}
