relay: Keep a replica's row that was newer than the parent's once its time is over

What callers would see: ten seconds after a drill a host uses a replica no more that all others use. Found by reading the change.

Cause: where a host knew a newer row than its parent kept, it kept its own for ten seconds, and didn't know what the store holds in its place; that was taken for nothing when the time was over, and the row dropped. Only evacuations, which are kept while the store lacks them, may end so. TestRowNewerThanTheParentsStays failed before.

--- a/entry/internal/relay/retained.go
+++ b/entry/internal/relay/retained.go
@@ -211,6 +211,10 @@
 			continue
 		}
 		c.retained.forget(name)
+		if k.stored == nil && !k.Deleted && !c.opts.KeepAbsent {
+			// Another host had it older, which doesn't say that the store lacks it.
+			continue
+		}
 		e := feed.Entry[T]{Name: name, Era: c.reached.Era, Revision: c.reached.Revision, Deleted: true}
 		if k.stored != nil {
 			e = *k.stored
--- a/entry/internal/relay/retained_test.go
+++ b/entry/internal/relay/retained_test.go
@@ -367,3 +367,19 @@
 		qt.Check(t, held.Entries[0].Value, qt.Equals, int64(81), qt.Commentf("crossed before: %v", crossed))
 	}
 }
+
+// Guards against a replica that vanishes on one host, some seconds after that one knew a newer row of it than its parent.
+func TestRowNewerThanTheParentsStays(t *testing.T) {
+	now := time.Unix(100, 0)
+	parent, child := replicasCopy(), replicasCopy()
+	for _, c := range []*relay.Copy[platform.Replica]{parent, child} {
+		c.Replace(at(1, 10, row("a", 3, 4, platform.StateLive)), now, false)
+	}
+	parent.Change(at(1, 11, row("a", 11, 5, platform.StateLive)), now, false)
+	child.Change(at(1, 12, row("a", 12, 6, platform.StateLeaving)), now, false)
+	parent.Replace(at(2, 9, row("a", 3, 4, platform.StateLive)), now, false)
+	all, _, _ := parent.Since(feed.Position{})
+	child.Replace(all, now, false)
+	child.Change(at[platform.Replica](2, 9), now.Add(keepFor), false)
+	qt.Check(t, holds(child, showRow), qt.DeepEquals, []string{"a leaving 6"})
+}
