core, relay, allowance: Read eras in one place, and use plain terms in comments

Object.Era was described as one thing and is two, by whose platform it comes from. Comments and two unexported names that spoke of hosts as telling and hearing say what is sent and recorded. Behaviour and tests are the same.

--- a/core/apikey/key.go
+++ b/core/apikey/key.go
@@ -14,8 +14,8 @@
 
 // Key is the digest of a customer's key; the zero value stands for no key.
 //
-// The key itself is read at the edge and kept nowhere: what hosts tell each other, and what they log, can't be used to
-// make a request.
+// The key itself is read at the edge and stored nowhere: neither messages between hosts nor logs hold anything that can
+// be used to make a request.
 type Key [sha256.Size]byte
 
 // Of returns the digest of a key as its customer writes it; an empty text is no key.
@@ -32,7 +32,7 @@
 // IsZero reports whether there is no key.
 func (k Key) IsZero() bool { return k == Key{} }
 
-// String returns enough of the digest to tell the keys of a customer apart, or "none".
+// String returns enough of the digest to distinguish the keys of a customer, or "none".
 func (k Key) String() string {
 	if k.IsZero() {
 		return "none"
--- a/core/apikey/key_test.go
+++ b/core/apikey/key_test.go
@@ -10,7 +10,7 @@
 	"guavaspring.org/core/apikey"
 )
 
-// Guards against a key that can be read from a log line or from what hosts tell each other.
+// Guards against a key that can be read from a log line or from a message between hosts.
 func TestDigestDoesNotShowTheKey(t *testing.T) {
 	const text = "rvnzqjynjcfv8nmpby25"
 	key := apikey.Of(text)
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -1,6 +1,9 @@
 package feed
 
-import "errors"
+import (
+	"errors"
+	"strconv"
+)
 
 // ErrHistoryGone means that the changes since the wanted revision are no longer kept, so that all objects have to be
 // listed again.
@@ -13,6 +16,15 @@
 	Era, Revision int64
 }
 
+// ParseEra reads the era that an answer bears as text; it is zero where that is missing or no number.
+func ParseEra(text string) int64 {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
+
 // Before reports whether p is an earlier moment than other.
 func (p Position) Before(other Position) bool {
 	if p.Era != other.Era {
@@ -34,7 +46,7 @@
 	Value T
 }
 
-// Position returns the moment at which the object was last changed, as far as the era in which it was read tells.
+// Position returns the revision of the object's last change in the era in which it was read.
 func (e Entry[T]) Position() Position { return Position{Era: e.Era, Revision: e.Revision} }
 
 // Batch is a list of all objects, or of those that changed, as of one revision of the store.
--- a/core/opaque/request.go
+++ b/core/opaque/request.go
@@ -23,7 +23,7 @@
 	Body   []byte
 	// Key is the digest of the key that the client sent, zero where it sent none that can be read.
 	Key apikey.Key
-	// Customer is whose request it is, as replicas are told; empty where no key was needed.
+	// Customer is whose request it is, as sent to replicas; empty where no key was needed.
 	Customer string
 	// Patience is how long the client will wait, zero where it didn't say.
 	Patience time.Duration
--- a/core/platform/client.go
+++ b/core/platform/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"guavaspring.org/core/feed"
 )
 
 // Kind names a kind of object that the system keeps on the platform.
@@ -55,8 +57,8 @@
 	Version int64 `json:"version"`
 	// Revision is the platform's global counter at the object's last update.
 	Revision int64 `json:"revision"`
-	// Era counts how often the platform came back from an older copy of itself before the object was read, which makes
-	// versions of two eras incomparable; zero where the platform doesn't say it.
+	// Era is the era of the object's last write where the platform's objects say it, and otherwise that of the answer which
+	// held the object; zero where neither is known.
 	Era  int64           `json:"era,omitempty"`
 	Body json.RawMessage `json:"body"`
 }
@@ -234,10 +236,7 @@
 
 // noteEra reads the era of a reply; one that says none is of the first.
 func (c *Client) noteEra(text string) int64 {
-	era, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || era < 0 {
-		return 0
-	}
+	era := feed.ParseEra(text)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.era = max(c.era, era)
--- a/entry/internal/allowance/account.go
+++ b/entry/internal/allowance/account.go
@@ -110,8 +110,8 @@
 	a.comeBack = now.Add(after)
 }
 
-// untold returns how many requests were refused since the lender was told last.
-func (a *account) untold() int {
+// unreported returns how many requests were refused since the last report to the lender.
+func (a *account) unreported() int {
 	n := a.refused
 	a.refused = 0
 	return n
--- a/entry/internal/allowance/fleet.go
+++ b/entry/internal/allowance/fleet.go
@@ -43,9 +43,9 @@
 	// seen holds when each serving host was seen last, by address, as of noted.
 	seen  map[netip.AddrPort]time.Time
 	noted time.Time
-	// told is into how many parts other hosts cut a limit, as of toldAt.
-	told   int
-	toldAt time.Time
+	// reported is into how many parts other hosts cut a limit, as of reportedAt.
+	reported   int
+	reportedAt time.Time
 	// settledAt is when this host had met the others; zero where it had when it looked first, has not yet, or knows that
 	// another one had long before.
 	settledAt time.Time
@@ -99,8 +99,8 @@
 	return true
 }
 
-// note remembers which hosts serve now, and forgets those that have not for a while, and those that live and don't serve
-// any more: these know that they have no part.
+// note records which hosts serve now, and drops those that have not for a while, and those that live and don't serve any
+// more, which use no part.
 func (f *fleet) note(now time.Time, v View) {
 	f.noted = now
 	if !v.Settled {
@@ -123,7 +123,7 @@
 }
 
 // meet notes when the hosts were first seen. A host that has just started itself, or looks for the first time, can't
-// tell who has, and takes all as proven.
+// distinguish them, and assumes that all are proven.
 func (f *fleet) meet(now time.Time, v View) {
 	before := f.met
 	f.met = make(map[string]time.Time, len(f.serving))
@@ -198,7 +198,7 @@
 
 // parts returns into how many parts a limit is cut: one for each host that serves, or did a moment ago, as far as this
 // host or one that has asked it knows.
-func (f *fleet) parts() float64 { return float64(max(f.known(), f.told)) }
+func (f *fleet) parts() float64 { return float64(max(f.known(), f.reported)) }
 
 // share returns which share of a limit some parts are.
 func (f *fleet) share(parts int) float64 { return min(1, float64(parts)/f.parts()) }
@@ -206,11 +206,11 @@
 // known returns the same as far as this host knows.
 func (f *fleet) known() int { return max(1, len(f.seen)) }
 
-// hear takes over what a host knows that asks. What it says counts for a moment: it may have met hosts that this one
-// hears of a little later.
+// hear takes over what a host reports with its question. It counts for a moment: that host may have met others which this
+// one learns of a little later.
 func (f *fleet) hear(now time.Time, args *Args) {
-	if args.Parts >= f.told || now.Sub(f.toldAt) > provenFor {
-		f.told, f.toldAt = args.Parts, now
+	if args.Parts >= f.reported || now.Sub(f.reportedAt) > provenFor {
+		f.reported, f.reportedAt = args.Parts, now
 	}
 	if args.Old {
 		f.settledAt = time.Time{}
--- a/entry/internal/allowance/ledger.go
+++ b/entry/internal/allowance/ledger.go
@@ -44,7 +44,7 @@
 	Customer func(name string) *route.Customer
 	// Ask asks another host for tokens.
 	Ask func(ctx context.Context, keeper member.Host, args Args) (Reply, error)
-	// Failed is told of a keeper that did not answer; it may be nil.
+	// Failed is called with a keeper that did not answer; it may be nil.
 	Failed func(keeper member.Host, err error)
 	// Slack is how many requests of a customer over its limit may run in a window, on all hosts together.
 	Slack int
@@ -186,7 +186,7 @@
 
 func (l *Ledger) question(now time.Time, v View, req *Request, a *account, host member.Host) *question {
 	q := &question{host: host, from: SourceKeeper, args: Args{
-		Customer: req.Customer.Name, From: v.Self, Again: req.Again, Want: a.want(), Refused: a.untold(),
+		Customer: req.Customer.Name, From: v.Self, Again: req.Again, Want: a.want(), Refused: a.unreported(),
 		Serves: l.fleet.serves(), Free: a.free(now, host.ID), Parts: l.fleet.known(), Old: !l.fleet.young(now),
 	}}
 	a.asking++
--- a/entry/internal/allowance/messages.go
+++ b/entry/internal/allowance/messages.go
@@ -79,8 +79,8 @@
 	RetryAfter time.Duration
 }
 
-// Over reports whether the customer is known to be over its limit; where it isn't and the request was not admitted, the
-// host only can't tell.
+// Over reports whether the customer is known to be over its limit; where it isn't and the request was not admitted, that
+// is not known.
 func (d Decision) Over() bool {
 	return !d.Admitted && d.Source != SourcePart && d.Source != SourceDeputy
 }
--- a/entry/internal/relay/retained.go
+++ b/entry/internal/relay/retained.go
@@ -192,7 +192,7 @@
 	return c.opts.Older(gone.Value, e.Value)
 }
 
-// until returns how long an object is kept; what is kept already stays for no longer than at first.
+// until returns the moment up to which an object is kept; keeping it again doesn't move that.
 func (c *Copy[T]) until(at time.Time, name string) time.Time {
 	if k, ok := c.retained.kept[name]; ok {
 		return k.until
--- a/entry/internal/source/outage.go
+++ b/entry/internal/source/outage.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Outage tells the followers of one host that the store is away, that it is back, and in which era.
+// Outage reports to the followers of one host that the store is away, that it is back, and in which era.
 //
 // A call that failed says so for all kinds of objects: otherwise each host that hears nothing fresh asks for each kind by
 // itself all through an outage.
--- a/entry/internal/source/rejects.go
+++ b/entry/internal/source/rejects.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// forget lets all objects be told of again: their revisions stand for something else by now.
+// forget lets all objects be logged again: their revisions stand for something else by now.
 func (r *rejects) forget() { clear(r.known) }
 
 // remember notes that an object was told of. Once too many are known, all are forgotten: a line too many is cheaper
