review: Show writes that are refused or sent again though they ran

A replica rejects a write and sends its rejection a second time where the answer to the resend is due. The resend goes out on the connection of the first try, under the same id, so that the host takes the late rejection for the answer: it tells the client that the write did not run, or sends it once more.

--- /dev/null
+++ b/review/standin/replica.go
@@ -0,0 +1,253 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// run is one run of a request at a replica.
+type run struct {
+	replica    string
+	began, end time.Time
+	// whole says that the replica finished the work and wrote its answer.
+	whole bool
+}
+
+// ledger holds what ran, by request id.
+type ledger struct {
+	mu   sync.Mutex
+	runs map[string][]*run
+}
+
+func (l *ledger) begin(id, replica string) *run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := &run{replica: replica, began: time.Now()}
+	l.runs[id] = append(l.runs[id], r)
+	return r
+}
+
+func (l *ledger) end(r *run, whole bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.end, r.whole = time.Now(), whole
+}
+
+// of returns copies of the runs of a request.
+func (l *ledger) of(id string) []run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []run
+	for _, r := range l.runs[id] {
+		list = append(list, *r)
+	}
+	return list
+}
+
+// behaviour is what a replica does beside the usual; the zero value is a sound replica.
+type behaviour struct {
+	// shed is the share of the requests that it rejects without running them, and says so.
+	shed float64
+	// extra is the share of its answers that it sends a second time, late: where the next answer on the connection is due.
+	extra float64
+	// garbage is the share of its answers in whose place it sends bytes that are no answer, at garbageRate.
+	garbage float64
+}
+
+// garbageRate is how many bytes a second fit through a machine's link of 1,000 Mbit/s.
+const garbageRate = 125e6
+
+// replica plays one replica of a service, as the protocol's page describes it.
+type replica struct {
+	id, service, zone string
+	slots             int
+	work              func() time.Duration
+	l                 net.Listener
+	rec               *record
+	ledger            *ledger
+	seq               int
+	// how is what the replica does now.
+	how atomic.Pointer[behaviour]
+	// free holds a token for each slot.
+	free chan struct{}
+	wait atomic.Int32
+}
+
+const mostWaiting = 24
+
+func newReplica(id, service, zone, ip string, slots int, work func() time.Duration, rec *record, led *ledger) (*replica, error) {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return nil, err
+	}
+	r := &replica{id: id, service: service, zone: zone, slots: slots, work: work, l: l, rec: rec, ledger: led, free: make(chan struct{}, slots)}
+	r.how.Store(&behaviour{})
+	for range slots {
+		r.free <- struct{}{}
+	}
+	go r.serve()
+	return r, nil
+}
+
+// entry is what the replica writes of itself into the store.
+func (r *replica) entry() map[string]any {
+	r.seq++
+	return map[string]any{
+		"service": r.service, "addr": r.l.Addr().String(), "zone": r.zone, "version": "v1", "slots": r.slots, "state": "ready",
+		"coldLeftMs": 0, "seq": r.seq, "born": r.rec.start.UnixMilli(),
+	}
+}
+
+func (r *replica) serve() {
+	for {
+		c, err := r.l.Accept()
+		if err != nil {
+			return
+		}
+		go r.conn(c)
+	}
+}
+
+// conn serves one connection, one request at a time.
+func (r *replica) conn(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	// late is an answer that was sent already and is sent again where the next one is due.
+	var late []byte
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if _, err = io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		how := r.how.Load()
+		id := req.Header.Get("Request-Id")
+		if late != nil {
+			r.rec.add("replica %s sends its last answer a second time where the answer to %s is due", r.id, id)
+			if _, err = c.Write(late); err != nil {
+				return
+			}
+			late = nil
+		}
+		answer, ok := r.answer(c, br, req, id, how)
+		if !ok {
+			return
+		}
+		if _, err = c.Write(answer); err != nil {
+			return
+		}
+		if id != "" && rand.Float64() < how.extra {
+			late = answer
+		}
+	}
+}
+
+// answer does what a request asks for; it reports false where the connection has ended.
+func (r *replica) answer(c net.Conn, br *bufio.Reader, req *http.Request, id string, how *behaviour) ([]byte, bool) {
+	switch {
+	case req.URL.Path == "/healthz":
+		return head(200, "", "Instance-Id: "+r.id+"\r\n", nil), true
+	case id == "":
+		return head(400, "", "Not-Executed: 1\r\n", nil), true
+	case req.Header.Get("Target-Instance") != "" && req.Header.Get("Target-Instance") != r.id:
+		return head(421, id, "Instance-Id: "+r.id+"\r\n", nil), true
+	case rand.Float64() < how.shed:
+		r.rec.add("replica %s rejects %s, Not-Executed", r.id, id)
+		return head(503, id, "Not-Executed: 1\r\n", nil), true
+	}
+	left, _ := strconv.Atoi(req.Header.Get("Deadline-Ms"))
+	if !r.take(time.Duration(left) * time.Millisecond) {
+		r.rec.add("replica %s is full and rejects %s, Not-Executed", r.id, id)
+		return head(503, id, "Not-Executed: 1\r\n", nil), true
+	}
+	defer func() { r.free <- struct{}{} }()
+	n := r.ledger.begin(id, r.id)
+	r.rec.add("replica %s runs %s", r.id, id)
+	if rand.Float64() < how.garbage {
+		r.rec.add("replica %s sends bytes that are no answer to %s", r.id, id)
+		sent := spill(c)
+		r.ledger.end(n, false)
+		r.rec.add("replica %s sent %d MB of them", r.id, sent>>20)
+		return nil, false
+	}
+	if !pause(c, br, r.work()) {
+		r.ledger.end(n, false)
+		r.rec.add("replica %s drops %s, whose connection has ended", r.id, id)
+		return nil, false
+	}
+	r.ledger.end(n, true)
+	r.rec.add("replica %s has run %s and answers 200", r.id, id)
+	return head(200, id, "Server-Stamp: "+r.id+"."+id+"\r\n", []byte("done "+id)), true
+}
+
+// take waits for a slot; it reports false where too many wait already, or none is free in time.
+func (r *replica) take(within time.Duration) bool {
+	if r.wait.Add(1) > mostWaiting {
+		r.wait.Add(-1)
+		return false
+	}
+	defer r.wait.Add(-1)
+	select {
+	case <-r.free:
+		return true
+	case <-time.After(within):
+		return false
+	}
+}
+
+// pause works for some time; it reports false where the connection ends meanwhile. No other request comes on it before
+// the answer, so that a byte that can be read is its end.
+func pause(c net.Conn, br *bufio.Reader, d time.Duration) bool {
+	_ = c.SetReadDeadline(time.Now().Add(d))
+	_, err := br.Peek(1)
+	_ = c.SetReadDeadline(time.Time{})
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// spill sends bytes that are no answer until the connection ends, for ten seconds at most, and returns how many.
+func spill(c net.Conn) int {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	const every = 4 * time.Millisecond
+	chunk := make([]byte, int(garbageRate*every.Seconds()))
+	for i := range chunk {
+		chunk[i] = byte('a' + i%26)
+	}
+	sent := 0
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return sent
+		}
+		_ = c.SetWriteDeadline(time.Now().Add(2 * time.Second))
+		n, err := c.Write(chunk)
+		sent += n
+		if err != nil {
+			return sent
+		}
+	}
+}
+
+func head(status int, id, fields string, body []byte) []byte {
+	if id != "" {
+		fields += "Request-Id: " + id + "\r\n"
+	}
+	text := fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n", status, http.StatusText(status), fields, len(body))
+	return append([]byte(text), body...)
+}
