--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -47,7 +47,7 @@
 	return nil
 }
 
-// A stopping host is killed graceS after its SIGTERM. The rule excuses a request that its replica still works on in the
+// A stopping host is killed some time after its SIGTERM. The rule excuses a request that its replica still works on in the
 // last sixth of that only if it was sent no later than excused after the SIGTERM.
 const (
 	excused   = 3 * time.Second
@@ -84,7 +84,7 @@
 					return false, err
 				}
 			} else {
-				time.Sleep(graceS + restartDelay)
+				time.Sleep(grace + restartDelay)
 			}
 			time.Sleep(between)
 		}
@@ -94,7 +94,7 @@
 	for _, a := range w.attempts.list {
 		at, stopped := during(stops[w.hostAt(a.addr)], a.sent)
 		since := a.sent.Sub(at)
-		if a.status != 0 || !stopped || a.ended.Sub(at) > graceS+time.Second {
+		if a.status != 0 || !stopped || a.ended.Sub(at) > grace+time.Second {
 			continue
 		}
 		runs := w.ledger.of(a.id)
@@ -102,7 +102,7 @@
 		switch {
 		case a.ended.Sub(a.sent) >= w.deadline, len(runs) == 0 && !late:
 			continue
-		case len(runs) > 0 && since <= excused && (runs[0].end.IsZero() || runs[0].end.Sub(at) >= graceS*5/6):
+		case len(runs) > 0 && since <= excused && (runs[0].end.IsZero() || runs[0].end.Sub(at) >= grace*5/6):
 			forgiven++
 			continue
 		}
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -65,6 +66,8 @@
 	host1   = "hufi27.example"
 	path    = "/goka902/"
 	idleFor = 15 * time.Second
+	// mostKeep is for how many seconds addresses count at most.
+	mostKeep = 5.0
 )
 
 // resolve asks the directories in turn for addresses, each for a second.
@@ -80,15 +83,17 @@
 		}
 		var got struct {
 			Addrs []string `json:"addrs"`
-			TTL   float64  `json:"ttl_s"`
 		}
-		err = json.NewDecoder(resp.Body).Decode(&got)
+		var keep map[string]any
+		b, err := io.ReadAll(resp.Body)
 		resp.Body.Close()
+		err = errors.Join(err, json.Unmarshal(b, &got), json.Unmarshal(b, &keep))
 		if err != nil || len(got.Addrs) == 0 {
 			continue
 		}
 		c.addrs, c.failed = got.Addrs, map[string]bool{}
-		c.until = time.Now().Add(time.Duration(c.patience) * time.Duration(min(got.TTL, 5)*float64(time.Second)))
+		seconds, _ := keep[word("keep")].(float64)
+		c.until = time.Now().Add(time.Duration(c.patience) * time.Duration(min(seconds, mostKeep)*float64(time.Second)))
 		if c.conn != nil && !slices.Contains(c.addrs, c.addr) {
 			c.drop()
 		}
@@ -138,8 +143,8 @@
 	c.n++
 	a := attempt{id: fmt.Sprintf("%s-%04d", c.name, c.n), addr: c.addr, kept: c.used}
 	body := "drop-off " + a.id
-	text := fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		path, a.id, host1, a.id, c.deadline.Milliseconds(), len(body), body)
+	text := fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\n%s%sContent-Length: %d\r\n\r\n%s",
+		path, a.id, host1, field("request", a.id), field("deadline", fmt.Sprint(c.deadline.Milliseconds())), len(body), body)
 	_ = c.conn.SetDeadline(time.Now().Add(c.deadline))
 	_, err := io.WriteString(c.conn, text)
 	a.sent = time.Now()
--- a/review/standin/hosts.go
+++ b/review/standin/hosts.go
@@ -6,7 +6,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -14,7 +13,7 @@
 
 // The figures of a small deployment, as the deploy page's example of a settings file has them.
 const (
-	graceS        = 6 * time.Second
+	grace         = 6 * time.Second
 	restartDelay  = 300 * time.Millisecond
 	memoryLimitMB = 284
 )
@@ -43,18 +42,11 @@
 }
 
 // settings is the file that the platform writes for a host.
-func (h *host) settings(zones []string, seeds []string, storeAddr string) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "node = %q\nrole = \"entry\"\nclass = \"front\"\nserves = [\"front\",\"directory\",\"control\"]\nip = %q\nzone = %q\nregion = \"perth\"\n", h.name, h.ip, h.zone)
-	fmt.Fprintf(&b, "seeds = [\"%s\"]\nbootstrap = true\nbeatMs = 1200\n[zones]\n", strings.Join(seeds, `","`))
-	for _, z := range zones {
-		fmt.Fprintf(&b, "%s = \"perth\"\n", z)
-	}
-	fmt.Fprintf(&b, "[listen]\nfront = \"%[1]s:%[2]d\"\nreadiness = \"%[1]s:%[3]d\"\ncontrol = \"%[1]s:%[4]d\"\ndirectory = \"%[1]s:%[5]d\"\n", h.ip, h.front, h.readiness, h.control, h.directory)
-	fmt.Fprintf(&b, "[limits]\ncpuShare = 0.4\ncores = 1\nmemoryLimitMb = %d\nmaxFds = 4100\nlinkMbps = 1000.0\n", memoryLimitMB)
-	b.WriteString("[bounds]\nseedLagS = 3\nreuseDelayS = 2\nstabilityWindowMs = 4000\nackMs = 5000\ncatchupS = 4\ndrainMs = 3000\ngraceS = 6\nlossSlackMs = 200\nconfigApplyMs = 3000\nrollbackSlackMs = 250\nmaxStretchMs = 12000\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nretryBudgetSlack = 52\nrecoverS = 12\nttl_max_s = 5\n")
-	fmt.Fprintf(&b, "[platform]\naddr = %q\nform = \"objects\"\nwritesPerS = 400\nreadsPerS = 2000\nhistoryS = 20\nvalueBytes = 1048576\n", storeAddr)
-	return b.String()
+func (h *host) settings(zones, seeds []string, storeAddr string) string {
+	return form("settings.toml", map[string]any{
+		"Name": h.name, "IP": h.ip, "Zone": h.zone, "Zones": zones, "Seeds": seeds, "Store": storeAddr, "MemoryMB": memoryLimitMB, "GraceS": int(grace.Seconds()),
+		"Front": h.front, "Readiness": h.readiness, "Control": h.control, "Directory": h.directory,
+	})
 }
 
 // start starts the host's process.
@@ -68,7 +60,7 @@
 	defer out.Close()
 	cmd := exec.Command(filepath.Join(h.root, h.command[0]), h.command[1:]...)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = h.root, out, out
-	cmd.Env = []string{"GUAVASPRING_BOOT=" + h.boot, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG")}
+	cmd.Env = []string{word("boot") + "=" + h.boot, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG")}
 	if err = cmd.Start(); err != nil {
 		return err
 	}
@@ -97,8 +89,8 @@
 	_ = cmd.Process.Signal(syscall.SIGTERM)
 	select {
 	case <-ended:
-	case <-time.After(graceS):
-		h.rec.say("platform sends SIGKILL to %s after %s", h.name, graceS)
+	case <-time.After(grace):
+		h.rec.say("platform sends SIGKILL to %s after %s", h.name, grace)
 		_ = cmd.Process.Kill()
 		<-ended
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -166,16 +166,8 @@
 }
 
 // manifest has one route of requests that must not run twice.
-func manifest(s setup) map[string]any {
-	return map[string]any{
-		"version": 7,
-		"routes": []any{map[string]any{
-			"name": "r-xmibw6k", "host": host1, "pathPrefix": path, "type": "non_idempotent", "timeoutMs": s.deadline.Milliseconds(),
-			"targetLatencyMs": 800, "priority": 2, "service": "kafi81c", "attempts": 2,
-		}},
-		"services": []any{map[string]any{"name": "kafi81c", "healthPath": "/healthz", "maxConns": 96, "protocol": "h1", "tls": false}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": idleFor.Milliseconds()},
-	}
+func manifest(s setup) string {
+	return form("manifest.json", map[string]any{"Host": host1, "Path": path, "TimeoutMS": s.deadline.Milliseconds(), "IdleMS": idleFor.Milliseconds()})
 }
 
 // beat lets each replica write its entry again and again.
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -100,12 +101,11 @@
 }
 
 // entry is what the replica writes of itself into the store.
-func (r *replica) entry() map[string]any {
+func (r *replica) entry() string {
 	r.seq++
-	return map[string]any{
-		"service": r.service, "addr": r.l.Addr().String(), "zone": r.zone, "version": "v1", "slots": r.slots, "state": "ready",
-		"coldLeftMs": 0, "seq": r.seq, "born": r.rec.start.UnixMilli(),
-	}
+	return form("replica.json", map[string]any{
+		"Service": r.service, "Addr": r.l.Addr().String(), "Zone": r.zone, "Slots": r.slots, "Sequence": r.seq, "Started": r.rec.start.UnixMilli(),
+	})
 }
 
 func (r *replica) serve() {
@@ -133,7 +133,7 @@
 			return
 		}
 		how := r.how.Load()
-		id := req.Header.Get("Request-Id")
+		id := req.Header.Get(word("request"))
 		if late != nil {
 			r.rec.add("replica %s sends its last answer a second time where the answer to %s is due", r.id, id)
 			if _, err = c.Write(late); err != nil {
@@ -158,19 +158,19 @@
 func (r *replica) answer(c net.Conn, br *bufio.Reader, req *http.Request, id string, how *behaviour) ([]byte, bool) {
 	switch {
 	case req.URL.Path == "/healthz":
-		return head(200, "", "Instance-Id: "+r.id+"\r\n", nil), true
+		return head(200, "", field("instance", r.id), nil), true
 	case id == "":
-		return head(400, "", "Not-Executed: 1\r\n", nil), true
-	case req.Header.Get("Target-Instance") != "" && req.Header.Get("Target-Instance") != r.id:
-		return head(421, id, "Instance-Id: "+r.id+"\r\n", nil), true
+		return head(400, "", field("not_run", "1"), nil), true
+	case !slices.Contains([]string{"", r.id}, req.Header.Get(word("target"))):
+		return head(421, id, field("instance", r.id), nil), true
 	case rand.Float64() < how.shed:
-		r.rec.add("replica %s rejects %s, Not-Executed", r.id, id)
-		return head(503, id, "Not-Executed: 1\r\n", nil), true
+		r.rec.add("replica %s rejects %s and says that it did not run", r.id, id)
+		return head(503, id, field("not_run", "1"), nil), true
 	}
-	left, _ := strconv.Atoi(req.Header.Get("Deadline-Ms"))
+	left, _ := strconv.Atoi(req.Header.Get(word("deadline")))
 	if !r.take(time.Duration(left) * time.Millisecond) {
-		r.rec.add("replica %s is full and rejects %s, Not-Executed", r.id, id)
-		return head(503, id, "Not-Executed: 1\r\n", nil), true
+		r.rec.add("replica %s is full and rejects %s and says that it did not run", r.id, id)
+		return head(503, id, field("not_run", "1"), nil), true
 	}
 	defer func() { r.free <- struct{}{} }()
 	n := r.ledger.begin(id, r.id)
@@ -189,7 +189,7 @@
 	}
 	r.ledger.end(n, true)
 	r.rec.add("replica %s has run %s and answers 200", r.id, id)
-	return head(200, id, "Server-Stamp: "+r.id+"."+id+"\r\n", []byte("done "+id)), true
+	return head(200, id, field("stamp", r.id+"."+id), []byte("done "+id)), true
 }
 
 // take waits for a slot; it reports false where too many wait already, or none is free in time.
@@ -246,7 +246,7 @@
 
 func head(status int, id, fields string, body []byte) []byte {
 	if id != "" {
-		fields += "Request-Id: " + id + "\r\n"
+		fields += field("request", id)
 	}
 	text := fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n", status, http.StatusText(status), fields, len(body))
 	return append([]byte(text), body...)
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -51,18 +51,14 @@
 }
 
 // put writes an object as the operator or a replica does.
-func (s *store) put(kind, name string, spec any) {
-	b, err := json.Marshal(spec)
-	if err != nil {
-		panic(err)
-	}
+func (s *store) put(kind, name, spec string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.set(kind, name, b)
+	s.set(kind, name, json.RawMessage(spec))
 }
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, word("objects")), "/")
 	w.Header().Set("Content-Type", "application/json")
 	switch {
 	case r.Method == http.MethodPost || r.Method == http.MethodPut:
@@ -125,12 +121,12 @@
 	}
 	slices.SortFunc(items, func(a, b object) int { return strings.Compare(a.Meta.Name, b.Meta.Name) })
 	more := len(items) > page
-	reply(w, map[string]any{"items": items[:min(page, len(items))], "more": more, "storeRevision": s.revision})
+	reply(w, map[string]any{"items": items[:min(page, len(items))], "more": more, word("revision"): s.revision})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
 	since, _ := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
-	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	wait, _ := strconv.Atoi(r.URL.Query().Get(word("wait")))
 	end := time.After(time.Duration(min(wait, 30000)) * time.Millisecond)
 	for ended := false; ; {
 		s.mu.Lock()
@@ -143,7 +139,7 @@
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 || ended {
-			reply(w, map[string]any{"events": events, "storeRevision": revision})
+			reply(w, map[string]any{"events": events, word("revision"): revision})
 			return
 		}
 		select {
