--- a/review/standin/hosts.go
+++ b/review/standin/hosts.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -16,6 +17,8 @@
 	grace         = 6 * time.Second
 	restartDelay  = 300 * time.Millisecond
 	memoryLimitMB = 284
+	// stabilityWindow is how long a machine runs until it is in touch.
+	stabilityWindow = 4 * time.Second
 )
 
 // host is one machine with one process of the system, started by the run command of the deploy file.
@@ -28,7 +31,8 @@
 	mu                                   sync.Mutex
 	cmd                                  *exec.Cmd
 	ended                                chan struct{}
-	starts                               int
+	starts                               []time.Time
+	closed                               bool
 }
 
 // freePort returns a port that is free at an address.
@@ -49,10 +53,31 @@
 	})
 }
 
+var errClosed = errors.New("the case has ended")
+
+// close ends the host's process for good.
+func (h *host) close() {
+	h.mu.Lock()
+	h.closed = true
+	h.mu.Unlock()
+	h.kill()
+}
+
+// inTouch reports whether the host's process had run for stabilityWindow at a moment.
+func (h *host) inTouch(t time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at, ok := during(h.starts, t)
+	return ok && t.Sub(at) >= stabilityWindow
+}
+
 // start starts the host's process.
 func (h *host) start() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.closed {
+		return errClosed
+	}
 	out, err := os.OpenFile(h.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -64,7 +89,7 @@
 	if err = cmd.Start(); err != nil {
 		return err
 	}
-	h.starts++
+	h.starts = append(h.starts, time.Now())
 	h.rec.add("platform starts %s", h.name)
 	h.cmd, h.ended = cmd, make(chan struct{})
 	go func(ended chan struct{}) {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -269,7 +269,7 @@
 func (w *world) end() {
 	w.once.Do(func() { close(w.done) })
 	for _, h := range w.hosts {
-		h.kill()
+		h.close()
 	}
 	for _, r := range w.replicas {
 		_ = r.l.Close()
