scatter: Name the connection of a failed attempt

The log had "shed after 0s" for both a rejection and a late copy of an earlier one, so it could not tell apart

1. a late second reply on the connection of an earlier attempt, 2. a replica that rejects and runs the same attempt, 3. a host that sends again without having received a reply.

Change: each connection to a replica has a number, each request on it too, and a failed step names both.

TestFailedStepNamesConnection fails without the change.

--- a/entry/internal/exchange/conn.go
+++ b/entry/internal/exchange/conn.go
@@ -23,13 +23,17 @@
 type conn struct {
 	netConn net.Conn
 	pool    *Pool
+	// number is the number of the connection among those to the replica, from 1.
+	number uint64
 	// lastUsed is the time of the last use, reusableUntil the time from which the connection may not be reused. The
 	// pool's mutex guards both.
 	lastUsed, reusableUntil time.Time
 
 	mu      sync.Mutex
 	pending *pendingCall
-	closed  bool
+	// requests counts the calls whose reply was expected on the connection.
+	requests int
+	closed   bool
 }
 
 // pendingCall is the call whose reply is expected next on the connection.
@@ -37,6 +41,8 @@
 	done   chan Result
 	id     string
 	method string
+	// nth is the number of the call on its connection, from 1.
+	nth int
 }
 
 // expect makes w the call whose reply is expected next. It reports false if the connection is closed.
@@ -46,6 +52,8 @@
 	if c.closed {
 		return false
 	}
+	c.requests++
+	w.nth = c.requests
 	c.pending = w
 	return true
 }
@@ -61,7 +69,7 @@
 		if !sent {
 			kind = upstream.KindNotSent
 		}
-		return Result{Kind: kind, Detail: err.Error(), Took: clk.Now().Sub(start)}
+		return Result{Kind: kind, Detail: err.Error(), Conn: c.number, Nth: w.nth, Took: clk.Now().Sub(start)}
 	}
 	var res Result
 	select {
@@ -70,6 +78,7 @@
 		c.close()
 		res = Result{Kind: upstream.KindCanceled, Detail: context.Cause(ctx).Error()}
 	}
+	res.Conn, res.Nth = c.number, w.nth
 	res.Took = clk.Now().Sub(start)
 	return res
 }
--- a/entry/internal/exchange/pool.go
+++ b/entry/internal/exchange/pool.go
@@ -84,6 +84,10 @@
 	Status int
 	Header map[string][]string
 	Body   []byte
+	// Conn is the number of the connection among those to the replica, and Nth the number of the request on it, both
+	// from 1; they are zero if there was no connection.
+	Conn uint64
+	Nth  int
 	// Took is the time from the start of the write to the outcome.
 	Took time.Duration
 }
@@ -104,10 +108,12 @@
 	idle []*conn
 	// all holds the open connections, including those in use.
 	all map[*conn]bool
-	// openCount counts the open connections and those being opened, dialed all attempts to open one so far.
-	openCount int
-	dialed    uint64
-	closed    bool
+	// openCount counts the open connections and those being opened, dialed all attempts to open one so far, and
+	// connsOpened those that succeeded.
+	openCount   int
+	dialed      uint64
+	connsOpened uint64
+	closed      bool
 	// processExited is set once the replica's process is known to have exited.
 	processExited bool
 }
@@ -275,6 +281,8 @@
 	}
 	c := &conn{netConn: p.opts.Opened(nc), pool: p}
 	p.mu.Lock()
+	p.connsOpened++
+	c.number = p.connsOpened
 	p.all[c] = true
 	exited := p.processExited
 	p.mu.Unlock()
--- a/entry/internal/scatter/attempts.go
+++ b/entry/internal/scatter/attempts.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"fmt"
 	"time"
 
 	"guavaspring.org/core/upstream"
@@ -221,10 +222,20 @@
 		p.pendingShards--
 		return
 	}
-	p.recordStep(Failed, e.shard, endpoints.Choice{Replica: e.replica}, string(e.res.Kind)+" after "+e.res.Took.Round(time.Millisecond).String()+": "+e.res.Detail)
+	p.recordStep(Failed, e.shard, endpoints.Choice{Replica: e.replica}, failureReason(&e.res))
 	p.handleFailure(e.shard, e.res)
 }
 
+// failureReason describes the outcome of a failed attempt and the connection on which it was sent: a reply on a
+// connection that carried an earlier request may be a late one to that request.
+func failureReason(res *exchange.Result) string {
+	on := ""
+	if res.Conn > 0 {
+		on = fmt.Sprintf(" on connection %d, request %d", res.Conn, res.Nth)
+	}
+	return fmt.Sprintf("%s after %s%s: %s", res.Kind, res.Took.Round(time.Millisecond), on, res.Detail)
+}
+
 // handleFailure decides how a shard continues after a failed attempt.
 func (p *plan) handleFailure(i int, res exchange.Result) {
 	s := &p.shards[i]
--- a/entry/internal/scatter/scatter_test.go
+++ b/entry/internal/scatter/scatter_test.go
@@ -355,6 +355,32 @@
 	})
 }
 
+// Guards against a log that can't distinguish a late reply on a reused connection from a reply to the attempt itself.
+func TestFailedStepNamesConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestHost(t, 50)
+		ok, n := replicatest.OK("s0", time.Millisecond, "x"), 0
+		b.farm.Add("s0", 1, func(r *http.Request, body []byte) replicatest.Answer {
+			if n++; n == 1 {
+				return ok(r, body)
+			}
+			return replicatest.Full()(r, body)
+		})
+		b.seedLatency()
+		rep, _ := b.ask(t.Context(), singleServiceRoute(false))
+		qt.Assert(t, rep.Answered, qt.Equals, 1)
+		rep, _ = b.ask(t.Context(), singleServiceRoute(false))
+		why := ""
+		for _, st := range rep.Steps {
+			if st.What == scatter.Failed && why == "" {
+				why = st.Why
+			}
+		}
+		qt.Check(t, why, qt.Equals, "shed after 0s on connection 1, request 2: the replica did not run the request")
+		time.Sleep(3 * time.Second)
+	})
+}
+
 // Every replica is full. The request must be reported as not run.
 func TestFullReplicasRanNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
