exchange: Send each request once on a connection

Cause: a write that both of its replicas turned away is sent to them again under its client's id. The pool handed out the connection used last, the one of the first attempt, and replies were matched by the id alone. A rejection that the replica sends a second time, where the reply to the run is due, passed for the reply to the run.

Change: a connection keeps the hashed ids of its requests and is not handed out for one that it has carried; another idle one is, or a new one. At the limit of connections an idle one is closed for it. After 1,024 requests a connection is replaced, so that the ids stay under 8 KB.

Why it works: a reply that arrives on a connection answers some request sent there. With at most one request of each id, the id names the attempt. The pool is below every sender, so it holds for resends, retries, hedges, parts, subqueries and clients that repeat an id.

Tests, on the code before: TestLateReplyIsNotTakenForResend fails 4 cases of 4 ("shed", want "ok"); TestLateRejectionOfWrite has writes run 2 and 3 times. TestWriteUsesNoStaleConnection sent one id three times, which now needs a new connection by itself; it sends three ids, its bounds are as they were.

--- a/entry/internal/exchange/conn.go
+++ b/entry/internal/exchange/conn.go
@@ -31,9 +31,9 @@
 
 	mu      sync.Mutex
 	pending *pendingCall
-	// requests counts the calls whose reply was expected on the connection.
-	requests int
-	closed   bool
+	closed  bool
+	// sent holds the requests of the connection. It changes only in expect, so an idle connection's can be read.
+	sent sentIDs
 }
 
 // pendingCall is the call whose reply is expected next on the connection.
@@ -52,8 +52,8 @@
 	if c.closed {
 		return false
 	}
-	c.requests++
-	w.nth = c.requests
+	c.sent.add(w.id)
+	w.nth = len(c.sent)
 	c.pending = w
 	return true
 }
--- a/entry/internal/exchange/pool.go
+++ b/entry/internal/exchange/pool.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -236,28 +237,52 @@
 // errBusy is returned if the maximum number of connections to the replica is in use.
 var errBusy = errors.New("every connection to the replica is in use")
 
-// acquire returns an idle connection or opens a new one.
+// acquire returns a connection that has not carried the request: an idle one, or a new one.
 func (p *Pool) acquire(ctx context.Context, call *Call) (*conn, error) {
-	now := p.opts.Clock.Now()
-	p.mu.Lock()
-	for len(p.idle) > 0 && !p.needsNewConn(call, now) {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		if now.Before(c.reusableUntil) {
-			p.mu.Unlock()
-			return c, nil
-		}
-		p.mu.Unlock()
-		c.close()
-		p.mu.Lock()
+	c, closing := p.takeIdle(call)
+	for _, old := range closing {
+		old.close()
+	}
+	if c != nil {
+		return c, nil
 	}
-	p.mu.Unlock()
 	if !p.reserve(call.Connections) {
 		return nil, errBusy
 	}
 	return p.dial(ctx, dialTimeout)
 }
 
+// takeIdle removes the most recently used idle connection that may carry the call, nil if there is none. It also
+// removes the connections to close: those idle for too long and, if the call can't open another one, an idle one that
+// has carried its request.
+func (p *Pool) takeIdle(call *Call) (c *conn, closing []*conn) {
+	now := p.opts.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		expired := !now.Before(c.reusableUntil)
+		if expired {
+			closing = append(closing, c)
+		}
+		return expired
+	})
+	for i, c := range slices.Backward(p.idle) {
+		switch {
+		case c.sent.contains(call.Request.ID):
+		case p.needsNewConn(call, c, now):
+			return nil, closing
+		default:
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c, closing
+		}
+	}
+	if p.openCount-len(closing) >= call.Connections && len(p.idle) > 0 {
+		closing = append(closing, p.idle[0])
+		p.idle = slices.Delete(p.idle, 0, 1)
+	}
+	return nil, closing
+}
+
 // reserve counts one more connection as open. It reports false if connLimit are already open.
 func (p *Pool) reserve(connLimit int) bool {
 	p.mu.Lock()
@@ -295,11 +320,10 @@
 	return c, nil
 }
 
-// needsNewConn reports whether the call needs a new connection because even the most recently used idle one, the last
-// of idle, is too old. The caller holds mu; idle is not empty.
-func (p *Pool) needsNewConn(call *Call, now time.Time) bool {
-	last := p.idle[len(p.idle)-1]
-	return call.Once && p.openCount < call.Connections && now.Sub(last.lastUsed) > maxIdleForOnce
+// needsNewConn reports whether the call needs a new connection because c, the most recently used one that it may use, has
+// been idle for too long. The caller holds mu.
+func (p *Pool) needsNewConn(call *Call, c *conn, now time.Time) bool {
+	return call.Once && p.openCount < call.Connections && now.Sub(c.lastUsed) > maxIdleForOnce
 }
 
 // unreserve uncounts a connection that was closed or could not be opened.
@@ -321,7 +345,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || c.sent.full() {
 		return false
 	}
 	c.lastUsed = p.opts.Clock.Now()
--- a/entry/internal/exchange/pool_test.go
+++ b/entry/internal/exchange/pool_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,6 +78,92 @@
 	}
 }
 
+// Guards against the late second reply to an attempt that is taken for the reply to a later attempt of the same request.
+// A replica rejects a request, receives it again, sends the rejection a second time, and runs the request.
+func TestLateReplyIsNotTakenForResend(t *testing.T) {
+	tests := []struct {
+		name    string
+		limit   int
+		between []string
+		dials   int
+	}{
+		{"the connection is the only idle one", 4, nil, 2},
+		{"no other connection is allowed", 1, nil, 2},
+		{"another request came between", 4, []string{"two"}, 2},
+		{"many requests came between", 4, []string{"two", "three", "four", "five"}, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := replicatest.New()
+				arrivals := 0
+				r := f.Add("a", 1, func(req *http.Request, body []byte) replicatest.Answer {
+					arrivals++
+					a := replicatest.OK("a-1", 20*time.Millisecond, "x")(req, body)
+					if arrivals == 1 {
+						a = replicatest.Full()(req, body)
+					}
+					if arrivals == 1+len(test.between) {
+						a.Late, a.LateNext = platformtest.NotRun("one"), true
+					}
+					return a
+				})
+				p := newPool(f, r)
+				defer p.Close()
+				do := func(id string) exchange.Result {
+					c := call(id)
+					c.Connections, c.Once = test.limit, true
+					return p.Do(t.Context(), c)
+				}
+				qt.Assert(t, do("one").Kind, qt.Equals, upstream.KindShed)
+				for _, id := range test.between {
+					qt.Assert(t, do(id).Kind, qt.Equals, upstream.KindOK)
+				}
+				res := do("one")
+				qt.Check(t, res.Kind, qt.Equals, upstream.KindOK, qt.Commentf("%s", res.Detail))
+				qt.Check(t, f.Dials(), qt.Equals, test.dials)
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// Guards against needless new connections: a request that was already sent on the most recently used connection goes out
+// on another idle one.
+func TestResendUsesAnotherIdleConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := replicatest.New()
+		r := f.Add("a", 1, replicatest.OK("a-1", 10*time.Millisecond, "x"))
+		p := newPool(f, r)
+		defer p.Close()
+		var calls sync.WaitGroup
+		for _, id := range []string{"one", "two"} {
+			calls.Go(func() { p.Do(t.Context(), call(id)) })
+		}
+		calls.Wait()
+		for range 2 {
+			qt.Assert(t, p.Do(t.Context(), call("three")).Kind, qt.Equals, upstream.KindOK)
+		}
+		qt.Assert(t, f.Dials(), qt.Equals, 2)
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards against a record of sent requests that grows without bound: a connection is replaced after 1,024 requests.
+func TestConnectionIsReplacedAfterManyRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := replicatest.New()
+		r := f.Add("a", 1, replicatest.OK("a-1", 0, "x"))
+		p := newPool(f, r)
+		defer p.Close()
+		for i := range 2048 {
+			qt.Assert(t, p.Do(t.Context(), call(strconv.Itoa(i))).Kind, qt.Equals, upstream.KindOK)
+		}
+		qt.Assert(t, f.Dials(), qt.Equals, 2)
+		time.Sleep(time.Second)
+	})
+}
+
 // Guards against automatic retries. The connection breaks while a request is in flight. net/http.Transport would resend
 // a GET on another connection; here it must reach the replica once and be reported as broken.
 func TestBrokenRequestIsNotResent(t *testing.T) {
@@ -222,9 +310,9 @@
 			r := f.Add("a", 1, replicatest.OK("a-1", 0, "x"))
 			p := newPool(f, r)
 			defer p.Close()
-			for _, wait := range []time.Duration{0, 100 * time.Millisecond, time.Second} {
+			for i, wait := range []time.Duration{0, 100 * time.Millisecond, time.Second} {
 				time.Sleep(wait)
-				c := call("one")
+				c := call(strconv.Itoa(i))
 				c.Deadline, c.Once = time.Now().Add(time.Second), once
 				qt.Assert(t, p.Do(t.Context(), c).Kind, qt.Equals, upstream.KindOK)
 			}
--- a/entry/internal/replicatest/farm.go
+++ b/entry/internal/replicatest/farm.go
@@ -23,9 +23,11 @@
 	After time.Duration
 	// Raw is the reply, written unchanged. If it is empty, the connection is closed without a reply.
 	Raw []byte
-	// Late is written on the same connection, LateAfter after the reply.
+	// Late is written on the same connection, LateAfter after the reply, or with LateNext once the next request has
+	// arrived there.
 	Late      []byte
 	LateAfter time.Duration
+	LateNext  bool
 	// NotRun is set if the request does not run. Silent leaves the connection open without a reply.
 	NotRun, Silent bool
 	// Close closes the connection after the reply.
@@ -191,6 +193,7 @@
 func (r *Replica) serve(c net.Conn) {
 	defer r.dropConn(c)
 	br := bufio.NewReader(c)
+	var late []byte
 	for {
 		req, err := http.ReadRequest(br)
 		if err != nil {
@@ -201,6 +204,13 @@
 			return
 		}
 		a := r.Handle(req, body)
+		if len(late) > 0 {
+			if _, err := c.Write(late); err != nil {
+				r.recordRequest(req, a)
+				return
+			}
+			late = nil
+		}
 		r.recordRequest(req, a)
 		time.Sleep(a.After)
 		if a.CrashFor > 0 {
@@ -215,6 +225,10 @@
 		if _, err := c.Write(a.Raw); err != nil || len(a.Raw) == 0 || a.Close {
 			return
 		}
+		if a.LateNext {
+			late = a.Late
+			continue
+		}
 		if len(a.Late) > 0 {
 			time.Sleep(a.LateAfter)
 			if _, err := c.Write(a.Late); err != nil {
--- a/entry/internal/scatter/scatter_test.go
+++ b/entry/internal/scatter/scatter_test.go
@@ -381,6 +381,50 @@
 	})
 }
 
+// Guards against a write that runs twice, or runs and is reported as not run. Both replicas reject it, receive it again,
+// and send their rejection a second time where the reply to the run is due.
+func TestLateRejectionOfWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestHost(t, 1000)
+		var replicas []*replicatest.Replica
+		for n := range 2 {
+			ok := replicatest.OK("s0", 30*time.Millisecond, "x")
+			var mu sync.Mutex
+			arrivals := map[string]int{}
+			replicas = append(replicas, b.farm.Add("s0", n, func(r *http.Request, body []byte) replicatest.Answer {
+				mu.Lock()
+				defer mu.Unlock()
+				id := platformtest.ReadRequestHeader(r).ID
+				if arrivals[id]++; arrivals[id] > 1 {
+					return ok(r, body)
+				}
+				a := replicatest.Full()(r, body)
+				a.Late, a.LateNext = a.Raw, true
+				return a
+			}))
+		}
+		b.seedLatency()
+		answered := 0
+		for i := range 50 {
+			rep, _ := b.ask(t.Context(), singleServiceRoute(false))
+			runs := 0
+			for _, r := range replicas {
+				for _, id := range r.Runs() {
+					if id == fmt.Sprintf("q%d", i+1) {
+						runs++
+					}
+				}
+			}
+			answered += rep.Answered
+			qt.Check(t, runs <= 1, qt.IsTrue, qt.Commentf("write %d ran %d times", i, runs))
+			qt.Check(t, rep.Ran || runs == 0, qt.IsTrue, qt.Commentf("write %d ran %d times and is reported as not run", i, runs))
+		}
+		t.Logf("answered %d", answered)
+		qt.Check(t, answered > 0, qt.IsTrue)
+		time.Sleep(3 * time.Second)
+	})
+}
+
 // Every replica is full. The request must be reported as not run.
 func TestFullReplicasRanNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
