exchange: Accept a reply without an id only as a connection's first

Found by reading the paths that match replies; no run outside tests has shown it.

Cause: an id was compared only if the reply had one. Replicas echo the id, so that a reply without one can't be attributed once a connection has carried another request.

Change: from the second request of a connection on, a reply without an id is that of another request (foreign): it proves nothing, and the connection is closed. On the first request it can belong to no other and is accepted.

Test: TestReplyWithoutIDOnReusedConnection, on the code before: "ok", "shed" and "refused", want "foreign", 3 of 3.

--- a/entry/internal/exchange/conn.go
+++ b/entry/internal/exchange/conn.go
@@ -163,9 +163,9 @@
 		return Result{Kind: upstream.KindError, Detail: fmt.Sprintf("the reply is over %d bytes", MaxReplyBytes)}, false
 	}
 	head := c.pool.opts.Codec.Reply(resp)
-	if head.ID != "" && head.ID != w.id {
+	if head.ID != w.id && (head.ID != "" || w.nth > 1) {
 		// The replica sent a second reply to an earlier request, which precedes the reply to this one.
-		return Result{Kind: upstream.KindForeign, Detail: "the reply belongs to request " + head.ID}, false
+		return Result{Kind: upstream.KindForeign, Detail: fmt.Sprintf("the reply belongs to request %q", head.ID)}, false
 	}
 	res := Result{Reply: head, Status: resp.StatusCode, Header: resp.Header, Body: body}
 	switch {
--- a/entry/internal/exchange/pool_test.go
+++ b/entry/internal/exchange/pool_test.go
@@ -128,6 +128,35 @@
 	}
 }
 
+// Guards against a late reply without an id that is taken for the reply to a later request. On the first request of a
+// connection, such a reply can belong to no other.
+func TestReplyWithoutIDOnReusedConnection(t *testing.T) {
+	tests := []struct {
+		name string
+		late []byte
+	}{
+		{"a success", platformtest.Reply(200, "", "s", []byte("late"))},
+		{"a rejection", platformtest.NotRun("")},
+		{"another replica's", platformtest.Misdirected("")},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := replicatest.New()
+				r := f.Add("a", 1, func(*http.Request, []byte) replicatest.Answer {
+					return replicatest.Answer{After: 10 * time.Millisecond, Raw: platformtest.Reply(200, "", "s", []byte("x")), Late: test.late, LateNext: true}
+				})
+				p := newPool(f, r)
+				defer p.Close()
+				qt.Check(t, p.Do(t.Context(), call("one")).Kind, qt.Equals, upstream.KindOK)
+				res := p.Do(t.Context(), call("two"))
+				qt.Check(t, res.Kind, qt.Equals, upstream.KindForeign, qt.Commentf("%s", res.Detail))
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 // Guards against needless new connections: a request that was already sent on the most recently used connection goes out
 // on another idle one.
 func TestResendUsesAnotherIdleConnection(t *testing.T) {
