exchange: Discard a late reply and read on

What callers saw: a request on a connection where a late second reply to an earlier one arrived failed as "may have run", though its own reply followed.

Cause: a reply with another id ended the attempt and closed the connection.

Change: the connection knows the ids that it has carried, so a reply with one of them is a late one. It is discarded and the next reply is read; the connection is closed after that. Two late replies in a row, one that ends with its connection, or one that names no request of the connection still end the attempt. A foreign reply that ends with its connection is given up at its header and no longer read to its end, which may never come.

Why it is safe: the reply that is returned must still name the request, and no other request of that id was sent on the connection.

Test: TestReplyAfterLateReply; on the code before, the first case is "foreign", want "ok", and the last one hangs until the deadline.

--- a/entry/internal/exchange/conn.go
+++ b/entry/internal/exchange/conn.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"guavaspring.org/core/opaque"
 	"guavaspring.org/core/upstream"
 )
 
@@ -125,7 +126,7 @@
 			w.done <- Result{Kind: upstream.KindBroken, Detail: "the connection broke: " + err.Error()}
 			return
 		}
-		res, reuse := c.readReply(br, w)
+		res, reuse := c.receive(br, w)
 		reuse = reuse && br.Buffered() == 0 && c.release(res.Reply.IdleFor)
 		if !reuse {
 			c.close()
@@ -148,6 +149,26 @@
 	return c.pool.putIdle(c, idleFor)
 }
 
+// receive reads the reply to w and reports whether the connection can be reused. It discards one late reply to an earlier
+// request of the connection, which precedes the reply to w.
+func (c *conn) receive(br *bufio.Reader, w *pendingCall) (Result, bool) {
+	res, reuse := c.readReply(br, w)
+	if res.Kind != upstream.KindForeign {
+		return res, reuse
+	}
+	if reuse && c.hasSent(res.Reply.ID) {
+		res, _ = c.readReply(br, w)
+	}
+	return res, false
+}
+
+// hasSent reports whether a request with the id was sent on the connection.
+func (c *conn) hasSent(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sent.contains(id)
+}
+
 // readReply reads one reply and reports whether the connection can be reused.
 func (c *conn) readReply(br *bufio.Reader, w *pendingCall) (Result, bool) {
 	resp, err := readFinalResponse(br, w.method)
@@ -155,6 +176,12 @@
 		return Result{Kind: upstream.KindBroken, Detail: "the reply can't be read: " + err.Error()}, false
 	}
 	defer resp.Body.Close()
+	head := c.pool.opts.Codec.Reply(resp)
+	foreign := head.ID != w.id && (head.ID != "" || w.nth > 1)
+	if foreign && resp.Close {
+		// Nothing follows the reply, and its body may end only with the connection.
+		return foreignReply(head), false
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxReplyBytes+1))
 	if err != nil {
 		return Result{Kind: upstream.KindBroken, Detail: "the reply broke off: " + err.Error()}, false
@@ -162,11 +189,14 @@
 	if len(body) > MaxReplyBytes {
 		return Result{Kind: upstream.KindError, Detail: fmt.Sprintf("the reply is over %d bytes", MaxReplyBytes)}, false
 	}
-	head := c.pool.opts.Codec.Reply(resp)
-	if head.ID != w.id && (head.ID != "" || w.nth > 1) {
-		// The replica sent a second reply to an earlier request, which precedes the reply to this one.
-		return Result{Kind: upstream.KindForeign, Detail: fmt.Sprintf("the reply belongs to request %q", head.ID)}, false
+	if foreign {
+		return foreignReply(head), true
 	}
+	return ownReply(resp, head, body), !resp.Close
+}
+
+// ownReply returns the result of a call that received its own complete reply.
+func ownReply(resp *http.Response, head opaque.Reply, body []byte) Result {
 	res := Result{Reply: head, Status: resp.StatusCode, Header: resp.Header, Body: body}
 	switch {
 	case head.Misdirected:
@@ -178,7 +208,12 @@
 	default:
 		res.Kind, res.Detail = upstream.KindError, fmt.Sprintf("status %d", resp.StatusCode)
 	}
-	return res, !resp.Close
+	return res
+}
+
+// foreignReply returns the result of a call that received the reply to another request.
+func foreignReply(head opaque.Reply) Result {
+	return Result{Kind: upstream.KindForeign, Detail: fmt.Sprintf("the reply belongs to request %q", head.ID), Reply: head}
 }
 
 // readFinalResponse skips interim (1xx) replies and reads the header of the final one.
--- a/entry/internal/exchange/pool_test.go
+++ b/entry/internal/exchange/pool_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -128,6 +129,48 @@
 	}
 }
 
+// Guards against requests that fail although their reply arrives: it follows a late second reply to an earlier request.
+func TestReplyAfterLateReply(t *testing.T) {
+	late := platformtest.Reply(200, "one", "s.one", []byte("late"))
+	tests := []struct {
+		name string
+		late []byte
+		want upstream.Kind
+	}{
+		{"one late reply", late, upstream.KindOK},
+		{"two late replies", slices.Concat(late, late), upstream.KindForeign},
+		{"a late reply of an unknown request", platformtest.Reply(200, "other", "s", nil), upstream.KindForeign},
+		{"a late reply that ends with its connection", platformtest.Unframed("one", "s.one", []byte("late")), upstream.KindForeign},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := replicatest.New()
+				r := f.Add("a", 1, func(req *http.Request, body []byte) replicatest.Answer {
+					id := platformtest.ReadRequestHeader(req).ID
+					a := replicatest.OK("a-1", 20*time.Millisecond, id)(req, body)
+					if id == "one" {
+						a.Late, a.LateNext = test.late, true
+					}
+					return a
+				})
+				p := newPool(f, r)
+				defer p.Close()
+				qt.Assert(t, p.Do(t.Context(), call("one")).Kind, qt.Equals, upstream.KindOK)
+				res := p.Do(t.Context(), call("two"))
+				qt.Check(t, res.Kind, qt.Equals, test.want, qt.Commentf("%s", res.Detail))
+				if test.want == upstream.KindOK {
+					qt.Check(t, string(res.Body), qt.Equals, "two")
+				}
+				// The connection on which a late reply arrived is not used again.
+				qt.Check(t, string(p.Do(t.Context(), call("three")).Body), qt.Equals, "three")
+				qt.Check(t, f.Dials(), qt.Equals, 2)
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 // Guards against a late reply without an id that is taken for the reply to a later request. On the first request of a
 // connection, such a reply can belong to no other.
 func TestReplyWithoutIDOnReusedConnection(t *testing.T) {
