upstream: Tell a late reply from a health reply

What operators would see: a replica that drains counts as serving, or one that holds index versions as holding none, for a moment.

Cause: health requests bear no id, and any JSON object was read as a health reply: a late second reply to a query or write, on the same connection, is one without any of its fields.

Change: a health reply that names a request is that request's (foreign) and is not applied. Queries and writes have an id for each attempt there and checked it already, rejections too.

Test: TestLateReplyIsNotTakenForHealth; on the code before "ok", want "foreign".

--- a/core/upstream/client.go
+++ b/core/upstream/client.go
@@ -238,10 +238,18 @@
 	if res.Kind != KindOK {
 		return h, res
 	}
-	if err := json.Unmarshal(b, &h); err != nil {
+	var reply struct {
+		Health
+		RequestID string `json:"request_id"`
+	}
+	if err := json.Unmarshal(b, &reply); err != nil {
 		return h, failed(res, KindError, fmt.Sprintf("health can't be read: %v", err))
 	}
-	return h, res
+	// Only replies to queries and writes name a request.
+	if reply.RequestID != "" {
+		return h, failed(res, KindForeign, fmt.Sprintf("reply belongs to request %q", reply.RequestID))
+	}
+	return reply.Health, res
 }
 
 func (c *Client) request(ctx context.Context, method string, addr netip.AddrPort, path, id string, body []byte) (*http.Request, error) {
--- a/core/upstream/once_test.go
+++ b/core/upstream/once_test.go
@@ -268,6 +268,26 @@
 	}
 }
 
+// Guards against a late second reply to an earlier request that is taken for the state of the replica: without the fields
+// of a health reply, it says that the replica does not drain and holds no version.
+func TestLateReplyIsNotTakenForHealth(t *testing.T) {
+	for _, test := range []struct {
+		reply string
+		want  Kind
+	}{{`{"draining":true}`, KindOK}, {`{"request_id":"one"}`, KindForeign}} {
+		p := newFakeReplica(t, func(c net.Conn, id string, _ int) bool {
+			if id != "" {
+				return replyOK(c, id)
+			}
+			return writeReply(c, 200, "", test.reply)
+		})
+		c := newTestClient(t, Options{MaxConns: 1})
+		qt.Assert(t, c.Write(t.Context(), p.addr(), "one", []byte("{}")).Kind, qt.Equals, KindOK)
+		_, res := c.Health(t.Context(), p.addr())
+		qt.Assert(t, res.Kind, qt.Equals, test.want, qt.Commentf("%s", test.reply))
+	}
+}
+
 // A replica sends a reply above the size limit. Truncated at the limit it may still be valid JSON, and a part of the
 // hits would be returned as all of them.
 func TestOversizedReplyIsAnError(t *testing.T) {
