scatter: Report discarded late replies

A late reply that is discarded before the reply of an attempt left no trace, so that an operator could not see that a replica, or what is before it, replies twice. The attempt's result names the earlier request, also from a host that gathered the part, and the request's log line has a "discarded" step.

Messages between hosts get one field, `LateID`, in the parts and failures of a subquery; hosts that do not have it ignore it.

--- a/entry/internal/exchange/conn.go
+++ b/entry/internal/exchange/conn.go
@@ -156,8 +156,9 @@
 	if res.Kind != upstream.KindForeign {
 		return res, reuse
 	}
-	if reuse && c.hasSent(res.Reply.ID) {
+	if late := res.Reply.ID; reuse && c.hasSent(late) {
 		res, _ = c.readReply(br, w)
+		res.LateID = late
 	}
 	return res, false
 }
--- a/entry/internal/exchange/pool.go
+++ b/entry/internal/exchange/pool.go
@@ -89,6 +89,8 @@
 	// from 1; they are zero if there was no connection.
 	Conn uint64
 	Nth  int
+	// LateID is the id of the earlier request whose late reply was discarded before the outcome, empty if there was none.
+	LateID string
 	// Took is the time from the start of the write to the outcome.
 	Took time.Duration
 }
--- a/entry/internal/exchange/pool_test.go
+++ b/entry/internal/exchange/pool_test.go
@@ -161,6 +161,7 @@
 				qt.Check(t, res.Kind, qt.Equals, test.want, qt.Commentf("%s", res.Detail))
 				if test.want == upstream.KindOK {
 					qt.Check(t, string(res.Body), qt.Equals, "two")
+					qt.Check(t, res.LateID, qt.Equals, "one")
 				}
 				// The connection on which a late reply arrived is not used again.
 				qt.Check(t, string(p.Do(t.Context(), call("three")).Body), qt.Equals, "three")
--- a/entry/internal/scatter/attempts.go
+++ b/entry/internal/scatter/attempts.go
@@ -34,6 +34,8 @@
 	Skipped Action = "skipped"
 	// Failed reports how an attempt without a usable reply ended.
 	Failed Action = "failed"
+	// Discarded reports that a late reply to an earlier request came before the outcome of an attempt.
+	Discarded Action = "discarded"
 )
 
 // Step is one decision about a shard and its reason.
@@ -212,6 +214,9 @@
 	case e.res.Kind == upstream.KindShed && e.replica != nil:
 		s.shedBy = append(s.shedBy, e.replica)
 	}
+	if e.res.LateID != "" {
+		p.recordStep(Discarded, e.shard, endpoints.Choice{Replica: e.replica}, fmt.Sprintf("a late reply to request %q", e.res.LateID))
+	}
 	if s.answered || s.failed {
 		return
 	}
--- a/entry/internal/scatter/subqueries.go
+++ b/entry/internal/scatter/subqueries.go
@@ -203,7 +203,7 @@
 			body = part.Body
 		}
 		p.Learned.Replied(p.now, part.Took)
-		res := exchange.Result{Kind: upstream.KindOK, Status: http.StatusOK, Reply: opaque.Reply{Stamp: part.Stamp}, Body: body, Took: part.Took}
+		res := exchange.Result{Kind: upstream.KindOK, Status: http.StatusOK, Reply: opaque.Reply{Stamp: part.Stamp}, Body: body, LateID: part.LateID, Took: part.Took}
 		p.handlePart(i, res, r.first)
 		// The first reply holds the records of all its parts once; they are attached to the first part.
 		body = nil
@@ -211,7 +211,7 @@
 	for _, f := range r.reply.Failed {
 		if i, ok := p.closeShard(r.sub, f.Shard); ok {
 			p.excludeReplica(i, f.Replica)
-			p.handleResult(attemptResult{shard: i, res: exchange.Result{Kind: f.Kind, Detail: f.Detail, Took: f.Took}})
+			p.handleResult(attemptResult{shard: i, res: exchange.Result{Kind: f.Kind, Detail: f.Detail, LateID: f.LateID, Took: f.Took}})
 		}
 	}
 	r.sub.replied = true
--- a/entry/internal/scatter/subqueries_test.go
+++ b/entry/internal/scatter/subqueries_test.go
@@ -427,3 +427,33 @@
 	}
 	return replicatest.OK(name, time.Duration(20+rnd.IntN(30))*time.Millisecond, recordOf(shard))
 }
+
+// Guards against late replies that are discarded without a trace, at this host and at the one that gathers some parts.
+func TestLateRepliesAreReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newHostPair(t, peerHooks{})
+		for _, r := range []*replicatest.Replica{p.inZoneA[0], p.inZoneB[0]} {
+			ok := r.Handle
+			r.Handle = func(req *http.Request, body []byte) replicatest.Answer {
+				a := ok(req, body)
+				a.Late, a.LateNext = a.Raw, true
+				return a
+			}
+		}
+		rt := manyShardRoute()
+		rep, _ := p.ask(t.Context(), rt)
+		qt.Assert(t, rep.Ending, qt.Equals, scatter.Complete)
+		time.Sleep(100 * time.Millisecond)
+		rep, _ = p.ask(t.Context(), rt)
+		qt.Assert(t, rep.Ending, qt.Equals, scatter.Complete)
+		checkPage(t, &rep, rt)
+		late := map[int]string{}
+		for _, st := range rep.Steps {
+			if st.What == scatter.Discarded {
+				late[st.Shard] = st.Why
+			}
+		}
+		qt.Check(t, late, qt.DeepEquals, map[int]string{0: `a late reply to request "q1"`, firstFarShard: `a late reply to request "q1"`})
+		time.Sleep(3 * time.Second)
+	})
+}
--- a/entry/internal/subquery/job.go
+++ b/entry/internal/subquery/job.go
@@ -60,10 +60,10 @@
 	var bodies [][]byte
 	for _, e := range j.unreported {
 		if e.res.Kind != upstream.KindOK {
-			reply.Failed = append(reply.Failed, Failure{Shard: e.shard, Replica: e.replica, Kind: e.res.Kind, Detail: e.res.Detail, Took: e.res.Took})
+			reply.Failed = append(reply.Failed, Failure{Shard: e.shard, Replica: e.replica, Kind: e.res.Kind, Detail: e.res.Detail, Took: e.res.Took, LateID: e.res.LateID})
 			continue
 		}
-		part := Part{Shard: e.shard, Stamp: e.res.Reply.Stamp, Took: e.res.Took}
+		part := Part{Shard: e.shard, Stamp: e.res.Reply.Stamp, Took: e.res.Took, LateID: e.res.LateID}
 		if merged {
 			bodies = append(bodies, e.res.Body)
 		} else {
--- a/entry/internal/subquery/messages.go
+++ b/entry/internal/subquery/messages.go
@@ -57,6 +57,8 @@
 	Stamp string
 	// Took is the response time of the replica.
 	Took time.Duration
+	// LateID is the id of the earlier request whose late reply was discarded before this one, empty if there was none.
+	LateID string
 	// Body is empty in a first reply.
 	Body []byte
 }
@@ -68,6 +70,8 @@
 	Kind    upstream.Kind
 	Detail  string
 	Took    time.Duration
+	// LateID is as in Part.
+	LateID string
 }
 
 // Pending is a shard whose attempt is still in flight.
