exchange: Discard no reply once a HEAD request was sent

What follows would be read from the middle of it, where a replica's content could look like a reply.

Change: on a connection that has carried a HEAD request, a reply to another request ends the attempt, as it did before late replies were discarded.

Test: the new row of TestReplyAfterLateReply; before "broken" ("malformed HTTP version"), want "foreign".

--- a/entry/internal/exchange/conn.go
+++ b/entry/internal/exchange/conn.go
@@ -35,6 +35,8 @@
 	closed  bool
 	// sent holds the requests of the connection. It changes only in expect, so an idle connection's can be read.
 	sent sentIDs
+	// headSent is set once a HEAD request was sent.
+	headSent bool
 }
 
 // pendingCall is the call whose reply is expected next on the connection.
@@ -55,6 +57,7 @@
 	}
 	c.sent.add(w.id)
 	w.nth = len(c.sent)
+	c.headSent = c.headSent || w.method == http.MethodHead
 	c.pending = w
 	return true
 }
@@ -156,18 +159,19 @@
 	if res.Kind != upstream.KindForeign {
 		return res, reuse
 	}
-	if late := res.Reply.ID; reuse && c.hasSent(late) {
+	if late := res.Reply.ID; reuse && c.canDiscard(late) {
 		res, _ = c.readReply(br, w)
 		res.LateID = late
 	}
 	return res, false
 }
 
-// hasSent reports whether a request with the id was sent on the connection.
-func (c *conn) hasSent(id string) bool {
+// canDiscard reports whether a reply is a late one to an earlier request with the id, and where it ends is certain: a reply
+// to a HEAD request has no body, whatever its header says.
+func (c *conn) canDiscard(id string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.sent.contains(id)
+	return !c.headSent && c.sent.contains(id)
 }
 
 // readReply reads one reply and reports whether the connection can be reused.
--- a/entry/internal/exchange/pool_test.go
+++ b/entry/internal/exchange/pool_test.go
@@ -1,6 +1,7 @@
 package exchange_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -133,14 +134,16 @@
 func TestReplyAfterLateReply(t *testing.T) {
 	late := platformtest.Reply(200, "one", "s.one", []byte("late"))
 	tests := []struct {
-		name string
-		late []byte
-		want upstream.Kind
+		name   string
+		method string
+		late   []byte
+		want   upstream.Kind
 	}{
-		{"one late reply", late, upstream.KindOK},
-		{"two late replies", slices.Concat(late, late), upstream.KindForeign},
-		{"a late reply of an unknown request", platformtest.Reply(200, "other", "s", nil), upstream.KindForeign},
-		{"a late reply that ends with its connection", platformtest.Unframed("one", "s.one", []byte("late")), upstream.KindForeign},
+		{"one late reply", http.MethodGet, late, upstream.KindOK},
+		{"two late replies", http.MethodGet, slices.Concat(late, late), upstream.KindForeign},
+		{"a late reply of an unknown request", http.MethodGet, platformtest.Reply(200, "other", "s", nil), upstream.KindForeign},
+		{"a late reply that ends with its connection", http.MethodGet, platformtest.Unframed("one", "s.one", []byte("late")), upstream.KindForeign},
+		{"a late reply without the body that its header announces", http.MethodHead, bytes.TrimSuffix(late, []byte("late")), upstream.KindForeign},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -152,11 +155,16 @@
 					if id == "one" {
 						a.Late, a.LateNext = test.late, true
 					}
+					if req.Method == http.MethodHead {
+						a.Raw = bytes.TrimSuffix(a.Raw, []byte(id))
+					}
 					return a
 				})
 				p := newPool(f, r)
 				defer p.Close()
-				qt.Assert(t, p.Do(t.Context(), call("one")).Kind, qt.Equals, upstream.KindOK)
+				one := call("one")
+				one.Request.Method = test.method
+				qt.Assert(t, p.Do(t.Context(), one).Kind, qt.Equals, upstream.KindOK)
 				res := p.Do(t.Context(), call("two"))
 				qt.Check(t, res.Kind, qt.Equals, test.want, qt.Commentf("%s", res.Detail))
 				if test.want == upstream.KindOK {
