soak: Let replicas reject requests and reply twice

The checks were there: runs of each write, and what its client was answered. Without the flag a seed draws the same faults as before.

--- a/soak/internal/faults/driver.go
+++ b/soak/internal/faults/driver.go
@@ -22,6 +22,8 @@
 	quietPeriod = 5 * time.Second
 	// maxFaultsPerRound is the maximum number of faults in one round.
 	maxFaultsPerRound = 3
+	// lateReplyFaults is the number of faults of which one is a spell of rejections and late replies, if enabled.
+	lateReplyFaults = 3
 	// drainTime is how long a draining replica may still receive requests.
 	drainTime = 3 * time.Second
 	// grace is the time between SIGTERM and SIGKILL, and the maximum wait for a killed process to exit.
@@ -37,6 +39,8 @@
 	// Restarts enables the fault that kills a replica, which restarts under the same id. Without it a seed produces the
 	// same sequence of faults as before this fault existed.
 	Restarts bool
+	// LateReplies enables the fault that makes all replicas reject requests and reply twice, under the same condition.
+	LateReplies bool
 	// Logf logs each fault and change.
 	Logf func(format string, args ...any)
 
@@ -91,6 +95,9 @@
 	r := list[d.Rand.IntN(len(list))]
 	t := time.Duration(d.Rand.Int64N(int64(maxFaultTime))) + maxFaultTime/10
 	fault := []proxy.Fault{proxy.Delay, proxy.Silent, proxy.OneWay, proxy.Refuse}[d.Rand.IntN(4)]
+	if d.LateReplies && d.Rand.IntN(lateReplyFaults) == 0 {
+		return func(context.Context) { d.reject(t) }
+	}
 	switch d.Rand.IntN(9) {
 	case 0:
 		return func(ctx context.Context) { d.kill(ctx, h, t) }
@@ -190,6 +197,16 @@
 	r.Restart(t)
 }
 
+// reject makes all replicas reject most requests and send some replies a second time.
+func (d *Driver) reject(t time.Duration) {
+	d.Logf("replicas reject and reply twice for %v", t)
+	var all sync.WaitGroup
+	for _, r := range d.World.Replicas() {
+		all.Go(func() { r.Reject(t) })
+	}
+	all.Wait()
+}
+
 func (d *Driver) disturbAll() {
 	for _, h := range d.Hosts {
 		h.Disturb()
--- a/soak/internal/world/world.go
+++ b/soak/internal/world/world.go
@@ -26,6 +26,10 @@
 	partRecords = 8
 	// maxServiceTime is the upper limit of a replica's random service time.
 	maxServiceTime = 40 * time.Millisecond
+	// rejectRatio is the ratio of requests that a replica rejects, and spellRejectRatio that during a spell of rejections.
+	rejectRatio, spellRejectRatio = 0.05, 0.6
+	// lateReplyRatio is the ratio of replies that are sent a second time during a spell.
+	lateReplyRatio = 0.2
 )
 
 // World holds the store, the replicas and the record of the requests that ran.
@@ -55,6 +59,8 @@
 	drainedAt time.Time
 	// lastAfterDrain is the time from drainedAt to the last request.
 	lastAfterDrain time.Duration
+	// spells is the number of spells of rejections and late replies in progress.
+	spells int
 }
 
 // New returns a World with an empty store.
@@ -142,6 +148,29 @@
 	r.register("ready")
 }
 
+// Reject makes the replica reject most requests and send some replies a second time for t.
+func (r *Replica) Reject(t time.Duration) {
+	r.addSpell(1)
+	time.Sleep(t)
+	r.addSpell(-1)
+}
+
+func (r *Replica) addSpell(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.spells += n
+}
+
+// ratios returns the ratios of rejected requests and of replies that are sent a second time.
+func (r *Replica) ratios() (rejected, late float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.spells > 0 {
+		return spellRejectRatio, lateReplyRatio
+	}
+	return rejectRatio, 0
+}
+
 // Drained returns the time at which the replica announced its drain, zero if it has not, and how long after it the last
 // request arrived.
 func (r *Replica) Drained() (time.Time, time.Duration) {
@@ -215,6 +244,8 @@
 func (r *Replica) serve(c net.Conn) {
 	defer c.Close()
 	br := bufio.NewReader(c)
+	// late is a reply that is sent a second time, where the next one is due.
+	var late []byte
 	for {
 		req, err := http.ReadRequest(br)
 		if err != nil {
@@ -223,10 +254,17 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
+		if _, err := c.Write(late); err != nil {
+			return
+		}
 		reply := r.answer(platformtest.ReadRequestHeader(req))
 		if _, err := c.Write(reply); err != nil {
 			return
 		}
+		late = nil
+		if _, ratio := r.ratios(); rand.Float64() < ratio {
+			late = reply
+		}
 	}
 }
 
@@ -235,7 +273,7 @@
 		return platformtest.Misdirected(seen.ID)
 	}
 	r.arrived()
-	if rand.IntN(20) == 0 {
+	if rejected, _ := r.ratios(); rand.Float64() < rejected {
 		return platformtest.NotRun(seen.ID)
 	}
 	r.world.mu.Lock()
--- a/soak/main.go
+++ b/soak/main.go
@@ -42,9 +42,10 @@
 	n := app.Flag("hosts", "Number of hosts.").Default("4").Int()
 	clients := app.Flag("clients", "Number of clients.").Default("12").Int()
 	restarts := app.Flag("restarts", "Also kill replicas, which restart under the same id.").Bool()
+	late := app.Flag("late-replies", "Also make replicas reject requests and send replies a second time.").Bool()
 	dir := app.Flag("dir", "Directory of settings and logs; a new temporary directory if empty.").Default("").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	s := &soak{program: *program, seed: *seed, length: *length, hosts: *n, clients: *clients, restarts: *restarts, dir: *dir, began: time.Now()}
+	s := &soak{program: *program, seed: *seed, length: *length, hosts: *n, clients: *clients, restarts: *restarts, lateReplies: *late, dir: *dir, began: time.Now()}
 	findings, err := s.run(context.Background())
 	if err != nil {
 		settings.Fail(os.Stderr, "soak", err)
@@ -60,6 +61,7 @@
 	length         time.Duration
 	hosts, clients int
 	restarts       bool
+	lateReplies    bool
 	dir            string
 	began          time.Time
 	mu             sync.Mutex
@@ -93,7 +95,7 @@
 		return 0, err
 	}
 	c := check.New(w)
-	d := &faults.Driver{Rand: rand.New(rand.NewPCG(s.seed, s.seed)), World: w, Hosts: list, Check: c, Restarts: s.restarts, Logf: s.logf}
+	d := &faults.Driver{Rand: rand.New(rand.NewPCG(s.seed, s.seed)), World: w, Hosts: list, Check: c, Restarts: s.restarts, LateReplies: s.lateReplies, Logf: s.logf}
 	if err := d.Setup(); err != nil {
 		return 0, err
 	}
--- a/soak/main_test.go
+++ b/soak/main_test.go
@@ -9,18 +9,19 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Four real hosts serve twelve clients while processes are killed, stopped and paused and links drop traffic. Seeds
-// that have ever produced findings stay in the table.
+// Four real hosts serve twelve clients while processes are killed, stopped and paused, links drop traffic, and replicas
+// reject requests and reply twice. Seeds that have ever produced findings stay in the table.
 func TestSeeds(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "entry")
 	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "../entry").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
 	tests := []struct {
-		seed     uint64
-		restarts bool
-	}{{1, false}, {2, true}}
+		seed        uint64
+		restarts    bool
+		lateReplies bool
+	}{{1, false, false}, {2, true, false}, {3, false, true}}
 	for _, test := range tests {
-		s := &soak{program: program, seed: test.seed, length: 15 * time.Second, hosts: 4, clients: 12, restarts: test.restarts, dir: t.TempDir(), began: time.Now()}
+		s := &soak{program: program, seed: test.seed, length: 15 * time.Second, hosts: 4, clients: 12, restarts: test.restarts, lateReplies: test.lateReplies, dir: t.TempDir(), began: time.Now()}
 		findings, err := s.run(t.Context())
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, findings, qt.Equals, 0, qt.Commentf("seed %d", test.seed))
