--- a/entry/internal/exchange/conn.go
+++ b/entry/internal/exchange/conn.go
@@ -24,7 +24,7 @@
 type conn struct {
 	netConn net.Conn
 	pool    *Pool
-	// number is the number of the connection among those to the replica, from 1.
+	// number counts the connections opened to the replica, from 1.
 	number uint64
 	// lastUsed is the time of the last use, reusableUntil the time from which the connection may not be reused. The
 	// pool's mutex guards both.
@@ -33,7 +33,7 @@
 	mu      sync.Mutex
 	pending *pendingCall
 	closed  bool
-	// sent holds the requests of the connection. It changes only in expect, so an idle connection's can be read.
+	// sent holds the ids of the connection's requests. Only expect adds to it, so it does not change while idle.
 	sent sentIDs
 	// headSent is set once a HEAD request was sent.
 	headSent bool
--- a/entry/internal/subquery/messages.go
+++ b/entry/internal/subquery/messages.go
@@ -70,7 +70,7 @@
 	Kind    upstream.Kind
 	Detail  string
 	Took    time.Duration
-	// LateID is as in Part.
+	// LateID is the id of the earlier request whose late reply was discarded before the failure, empty if there was none.
 	LateID string
 }
 
