scatter, soak: Name the model and the fault by the field's terms

life is scenario, clientStay is clientTimeout; spells of rejections are calls of Reject in progress.

--- a/entry/internal/scatter/orders_test.go
+++ b/entry/internal/scatter/orders_test.go
@@ -94,25 +94,25 @@
 	}},
 }
 
-// life is one request at a host with two replicas, and its surroundings.
-type life struct {
+// scenario is one request at a host with two replicas, and what happens beside it.
+type scenario struct {
 	idempotent bool
 	// fewConns limits the host to two connections to each replica.
 	fewConns bool
 	// others sends other requests to the same replicas all the while.
 	others bool
-	// leaves makes the client leave after clientStay.
+	// leaves makes the client leave after clientTimeout.
 	leaves bool
 }
 
-const clientStay = 45 * time.Millisecond
+const clientTimeout = 45 * time.Millisecond
 
-func (l life) String() string {
+func (l scenario) String() string {
 	return fmt.Sprintf("idempotent %v, few connections %v, others %v, client leaves %v", l.idempotent, l.fewConns, l.others, l.leaves)
 }
 
 // play plays one sequence of behaviors, and returns the promises that were broken and what the replicas did.
-func (l life) play(t *testing.T, s *script) (broken, played []string) {
+func (l scenario) play(t *testing.T, s *script) (broken, played []string) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestHost(t, 1000)
 		var mu sync.Mutex
@@ -154,7 +154,7 @@
 		}
 		stay := rt.Timeout
 		if l.leaves {
-			stay = clientStay
+			stay = clientTimeout
 		}
 		if l.others {
 			ask("before", rt.Timeout)
@@ -205,7 +205,7 @@
 	orders := 0
 	for n := range 1 << 4 {
 		set := func(bit int) bool { return n>>bit&1 == 1 }
-		l := life{idempotent: set(0), fewConns: set(1), others: set(2), leaves: set(3)}
+		l := scenario{idempotent: set(0), fewConns: set(1), others: set(2), leaves: set(3)}
 		s := &script{}
 		for more := true; more; more = s.advance() {
 			broken, played := l.play(t, s)
--- a/soak/internal/faults/driver.go
+++ b/soak/internal/faults/driver.go
@@ -22,7 +22,7 @@
 	quietPeriod = 5 * time.Second
 	// maxFaultsPerRound is the maximum number of faults in one round.
 	maxFaultsPerRound = 3
-	// lateReplyFaults is the number of faults of which one is a spell of rejections and late replies, if enabled.
+	// lateReplyFaults is the number of faults of which one makes replicas reject and reply twice, if enabled.
 	lateReplyFaults = 3
 	// drainTime is how long a draining replica may still receive requests.
 	drainTime = 3 * time.Second
@@ -39,7 +39,8 @@
 	// Restarts enables the fault that kills a replica, which restarts under the same id. Without it a seed produces the
 	// same sequence of faults as before this fault existed.
 	Restarts bool
-	// LateReplies enables the fault that makes all replicas reject requests and reply twice, under the same condition.
+	// LateReplies enables the fault that makes all replicas reject requests and reply twice. Without it a
+	// seed produces the faults that it would produce if this one did not exist.
 	LateReplies bool
 	// Logf logs each fault and change.
 	Logf func(format string, args ...any)
--- a/soak/internal/world/world.go
+++ b/soak/internal/world/world.go
@@ -26,9 +26,9 @@
 	partRecords = 8
 	// maxServiceTime is the upper limit of a replica's random service time.
 	maxServiceTime = 40 * time.Millisecond
-	// rejectRatio is the ratio of requests that a replica rejects, and spellRejectRatio that during a spell of rejections.
-	rejectRatio, spellRejectRatio = 0.05, 0.6
-	// lateReplyRatio is the ratio of replies that are sent a second time during a spell.
+	// rejectRatio is the ratio of requests that a replica rejects, and faultRejectRatio the ratio while Reject runs.
+	rejectRatio, faultRejectRatio = 0.05, 0.6
+	// lateReplyRatio is the ratio of replies that are sent a second time while Reject runs.
 	lateReplyRatio = 0.2
 )
 
@@ -59,8 +59,8 @@
 	drainedAt time.Time
 	// lastAfterDrain is the time from drainedAt to the last request.
 	lastAfterDrain time.Duration
-	// spells is the number of spells of rejections and late replies in progress.
-	spells int
+	// rejecting is the number of calls of Reject in progress.
+	rejecting int
 }
 
 // New returns a World with an empty store.
@@ -150,23 +150,23 @@
 
 // Reject makes the replica reject most requests and send some replies a second time for t.
 func (r *Replica) Reject(t time.Duration) {
-	r.addSpell(1)
+	r.addRejecting(1)
 	time.Sleep(t)
-	r.addSpell(-1)
+	r.addRejecting(-1)
 }
 
-func (r *Replica) addSpell(n int) {
+func (r *Replica) addRejecting(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.spells += n
+	r.rejecting += n
 }
 
 // ratios returns the ratios of rejected requests and of replies that are sent a second time.
 func (r *Replica) ratios() (rejected, late float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.spells > 0 {
-		return spellRejectRatio, lateReplyRatio
+	if r.rejecting > 0 {
+		return faultRejectRatio, lateReplyRatio
 	}
 	return rejectRatio, 0
 }
