exchange: Bound each part of a reply

Cause: http.ReadResponse reads the status line and the header without a bound, and readFinalResponse skips interim replies without a count. Only the body was bound. A heap profile taken in a trial build at 110 MB in use, on three hosts of the case: 55.4 of 57.6 MB live (96%) are textproto.readLineSlice below http.ReadResponse, in one or two connections; the rest of the 288 MB resident is what the doubling of that slice leaves behind.

Ruled out: retained bodies, connections and goroutines (under 2 MB together in the same profile); a leak across requests (the host is killed within two seconds of the first such reply).

The same cause elsewhere in a reply, shown by the table of the new test on the code before (64 MB sent by one replica, the call must end at the bound; 8 of 14 rows fail): status line, header line, header, folded header line (which also burns 54 s of processor time for 64 MB), interim replies; and chunks without end, chunks of one byte, and an announced body, all three since closing the body of a response reads what is left of it, at most until the deadline of the call. Chunk sizes, chunk extensions and trailers have bounds in net/http.

Change: the reader below the buffer limits the header with all interim replies to 64 KB and the body with its framing to twice the largest body; at the bound the call fails with what was too long, and the connection is closed. A body that announces more than the largest one is refused at once. What is left of a body is no longer read.

Weighed: parsing the header by code of our own (a bound for each line, but a second HTTP parser), and net/http's transport, whose bound on the header is per response (it resends by itself, which is why exchange does without). The reader below keeps the library's parser and bounds all of its loops at once. The largest true header is 64 KB, against 16 KB that the configuration allows callers; the body stays at 8 MB. A call pays one subtraction a read.

All 14 rows pass.

--- a/entry/internal/exchange/conn.go
+++ b/entry/internal/exchange/conn.go
@@ -113,8 +113,10 @@
 
 // readLoop reads replies until the connection is closed or its state is unknown.
 func (c *conn) readLoop() {
-	br := bufio.NewReaderSize(c.netConn, readBufferBytes)
+	src := &replyReader{src: c.netConn}
+	br := bufio.NewReaderSize(src, readBufferBytes)
 	for {
+		src.idle()
 		_, err := br.Peek(1)
 		c.mu.Lock()
 		w := c.pending
@@ -129,7 +131,7 @@
 			w.done <- Result{Kind: upstream.KindBroken, Detail: "the connection broke: " + err.Error()}
 			return
 		}
-		res, reuse := c.receive(br, w)
+		res, reuse := c.receive(src, br, w)
 		reuse = reuse && br.Buffered() == 0 && c.release(res.Reply.IdleFor)
 		if !reuse {
 			c.close()
@@ -154,13 +156,13 @@
 
 // receive reads the reply to w and reports whether the connection can be reused. It discards one late reply to an earlier
 // request of the connection, which precedes the reply to w.
-func (c *conn) receive(br *bufio.Reader, w *pendingCall) (Result, bool) {
-	res, reuse := c.readReply(br, w)
+func (c *conn) receive(src *replyReader, br *bufio.Reader, w *pendingCall) (Result, bool) {
+	res, reuse := c.readReply(src, br, w)
 	if res.Kind != upstream.KindForeign {
 		return res, reuse
 	}
 	if late := res.Reply.ID; reuse && c.canDiscard(late) {
-		res, _ = c.readReply(br, w)
+		res, _ = c.readReply(src, br, w)
 		res.LateID = late
 	}
 	return res, false
@@ -175,31 +177,38 @@
 }
 
 // readReply reads one reply and reports whether the connection can be reused.
-func (c *conn) readReply(br *bufio.Reader, w *pendingCall) (Result, bool) {
-	resp, err := readFinalResponse(br, w.method)
+func (c *conn) readReply(src *replyReader, br *bufio.Reader, w *pendingCall) (Result, bool) {
+	resp, err := readFinalResponse(src, br, w)
 	if err != nil {
 		return Result{Kind: upstream.KindBroken, Detail: "the reply can't be read: " + err.Error()}, false
 	}
-	defer resp.Body.Close()
+	defer src.discard(resp.Body)
 	head := c.pool.opts.Codec.Reply(resp)
 	foreign := head.ID != w.id && (head.ID != "" || w.nth > 1)
 	if foreign && resp.Close {
 		// Nothing follows the reply, and its body may end only with the connection.
 		return foreignReply(head), false
 	}
+	src.startBody()
+	if resp.Body != http.NoBody && resp.ContentLength > MaxReplyBytes {
+		return replyTooLong(), false
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxReplyBytes+1))
-	if err != nil {
+	switch {
+	case err != nil:
 		return Result{Kind: upstream.KindBroken, Detail: "the reply broke off: " + err.Error()}, false
-	}
-	if len(body) > MaxReplyBytes {
-		return Result{Kind: upstream.KindError, Detail: fmt.Sprintf("the reply is over %d bytes", MaxReplyBytes)}, false
-	}
-	if foreign {
+	case len(body) > MaxReplyBytes:
+		return replyTooLong(), false
+	case foreign:
 		return foreignReply(head), true
 	}
 	return ownReply(resp, head, body), !resp.Close
 }
 
+func replyTooLong() Result {
+	return Result{Kind: upstream.KindError, Detail: fmt.Sprintf("the reply is over %d bytes", MaxReplyBytes)}
+}
+
 // ownReply returns the result of a call that received its own complete reply.
 func ownReply(resp *http.Response, head opaque.Reply, body []byte) Result {
 	res := Result{Reply: head, Status: resp.StatusCode, Header: resp.Header, Body: body}
@@ -221,10 +230,12 @@
 	return Result{Kind: upstream.KindForeign, Detail: fmt.Sprintf("the reply belongs to request %q", head.ID), Reply: head}
 }
 
-// readFinalResponse skips interim (1xx) replies and reads the header of the final one.
-func readFinalResponse(br *bufio.Reader, method string) (*http.Response, error) {
+// readFinalResponse skips interim (1xx) replies and reads the header of the final one. All of them together are bound by
+// maxHeaderBytes.
+func readFinalResponse(src *replyReader, br *bufio.Reader, w *pendingCall) (*http.Response, error) {
+	src.startHeader(br)
 	for {
-		resp, err := http.ReadResponse(br, &http.Request{Method: method})
+		resp, err := http.ReadResponse(br, &http.Request{Method: w.method})
 		if err != nil || resp.StatusCode >= minFinalStatus {
 			return resp, err
 		}
--- /dev/null
+++ b/entry/internal/exchange/limits_test.go
@@ -0,0 +1,148 @@
+package exchange_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/core/upstream"
+	"guavaspring.org/entry/internal/exchange"
+	"guavaspring.org/entry/internal/replicatest"
+	"guavaspring.org/platform/platformtest"
+	"guavaspring.org/platform/wire"
+)
+
+// countedConn counts the bytes that are read from a connection.
+type countedConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// Guards against a host that runs out of memory, and loses all its requests, because one replica sends a reply without end:
+// each part of a reply must be bound by itself, and the call must fail as soon as the bound is reached.
+func TestReplyWithoutEndIsCutOff(t *testing.T) {
+	const (
+		replica   = 64 << 20
+		maxHeader = 80 << 10
+		maxBody   = 2*exchange.MaxReplyBytes + maxHeader
+	)
+	own := platformtest.ReplyStart("one", "s")
+	chunked := own + "Transfer-Encoding: chunked\r\n\r\n"
+	block := strings.Repeat("x", 32<<10)
+	tests := []struct {
+		name, raw, repeat string
+		maxRead           int64
+		kind              upstream.Kind
+		detail            string
+	}{
+		{"status line", "x", block, maxHeader, upstream.KindBroken, ".*its header is over 65536 bytes"},
+		{"header line", own + "X: ", block, maxHeader, upstream.KindBroken, ".*its header is over 65536 bytes"},
+		{"header", own, strings.Repeat("X-Y: z\r\n", 1000), maxHeader, upstream.KindBroken, ".*its header is over 65536 bytes"},
+		{"folded header line", own + "X: ", " y\r\n", maxHeader, upstream.KindBroken, ".*its header is over 65536 bytes"},
+		{"interim replies", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", maxHeader, upstream.KindBroken, ".*its header is over 65536 bytes"},
+		{"chunk size", chunked, "0", maxHeader, upstream.KindBroken, ".*chunk.*|.*line too long"},
+		{"chunk extension", chunked + "1;", block, maxHeader, upstream.KindBroken, ".*line too long"},
+		{"chunk extensions", chunked, "1;" + block[:1000] + "\r\nx\r\n", maxHeader, upstream.KindBroken, ".*chunked encoding contains too much non-data"},
+		{"chunks", chunked, "8000\r\n" + block + "\r\n", maxBody, upstream.KindError, "the reply is over 8388608 bytes"},
+		{"chunks of one byte", chunked, strings.Repeat("1\r\nx\r\n", 5000), maxBody, upstream.KindBroken, ".*its body with its framing is over 16777216 bytes"},
+		{"body that ends with the connection", own + "Connection: close\r\n\r\n", block, maxBody, upstream.KindError, "the reply is over 8388608 bytes"},
+		{"announced body", own + "Content-Length: 60000000\r\n\r\n", block, maxHeader, upstream.KindError, "the reply is over 8388608 bytes"},
+		{"trailer", chunked + "0\r\n", "X-Y: z\r\n", maxHeader, upstream.KindBroken, ".*suspiciously long trailer.*"},
+		{"trailer line", chunked + "0\r\nX: ", block, maxHeader, upstream.KindBroken, ".*suspiciously long trailer.*"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := replicatest.New()
+				r := f.Add("a", 1, func(*http.Request, []byte) replicatest.Answer {
+					return replicatest.Answer{Raw: []byte(test.raw), Repeat: []byte(test.repeat), RepeatBytes: replica}
+				})
+				var read atomic.Int64
+				codec := wire.Codec()
+				p := exchange.New(exchange.Options{
+					Clock: clock.System{}, Addr: r.Row.Addr, Codec: &codec, Dial: f.Dial,
+					Opened: func(c net.Conn) net.Conn { return countedConn{Conn: c, read: &read} },
+				})
+				defer p.Close()
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				began := time.Now()
+				res := p.Do(ctx, call("one"))
+				qt.Check(t, res.Kind, qt.Equals, test.kind)
+				qt.Check(t, res.Detail, qt.Matches, test.detail)
+				qt.Check(t, res.Whole(), qt.IsFalse)
+				qt.Check(t, read.Load() <= test.maxRead, qt.IsTrue, qt.Commentf("%d bytes were read", read.Load()))
+				qt.Check(t, time.Since(began) < 100*time.Millisecond, qt.IsTrue, qt.Commentf("the call took %s", time.Since(began)))
+			})
+		})
+	}
+}
+
+// Guards against reading on after a complete reply: the bytes that follow it must not be kept, and the connection must not
+// be used again.
+func TestBytesAfterReplyAreNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := replicatest.New()
+		r := f.Add("a", 1, func(req *http.Request, _ []byte) replicatest.Answer {
+			id := platformtest.ReadRequestHeader(req).ID
+			return replicatest.Answer{Raw: platformtest.Reply(200, id, "s", []byte(id)), Repeat: bytes.Repeat([]byte("x"), 32<<10), RepeatBytes: 64 << 20}
+		})
+		var read atomic.Int64
+		codec := wire.Codec()
+		p := exchange.New(exchange.Options{
+			Clock: clock.System{}, Addr: r.Row.Addr, Codec: &codec, Dial: f.Dial,
+			Opened: func(c net.Conn) net.Conn { return countedConn{Conn: c, read: &read} },
+		})
+		defer p.Close()
+		for _, id := range []string{"one", "two"} {
+			res := p.Do(t.Context(), call(id))
+			qt.Check(t, res.Kind, qt.Equals, upstream.KindOK, qt.Commentf("%s", res.Detail))
+			qt.Check(t, string(res.Body), qt.Equals, id)
+			synctest.Wait()
+		}
+		qt.Check(t, read.Load() <= 16<<10, qt.IsTrue, qt.Commentf("%d bytes were read", read.Load()))
+	})
+}
+
+// Guards against a true reply that is refused by the bounds: a header, a body or interim replies just within them.
+func TestLargeReplyIsReceived(t *testing.T) {
+	body := strings.Repeat("x", exchange.MaxReplyBytes)
+	own := platformtest.ReplyStart("one", "s")
+	tests := []struct{ name, raw string }{
+		{"header", own + strings.Repeat("X-Y: "+strings.Repeat("z", 993)+"\r\n", 63) + "Content-Length: 4\r\n\r\nbody"},
+		{"interim replies", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 2000) + own + "Content-Length: 4\r\n\r\nbody"},
+		{"body", own + "Content-Length: 8388608\r\n\r\n" + body},
+		{"body in chunks", own + "Transfer-Encoding: chunked\r\n\r\n800000\r\n" + body + "\r\n0\r\n\r\n"},
+		{"body that ends with the connection", own + "Connection: close\r\n\r\n" + body},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := replicatest.New()
+				r := f.Add("a", 1, func(*http.Request, []byte) replicatest.Answer {
+					return replicatest.Answer{Raw: []byte(test.raw), Close: strings.Contains(test.raw, "close")}
+				})
+				p := newPool(f, r)
+				defer p.Close()
+				res := p.Do(t.Context(), call("one"))
+				qt.Check(t, res.Kind, qt.Equals, upstream.KindOK, qt.Commentf("%s", res.Detail))
+				qt.Check(t, len(res.Body) == 4 || len(res.Body) == exchange.MaxReplyBytes, qt.IsTrue)
+			})
+		})
+	}
+}
--- a/entry/internal/replicatest/farm.go
+++ b/entry/internal/replicatest/farm.go
@@ -23,6 +23,10 @@
 	After time.Duration
 	// Raw is the reply, written unchanged. If it is empty, the connection is closed without a reply.
 	Raw []byte
+	// Repeat is written after Raw again and again, RepeatBytes bytes in all. The connection then stays open without further
+	// bytes.
+	Repeat      []byte
+	RepeatBytes int
 	// Late is written on the same connection, LateAfter after the reply, or with LateNext once the next request has
 	// arrived there.
 	Late      []byte
@@ -225,6 +229,13 @@
 		if _, err := c.Write(a.Raw); err != nil || len(a.Raw) == 0 || a.Close {
 			return
 		}
+		if len(a.Repeat) > 0 {
+			if err := writeRepeatedly(c, a.Repeat, a.RepeatBytes); err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, br)
+			return
+		}
 		if a.LateNext {
 			late = a.Late
 			continue
@@ -238,6 +249,18 @@
 	}
 }
 
+// writeRepeatedly writes p to w until n bytes are written.
+func writeRepeatedly(w io.Writer, p []byte, n int) error {
+	for n > 0 {
+		written, err := w.Write(p[:min(len(p), n)])
+		if err != nil {
+			return err
+		}
+		n -= written
+	}
+	return nil
+}
+
 func (r *Replica) recordRequest(req *http.Request, a Answer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
