memory: Limit the replies under way in sum

Evidence: TestManyRepliesWithoutEndStayWithinTheMemory has 100 calls to a replica that announces 2 MB, sends 1.9 MB and stalls.

Change: package memory counts the bytes of all messages that the host holds, an eighth of the process's limit. A call reserves before it is sent: without memory nothing is sent, and the request is refused with a true "did not run". A complete reply stays reserved until its request has been answered, or its subquery has ended. What messages take beyond 8 KB shares half of the budget, and the largest message that is still received makes room; it fails as "messages from peers take all memory", is logged (event 1358, once a second) and counted.

The largest true reply stays 8 MB while nothing else is large; a fixed bound for each call that keeps the sum would make it 89 KB. Waiting for memory instead of cutting was not built: replies without end hold theirs until their deadlines, so that sound ones would be late.

--- a/entry/internal/endpoints/replica.go
+++ b/entry/internal/endpoints/replica.go
@@ -13,6 +13,7 @@
 	"guavaspring.org/core/platform"
 	"guavaspring.org/core/upstream"
 	"guavaspring.org/entry/internal/exchange"
+	"guavaspring.org/entry/internal/memory"
 	"guavaspring.org/entry/internal/pick"
 )
 
@@ -234,6 +235,8 @@
 	Usual, Unloaded time.Duration
 	// Once forbids running the request twice.
 	Once bool
+	// Memory keeps the memory of a complete reply.
+	Memory *memory.Reservation
 	// ForOther marks a request that another host received and counts as its own.
 	ForOther bool
 }
@@ -249,7 +252,7 @@
 		r.service.BeginAttempt(began)
 	}
 	res := r.pool.Do(ctx, &exchange.Call{
-		Request: call.Request, Replica: r.ID(), Deadline: call.Deadline, Connections: call.Connections, Once: call.Once,
+		Request: call.Request, Replica: r.ID(), Deadline: call.Deadline, Connections: call.Connections, Once: call.Once, Memory: call.Memory,
 		// The replica may have been removed while the request waited for a connection.
 		Guard: func() error {
 			if !r.Usable() {
--- a/entry/internal/endpoints/rows.go
+++ b/entry/internal/endpoints/rows.go
@@ -115,7 +115,7 @@
 		evacuated: t.opts.Evacuated, coldShare: t.opts.ColdShare, row: row, usable: row.State != platform.StateLeaving,
 		running: map[uint64]time.Time{}, slowness: 1, estimatedAt: now,
 		pool: exchange.New(exchange.Options{
-			Clock: t.opts.Clock, Addr: row.Addr, Codec: t.opts.Codec, Dial: t.opts.Dial,
+			Clock: t.opts.Clock, Addr: row.Addr, Codec: t.opts.Codec, Dial: t.opts.Dial, Memory: t.opts.Memory,
 			Opened: func(c net.Conn) net.Conn { return t.opts.Opened(c, near) },
 		}),
 	}
--- a/entry/internal/endpoints/table.go
+++ b/entry/internal/endpoints/table.go
@@ -16,6 +16,7 @@
 	"guavaspring.org/core/route"
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/member"
+	"guavaspring.org/entry/internal/memory"
 	"guavaspring.org/entry/internal/retrybudget"
 )
 
@@ -53,6 +54,8 @@
 	// ColdShare returns the number of requests that this host may send in any second to a cold replica whose limit is
 	// perSecond for all hosts; nil means the whole limit.
 	ColdShare func(replica string, perSecond float64) int
+	// Memory limits the memory of the replies; nil means no limit.
+	Memory *memory.Budget
 	// Dial opens a connection to a replica; nil means TCP.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	// Opened wraps a new connection to a replica; near is whether the replica is in the host's own zone. Nil means no
--- a/entry/internal/exchange/conn.go
+++ b/entry/internal/exchange/conn.go
@@ -3,8 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -12,6 +12,7 @@
 
 	"guavaspring.org/core/opaque"
 	"guavaspring.org/core/upstream"
+	"guavaspring.org/entry/internal/memory"
 )
 
 const (
@@ -32,7 +33,8 @@
 
 	mu      sync.Mutex
 	pending *pendingCall
-	closed  bool
+	// cutOff is set if the reply to pending was cut off, closed once the connection is closed.
+	cutOff, closed bool
 	// sent holds the ids of the connection's requests. Only expect adds to it, so it does not change while idle.
 	sent sentIDs
 	// headSent is set once a HEAD request was sent.
@@ -46,6 +48,8 @@
 	method string
 	// nth is the number of the call on its connection, from 1.
 	nth int
+	// memory is the reservation of the reply.
+	memory *memory.Reservation
 }
 
 // expect makes w the call whose reply is expected next. It reports false if the connection is closed.
@@ -143,11 +147,22 @@
 	}
 }
 
+// cutReply closes the connection unless the reply to w has been received: the connection may carry another call then.
+func (c *conn) cutReply(w *pendingCall) {
+	c.mu.Lock()
+	c.cutOff = c.pending == w
+	cutOff := c.cutOff
+	c.mu.Unlock()
+	if cutOff {
+		c.close()
+	}
+}
+
 // release returns the connection to the pool and reports whether it can be reused.
 func (c *conn) release(idleFor time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
+	if c.closed || c.cutOff {
 		return false
 	}
 	c.pending = nil
@@ -190,23 +205,27 @@
 		return foreignReply(head), false
 	}
 	src.startBody()
-	if resp.Body != http.NoBody && resp.ContentLength > MaxReplyBytes {
-		return replyTooLong(), false
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxReplyBytes+1))
+	body, err := w.memory.ReadAll(resp.Body, bodyBytes(resp), MaxReplyBytes)
 	switch {
+	case errors.Is(err, memory.ErrTooLong):
+		return Result{Kind: upstream.KindError, Detail: fmt.Sprintf("the reply is over %d bytes", MaxReplyBytes)}, false
+	case errors.Is(err, memory.ErrExceeded):
+		return Result{Kind: upstream.KindError, Detail: err.Error()}, false
 	case err != nil:
 		return Result{Kind: upstream.KindBroken, Detail: "the reply broke off: " + err.Error()}, false
-	case len(body) > MaxReplyBytes:
-		return replyTooLong(), false
 	case foreign:
 		return foreignReply(head), true
 	}
 	return ownReply(resp, head, body), !resp.Close
 }
 
-func replyTooLong() Result {
-	return Result{Kind: upstream.KindError, Detail: fmt.Sprintf("the reply is over %d bytes", MaxReplyBytes)}
+// bodyBytes returns the announced size of a reply's body, negative if unknown. A reply to a HEAD request announces the size of
+// a body that does not follow.
+func bodyBytes(resp *http.Response) int64 {
+	if resp.Body == http.NoBody {
+		return 0
+	}
+	return resp.ContentLength
 }
 
 // ownReply returns the result of a call that received its own complete reply.
@@ -233,7 +252,9 @@
 // readFinalResponse skips interim (1xx) replies and reads the header of the final one. All of them together are bound by
 // maxHeaderBytes.
 func readFinalResponse(src *replyReader, br *bufio.Reader, w *pendingCall) (*http.Response, error) {
-	src.startHeader(br)
+	if err := src.startHeader(br, w.memory); err != nil {
+		return nil, err
+	}
 	for {
 		resp, err := http.ReadResponse(br, &http.Request{Method: w.method})
 		if err != nil || resp.StatusCode >= minFinalStatus {
--- a/entry/internal/exchange/limits_test.go
+++ b/entry/internal/exchange/limits_test.go
@@ -5,17 +5,21 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
 
 	"guavaspring.org/core/clock"
 	"guavaspring.org/core/upstream"
 	"guavaspring.org/entry/internal/exchange"
+	"guavaspring.org/entry/internal/memory"
 	"guavaspring.org/entry/internal/replicatest"
 	"guavaspring.org/platform/platformtest"
 	"guavaspring.org/platform/wire"
@@ -146,3 +150,76 @@
 		})
 	}
 }
+
+// Guards against replies that together take a host over its memory: each is within the bounds of one reply, none ends, and
+// many are under way at once. Replies of usual size from other replicas must arrive all the while.
+func TestManyRepliesWithoutEndStayWithinTheMemory(t *testing.T) {
+	const limit = 16 << 20
+	synctest.Test(t, func(t *testing.T) {
+		f := replicatest.New()
+		faulty := f.Add("a", 1, func(*http.Request, []byte) replicatest.Answer {
+			raw := platformtest.ReplyStart("one", "s") + "Content-Length: 2000000\r\n\r\n"
+			return replicatest.Answer{Raw: []byte(raw), Repeat: bytes.Repeat([]byte("x"), 100_000), RepeatBytes: 1_900_000}
+		})
+		sound := f.Add("a", 2, func(req *http.Request, _ []byte) replicatest.Answer {
+			id := platformtest.ReadRequestHeader(req).ID
+			return replicatest.Answer{After: 20 * time.Millisecond, Raw: platformtest.Reply(200, id, "s", bytes.Repeat([]byte("y"), 6000))}
+		})
+		budget := memory.New(memory.Options{Clock: clock.System{}, Log: logr.Discard(), Limit: limit})
+		most := int64(0)
+		pool := func(r *replicatest.Replica) *exchange.Pool {
+			codec := wire.Codec()
+			return exchange.New(exchange.Options{Clock: clock.System{}, Addr: r.Row.Addr, Codec: &codec, Dial: f.Dial, Memory: budget})
+		}
+		faultyPool, soundPool := pool(faulty), pool(sound)
+		defer faultyPool.Close()
+		defer soundPool.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+		defer cancel()
+		var calls sync.WaitGroup
+		for range 100 {
+			calls.Go(func() {
+				c := call("one")
+				c.Connections = 100
+				res := faultyPool.Do(ctx, c)
+				qt.Check(t, res.Whole(), qt.IsFalse)
+			})
+		}
+		for n := range 100 {
+			time.Sleep(10 * time.Millisecond)
+			most = max(most, budget.Held())
+			id := strconv.Itoa(n)
+			res := soundPool.Do(ctx, call(id))
+			qt.Check(t, res.Kind, qt.Equals, upstream.KindOK, qt.Commentf("%s: %s", id, res.Detail))
+			qt.Check(t, res.Body, qt.HasLen, 6000)
+		}
+		calls.Wait()
+		qt.Check(t, most > limit/4 && most <= limit, qt.IsTrue, qt.Commentf("%d bytes were held", most))
+		qt.Check(t, budget.Held(), qt.Equals, int64(0))
+	})
+}
+
+// Guards against cutting off the wrong call: the largest reply was complete when it was chosen to make room, and its
+// connection carries the next call already.
+func TestCutAfterTheReplyLeavesTheNextCallAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := replicatest.New()
+		r := f.Add("a", 1, func(req *http.Request, _ []byte) replicatest.Answer {
+			id := platformtest.ReadRequestHeader(req).ID
+			return replicatest.Answer{After: 10 * time.Millisecond, Raw: platformtest.Reply(200, id, "s", bytes.Repeat([]byte("y"), 100_000))}
+		})
+		budget := memory.New(memory.Options{Clock: clock.System{}, Log: logr.Discard(), Limit: 1 << 20})
+		codec := wire.Codec()
+		p := exchange.New(exchange.Options{Clock: clock.System{}, Addr: r.Row.Addr, Codec: &codec, Dial: f.Dial, Memory: budget})
+		defer p.Close()
+		for n := range 50 {
+			res := p.Do(t.Context(), call(strconv.Itoa(n)))
+			qt.Assert(t, res.Kind, qt.Equals, upstream.KindOK, qt.Commentf("%s", res.Detail))
+			other, err := budget.Reserve(memory.Client)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, other.Grow(500_000), qt.IsNil)
+			other.Release()
+		}
+		qt.Check(t, f.Dials(), qt.Equals, 1)
+	})
+}
--- a/entry/internal/exchange/pool.go
+++ b/entry/internal/exchange/pool.go
@@ -16,6 +16,7 @@
 	"guavaspring.org/core/clock"
 	"guavaspring.org/core/opaque"
 	"guavaspring.org/core/upstream"
+	"guavaspring.org/entry/internal/memory"
 )
 
 const (
@@ -53,6 +54,8 @@
 	Codec *opaque.Codec
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	// Memory limits the memory of the replies; nil means no limit.
+	Memory *memory.Budget
 	// Opened wraps each new connection, for example to count its bytes; nil means no wrapping.
 	Opened func(net.Conn) net.Conn
 }
@@ -68,6 +71,8 @@
 	Guard func() error
 	// Connections is the maximum number of connections to the replica.
 	Connections int
+	// Memory keeps the memory of a complete reply; nil means that it is not counted once the call has ended.
+	Memory *memory.Reservation
 	// Once marks a request that must not run twice. If the connection breaks, its outcome is unknown.
 	Once bool
 }
@@ -191,17 +196,36 @@
 // Do sends one request and returns its outcome. The end of ctx closes the connection, which signals the cancellation to
 // the replica.
 func (p *Pool) Do(ctx context.Context, call *Call) Result {
+	reply, err := p.opts.Memory.Reserve(memory.Replica)
+	if err != nil {
+		return Result{Kind: upstream.KindNotSent, Detail: err.Error(), Busy: true}
+	}
+	res := p.do(ctx, call, reply)
+	if res.Whole() {
+		call.Memory.Adopt(reply)
+	} else {
+		reply.Release()
+	}
+	return res
+}
+
+func (p *Pool) do(ctx context.Context, call *Call, reply *memory.Reservation) Result {
 	for {
 		c, err := p.acquire(ctx, call)
 		if err != nil {
 			return Result{Kind: upstream.KindNotSent, Detail: err.Error(), Busy: errors.Is(err, errBusy)}
 		}
-		w := &pendingCall{done: make(chan Result, 1), id: call.Request.ID, method: call.Request.Method}
+		w := &pendingCall{done: make(chan Result, 1), id: call.Request.ID, method: call.Request.Method, memory: reply}
 		if !c.expect(w) {
 			// The replica closed the connection while it was idle. Nothing was sent.
 			continue
 		}
+		reply.OnCut(func() { c.cutReply(w) })
 		res := c.roundTrip(ctx, call, w)
+		reply.OnCut(nil)
+		if err := reply.Err(); err != nil {
+			res = Result{Kind: upstream.KindError, Detail: err.Error(), Conn: res.Conn, Nth: res.Nth, Took: res.Took}
+		}
 		res.Died = res.Kind == upstream.KindBroken && p.refusesConnection(ctx, call)
 		return res
 	}
--- a/entry/internal/exchange/reader.go
+++ b/entry/internal/exchange/reader.go
@@ -2,8 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
+
+	"guavaspring.org/entry/internal/memory"
 )
 
 const (
@@ -11,6 +14,8 @@
 	maxHeaderBytes = 64 << 10
 	// maxBodyWireBytes is the maximum size of a reply's body on the wire, with chunk sizes, chunk extensions and trailers.
 	maxBodyWireBytes = 2 * MaxReplyBytes
+	// headerLineBytes is the memory that a parsed line of a header takes besides its text.
+	headerLineBytes = 160
 )
 
 // replyReader reads from a replica and limits what each part of a reply takes.
@@ -21,6 +26,8 @@
 	// part is the part of the reply that is read, limit its maximum size, and left how much of that may still be read.
 	part        string
 	limit, left int
+	// header is the reservation of the reply while its header is read, and nil otherwise.
+	header *memory.Reservation
 }
 
 // Read reads from the replica, at most what the current part may still take.
@@ -30,6 +37,9 @@
 	}
 	n, err := r.src.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	if reserved := r.reserveHeader(p[:n]); reserved != nil {
+		return 0, reserved
+	}
 	return n, err
 }
 
@@ -37,12 +47,21 @@
 func (r *replyReader) idle() { r.start("beginning", readBufferBytes, 0) }
 
 // startHeader limits the header of a reply whose beginning may be in the buffer of br.
-func (r *replyReader) startHeader(br *bufio.Reader) {
-	r.start("header", maxHeaderBytes, br.Buffered())
+func (r *replyReader) startHeader(br *bufio.Reader, reply *memory.Reservation) error {
+	buffered, err := br.Peek(br.Buffered())
+	if err != nil {
+		return err
+	}
+	r.start("header", maxHeaderBytes, len(buffered))
+	r.header = reply
+	return r.reserveHeader(buffered)
 }
 
 // startBody limits the body that follows a header.
-func (r *replyReader) startBody() { r.start("body with its framing", maxBodyWireBytes, 0) }
+func (r *replyReader) startBody() {
+	r.start("body with its framing", maxBodyWireBytes, 0)
+	r.header = nil
+}
 
 // discard closes the body of a reply without reading what is left of it: Close alone reads a body to its end.
 func (r *replyReader) discard(body io.Closer) {
@@ -53,3 +72,8 @@
 func (r *replyReader) start(part string, limit, buffered int) {
 	r.part, r.limit, r.left = part, limit, limit-buffered
 }
+
+// reserveHeader reserves the memory of a part of a header.
+func (r *replyReader) reserveHeader(p []byte) error {
+	return r.header.Grow(int64(len(p) + headerLineBytes*bytes.Count(p, []byte{'\n'})))
+}
--- a/entry/internal/forward/forwarder.go
+++ b/entry/internal/forward/forwarder.go
@@ -22,6 +22,7 @@
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/exchange"
 	"guavaspring.org/entry/internal/homes"
+	"guavaspring.org/entry/internal/memory"
 	"guavaspring.org/entry/internal/quarantine"
 	"guavaspring.org/entry/internal/records"
 	"guavaspring.org/entry/internal/requestlog"
@@ -39,6 +40,8 @@
 	// retryAfterShed is the Retry-After when all replicas shed load or have all connections in use. A few replies later
 	// there is capacity again.
 	retryAfterShed = 100 * time.Millisecond
+	// retryAfterNoMemory is the Retry-After of a host that has no memory for another message.
+	retryAfterNoMemory = 300 * time.Millisecond
 	// minRetryElapsed is the reduction of the client's timeout, compared with the route's usual one, from which a
 	// request counts as a retry: the refused attempt cost the client one round trip.
 	minRetryElapsed = 5 * time.Millisecond
@@ -82,6 +85,8 @@
 	// Await blocks during startup until the configuration and the replicas are loaded, and reports whether they are.
 	// If nil, requests that arrive earlier are refused at once.
 	Await func(ctx context.Context) bool
+	// Memory limits the memory of requests and replies; nil means no limit.
+	Memory *memory.Budget
 	// Requests writes one log line per request.
 	Requests *requestlog.Log
 	// Ended is called for each request that was run, before its log line is written. It fills in the age of the
@@ -122,11 +127,18 @@
 		f.reject(w, r, refusal{status: http.StatusServiceUnavailable, retryAfter: retryAfterNoConfig, cause: requestlog.CauseUnknown, message: msgNoConfig})
 		return
 	}
+	reserved, err := f.opts.Memory.Reserve(memory.Client)
+	if err != nil {
+		f.reject(w, r, refusal{status: http.StatusServiceUnavailable, retryAfter: retryAfterNoMemory, cause: requestlog.CauseMemory, message: err.Error()})
+		return
+	}
+	defer reserved.Release()
 	q, ref := f.newQuery(r, arrived)
 	if ref != nil {
 		f.reject(w, r, *ref)
 		return
 	}
+	q.Memory = reserved
 	f.opts.Requests.Admitted(q)
 	rep := f.opts.Runner.Run(r.Context(), *q)
 	e := requestlog.Entry{Query: q, Report: &rep, ConfigVersion: q.Version}
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -33,6 +33,7 @@
 	"guavaspring.org/entry/internal/homes"
 	"guavaspring.org/entry/internal/idle"
 	"guavaspring.org/entry/internal/member"
+	"guavaspring.org/entry/internal/memory"
 	"guavaspring.org/entry/internal/quarantine"
 	"guavaspring.org/entry/internal/requestlog"
 	"guavaspring.org/entry/internal/retrybudget"
@@ -58,6 +59,8 @@
 	defaultIdleTimeout = time.Minute
 	// readHeaderTimeout bounds the time to read the header of a request.
 	readHeaderTimeout = 10 * time.Second
+	// messagesRatio is the share of the memory limit for messages from clients and replicas; docs/CAPACITY.md derives it.
+	messagesRatio = 1.0 / 8
 	// shareInterval is how often this host's share of each replica's connections is adapted to the number of hosts.
 	shareInterval = time.Second
 	// minAssumedHosts is the number of hosts assumed where fewer are known: a host that has just started knows only
@@ -117,6 +120,8 @@
 	// lost.
 	StoreCalls func() []frontmetrics.StoreCalls
 	LinesLost  func() uint64
+	// MemoryBytes is the memory limit above which the platform kills the process.
+	MemoryBytes int64
 	// Traffic counts the bytes of the host's connections; nil means a new meter.
 	Traffic *traffic.Meter
 	// QuotaSlack is the number of requests over its limit that a customer may run in a window, on all hosts together.
@@ -147,6 +152,8 @@
 	quarantine *quarantine.Quarantine
 	// subqueryServer serves other hosts' subqueries.
 	subqueryServer *subquery.Server
+	// memory limits the memory of messages from clients and replicas.
+	memory *memory.Budget
 	// allowances limits the customers' request rates.
 	allowances *allowance.Limiter
 }
@@ -157,10 +164,11 @@
 		opts.Traffic = &traffic.Meter{}
 	}
 	f := &Front{opts: opts, started: opts.Clock.Now(), storeState: source.NewOutage(), startup: startup.New(opts.Clock)}
+	f.memory = memory.New(memory.Options{Clock: opts.Clock, Log: opts.Log, Limit: int64(messagesRatio * float64(opts.MemoryBytes))})
 	f.drain = drainer.New(drainer.Options{Clock: opts.Clock, Announce: f.announce, Grace: func() time.Duration { return opts.Grace - finishGrace }})
 	f.zones = evacuation.New(evacuation.Options{Clock: opts.Clock, Log: opts.Log, Changed: func() { f.table.Refresh() }})
 	f.table = endpoints.New(endpoints.Options{
-		Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Share: f.limitShare, Evacuated: f.zones.Has, ColdShare: f.coldShare, Regions: opts.Regions, Hosts: f.servingHosts,
+		Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Share: f.limitShare, Evacuated: f.zones.Has, ColdShare: f.coldShare, Regions: opts.Regions, Hosts: f.servingHosts, Memory: f.memory,
 		Opened: func(c net.Conn, near bool) net.Conn { return opts.Traffic.Conn(c, traffic.Replicas, !near) },
 	})
 	f.quarantine = f.newQuarantine()
@@ -221,7 +229,7 @@
 	fwd := forward.New(forward.Options{
 		Clock: f.opts.Clock, Log: f.opts.Log, Codec: &f.opts.Codec, Config: f.config.Load, Table: f.table, Known: f.loaded, Await: f.startup.Await,
 		Runner: scatter.New(scatter.Options{Clock: f.opts.Clock, Share: f.limitShare, Quarantine: f.quarantine, Subqueries: f.subqueries(), Region: f.opts.Region}), Quarantine: f.quarantine,
-		Allowance: f.allowances.Take, Requests: f.log, Ended: f.recordEnded, Refused: f.metrics.RecordRefused,
+		Allowance: f.allowances.Take, Memory: f.memory, Requests: f.log, Ended: f.recordEnded, Refused: f.metrics.RecordRefused,
 	})
 	clients := f.server(f.opts.Front, f.drain.Filter(fwd))
 	clients.IdleTimeout = 0
--- a/entry/internal/requestlog/log.go
+++ b/entry/internal/requestlog/log.go
@@ -97,6 +97,8 @@
 	CauseHeader Cause = "large_header"
 	// CauseBody means that the body is over the configured limit or can't be read.
 	CauseBody Cause = "bad_body"
+	// CauseMemory means that messages from peers take all memory that is set aside for them.
+	CauseMemory Cause = "no_memory"
 	// CauseKey means that the key is missing or belongs to no customer of the configuration in force.
 	CauseKey Cause = "unknown_key"
 	// CauseAllowance means that the customer exceeded its rate limit.
--- a/entry/internal/scatter/attempts.go
+++ b/entry/internal/scatter/attempts.go
@@ -151,7 +151,7 @@
 	if s.sent < p.Route.Attempts && p.Route.Idempotent && !p.Suspect {
 		s.hedgeAt = p.now.Add(p.timing.hedgeDelay)
 	}
-	call := endpoints.Call{Request: p.Request, Deadline: p.Deadline, Connections: p.Shards[i].Connections(), Usual: p.timing.medianLatency, Unloaded: p.unloaded, Once: !p.Route.Idempotent}
+	call := endpoints.Call{Request: p.Request, Deadline: p.Deadline, Connections: p.Shards[i].Connections(), Usual: p.timing.medianLatency, Unloaded: p.unloaded, Once: !p.Route.Idempotent, Memory: p.Memory}
 	go func() {
 		res := attempt.Send(p.ctx, p.runner.opts.Quarantine, attempt.Try{Fingerprint: p.Fingerprint, Shard: i, Replica: r, Call: call})
 		if res.Kind == upstream.KindOK {
--- a/entry/internal/scatter/scatter.go
+++ b/entry/internal/scatter/scatter.go
@@ -10,6 +10,7 @@
 	"guavaspring.org/core/route"
 	"guavaspring.org/entry/internal/endpoints"
 	"guavaspring.org/entry/internal/exchange"
+	"guavaspring.org/entry/internal/memory"
 	"guavaspring.org/entry/internal/overload"
 	"guavaspring.org/entry/internal/quarantine"
 	"guavaspring.org/entry/internal/routestats"
@@ -100,6 +101,8 @@
 	// running it.
 	Fingerprint string
 	Suspect     bool
+	// Memory keeps the memory of the replies until the caller of Run releases it.
+	Memory *memory.Reservation
 }
 
 // Report is the result of a request.
--- a/entry/internal/subquery/job.go
+++ b/entry/internal/subquery/job.go
@@ -7,6 +7,7 @@
 
 	"guavaspring.org/core/upstream"
 	"guavaspring.org/entry/internal/exchange"
+	"guavaspring.org/entry/internal/memory"
 	"guavaspring.org/entry/internal/records"
 )
 
@@ -16,6 +17,8 @@
 	cancel     context.CancelFunc
 	maxRecords int
 	results    chan attemptResult
+	// memory is the reservation of the replies, released once the subquery ends.
+	memory *memory.Reservation
 
 	// mu serializes the calls for the job.
 	mu sync.Mutex
--- a/entry/internal/subquery/server.go
+++ b/entry/internal/subquery/server.go
@@ -11,6 +11,7 @@
 	"guavaspring.org/entry/internal/attempt"
 	"guavaspring.org/entry/internal/endpoints"
 	"guavaspring.org/entry/internal/exchange"
+	"guavaspring.org/entry/internal/memory"
 	"guavaspring.org/entry/internal/pick"
 	"guavaspring.org/entry/internal/quarantine"
 )
@@ -34,6 +35,8 @@
 	// Leaving reports whether the host is shutting down.
 	Leaving    func() bool
 	Quarantine *quarantine.Quarantine
+	// Memory limits the memory of the replies; nil means no limit.
+	Memory *memory.Budget
 	// Draw returns a random number in [0, 1) and must be safe for concurrent use; nil means rand.Float64.
 	Draw func() float64
 }
@@ -64,7 +67,7 @@
 	}
 	j := s.start(args)
 	if j == nil {
-		reply.Declined = "a subquery of that name is under way, or too many are"
+		reply.Declined = "a subquery of that name is under way, too many are, or no memory is left"
 		return nil
 	}
 	s.collect(args.Job, j, args.First, true, reply)
@@ -105,15 +108,20 @@
 	return ""
 }
 
-// start registers a subquery and sends its attempts. It returns nil if the subquery's ID is in use or too many
-// subqueries are in progress.
+// start registers a subquery and sends its attempts. It returns nil if the subquery's ID is in use, too many subqueries are
+// in progress, or no memory is left.
 func (s *Server) start(args *Args) *job {
+	reserved, err := s.opts.Memory.Reserve(memory.Host)
+	if err != nil {
+		return nil
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	j := &job{ctx: ctx, cancel: cancel, maxRecords: args.Top, results: make(chan attemptResult, len(args.Shards)), inFlight: map[int]string{}}
+	j := &job{ctx: ctx, cancel: cancel, memory: reserved, maxRecords: args.Top, results: make(chan attemptResult, len(args.Shards)), inFlight: map[int]string{}}
 	s.mu.Lock()
 	if s.jobs[args.Job] != nil || len(s.jobs) >= maxJobs {
 		s.mu.Unlock()
 		cancel()
+		reserved.Release()
 		return nil
 	}
 	s.jobs[args.Job] = j
@@ -135,7 +143,7 @@
 	}
 	id := c.Replica.ID()
 	j.inFlight[i] = id
-	call := endpoints.Call{Request: &args.Request, Deadline: now.Add(args.Left), Connections: svc.Connections(), Usual: args.Usual, Unloaded: args.Unloaded, ForOther: true}
+	call := endpoints.Call{Request: &args.Request, Deadline: now.Add(args.Left), Connections: svc.Connections(), Usual: args.Usual, Unloaded: args.Unloaded, ForOther: true, Memory: j.memory}
 	go func() {
 		res := attempt.Send(j.ctx, s.opts.Quarantine, attempt.Try{Fingerprint: args.Fingerprint, Shard: i, Replica: c.Replica, Call: call})
 		j.results <- attemptResult{shard: i, replica: id, res: res}
@@ -178,6 +186,7 @@
 	s.mu.Unlock()
 	if j != nil {
 		j.cancel()
+		j.memory.Release()
 	}
 }
 
--- a/entry/onplatform.go
+++ b/entry/onplatform.go
@@ -49,7 +49,7 @@
 			List: client.List, Get: client.Get, Put: client.Put, Reconnect: client.Reconnect,
 		},
 		Codec: wire.Codec(), Resolve: wire.ResolveHandler, Ready: wire.ReadyHandler,
-		Cores: s.Cores, LinkBits: s.LinkBits,
+		Cores: s.Cores, LinkBits: s.LinkBits, MemoryBytes: s.MemoryBytes,
 		Metrics: netip.AddrPortFrom(s.Front.Addr(), metricsPort), StoreCalls: func() []frontmetrics.StoreCalls { return storeCalls(client) }, LinesLost: droppedLines, Traffic: meter,
 		Grace: s.Grace, MaxKeep: s.MaxKeep, Apply: s.ApplyConfig, Drain: s.Drain, Evacuate: s.Evacuate,
 		QuotaSlack: s.QuotaSlack, QuotaExcess: s.QuotaExcess,
