acceptor, forward: Bound the requests of clients, each and in sum

A client that stopped reading kept its response, and so the replies of the replicas, in memory for as long as its connection lived.

Change: package acceptor limits the connections of each server, and reserves what a connection sends of a header; a header over 64 KB gets 431, one without memory closes the connection before the request is read, so that the client may send it to another host. Bodies reserve as they are read, 8 MB at most; the largest one that is still received makes room and gets 503 with Retry-After, which is true: nothing of it was sent. A response has 10 s to be written.

The header of a request was limited by the configuration only after it had been read; 64 KB is four times what the deployments' configurations allow. The same budget as for replies holds, so that the sum over both stays.

Tests: TestManyHeadersStayWithinTheMemory, TestHeaderWithoutEndIsRefused, TestConnectionsBeyondTheLimitAreClosed, TestMemoryIsReleasedBetweenRequests, TestManyBodiesStayWithinTheMemory, TestUnreadResponseIsGivenUp, TestBodyIsBoundWithoutLimit. On the code before, with the names of the new constants added, the last three fail: 0 of 60 requests are refused, the unread response is held after 11 s, and a body of over 8 MB is read.

Weighed: net/http's MaxHeaderBytes alone (64 KB of short lines are 1.8 MB, and 3,900 descriptors times that are 7 GB), and a limit on connections alone (what keeps 1.8 MB each within 284 MB is 20 connections).

--- /dev/null
+++ b/entry/internal/acceptor/listener.go
@@ -0,0 +1,76 @@
+package acceptor
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"guavaspring.org/core/clock"
+	"guavaspring.org/entry/internal/events"
+	"guavaspring.org/entry/internal/memory"
+)
+
+// logInterval is the minimum time between two log lines about refused connections.
+const logInterval = time.Second
+
+// Options configures a Listener.
+type Options struct {
+	Clock    clock.Clock
+	Log      logr.Logger
+	Listener net.Listener
+	// MaxConns is the maximum number of open connections; others are closed as soon as they are accepted.
+	MaxConns int
+	Memory   *memory.Budget
+}
+
+// Listener accepts the connections of an HTTP server. State has to be the server's ConnState, or a part of it.
+type Listener struct {
+	net.Listener
+	opts Options
+	open atomic.Int64
+	// lastLog and unlogged are used by Accept only, which the server calls from one goroutine.
+	lastLog  time.Time
+	unlogged int
+}
+
+// New returns a listener around Options.Listener.
+func New(opts Options) *Listener { return &Listener{Listener: opts.Listener, opts: opts} }
+
+// Accept returns the next connection within the limit.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= int64(l.opts.MaxConns) {
+			return &conn{Conn: nc, listener: l}, nil
+		}
+		l.open.Add(-1)
+		_ = nc.Close()
+		l.logRefused()
+	}
+}
+
+func (l *Listener) logRefused() {
+	now := l.opts.Clock.Now()
+	if !l.lastLog.IsZero() && now.Sub(l.lastLog) < logInterval {
+		l.unlogged++
+		return
+	}
+	events.ConnectionsExceeded.Log(l.opts.Log, "listen", l.Addr().String(), "limit", l.opts.MaxConns, "more", l.unlogged)
+	l.lastLog, l.unlogged = now, 0
+}
+
+// Open returns the number of open connections.
+func (l *Listener) Open() int { return int(l.open.Load()) }
+
+// State releases the memory of a request once its connection waits for the next one.
+func (l *Listener) State(nc net.Conn, state http.ConnState) {
+	if c, ok := nc.(*conn); ok && state == http.StateIdle {
+		c.requestEnded()
+	}
+}
--- a/entry/internal/events/requests.go
+++ b/entry/internal/events/requests.go
@@ -4,14 +4,15 @@
 
 // Events of admission and of the callers' API, from 1350 on.
 var (
-	Panicked       = event.New(1351, "request_panicked", "A request hit a violated invariant: it was answered with status 500 and the host continues; the line holds the stack.")
-	AnswerBroken   = event.New(1352, "answer_broken", "A response could not be written to its client.")
-	Forwarded      = event.New(1354, "request_forwarded", "An opaque request ended; ending is its outcome, and steps lists the decisions on each shard and their reasons.")
-	Admitted       = event.New(1356, "request_admitted", "A request that must not run twice is about to be sent. Without a request_forwarded line after it, the host was lost in between.")
-	LinesSkipped   = event.New(1355, "log_lines_skipped", "Log lines were dropped since the start by the rate limit of the log, or lost because the output was not read.")
-	MemoryExceeded = event.New(1358, "memory_exceeded", "A message of a peer was cut off or refused, as messages from peers take all memory that is set aside for them. Logged at most once a second; more is the number of others since.")
-	AllowanceLost  = event.New(1357, "allowance_keeper_lost", "The host that keeps customers' allowances did not answer and is not asked for a second; the one that ranks second is asked, or this host uses its own share of the limits.")
-	LimitMoved     = event.New(1350, "admission_limit_moved", "The concurrency limit of a service on this host was adapted to the upstream's replies.")
+	Panicked            = event.New(1351, "request_panicked", "A request hit a violated invariant: it was answered with status 500 and the host continues; the line holds the stack.")
+	AnswerBroken        = event.New(1352, "answer_broken", "A response could not be written to its client.")
+	Forwarded           = event.New(1354, "request_forwarded", "An opaque request ended; ending is its outcome, and steps lists the decisions on each shard and their reasons.")
+	Admitted            = event.New(1356, "request_admitted", "A request that must not run twice is about to be sent. Without a request_forwarded line after it, the host was lost in between.")
+	LinesSkipped        = event.New(1355, "log_lines_skipped", "Log lines were dropped since the start by the rate limit of the log, or lost because the output was not read.")
+	MemoryExceeded      = event.New(1358, "memory_exceeded", "A message of a peer was cut off or refused, as messages from peers take all memory that is set aside for them. Logged at most once a second; more is the number of others since.")
+	ConnectionsExceeded = event.New(1359, "connections_exceeded", "A client's connection was closed as soon as it was accepted, as the server has as many as it may. Logged at most once a second; more is the number of others since.")
+	AllowanceLost       = event.New(1357, "allowance_keeper_lost", "The host that keeps customers' allowances did not answer and is not asked for a second; the one that ranks second is asked, or this host uses its own share of the limits.")
+	LimitMoved          = event.New(1350, "admission_limit_moved", "The concurrency limit of a service on this host was adapted to the upstream's replies.")
 )
 
 // Events of address responses, which direct callers to hosts, 1600 to 1699.
--- a/entry/internal/exchange/reader.go
+++ b/entry/internal/exchange/reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 
@@ -14,8 +13,6 @@
 	maxHeaderBytes = 64 << 10
 	// maxBodyWireBytes is the maximum size of a reply's body on the wire, with chunk sizes, chunk extensions and trailers.
 	maxBodyWireBytes = 2 * MaxReplyBytes
-	// headerLineBytes is the memory that a parsed line of a header takes besides its text.
-	headerLineBytes = 160
 )
 
 // replyReader reads from a replica and limits what each part of a reply takes.
@@ -75,5 +72,5 @@
 
 // reserveHeader reserves the memory of a part of a header.
 func (r *replyReader) reserveHeader(p []byte) error {
-	return r.header.Grow(int64(len(p) + headerLineBytes*bytes.Count(p, []byte{'\n'})))
+	return r.header.Grow(memory.HeaderBytes(p))
 }
--- a/entry/internal/forward/answers_test.go
+++ b/entry/internal/forward/answers_test.go
@@ -13,6 +13,7 @@
 	"guavaspring.org/core/clock"
 	"guavaspring.org/core/route"
 	"guavaspring.org/entry/internal/endpoints"
+	"guavaspring.org/entry/internal/memory"
 	"guavaspring.org/entry/internal/quarantine"
 	"guavaspring.org/entry/internal/replicatest"
 	"guavaspring.org/entry/internal/requestlog"
@@ -25,10 +26,15 @@
 
 // newForwarder returns a forwarder to the replicas of a farm. If listed is false, the list of replicas is not loaded.
 func newForwarder(farm *replicatest.Farm, listed bool, q *quarantine.Quarantine, routes ...route.Route) *Forwarder {
+	return newLimitedForwarder(farm, listed, q, nil, routes...)
+}
+
+// newLimitedForwarder returns a forwarder whose requests and replies stay within the budget.
+func newLimitedForwarder(farm *replicatest.Farm, listed bool, q *quarantine.Quarantine, budget *memory.Budget, routes ...route.Route) *Forwarder {
 	codec := wire.Codec()
 	share := func() float64 { return 1 }
 	table := endpoints.New(endpoints.Options{
-		Clock: clock.System{}, Log: logr.Discard(), Codec: &codec, Share: share, Dial: farm.Dial, Spend: retrybudget.Options{Ratio: 1, Slack: 50, Window: 10 * time.Second},
+		Clock: clock.System{}, Log: logr.Discard(), Codec: &codec, Share: share, Dial: farm.Dial, Spend: retrybudget.Options{Ratio: 1, Slack: 50, Window: 10 * time.Second}, Memory: budget,
 	})
 	if listed {
 		table.Replace(farm.Batch(), false)
@@ -37,7 +43,7 @@
 	return New(Options{
 		Clock: clock.System{}, Log: logr.Discard(), Codec: &codec, Table: table, Config: func() *route.Table { return config }, Quarantine: q,
 		Runner: scatter.New(scatter.Options{Clock: clock.System{}, Share: share, Quarantine: q}), Ended: func(*requestlog.Entry) {}, Refused: func(requestlog.Refusal) {},
-		Requests: requestlog.New(requestlog.Options{Clock: clock.System{}, Log: logr.Discard()}),
+		Requests: requestlog.New(requestlog.Options{Clock: clock.System{}, Log: logr.Discard()}), Memory: budget,
 	})
 }
 
--- a/entry/internal/forward/forwarder.go
+++ b/entry/internal/forward/forwarder.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -42,6 +41,8 @@
 	retryAfterShed = 100 * time.Millisecond
 	// retryAfterNoMemory is the Retry-After of a host that has no memory for another message.
 	retryAfterNoMemory = 300 * time.Millisecond
+	// responseTimeout limits the time to write a response, for clients that stop reading.
+	responseTimeout = 10 * time.Second
 	// minRetryElapsed is the reduction of the client's timeout, compared with the route's usual one, from which a
 	// request counts as a retry: the refused attempt cost the client one round trip.
 	minRetryElapsed = 5 * time.Millisecond
@@ -54,6 +55,7 @@
 	msgNoConfig       = "the configuration is not known yet"
 	msgNoRoute        = "no route"
 	msgHeaderTooLarge = "the header is over the limit"
+	msgBodyTooLarge   = "the body is over the limit"
 	// msgQuarantined refuses a request that crashed replicas, regardless of the client that sends it.
 	msgQuarantined = "the request is quarantined: replicas crashed under it"
 	// msgUnknownKey refuses a request with a missing key or a key that belongs to no customer.
@@ -129,16 +131,15 @@
 	}
 	reserved, err := f.opts.Memory.Reserve(memory.Client)
 	if err != nil {
-		f.reject(w, r, refusal{status: http.StatusServiceUnavailable, retryAfter: retryAfterNoMemory, cause: requestlog.CauseMemory, message: err.Error()})
+		f.reject(w, r, memoryRefusal(err))
 		return
 	}
 	defer reserved.Release()
-	q, ref := f.newQuery(r, arrived)
+	q, ref := f.newQuery(w, r, arrived, reserved)
 	if ref != nil {
 		f.reject(w, r, *ref)
 		return
 	}
-	q.Memory = reserved
 	f.opts.Requests.Admitted(q)
 	rep := f.opts.Runner.Run(r.Context(), *q)
 	e := requestlog.Entry{Query: q, Report: &rep, ConfigVersion: q.Version}
@@ -150,7 +151,7 @@
 
 // newQuery reads a request and returns the query to run, or a refusal. Checks that need only the header come before the
 // body is read.
-func (f *Forwarder) newQuery(r *http.Request, arrived time.Time) (*scatter.Query, *refusal) {
+func (f *Forwarder) newQuery(w http.ResponseWriter, r *http.Request, arrived time.Time, reserved *memory.Reservation) (*scatter.Query, *refusal) {
 	table := f.opts.Config()
 	limits := table.Config().Limits
 	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
@@ -165,7 +166,7 @@
 			return nil, ref
 		}
 	}
-	body, err := readBody(r, limits.BodyBytes)
+	body, err := readBody(w, r, limits.BodyBytes, reserved)
 	if err != nil {
 		return nil, bodyRefusal(err)
 	}
@@ -175,7 +176,7 @@
 			status: http.StatusNotFound, cause: requestlog.CauseNoRoute, message: msgNoRoute, detail: "version " + strconv.FormatInt(table.Config().Version, 10),
 		}
 	}
-	q := &scatter.Query{Request: &req, Route: rt, Learned: f.learnedRoute(rt), Arrived: arrived, Deadline: deadline(arrived, &req, rt), Version: table.Config().Version}
+	q := &scatter.Query{Request: &req, Route: rt, Learned: f.learnedRoute(rt), Arrived: arrived, Deadline: deadline(arrived, &req, rt), Version: table.Config().Version, Memory: reserved}
 	if ref := f.admit(r.Context(), q, customer); ref != nil {
 		return nil, ref
 	}
@@ -284,8 +285,6 @@
 	return r.(*routestats.Route)
 }
 
-var errTooLarge = errors.New("the body is over the limit")
-
 // headerBytes returns the size of the request line and the header on the wire, in bytes. It assumes the line breaks and
 // separators that most clients send.
 func headerBytes(r *http.Request) int {
@@ -298,27 +297,44 @@
 	return n
 }
 
-// readBody reads the body and returns errTooLarge if it is longer than maxBytes; zero means no limit.
-func readBody(r *http.Request, maxBytes int) ([]byte, error) {
+// maxBodyBytes is the maximum size of a body, also if the configuration has no limit or a larger one.
+const maxBodyBytes = 8 << 20
+
+// pastDeadline ends a pending read.
+var pastDeadline = time.Unix(1, 0)
+
+// readBody reads the body and reserves its memory. It returns memory.ErrTooLong if the body is longer than limit or
+// maxBodyBytes; a limit of zero means none.
+func readBody(w http.ResponseWriter, r *http.Request, limit int, reserved *memory.Reservation) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
-	if maxBytes <= 0 {
-		return io.ReadAll(r.Body)
+	if limit <= 0 || limit > maxBodyBytes {
+		limit = maxBodyBytes
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(maxBytes)+1))
-	if err == nil && len(body) > maxBytes {
-		return nil, errTooLarge
+	reserved.OnCut(func() { _ = http.NewResponseController(w).SetReadDeadline(pastDeadline) })
+	defer reserved.OnCut(nil)
+	body, err := reserved.ReadAll(r.Body, r.ContentLength, int64(limit))
+	if cut := reserved.Err(); cut != nil {
+		return nil, cut
 	}
 	return body, err
 }
 
 func bodyRefusal(err error) *refusal {
-	status := http.StatusBadRequest
-	if errors.Is(err, errTooLarge) {
-		status = http.StatusRequestEntityTooLarge
+	switch {
+	case errors.Is(err, memory.ErrExceeded):
+		ref := memoryRefusal(err)
+		return &ref
+	case errors.Is(err, memory.ErrTooLong):
+		return &refusal{status: http.StatusRequestEntityTooLarge, cause: requestlog.CauseBody, message: msgBodyTooLarge}
 	}
-	return &refusal{status: status, cause: requestlog.CauseBody, message: err.Error()}
+	return &refusal{status: http.StatusBadRequest, cause: requestlog.CauseBody, message: err.Error()}
+}
+
+// memoryRefusal refuses a request that this host has no memory for; another host may have it.
+func memoryRefusal(err error) refusal {
+	return refusal{status: http.StatusServiceUnavailable, retryAfter: retryAfterNoMemory, cause: requestlog.CauseMemory, message: err.Error()}
 }
 
 // refusal describes the response to a request that is refused before it is sent to a replica.
@@ -335,6 +351,7 @@
 
 // reject logs and sends a refusal.
 func (f *Forwarder) reject(w http.ResponseWriter, r *http.Request, ref refusal) {
+	limitWrite(w)
 	reason := ref.message
 	if ref.detail != "" {
 		reason += "; " + ref.detail
@@ -354,9 +371,16 @@
 	http.Error(w, ref.message, ref.status)
 }
 
+// limitWrite limits the time to write the response, which holds the replies of the replicas in memory.
+func limitWrite(w http.ResponseWriter) {
+	// Only the recorders of tests have no deadlines.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(responseTimeout))
+}
+
 // writeResponse writes the response and returns its status. It writes an error status even if the client has
 // disconnected: otherwise the server would send an empty 200 to a client that still reads.
 func (f *Forwarder) writeResponse(w http.ResponseWriter, rt *route.Route, rep *scatter.Report) int {
+	limitWrite(w)
 	switch {
 	case len(rt.Shards) > 0 && (rep.Ending == scatter.Complete || rep.Ending == scatter.Partial):
 		f.writeMerged(w, rt, rep)
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -13,8 +13,6 @@
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
-	"github.com/go-kratos/kratos/v2/transport"
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/go-logr/logr"
 
 	"guavaspring.org/core/clock"
@@ -28,17 +26,14 @@
 	"guavaspring.org/entry/internal/endpoints"
 	"guavaspring.org/entry/internal/evacuation"
 	"guavaspring.org/entry/internal/events"
-	"guavaspring.org/entry/internal/forward"
 	"guavaspring.org/entry/internal/frontmetrics"
 	"guavaspring.org/entry/internal/homes"
-	"guavaspring.org/entry/internal/idle"
 	"guavaspring.org/entry/internal/member"
 	"guavaspring.org/entry/internal/memory"
 	"guavaspring.org/entry/internal/quarantine"
 	"guavaspring.org/entry/internal/requestlog"
 	"guavaspring.org/entry/internal/retrybudget"
 	"guavaspring.org/entry/internal/rumor"
-	"guavaspring.org/entry/internal/scatter"
 	"guavaspring.org/entry/internal/source"
 	"guavaspring.org/entry/internal/startup"
 	"guavaspring.org/entry/internal/subquery"
@@ -54,13 +49,6 @@
 	finishGrace = 1200 * time.Millisecond
 	// exitGrace is the part of the grace, at its end, for the process to exit by itself.
 	exitGrace = 200 * time.Millisecond
-	// defaultIdleTimeout is how long an idle connection of a client is kept unless the configuration says; longer is
-	// always safe.
-	defaultIdleTimeout = time.Minute
-	// readHeaderTimeout bounds the time to read the header of a request.
-	readHeaderTimeout = 10 * time.Second
-	// messagesRatio is the share of the memory limit for messages from clients and replicas; docs/CAPACITY.md derives it.
-	messagesRatio = 1.0 / 8
 	// shareInterval is how often this host's share of each replica's connections is adapted to the number of hosts.
 	shareInterval = time.Second
 	// minAssumedHosts is the number of hosts assumed where fewer are known: a host that has just started knows only
@@ -120,6 +108,8 @@
 	// lost.
 	StoreCalls func() []frontmetrics.StoreCalls
 	LinesLost  func() uint64
+	// Memory limits the memory of messages from clients, replicas and other hosts.
+	Memory *memory.Budget
 	// MemoryBytes is the memory limit above which the platform kills the process.
 	MemoryBytes int64
 	// Traffic counts the bytes of the host's connections; nil means a new meter.
@@ -152,8 +142,6 @@
 	quarantine *quarantine.Quarantine
 	// subqueryServer serves other hosts' subqueries.
 	subqueryServer *subquery.Server
-	// memory limits the memory of messages from clients and replicas.
-	memory *memory.Budget
 	// allowances limits the customers' request rates.
 	allowances *allowance.Limiter
 }
@@ -164,11 +152,10 @@
 		opts.Traffic = &traffic.Meter{}
 	}
 	f := &Front{opts: opts, started: opts.Clock.Now(), storeState: source.NewOutage(), startup: startup.New(opts.Clock)}
-	f.memory = memory.New(memory.Options{Clock: opts.Clock, Log: opts.Log, Limit: int64(messagesRatio * float64(opts.MemoryBytes))})
 	f.drain = drainer.New(drainer.Options{Clock: opts.Clock, Announce: f.announce, Grace: func() time.Duration { return opts.Grace - finishGrace }})
 	f.zones = evacuation.New(evacuation.Options{Clock: opts.Clock, Log: opts.Log, Changed: func() { f.table.Refresh() }})
 	f.table = endpoints.New(endpoints.Options{
-		Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Share: f.limitShare, Evacuated: f.zones.Has, ColdShare: f.coldShare, Regions: opts.Regions, Hosts: f.servingHosts, Memory: f.memory,
+		Clock: opts.Clock, Log: opts.Log, Zone: opts.Zone, Codec: &opts.Codec, Spend: opts.Spend, Share: f.limitShare, Evacuated: f.zones.Has, ColdShare: f.coldShare, Regions: opts.Regions, Hosts: f.servingHosts, Memory: opts.Memory,
 		Opened: func(c net.Conn, near bool) net.Conn { return opts.Traffic.Conn(c, traffic.Replicas, !near) },
 	})
 	f.quarantine = f.newQuarantine()
@@ -193,14 +180,18 @@
 func (f *Front) Run(ctx context.Context) error {
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	servers, err := f.servers(ctx)
+	if err != nil {
+		return err
+	}
 	var tasks sync.WaitGroup
 	f.start(runCtx, &tasks)
-	app := kratos.New(kratos.Context(runCtx), kratos.Name("entry"), kratos.Server(f.servers()...),
+	app := kratos.New(kratos.Context(runCtx), kratos.Name("entry"), kratos.Server(servers...),
 		kratos.BeforeStop(f.drain.Leave), kratos.StopTimeout(f.opts.Grace-exitGrace))
 	stop := context.AfterFunc(ctx, func() { _ = app.Stop() })
 	defer stop()
 	events.Started.Log(f.opts.Log, "listen", f.opts.Front.String(), "zone", f.opts.Zone)
-	err := app.Run()
+	err = app.Run()
 	cancel()
 	tasks.Wait()
 	events.Stopped.Log(f.opts.Log)
@@ -224,43 +215,6 @@
 	tasks.Go(func() { f.logCosts(ctx) })
 }
 
-// servers returns the servers of clients, readiness checks, address lookups and, if they have an address, metrics.
-func (f *Front) servers() []transport.Server {
-	fwd := forward.New(forward.Options{
-		Clock: f.opts.Clock, Log: f.opts.Log, Codec: &f.opts.Codec, Config: f.config.Load, Table: f.table, Known: f.loaded, Await: f.startup.Await,
-		Runner: scatter.New(scatter.Options{Clock: f.opts.Clock, Share: f.limitShare, Quarantine: f.quarantine, Subqueries: f.subqueries(), Region: f.opts.Region}), Quarantine: f.quarantine,
-		Allowance: f.allowances.Take, Memory: f.memory, Requests: f.log, Ended: f.recordEnded, Refused: f.metrics.RecordRefused,
-	})
-	clients := f.server(f.opts.Front, f.drain.Filter(fwd))
-	clients.IdleTimeout = 0
-	clients.ConnState = idle.New(idle.Options{Clock: f.opts.Clock, Limit: f.idleLimit}).State
-	servers := []transport.Server{
-		clients,
-		f.server(f.opts.Readiness, f.opts.Ready(f.ready)),
-		f.server(f.opts.Directory, f.opts.Resolve(f.addresses)),
-	}
-	if f.opts.Metrics.IsValid() {
-		servers = append(servers, f.server(f.opts.Metrics, f.metrics.Handler()))
-	}
-	return servers
-}
-
-// server returns a kratos server that passes all requests to h. It bypasses the router, which would rewrite paths that
-// must reach replicas unchanged.
-func (f *Front) server(addr netip.AddrPort, h http.Handler) *khttp.Server {
-	srv := khttp.NewServer(khttp.Address(addr.String()), khttp.Timeout(0), khttp.Filter(func(http.Handler) http.Handler { return h }))
-	srv.IdleTimeout, srv.ReadHeaderTimeout = defaultIdleTimeout, readHeaderTimeout
-	return srv
-}
-
-// idleLimit returns how long an idle connection of a client is kept.
-func (f *Front) idleLimit() time.Duration {
-	if t := f.config.Load(); t != nil && t.Config().Limits.IdleTimeout > 0 {
-		return t.Config().Limits.IdleTimeout
-	}
-	return defaultIdleTimeout
-}
-
 // adaptShares adapts this host's shares of the replicas' connections and the customers' limits to the number of hosts
 // until ctx ends.
 func (f *Front) adaptShares(ctx context.Context) {
--- /dev/null
+++ b/entry/internal/front/servers.go
@@ -0,0 +1,100 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-kratos/kratos/v2/transport"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"guavaspring.org/entry/internal/acceptor"
+	"guavaspring.org/entry/internal/forward"
+	"guavaspring.org/entry/internal/idle"
+	"guavaspring.org/entry/internal/scatter"
+)
+
+const (
+	// connsRatio is the share of the memory limit for clients' connections for requests, and for those for address lookups.
+	// docs/CAPACITY.md derives it.
+	connsRatio = 1.0 / 8
+	// connBytes is the memory of one connection with its buffers and goroutines.
+	connBytes = 20 << 10
+	// maxCheckConns is the maximum number of connections for readiness checks, and of those for metrics.
+	maxCheckConns = 64
+)
+
+const (
+	// defaultIdleTimeout is how long an idle connection of a client is kept unless the configuration says; longer is
+	// always safe.
+	defaultIdleTimeout = time.Minute
+	// readHeaderTimeout bounds the time to read the header of a request.
+	readHeaderTimeout = 10 * time.Second
+)
+
+// servers returns the servers of clients, readiness checks, address lookups and, if they have an address, metrics.
+func (f *Front) servers(ctx context.Context) ([]transport.Server, error) {
+	fwd := forward.New(forward.Options{
+		Clock: f.opts.Clock, Log: f.opts.Log, Codec: &f.opts.Codec, Config: f.config.Load, Table: f.table, Known: f.loaded, Await: f.startup.Await,
+		Runner: scatter.New(scatter.Options{Clock: f.opts.Clock, Share: f.limitShare, Quarantine: f.quarantine, Subqueries: f.subqueries(), Region: f.opts.Region}), Quarantine: f.quarantine,
+		Allowance: f.allowances.Take, Memory: f.opts.Memory, Requests: f.log, Ended: f.recordEnded, Refused: f.metrics.RecordRefused,
+	})
+	connLimit := int(connsRatio * float64(f.opts.MemoryBytes) / connBytes)
+	var list []transport.Server
+	for _, s := range []struct {
+		addr      netip.AddrPort
+		handler   http.Handler
+		connLimit int
+		idleLimit func() time.Duration
+	}{
+		{f.opts.Front, f.drain.Filter(fwd), connLimit, f.idleLimit},
+		{f.opts.Readiness, f.opts.Ready(f.ready), maxCheckConns, nil},
+		{f.opts.Directory, f.opts.Resolve(f.addresses), connLimit, nil},
+		{f.opts.Metrics, f.metrics.Handler(), maxCheckConns, nil},
+	} {
+		if !s.addr.IsValid() {
+			continue
+		}
+		srv, err := f.server(ctx, s.addr, s.handler, s.connLimit, s.idleLimit)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, srv)
+	}
+	return list, nil
+}
+
+// server returns a kratos server that passes all requests to h. It bypasses the router, which would rewrite paths that
+// must reach replicas unchanged. Function idleLimit returns the idle time-out, which may change; nil means
+// defaultIdleTimeout.
+func (f *Front) server(ctx context.Context, addr netip.AddrPort, h http.Handler, connLimit int, idleLimit func() time.Duration) (*khttp.Server, error) {
+	var cfg net.ListenConfig
+	l, err := cfg.Listen(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen for clients: %w", err)
+	}
+	accepted := acceptor.New(acceptor.Options{Clock: f.opts.Clock, Log: f.opts.Log, Listener: l, MaxConns: connLimit, Memory: f.opts.Memory})
+	srv := khttp.NewServer(khttp.Listener(accepted), khttp.Timeout(0), khttp.Filter(func(http.Handler) http.Handler { return h }))
+	srv.ReadHeaderTimeout, srv.MaxHeaderBytes = readHeaderTimeout, acceptor.MaxHeaderBytes
+	srv.IdleTimeout, srv.ConnState = defaultIdleTimeout, accepted.State
+	if idleLimit != nil {
+		closer := idle.New(idle.Options{Clock: f.opts.Clock, Limit: idleLimit})
+		srv.IdleTimeout = 0
+		srv.ConnState = func(c net.Conn, state http.ConnState) {
+			accepted.State(c, state)
+			closer.State(c, state)
+		}
+	}
+	return srv, nil
+}
+
+// idleLimit returns how long an idle connection of a client is kept.
+func (f *Front) idleLimit() time.Duration {
+	if t := f.config.Load(); t != nil && t.Config().Limits.IdleTimeout > 0 {
+		return t.Config().Limits.IdleTimeout
+	}
+	return defaultIdleTimeout
+}
--- a/entry/internal/front/subqueries.go
+++ b/entry/internal/front/subqueries.go
@@ -161,6 +161,6 @@
 // newSubqueryServer returns the service that runs parts of other hosts' queries here.
 func (f *Front) newSubqueryServer() *subquery.Server {
 	return subquery.NewServer(subquery.Options{
-		Clock: f.opts.Clock, Service: f.table.Service, Version: f.configVersion, Leaving: f.drain.Leaving, Quarantine: f.quarantine, Memory: f.memory,
+		Clock: f.opts.Clock, Service: f.table.Service, Version: f.configVersion, Leaving: f.drain.Leaving, Quarantine: f.quarantine, Memory: f.opts.Memory,
 	})
 }
--- a/entry/onplatform.go
+++ b/entry/onplatform.go
@@ -16,6 +16,7 @@
 	"guavaspring.org/entry/internal/events"
 	"guavaspring.org/entry/internal/front"
 	"guavaspring.org/entry/internal/frontmetrics"
+	"guavaspring.org/entry/internal/memory"
 	"guavaspring.org/entry/internal/retrybudget"
 	"guavaspring.org/entry/internal/traffic"
 	"guavaspring.org/platform/settings"
@@ -27,6 +28,10 @@
 // memory limit. The rest is left for memory that the collector does not account for.
 const memoryLimitRatio = 0.7
 
+// messagesRatio is the share of the process's memory limit for messages from clients and replicas.
+// docs/CAPACITY.md derives it.
+const messagesRatio = 1.0 / 8
+
 // metricsPort is the port that serves metrics. deploy/system.toml gives the same port to scrapers.
 const metricsPort = 9464
 
@@ -38,6 +43,7 @@
 	seeds.Store(&s.Seeds)
 	go reload(ctx, path, seeds, log)
 	meter := &traffic.Meter{}
+	budget := memory.New(memory.Options{Clock: clock.System{}, Log: log, Limit: int64(messagesRatio * float64(s.MemoryBytes))})
 	client := store.New(s.Store, func(conn net.Conn) net.Conn { return meter.Conn(conn, traffic.Store, true) })
 	f, err := front.New(front.Options{
 		Clock: clock.System{}, Log: log, Zone: s.Zone, Region: s.Region, Regions: s.Regions,
@@ -49,7 +55,7 @@
 			List: client.List, Get: client.Get, Put: client.Put, Reconnect: client.Reconnect,
 		},
 		Codec: wire.Codec(), Resolve: wire.ResolveHandler, Ready: wire.ReadyHandler,
-		Cores: s.Cores, LinkBits: s.LinkBits, MemoryBytes: s.MemoryBytes,
+		Cores: s.Cores, LinkBits: s.LinkBits, Memory: budget, MemoryBytes: s.MemoryBytes,
 		Metrics: netip.AddrPortFrom(s.Front.Addr(), metricsPort), StoreCalls: func() []frontmetrics.StoreCalls { return storeCalls(client) }, LinesLost: droppedLines, Traffic: meter,
 		Grace: s.Grace, MaxKeep: s.MaxKeep, Apply: s.ApplyConfig, Drain: s.Drain, Evacuate: s.Evacuate,
 		QuotaSlack: s.QuotaSlack, QuotaExcess: s.QuotaExcess,
