exchange, scatter: Share one copy of a large body among all attempts

A body over 16 KB is now written by itself; smaller ones still go out in one write with the header. A query with a body over 64 KB is not sent through other hosts: net/rpc copies it for each of them, and over 1 MB the receiving host closed the connection (found by reading), which the sender took for an attempt that may have run.

TestLargeQueriesAskDirectly fails before: the query goes through the other host.

--- a/entry/internal/exchange/conn.go
+++ b/entry/internal/exchange/conn.go
@@ -17,6 +17,9 @@
 
 const (
 	readBufferBytes = 4 << 10
+	// maxJoinedBytes is the maximum size of a body that is copied to be sent in one write with the header. All attempts of a
+	// request share a larger body.
+	maxJoinedBytes = 16 << 10
 	// minFinalStatus is the lowest status of a final reply; lower ones are interim replies.
 	minFinalStatus = 200
 )
@@ -103,12 +106,19 @@
 	if remaining <= 0 {
 		return false, fmt.Errorf("the deadline passed before the first byte was sent")
 	}
-	b := c.pool.opts.Codec.AppendHead(make([]byte, 0, 512+len(call.Request.Body)), call.Request, call.Replica, remaining)
-	b = append(b, call.Request.Body...)
+	joined, separate := call.Request.Body, []byte(nil)
+	if len(joined) > maxJoinedBytes {
+		joined, separate = nil, joined
+	}
+	b := c.pool.opts.Codec.AppendHead(make([]byte, 0, 512+len(joined)), call.Request, call.Replica, remaining)
+	b = append(b, joined...)
 	if err := c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return false, err
 	}
 	n, err := c.netConn.Write(b)
+	if err == nil && len(separate) > 0 {
+		_, err = c.netConn.Write(separate)
+	}
 	if err != nil {
 		return n > 0, fmt.Errorf("send: %w", err)
 	}
--- a/entry/internal/exchange/limits_test.go
+++ b/entry/internal/exchange/limits_test.go
@@ -1,10 +1,14 @@
 package exchange_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"net/netip"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -223,3 +227,35 @@
 		qt.Check(t, f.Dials(), qt.Equals, 1)
 	})
 }
+
+// Guards against a copy of a large body for each attempt: a request to all shards sends it to each of them at once.
+func TestLargeBodyIsNotCopied(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), 4<<20)
+	reply := platformtest.Reply(200, "one", "s", []byte("ok"))
+	received := make(chan int, 1)
+	codec := wire.Codec()
+	p := exchange.New(exchange.Options{Clock: clock.System{}, Codec: &codec, Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
+		here, there := net.Pipe()
+		go func() {
+			req, err := http.ReadRequest(bufio.NewReader(there))
+			if err != nil {
+				return
+			}
+			n, _ := io.Copy(io.Discard, req.Body)
+			received <- int(n)
+			_, _ = there.Write(reply)
+		}()
+		return here, nil
+	}})
+	defer p.Close()
+	c := call("one")
+	c.Request.Method, c.Request.Body = http.MethodPost, body
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	res := p.Do(t.Context(), c)
+	runtime.ReadMemStats(&after)
+	qt.Assert(t, res.Kind, qt.Equals, upstream.KindOK, qt.Commentf("%s", res.Detail))
+	qt.Check(t, <-received, qt.Equals, len(body))
+	allocated := after.TotalAlloc - before.TotalAlloc
+	qt.Check(t, allocated < uint64(len(body)), qt.IsTrue, qt.Commentf("%d bytes were allocated", allocated))
+}
--- a/entry/internal/scatter/scatter_test.go
+++ b/entry/internal/scatter/scatter_test.go
@@ -81,10 +81,15 @@
 }
 
 func (b *testHost) askFor(ctx context.Context, rt *route.Route, target string) (scatter.Report, time.Duration) {
+	return b.askWith(ctx, rt, target, nil)
+}
+
+// askWith is like askFor, for a request with a body.
+func (b *testHost) askWith(ctx context.Context, rt *route.Route, target string, body []byte) (scatter.Report, time.Duration) {
 	n := b.n.Add(1)
 	began := time.Now()
 	q := scatter.Query{
-		Request: &opaque.Request{ID: fmt.Sprintf("q%d", n), Method: http.MethodGet, Target: target, Host: "h", Header: http.Header{}},
+		Request: &opaque.Request{ID: fmt.Sprintf("q%d", n), Method: http.MethodGet, Target: target, Host: "h", Header: http.Header{}, Body: body},
 		Route:   rt, Learned: b.learned, Arrived: began, Deadline: began.Add(rt.Timeout), Fingerprint: target,
 	}
 	verdict := b.quarantine.Check(target)
--- a/entry/internal/scatter/subqueries.go
+++ b/entry/internal/scatter/subqueries.go
@@ -28,6 +28,9 @@
 	// subqueryOverdueTimeout is how long past its due time a reply of another host may be before the connection counts
 	// as broken.
 	subqueryOverdueTimeout = 150 * time.Millisecond
+	// maxSubqueryBodyBytes is the maximum size of a request's body that is sent to other hosts: each message to a host holds a
+	// copy, and hosts limit the size of messages.
+	maxSubqueryBodyBytes = 64 << 10
 	// pendingPollTimeout is the longest wait of one call for pending parts.
 	pendingPollTimeout = 250 * time.Millisecond
 )
@@ -70,6 +73,9 @@
 	if opts.Zones == nil || len(p.Route.Shards) == 0 || !p.Route.Idempotent || p.Suspect || !p.allowsSubqueries() {
 		return
 	}
+	if len(p.Request.Body) > maxSubqueryBodyBytes {
+		return
+	}
 	if !homes.Allow(p.Homes, p.runner.opts.Region) {
 		// Outside the request's home regions, only the host chosen by the client may receive it.
 		return
--- a/entry/internal/scatter/subqueries_test.go
+++ b/entry/internal/scatter/subqueries_test.go
@@ -210,6 +210,21 @@
 	})
 }
 
+// Guards against queries that fail because of their size: each message to another host holds a copy of the body, and hosts
+// close connections on which a message is too large.
+func TestLargeQueriesAskDirectly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newHostPair(t, peerHooks{})
+		rt := manyShardRoute()
+		rep, _ := p.askWith(t.Context(), rt, "/x", make([]byte, 2<<20))
+		qt.Assert(t, rep.Ending, qt.Equals, scatter.Complete)
+		qt.Check(t, rep.Through, qt.Equals, 0)
+		qt.Check(t, p.gathered.Load(), qt.Equals, int64(0))
+		checkPage(t, &rep, rt)
+		time.Sleep(time.Second)
+	})
+}
+
 // A replica pauses behind another host. The answer must not wait for it: that host reports the shard as pending, and
 // the hedge goes to a replica that it did not ask. The late part of the paused replica must not add the shard's records
 // a second time.
