memory: Count the messages of other hosts and of the store

Messages between hosts had a bound each (1 MB a request, 16 MB a reply) but none in sum: 256 connections and 72 clients of net/rpc are over 1.4 GB on a host of 136 to 1,048 MB; four calls to the store are 32 MB, several times that while they are decoded. A packed list of another host could unpack to 64 MB.

Change: a wrapper around these connections reserves what arrives until the next write, four times each byte for the buffer and the decoded message, in the same budget as clients and replicas. Past it the connection of the largest message is closed, and logged; calls of that connection fail as they do when another host closes it. Unpacked lists are 16 MB at most, four times what 24,000 replicas take.

TestLargeUnpackedReplyIsRefused fails with the bound of before.

Weighed: smaller bounds for each message (what keeps the sum is 8 KB, less than a list of 200 replicas) and a codec of our own that marks the end of each message (exact, and copies two unexported types of net/rpc). What is received last on an idle connection stays counted until its next message; probes send one each second.

Not covered: gob decodes rows of zero fields from a byte each, and net/rpc runs any number of requests that a host sends without reading replies.

--- a/entry/internal/relay/pack.go
+++ b/entry/internal/relay/pack.go
@@ -11,7 +11,7 @@
 )
 
 // maxUnpackedBytes is the maximum unpacked size of a reply in bytes. 24,000 replicas take 4 MB.
-const maxUnpackedBytes = 64 << 20
+const maxUnpackedBytes = 16 << 20
 
 // packEntries encodes and compresses entries. The names and addresses of replicas have much in common and compress
 // well.
--- a/entry/internal/relay/pack_test.go
+++ b/entry/internal/relay/pack_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,3 +65,14 @@
 	rep := relay.Reply[platform.Replica]{Full: true, Revision: 9, Packed: []byte("no list")}
 	qt.Assert(t, rep.Unpack(), qt.ErrorMatches, "relay: unpack 7 bytes: .*")
 }
+
+// Guards against a message from another host that is small when it arrives and takes the host over its memory unpacked.
+func TestLargeUnpackedReplyIsRefused(t *testing.T) {
+	c := relay.NewCopy(relay.Options[platform.Replica]{})
+	c.ApplyList(feed.Batch[platform.Replica]{Revision: 1, Entries: []feed.Entry[platform.Replica]{{Name: strings.Repeat("x", 17<<20), Revision: 1}}}, time.Now(), false)
+	m := &relay.Methods{Clock: clock.System{}, ReplicaCopy: c}
+	var rep relay.Reply[platform.Replica]
+	qt.Assert(t, m.Replicas(&relay.Args{}, &rep), qt.IsNil)
+	qt.Assert(t, len(rep.Packed) < 1<<20, qt.IsTrue)
+	qt.Assert(t, rep.Unpack(), qt.ErrorMatches, "relay: unpack [0-9]+ bytes: .*")
+}
--- a/entry/onplatform.go
+++ b/entry/onplatform.go
@@ -28,10 +28,13 @@
 // memory limit. The rest is left for memory that the collector does not account for.
 const memoryLimitRatio = 0.7
 
-// messagesRatio is the share of the process's memory limit for messages from clients and replicas.
+// messagesRatio is the share of the process's memory limit for messages from clients, replicas, other hosts and the store.
 // docs/CAPACITY.md derives it.
 const messagesRatio = 1.0 / 8
 
+// storeFactor is the memory that a received byte of the store takes: the buffer, the undecoded objects and the decoded ones.
+const storeFactor = 4
+
 // metricsPort is the port that serves metrics. deploy/system.toml gives the same port to scrapers.
 const metricsPort = 9464
 
@@ -44,7 +47,9 @@
 	go reload(ctx, path, seeds, log)
 	meter := &traffic.Meter{}
 	budget := memory.New(memory.Options{Clock: clock.System{}, Log: log, Limit: int64(messagesRatio * float64(s.MemoryBytes))})
-	client := store.New(s.Store, func(conn net.Conn) net.Conn { return meter.Conn(conn, traffic.Store, true) })
+	client := store.New(s.Store, func(conn net.Conn) net.Conn {
+		return memory.NewConn(meter.Conn(conn, traffic.Store, true), memory.ConnOptions{Budget: budget, Peer: memory.Store, Factor: storeFactor})
+	})
 	f, err := front.New(front.Options{
 		Clock: clock.System{}, Log: log, Zone: s.Zone, Region: s.Region, Regions: s.Regions,
 		Front: s.Front, Readiness: s.Readiness, Directory: s.Directory, Peer: s.Peer,
