--- a/core/caller/client.go
+++ b/core/caller/client.go
@@ -15,7 +15,12 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 )
 
-const maxReplyBytes = 16 << 20
+const (
+	// maxReplyBytes is the maximum size of a response's body.
+	maxReplyBytes = 16 << 20
+	// maxHeaderBytes is the maximum size of a response's header, with the interim responses before it.
+	maxHeaderBytes = 64 << 10
+)
 
 // Client sends requests to hosts as a caller; it never resends a request by itself.
 type Client struct {
@@ -45,7 +50,7 @@
 
 // New returns a client that sends name as HeaderCaller and keeps at most conns idle connections to each host.
 func New(name string, conns int) (*Client, error) {
-	transport := &http.Transport{MaxIdleConnsPerHost: conns, IdleConnTimeout: time.Minute, DisableCompression: true}
+	transport := &http.Transport{MaxIdleConnsPerHost: conns, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	hc, err := khttp.NewClient(context.Background(), khttp.WithTransport(transport), khttp.WithTimeout(0),
 		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }))
 	if err != nil {
--- a/core/event/async_test.go
+++ b/core/event/async_test.go
@@ -35,6 +35,24 @@
 	})
 }
 
+// Guards against a log that takes a host over its memory: lines hold paths and ids of up to the size of a header, and the
+// output is a pipe that nobody reads.
+func TestLongLinesStayWithinTheMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := blockedWriter{never: make(chan struct{})}
+		a := event.NewAsync(out)
+		const line, lines = 64 << 10, 1000
+		for range lines {
+			_, err := a.Write(make([]byte, line))
+			qt.Assert(t, err, qt.IsNil)
+		}
+		kept := lines - int(a.Dropped())
+		qt.Check(t, kept > 0 && kept*line <= 5<<20, qt.IsTrue, qt.Commentf("%d lines are kept", kept))
+		close(out.never)
+		a.Close(nil)
+	})
+}
+
 // Writes to a closed output must not fail, and lost lines must be counted.
 func TestClosedOutputIsCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/platform/client.go
+++ b/core/platform/client.go
@@ -38,6 +38,9 @@
 // above.
 const versionCountBits = 40
 
+// maxHeaderBytes is the maximum size of a reply's header, with the interim replies before it, in bytes.
+const maxHeaderBytes = 64 << 10
+
 // MaxReply is the maximum size of a platform reply in bytes; the rest is not read.
 const MaxReply = 8 << 20
 
@@ -121,7 +124,7 @@
 
 // New returns a client of the platform at addr; only the context of a call limits its time.
 func New(addr netip.AddrPort) (*Client, error) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}
 	hc, err := khttp.NewClient(context.Background(),
 		khttp.WithTransport(transport), khttp.WithTimeout(0),
 		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }))
--- a/core/platform/client_test.go
+++ b/core/platform/client_test.go
@@ -52,3 +52,16 @@
 		"GET /v1/objects/status/s", "PUT /v1/objects/status/s 4 3", "GET /v1/watch/status?after=7&era=2&wait_ms=1000",
 	})
 }
+
+// Guards against a host that runs out of memory because the platform sends a header without end.
+func TestOversizedHeaderIsAnError(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Long", strings.Repeat("x", 100<<10))
+		_, _ = fmt.Fprint(w, `{}`)
+	}))
+	t.Cleanup(srv.Close)
+	c, err := platform.New(netip.MustParseAddrPort(srv.Listener.Addr().String()))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = c.Get(t.Context(), platform.KindStatus, "s")
+	qt.Assert(t, err, qt.ErrorIs, platform.ErrUnavailable)
+}
--- a/core/upstream/client.go
+++ b/core/upstream/client.go
@@ -19,7 +19,12 @@
 	"guavaspring.org/core/clock"
 )
 
-const maxReplyBytes = 8 << 20
+const (
+	// maxReplyBytes is the maximum size of a reply's body.
+	maxReplyBytes = 8 << 20
+	// maxHeaderBytes is the maximum size of a reply's header, with the interim replies before it.
+	maxHeaderBytes = 64 << 10
+)
 
 // Options configures a Client.
 type Options struct {
@@ -70,6 +75,8 @@
 		MaxIdleConnsPerHost: connLimit,
 		IdleConnTimeout:     maxIdle,
 		DisableCompression:  true,
+		// The default allows 10 MB on each connection.
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	hc, err := khttp.NewClient(context.Background(), khttp.WithTransport(noRedirect{tr}), khttp.WithTimeout(0),
 		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }))
--- a/core/upstream/once_test.go
+++ b/core/upstream/once_test.go
@@ -297,3 +297,19 @@
 	c := newTestClient(t, Options{})
 	qt.Assert(t, c.Write(t.Context(), p.addr(), "w", []byte("{}")).Kind, qt.Equals, KindError)
 }
+
+// Guards against a host that runs out of memory because a replica sends a header without end.
+func TestOversizedHeaderIsAnError(t *testing.T) {
+	p := newFakeReplica(t, func(c net.Conn, _ string, _ int) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		line := strings.Repeat("X-Y: z\r\n", 1000)
+		for sent := 0; err == nil && sent < 32<<20; sent += len(line) {
+			_, err = io.WriteString(c, line)
+		}
+		return false
+	})
+	c := newTestClient(t, Options{})
+	res := c.Write(t.Context(), p.addr(), "w", []byte("{}"))
+	qt.Assert(t, res.Kind, qt.Equals, KindBroken)
+	qt.Assert(t, res.Detail, qt.Contains, "response headers exceeded 65536 bytes")
+}
