soak: Garble replies, and watch the memory of hosts

In all runs the resident memory of each host is read each 20 ms; a host over its limit is a finding, and is killed and started again as the platform does.

--- a/soak/internal/check/check.go
+++ b/soak/internal/check/check.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"guavaspring.org/soak/internal/client"
+	"guavaspring.org/soak/internal/hosts"
 	"guavaspring.org/soak/internal/world"
 )
 
@@ -173,6 +174,13 @@
 	}
 }
 
+// MemoryExceeded records that a host's process was killed because of its memory.
+func (c *Checker) MemoryExceeded(host string, resident int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.findings = append(c.findings, fmt.Sprintf("%s held %d MB, over its limit of %d MB", host, resident>>20, hosts.MemoryLimit>>20))
+}
+
 // Finish checks the writes, which is possible only at the end, and returns all findings and the count of each outcome.
 func (c *Checker) Finish() ([]string, map[string]int) {
 	c.mu.Lock()
--- a/soak/internal/faults/driver.go
+++ b/soak/internal/faults/driver.go
@@ -24,6 +24,8 @@
 	maxFaultsPerRound = 3
 	// lateReplyFaults is the number of faults of which one makes replicas reject and reply twice, if enabled.
 	lateReplyFaults = 3
+	// garbledReplyFaults is the number of faults of which one garbles replies, if enabled.
+	garbledReplyFaults = 2
 	// drainTime is how long a draining replica may still receive requests.
 	drainTime = 3 * time.Second
 	// grace is the time between SIGTERM and SIGKILL, and the maximum wait for a killed process to exit.
@@ -42,6 +44,9 @@
 	// LateReplies enables the fault that makes all replicas reject requests and reply twice. Without it a
 	// seed produces the faults that it would produce if this one did not exist.
 	LateReplies bool
+	// GarbledReplies enables the fault that garbles replies. Without it a seed produces the faults that it would produce if this
+	// one did not exist.
+	GarbledReplies bool
 	// Logf logs each fault and change.
 	Logf func(format string, args ...any)
 
@@ -99,6 +104,11 @@
 	if d.LateReplies && d.Rand.IntN(lateReplyFaults) == 0 {
 		return func(context.Context) { d.reject(t) }
 	}
+	if d.GarbledReplies && d.Rand.IntN(garbledReplyFaults) == 0 {
+		how := world.Garblings[d.Rand.IntN(len(world.Garblings))]
+		faulty := d.Rand.Perm(len(list))[:1+d.Rand.IntN(len(list)/2)]
+		return func(context.Context) { d.garble(list, faulty, how, t) }
+	}
 	switch d.Rand.IntN(9) {
 	case 0:
 		return func(ctx context.Context) { d.kill(ctx, h, t) }
@@ -208,6 +218,16 @@
 	all.Wait()
 }
 
+// garble makes some of the replicas garble replies.
+func (d *Driver) garble(list []*world.Replica, faulty []int, how world.Garbling, t time.Duration) {
+	d.Logf("%d of %d replicas send garbled replies, %s, for %v", len(faulty), len(list), how, t)
+	var all sync.WaitGroup
+	for _, i := range faulty {
+		all.Go(func() { list[i].Garble(how, t) })
+	}
+	all.Wait()
+}
+
 func (d *Driver) disturbAll() {
 	for _, h := range d.Hosts {
 		h.Disturb()
--- a/soak/internal/world/world.go
+++ b/soak/internal/world/world.go
@@ -61,6 +61,8 @@
 	lastAfterDrain time.Duration
 	// rejecting is the number of calls of Reject in progress.
 	rejecting int
+	// garbling is how some replies are garbled, empty if none are.
+	garbling Garbling
 }
 
 // New returns a World with an empty store.
@@ -251,14 +253,21 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
-			return
+		how := r.drawGarbling()
+		if how != Early {
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
 		}
 		if _, err := c.Write(late); err != nil {
 			return
 		}
-		reply := r.answer(platformtest.ReadRequestHeader(req))
-		if _, err := c.Write(reply); err != nil {
+		header := platformtest.ReadRequestHeader(req)
+		reply := r.answer(header)
+		if err := r.writeReply(c, how, header.ID, reply); err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
 		late = nil
--- a/soak/main.go
+++ b/soak/main.go
@@ -43,9 +43,10 @@
 	clients := app.Flag("clients", "Number of clients.").Default("12").Int()
 	restarts := app.Flag("restarts", "Also kill replicas, which restart under the same id.").Bool()
 	late := app.Flag("late-replies", "Also make replicas reject requests and send replies a second time.").Bool()
+	garbled := app.Flag("garbled-replies", "Also make replicas send malformed, endless, split and early replies.").Bool()
 	dir := app.Flag("dir", "Directory of settings and logs; a new temporary directory if empty.").Default("").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	s := &soak{program: *program, seed: *seed, length: *length, hosts: *n, clients: *clients, restarts: *restarts, lateReplies: *late, dir: *dir, began: time.Now()}
+	s := &soak{program: *program, seed: *seed, length: *length, hosts: *n, clients: *clients, restarts: *restarts, lateReplies: *late, garbledReplies: *garbled, dir: *dir, began: time.Now()}
 	findings, err := s.run(context.Background())
 	if err != nil {
 		settings.Fail(os.Stderr, "soak", err)
@@ -62,6 +63,7 @@
 	hosts, clients int
 	restarts       bool
 	lateReplies    bool
+	garbledReplies bool
 	dir            string
 	began          time.Time
 	mu             sync.Mutex
@@ -95,7 +97,7 @@
 		return 0, err
 	}
 	c := check.New(w)
-	d := &faults.Driver{Rand: rand.New(rand.NewPCG(s.seed, s.seed)), World: w, Hosts: list, Check: c, Restarts: s.restarts, LateReplies: s.lateReplies, Logf: s.logf}
+	d := &faults.Driver{Rand: rand.New(rand.NewPCG(s.seed, s.seed)), World: w, Hosts: list, Check: c, Restarts: s.restarts, LateReplies: s.lateReplies, GarbledReplies: s.garbledReplies, Logf: s.logf}
 	if err := d.Setup(); err != nil {
 		return 0, err
 	}
@@ -123,6 +125,11 @@
 	for i := range s.clients {
 		all.Go(func() { client.New(i, list, c.Record).Run(ctx) })
 	}
+	for _, h := range list {
+		all.Go(func() {
+			h.WatchMemory(ctx, func(resident int) { c.MemoryExceeded(h.Name(), resident) })
+		})
+	}
 	all.Go(func() { d.Run(ctx) })
 	all.Wait()
 }
