front: Pass the address of a server's listener to kratos

Since the bounds on clients' requests the servers get a listener of ours, and without an address kratos lists the machine's network interfaces to find one, which the platform's machines refuse. No test or soak on loopback shows it, as interfaces can be listed there.

TestServerHasTheAddressOfItsListener fails before: the endpoint is another address of the machine.

--- a/entry/internal/front/servers.go
+++ b/entry/internal/front/servers.go
@@ -77,7 +77,8 @@
 		return nil, fmt.Errorf("listen for clients: %w", err)
 	}
 	accepted := acceptor.New(acceptor.Options{Clock: f.opts.Clock, Log: f.opts.Log, Listener: l, MaxConns: connLimit, Memory: f.opts.Memory})
-	srv := khttp.NewServer(khttp.Listener(accepted), khttp.Timeout(0), khttp.Filter(func(http.Handler) http.Handler { return h }))
+	// Without the address kratos looks for one among the machine's network interfaces, which a process may not list.
+	srv := khttp.NewServer(khttp.Listener(accepted), khttp.Address(addr.String()), khttp.Timeout(0), khttp.Filter(func(http.Handler) http.Handler { return h }))
 	srv.ReadHeaderTimeout, srv.MaxHeaderBytes = readHeaderTimeout, acceptor.MaxHeaderBytes
 	srv.IdleTimeout, srv.ConnState = defaultIdleTimeout, accepted.State
 	if idleLimit != nil {
