memory: Count messages of hosts and of the store in a budget of their own

Found by working out the sums: 1,800 clients with a query over 15 shards each reserve more than the whole budget of a host of 284 MB, without any fault. The messages of other hosts and of the store counted in the same budget, so that many requests could have cut off probes and watches, and a host that is merely busy would have been taken for dead.

Logs and metrics name the budget.

--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -108,8 +108,9 @@
 	// lost.
 	StoreCalls func() []frontmetrics.StoreCalls
 	LinesLost  func() uint64
-	// Memory limits the memory of messages from clients, replicas and other hosts.
-	Memory *memory.Budget
+	// Memory limits the memory of messages from clients and replicas, and of subqueries; ControlMemory that of messages from
+	// other hosts.
+	Memory, ControlMemory *memory.Budget
 	// MemoryBytes is the memory limit above which the platform kills the process.
 	MemoryBytes int64
 	// Traffic counts the bytes of the host's connections; nil means a new meter.
--- a/entry/internal/front/membership.go
+++ b/entry/internal/front/membership.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for other hosts: %w", err)
 	}
-	received := memory.ConnOptions{Budget: opts.Memory, Peer: memory.Host, Factor: hostFactor}
+	received := memory.ConnOptions{Budget: opts.ControlMemory, Peer: memory.Host, Factor: hostFactor}
 	j := &membership{
 		clock:       opts.Clock,
 		configs:     relay.NewCopy(relay.Options[route.Config]{LastGood: true, KeepAbsent: true, Older: route.Config.OlderThan}),
--- a/entry/internal/front/servers.go
+++ b/entry/internal/front/servers.go
@@ -18,9 +18,10 @@
 )
 
 const (
-	// connsRatio is the share of the memory limit for clients' connections for requests, and for those for address lookups.
-	// docs/CAPACITY.md derives it.
-	connsRatio = 1.0 / 8
+	// requestConnsRatio and lookupConnsRatio are the shares of the memory limit for clients' connections for requests and for
+	// address lookups. docs/CAPACITY.md derives them.
+	requestConnsRatio = 1.0 / 8
+	lookupConnsRatio  = 1.0 / 16
 	// connBytes is the memory of one connection with its buffers and goroutines.
 	connBytes = 20 << 10
 	// maxCheckConns is the maximum number of connections for readiness checks, and of those for metrics.
@@ -42,7 +43,7 @@
 		Runner: scatter.New(scatter.Options{Clock: f.opts.Clock, Share: f.limitShare, Quarantine: f.quarantine, Subqueries: f.subqueries(), Region: f.opts.Region}), Quarantine: f.quarantine,
 		Allowance: f.allowances.Take, Memory: f.opts.Memory, Requests: f.log, Ended: f.recordEnded, Refused: f.metrics.RecordRefused,
 	})
-	connLimit := int(connsRatio * float64(f.opts.MemoryBytes) / connBytes)
+	connLimit := func(ratio float64) int { return int(ratio * float64(f.opts.MemoryBytes) / connBytes) }
 	var list []transport.Server
 	for _, s := range []struct {
 		addr      netip.AddrPort
@@ -50,9 +51,9 @@
 		connLimit int
 		idleLimit func() time.Duration
 	}{
-		{f.opts.Front, f.drain.Filter(fwd), connLimit, f.idleLimit},
+		{f.opts.Front, f.drain.Filter(fwd), connLimit(requestConnsRatio), f.idleLimit},
 		{f.opts.Readiness, f.opts.Ready(f.ready), maxCheckConns, nil},
-		{f.opts.Directory, f.opts.Resolve(f.addresses), connLimit, nil},
+		{f.opts.Directory, f.opts.Resolve(f.addresses), connLimit(lookupConnsRatio), nil},
 		{f.opts.Metrics, f.metrics.Handler(), maxCheckConns, nil},
 	} {
 		if !s.addr.IsValid() {
--- a/entry/internal/memory/budget.go
+++ b/entry/internal/memory/budget.go
@@ -44,6 +44,8 @@
 type Options struct {
 	Clock clock.Clock
 	Log   logr.Logger
+	// Name names the budget in logs and metrics.
+	Name string
 	// Limit is the maximum number of bytes of all messages together.
 	Limit int64
 }
@@ -160,7 +162,7 @@
 		b.unlogged++
 		return
 	}
-	events.MemoryExceeded.Log(b.opts.Log, "peer", string(r.peer), "bytes", size, "held", b.held, "limit", b.opts.Limit, "more", b.unlogged)
+	events.MemoryExceeded.Log(b.opts.Log, "budget", b.opts.Name, "peer", string(r.peer), "bytes", size, "held", b.held, "limit", b.opts.Limit, "more", b.unlogged)
 	b.lastLog, b.unlogged = now, 0
 }
 
@@ -169,12 +171,17 @@
 
 // Collectors returns the metrics of the budget.
 func (b *Budget) Collectors() []prometheus.Collector {
+	if b == nil {
+		return nil
+	}
 	list := []prometheus.Collector{
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "guavaspring_messages_held_bytes", Help: "Memory of the messages from peers that the host holds."}, func() float64 { return float64(b.Held()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "guavaspring_messages_held_bytes", Help: "Memory of the messages from peers that the host holds, by budget.", ConstLabels: prometheus.Labels{"budget": b.opts.Name},
+		}, func() float64 { return float64(b.Held()) }),
 	}
 	for _, peer := range allPeers {
 		list = append(list, prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Name: "guavaspring_messages_exceeded_total", Help: "Messages cut off or refused, as messages from peers took all memory set aside for them, by kind of peer.", ConstLabels: prometheus.Labels{"peer": string(peer)},
+			Name: "guavaspring_messages_exceeded_total", Help: "Messages cut off or refused, as messages from peers took all memory set aside for them, by budget and kind of peer.", ConstLabels: prometheus.Labels{"budget": b.opts.Name, "peer": string(peer)},
 		}, func() float64 { return float64(b.countExceeded(peer)) }))
 	}
 	return list
--- a/entry/onplatform.go
+++ b/entry/onplatform.go
@@ -28,8 +28,8 @@
 // memory limit. The rest is left for memory that the collector does not account for.
 const memoryLimitRatio = 0.7
 
-// messagesRatio is the share of the process's memory limit for messages from clients, replicas, other hosts and the store.
-// docs/CAPACITY.md derives it.
+// messagesRatio is the share of the process's memory limit for messages from clients and replicas, and again for those from
+// other hosts and the store, which have to arrive also while clients send as much as they may. docs/CAPACITY.md derives it.
 const messagesRatio = 1.0 / 8
 
 // storeFactor is the memory that a received byte of the store takes: the buffer, the undecoded objects and the decoded ones.
@@ -46,9 +46,12 @@
 	seeds.Store(&s.Seeds)
 	go reload(ctx, path, seeds, log)
 	meter := &traffic.Meter{}
-	budget := memory.New(memory.Options{Clock: clock.System{}, Log: log, Limit: int64(messagesRatio * float64(s.MemoryBytes))})
+	newBudget := func(name string) *memory.Budget {
+		return memory.New(memory.Options{Clock: clock.System{}, Log: log, Name: name, Limit: int64(messagesRatio * float64(s.MemoryBytes))})
+	}
+	requests, control := newBudget("requests"), newBudget("control")
 	client := store.New(s.Store, func(conn net.Conn) net.Conn {
-		return memory.NewConn(meter.Conn(conn, traffic.Store, true), memory.ConnOptions{Budget: budget, Peer: memory.Store, Factor: storeFactor})
+		return memory.NewConn(meter.Conn(conn, traffic.Store, true), memory.ConnOptions{Budget: control, Peer: memory.Store, Factor: storeFactor})
 	})
 	f, err := front.New(front.Options{
 		Clock: clock.System{}, Log: log, Zone: s.Zone, Region: s.Region, Regions: s.Regions,
@@ -60,7 +63,7 @@
 			List: client.List, Get: client.Get, Put: client.Put, Reconnect: client.Reconnect,
 		},
 		Codec: wire.Codec(), Resolve: wire.ResolveHandler, Ready: wire.ReadyHandler,
-		Cores: s.Cores, LinkBits: s.LinkBits, Memory: budget, MemoryBytes: s.MemoryBytes,
+		Cores: s.Cores, LinkBits: s.LinkBits, Memory: requests, ControlMemory: control, MemoryBytes: s.MemoryBytes,
 		Metrics: netip.AddrPortFrom(s.Front.Addr(), metricsPort), StoreCalls: func() []frontmetrics.StoreCalls { return storeCalls(client) }, LinesLost: droppedLines, Traffic: meter,
 		Grace: s.Grace, MaxKeep: s.MaxKeep, Apply: s.ApplyConfig, Drain: s.Drain, Evacuate: s.Evacuate,
 		QuotaSlack: s.QuotaSlack, QuotaExcess: s.QuotaExcess,
