--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 SKIP = $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: all build test fmt vet lint tools unit demo bench capacity soak clean
+.PHONY: all build test fmt vet lint tools unit demo bench capacity soak fuzz clean
 
 all: build
 
@@ -62,5 +62,9 @@
 soak: build
 	scripts/soak.sh $(or $(FROM),1) $(or $(TO),50)
 
+# fuzz runs each fuzz test for a while: make fuzz TIME=30s.
+fuzz:
+	scripts/fuzz.sh $(or $(TIME),30s)
+
 clean:
 	rm -rf $(BIN) .out
