peers: Reserve messages of other hosts at their announcement

- Four bytes announce a gob message of up to 1 GB, and gob allocates up to 10 MB at once: 200 connections with one announcement each allocate 1,802 MB, and 177 MB with announcements within the bound of a message (1 MB).
Counting what arrives comes too late.
- A connection whose messages exceeded a limit stayed open until the last call on it had ended; 20,000 calls sent at once on one connection all ran.

Change: the lengths in the stream are read before gob sees them; a message over its bound, or without memory, closes the connection at once. Each message counts four times its length and 4 KB for what handles it, from its announcement until the next write after it is complete. Peers reserves itself now; the wrapper of package memory stays for the store, whose replies have no such lengths.

Weighed: a codec of our own, which would also see the end of each call (it copies two unexported types of net/rpc; not needed for hosts that run this program), and a smaller bound for messages alone (256 connections times the replica list of a large fleet is still over a small host's memory).

Not covered: calls that run when their connection is closed stay in memory until they end, and a host that connects again on purpose may start as many more.

--- a/entry/internal/front/membership.go
+++ b/entry/internal/front/membership.go
@@ -18,7 +18,6 @@
 	"guavaspring.org/entry/internal/listing"
 	"guavaspring.org/entry/internal/member"
 	"guavaspring.org/entry/internal/memberlog"
-	"guavaspring.org/entry/internal/memory"
 	"guavaspring.org/entry/internal/peers"
 	"guavaspring.org/entry/internal/placement"
 	"guavaspring.org/entry/internal/relay"
@@ -69,7 +68,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for other hosts: %w", err)
 	}
-	received := memory.ConnOptions{Budget: opts.ControlMemory, Peer: memory.Host, Factor: hostFactor}
 	j := &membership{
 		clock:       opts.Clock,
 		configs:     relay.NewCopy(relay.Options[route.Config]{LastGood: true, KeepAbsent: true, Older: route.Config.OlderThan}),
@@ -88,13 +86,13 @@
 	})
 	j.rumors = rumor.New(opts.Clock, func() int { return len(j.list.Hosts()) })
 	j.peers, err = peers.New(peers.Options{
-		Clock: opts.Clock, Log: opts.Log, Listener: memory.NewListener(l, received), List: j.list, Rand: member.NewRand(),
+		Clock: opts.Clock, Log: opts.Log, Listener: l, Memory: opts.ControlMemory, List: j.list, Rand: member.NewRand(),
 		// Documents and replica lists, which hosts of package host exchange, are not shared here: the configuration and
 		// the replicas come from the platform's store.
 		Store: accepted.New(func(accepted.Generation) {}), Listing: listing.New(opts.Clock), Replicas: func() []platform.Replica { return nil },
 		Services: services, Rumors: j.rumors,
 		Opened: func(c net.Conn, addr netip.AddrPort, use peers.Use) net.Conn {
-			return memory.NewConn(opts.Traffic.Conn(c, trafficCauses[use], j.crossesZone(addr)), received)
+			return opts.Traffic.Conn(c, trafficCauses[use], j.crossesZone(addr))
 		},
 		Watched:  func() []member.Host { return j.currentView().watched },
 		Contacts: func() []netip.AddrPort { return append(j.directory.Contacts(), opts.Seeds()...) },
@@ -113,8 +111,6 @@
 }
 
 const (
-	// hostFactor is the memory that a received byte of another host takes: the buffer and the decoded message.
-	hostFactor = 4
 	// seedTimeout is the time for the seed hosts of the settings to answer before other hosts are looked up in the store.
 	// The seed hosts may start a third of a second after the others, and then have hundreds of hosts to answer.
 	seedTimeout = 2 * time.Second
--- a/entry/internal/memory/conn.go
+++ b/entry/internal/memory/conn.go
@@ -74,23 +74,3 @@
 	c.message.Release()
 	c.message, c.closed = nil, c.closed || closed
 }
-
-// Listener accepts connections as Conn.
-type Listener struct {
-	net.Listener
-	opts ConnOptions
-}
-
-// NewListener returns a listener that accepts the connections of l.
-func NewListener(l net.Listener, opts ConnOptions) *Listener {
-	return &Listener{Listener: l, opts: opts}
-}
-
-// Accept returns the next connection.
-func (l *Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return NewConn(c, l.opts), nil
-}
--- a/entry/internal/memory/conn_test.go
+++ b/entry/internal/memory/conn_test.go
@@ -16,21 +16,21 @@
 	"guavaspring.org/entry/internal/replicatest"
 )
 
-// Guards against messages of other hosts or of the store that together take a host over its memory, and against connections
-// that fail in the end since bytes stay counted.
+// Guards against messages of the store that together take a host over its memory, and against connections that fail in the
+// end since bytes stay counted.
 func TestMessagesOnConnectionsStayWithinTheMemory(t *testing.T) {
 	const limit = 4 << 20
 	synctest.Test(t, func(t *testing.T) {
 		b := newBudget(limit)
 		l := replicatest.NewListener()
 		defer func() { _ = l.Close() }()
-		accepted := memory.NewListener(l, memory.ConnOptions{Budget: b, Peer: memory.Host, Factor: 4})
 		go func() {
 			for {
-				c, err := accepted.Accept()
+				accepted, err := l.Accept()
 				if err != nil {
 					return
 				}
+				c := memory.NewConn(accepted, memory.ConnOptions{Budget: b, Peer: memory.Store, Factor: 4})
 				go func() {
 					defer c.Close()
 					_, _ = io.Copy(io.Discard, c)
@@ -79,11 +79,11 @@
 	return nil
 }
 
-// Guards against bytes of answered messages that stay counted: hosts use their connections for days.
+// Guards against bytes of answered messages that stay counted: connections are used for days.
 func TestAnsweredMessagesAreReleased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBudget(megabyte)
-		opts := memory.ConnOptions{Budget: b, Peer: memory.Host, Factor: 4}
+		opts := memory.ConnOptions{Budget: b, Peer: memory.Store, Factor: 4}
 		here, there := net.Pipe()
 		srv := rpc.NewServer()
 		qt.Assert(t, srv.RegisterName("Echo", echo{}), qt.IsNil)
--- a/entry/internal/memory/reservation.go
+++ b/entry/internal/memory/reservation.go
@@ -48,8 +48,8 @@
 	return err
 }
 
-// shrink subtracts n bytes.
-func (r *Reservation) shrink(n int64) {
+// Shrink subtracts n bytes.
+func (r *Reservation) Shrink(n int64) {
 	if r == nil {
 		return
 	}
@@ -153,6 +153,6 @@
 	}
 	grown := make([]byte, len(buf), want)
 	copy(grown, buf)
-	r.shrink(old)
+	r.Shrink(old)
 	return grown, nil
 }
--- a/entry/internal/peers/conn.go
+++ b/entry/internal/peers/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"guavaspring.org/entry/internal/memory"
 )
 
 // idleTimeout is the time without received bytes after which a connection is closed. A neighbour sends every few
@@ -32,8 +34,9 @@
 // countedConn counts the bytes of a connection and fails reads when it is idle for too long or a message is too large.
 type countedConn struct {
 	net.Conn
-	t     *traffic
-	limit int64
+	t        *traffic
+	limit    int64
+	received received
 	// readSinceWrite is the number of bytes read since the last write.
 	readSinceWrite atomic.Int64
 	// lastUsed is the time of the last read or write, in nanoseconds of the monotonic clock since clockStart;
@@ -45,11 +48,25 @@
 // clockStart is the zero point of lastUsed.
 var clockStart = time.Now()
 
-// newCountedConn wraps a newly opened connection; limit bounds the bytes of one message.
-func newCountedConn(c net.Conn, t *traffic, limit int64) *countedConn {
-	n := &countedConn{Conn: c, t: t, limit: limit}
+// newCountedConn wraps a newly opened connection, and closes it if the budget is exceeded; limit bounds the bytes of one
+// message.
+func newCountedConn(c net.Conn, t *traffic, limit int64, budget *memory.Budget) (*countedConn, error) {
+	reserved, err := budget.Reserve(memory.Host)
+	if err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	reserved.OnCut(func() { _ = c.Close() })
+	n := &countedConn{Conn: c, t: t, limit: limit, received: received{maxLength: limit, reserved: reserved}}
 	n.touch()
-	return n
+	return n, nil
+}
+
+// Close closes the connection and releases its messages.
+func (c *countedConn) Close() error {
+	err := c.Conn.Close()
+	c.received.reserved.Release()
+	return err
 }
 
 func (c *countedConn) touch() { c.lastUsed.Store(int64(time.Since(clockStart))) }
@@ -67,8 +84,14 @@
 	}
 	c.t.received.Add(int64(n))
 	c.t.reads.Add(1)
+	exceeded := c.received.add(b[:n])
 	if c.readSinceWrite.Add(int64(n)) > c.limit {
-		return 0, errTooLarge
+		exceeded = errTooLarge
+	}
+	if exceeded != nil {
+		// The server closes the connection only once all calls on it have ended. Their memory stays reserved until then.
+		_ = c.Conn.Close()
+		return 0, exceeded
 	}
 	return n, err
 }
@@ -79,6 +102,7 @@
 		return 0, err
 	}
 	c.readSinceWrite.Store(0)
+	c.received.written()
 	n, err := c.Conn.Write(b)
 	c.touch()
 	c.t.sent.Add(int64(n))
--- a/entry/internal/peers/peers.go
+++ b/entry/internal/peers/peers.go
@@ -18,6 +18,7 @@
 	"guavaspring.org/entry/internal/accepted"
 	"guavaspring.org/entry/internal/listing"
 	"guavaspring.org/entry/internal/member"
+	"guavaspring.org/entry/internal/memory"
 	"guavaspring.org/entry/internal/rumor"
 )
 
@@ -62,6 +63,8 @@
 	Watched func() []member.Host
 	// Services holds additional net/rpc services for the other hosts, by name.
 	Services map[string]any
+	// Memory limits the memory of messages from other hosts; nil means no limit.
+	Memory *memory.Budget
 	// Dial opens a connection to another host; nil means TCP.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	// Opened wraps a new connection to another host; nil leaves it unwrapped.
@@ -100,10 +103,10 @@
 	if opts.Opened == nil {
 		opts.Opened = func(c net.Conn, _ netip.AddrPort, _ Use) net.Conn { return c }
 	}
-	p.pool = newPool(opts.Clock, &p.traffic, dialer(opts, UseProbe))
-	p.longPollPool = newPool(opts.Clock, &p.traffic, dialer(opts, UseLongPoll))
-	p.concurrentPool = newPool(opts.Clock, &p.traffic, dialer(opts, UseConcurrent))
-	srv, err := newServer(&Methods{p: p}, &p.traffic)
+	p.pool = newPool(opts.Clock, &p.traffic, opts.Memory, dialer(opts, UseProbe))
+	p.longPollPool = newPool(opts.Clock, &p.traffic, opts.Memory, dialer(opts, UseLongPoll))
+	p.concurrentPool = newPool(opts.Clock, &p.traffic, opts.Memory, dialer(opts, UseConcurrent))
+	srv, err := newServer(&Methods{p: p}, &p.traffic, opts.Memory)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/internal/peers/pool.go
+++ b/entry/internal/peers/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"guavaspring.org/core/clock"
+	"guavaspring.org/entry/internal/memory"
 )
 
 const (
@@ -28,6 +29,8 @@
 	clock clock.Clock
 	t     *traffic
 	dial  func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	// budget limits the memory of the replies; nil means no limit.
+	budget *memory.Budget
 
 	mu      sync.Mutex
 	clients map[netip.AddrPort]*client
@@ -39,8 +42,8 @@
 	lastUsed time.Time
 }
 
-func newPool(c clock.Clock, t *traffic, dial func(context.Context, netip.AddrPort) (net.Conn, error)) *pool {
-	return &pool{clock: c, t: t, dial: dial, clients: map[netip.AddrPort]*client{}}
+func newPool(c clock.Clock, t *traffic, budget *memory.Budget, dial func(context.Context, netip.AddrPort) (net.Conn, error)) *pool {
+	return &pool{clock: c, t: t, budget: budget, dial: dial, clients: map[netip.AddrPort]*client{}}
 }
 
 func dialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
@@ -101,7 +104,10 @@
 		return nil, fmt.Errorf("peer %s: %w", addr, err)
 	}
 	p.t.dials.Add(1)
-	nc := newCountedConn(conn, p.t, maxReply)
+	nc, err := newCountedConn(conn, p.t, maxReply, p.budget)
+	if err != nil {
+		return nil, fmt.Errorf("peer %s: %w", addr, err)
+	}
 	fresh := &client{rpc: rpc.NewClient(nc), conn: nc, lastUsed: p.clock.Now()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/entry/internal/peers/server.go
+++ b/entry/internal/peers/server.go
@@ -8,6 +8,8 @@
 	"net/rpc"
 	"sync"
 	"time"
+
+	"guavaspring.org/entry/internal/memory"
 )
 
 // maxServerConns bounds the connections of other hosts to this one. About eight hosts probe it, eight receive news from
@@ -21,14 +23,16 @@
 type server struct {
 	rpc *rpc.Server
 	t   *traffic
+	// budget limits the memory of the requests; nil means no limit.
+	budget *memory.Budget
 
 	mu       sync.Mutex
 	conns    map[*countedConn]bool
 	handlers sync.WaitGroup
 }
 
-func newServer(methods any, t *traffic) (*server, error) {
-	s := &server{rpc: rpc.NewServer(), t: t, conns: map[*countedConn]bool{}}
+func newServer(methods any, t *traffic, budget *memory.Budget) (*server, error) {
+	s := &server{rpc: rpc.NewServer(), t: t, budget: budget, conns: map[*countedConn]bool{}}
 	if err := s.rpc.RegisterName("Peers", methods); err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
@@ -48,7 +52,11 @@
 			s.pause(ctx)
 			continue
 		}
-		c := newCountedConn(conn, s.t, maxRequest)
+		c, err := newCountedConn(conn, s.t, maxRequest, s.budget)
+		if err != nil {
+			// The budget logs that it is exceeded.
+			continue
+		}
 		s.addConn(c)
 		s.handlers.Go(func() {
 			s.rpc.ServeConn(c)
