--- a/entry/internal/memory/conn_test.go
+++ b/entry/internal/memory/conn_test.go
@@ -32,7 +32,7 @@
 				}
 				c := memory.NewConn(accepted, memory.ConnOptions{Budget: b, Peer: memory.Store, Factor: 4})
 				go func() {
-					defer c.Close()
+					defer func() { _ = c.Close() }()
 					_, _ = io.Copy(io.Discard, c)
 				}()
 			}
