--- a/soak/internal/faults/driver.go
+++ b/soak/internal/faults/driver.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"guavaspring.org/soak/internal/check"
+	"guavaspring.org/soak/internal/client"
 	"guavaspring.org/soak/internal/hosts"
 	"guavaspring.org/soak/internal/proxy"
 	"guavaspring.org/soak/internal/world"
@@ -26,6 +27,9 @@
 	lateReplyFaults = 3
 	// garbledReplyFaults is the number of faults of which one garbles replies, if enabled.
 	garbledReplyFaults = 2
+	// floodFaults is the number of faults of which one floods a host with unfinished requests, if enabled, and floodConns the
+	// number of connections of a flood.
+	floodFaults, floodConns = 3, 2000
 	// drainTime is how long a draining replica may still receive requests.
 	drainTime = 3 * time.Second
 	// grace is the time between SIGTERM and SIGKILL, and the maximum wait for a killed process to exit.
@@ -47,6 +51,9 @@
 	// GarbledReplies enables the fault that garbles replies. Without it a seed produces the faults that it would produce if this
 	// one did not exist.
 	GarbledReplies bool
+	// UnfinishedRequests enables the fault that floods a host with unfinished requests. Without it a seed produces the faults
+	// that it would produce if this one did not exist.
+	UnfinishedRequests bool
 	// Logf logs each fault and change.
 	Logf func(format string, args ...any)
 
@@ -109,6 +116,9 @@
 		faulty := d.Rand.Perm(len(list))[:1+d.Rand.IntN(len(list)/2)]
 		return func(context.Context) { d.garble(list, faulty, how, t) }
 	}
+	if d.UnfinishedRequests && d.Rand.IntN(floodFaults) == 0 {
+		return func(ctx context.Context) { d.flood(ctx, h, t) }
+	}
 	switch d.Rand.IntN(9) {
 	case 0:
 		return func(ctx context.Context) { d.kill(ctx, h, t) }
@@ -228,6 +238,16 @@
 	all.Wait()
 }
 
+// flood sends unfinished requests to a host.
+func (d *Driver) flood(ctx context.Context, h *hosts.Host, t time.Duration) {
+	d.Logf("%d unfinished requests to %s for %v", floodConns, h.Name(), t)
+	h.Disturb()
+	ctx, cancel := context.WithTimeout(ctx, t)
+	defer cancel()
+	client.Flood(ctx, h.Front(), floodConns)
+	h.Disturb()
+}
+
 func (d *Driver) disturbAll() {
 	for _, h := range d.Hosts {
 		h.Disturb()
--- a/soak/internal/hosts/host.go
+++ b/soak/internal/hosts/host.go
@@ -37,6 +37,8 @@
 	incarnation int
 	disturbed   time.Time
 	ended       chan struct{}
+	// mostMemory is the highest resident memory that WatchMemory has seen, in bytes.
+	mostMemory int
 }
 
 // New returns a host without a process; Start runs it.
--- a/soak/internal/hosts/memory.go
+++ b/soak/internal/hosts/memory.go
@@ -27,6 +27,7 @@
 			return
 		}
 		resident := h.residentMemory()
+		h.recordMemory(resident)
 		if resident <= MemoryLimit {
 			continue
 		}
@@ -39,6 +40,19 @@
 	}
 }
 
+func (h *Host) recordMemory(resident int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.mostMemory = max(h.mostMemory, resident)
+}
+
+// MostMemory returns the highest resident memory that WatchMemory has seen, in bytes.
+func (h *Host) MostMemory() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.mostMemory
+}
+
 // residentMemory returns the resident memory of the process in bytes, zero if there is none.
 func (h *Host) residentMemory() int {
 	h.mu.Lock()
--- a/soak/main.go
+++ b/soak/main.go
@@ -44,9 +44,10 @@
 	restarts := app.Flag("restarts", "Also kill replicas, which restart under the same id.").Bool()
 	late := app.Flag("late-replies", "Also make replicas reject requests and send replies a second time.").Bool()
 	garbled := app.Flag("garbled-replies", "Also make replicas send malformed, endless, split and early replies.").Bool()
+	unfinished := app.Flag("unfinished-requests", "Also flood hosts with unfinished requests.").Bool()
 	dir := app.Flag("dir", "Directory of settings and logs; a new temporary directory if empty.").Default("").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	s := &soak{program: *program, seed: *seed, length: *length, hosts: *n, clients: *clients, restarts: *restarts, lateReplies: *late, garbledReplies: *garbled, dir: *dir, began: time.Now()}
+	s := &soak{program: *program, seed: *seed, length: *length, hosts: *n, clients: *clients, restarts: *restarts, lateReplies: *late, garbledReplies: *garbled, unfinishedRequests: *unfinished, dir: *dir, began: time.Now()}
 	findings, err := s.run(context.Background())
 	if err != nil {
 		settings.Fail(os.Stderr, "soak", err)
@@ -64,9 +65,11 @@
 	restarts       bool
 	lateReplies    bool
 	garbledReplies bool
-	dir            string
-	began          time.Time
-	mu             sync.Mutex
+	// unfinishedRequests adds floods of unfinished requests.
+	unfinishedRequests bool
+	dir                string
+	began              time.Time
+	mu                 sync.Mutex
 }
 
 // logf prints one line with the time since the start in seconds.
@@ -97,7 +100,7 @@
 		return 0, err
 	}
 	c := check.New(w)
-	d := &faults.Driver{Rand: rand.New(rand.NewPCG(s.seed, s.seed)), World: w, Hosts: list, Check: c, Restarts: s.restarts, LateReplies: s.lateReplies, GarbledReplies: s.garbledReplies, Logf: s.logf}
+	d := &faults.Driver{Rand: rand.New(rand.NewPCG(s.seed, s.seed)), World: w, Hosts: list, Check: c, Restarts: s.restarts, LateReplies: s.lateReplies, GarbledReplies: s.garbledReplies, UnfinishedRequests: s.unfinishedRequests, Logf: s.logf}
 	if err := d.Setup(); err != nil {
 		return 0, err
 	}
@@ -113,7 +116,11 @@
 	for _, f := range findings {
 		s.logf("FINDING %s", f)
 	}
-	s.logf("seed %d: %d findings; outcomes %v; logs in %s", s.seed, len(findings), counts, filepath.Clean(s.dir))
+	most := 0
+	for _, h := range list {
+		most = max(most, h.MostMemory())
+	}
+	s.logf("seed %d: %d findings; outcomes %v; most memory %d MB; logs in %s", s.seed, len(findings), counts, most>>20, filepath.Clean(s.dir))
 	return len(findings), nil
 }
 
--- a/soak/main_test.go
+++ b/soak/main_test.go
@@ -10,19 +10,24 @@
 )
 
 // Four real hosts serve twelve clients while processes are killed, stopped and paused, links drop traffic, and replicas
-// reject requests, reply twice, and send malformed, endless, split and early replies. Seeds that have ever produced findings stay in the table.
+// reject requests, reply twice, and send malformed, endless, split and early replies, and clients flood hosts with unfinished
+// requests. Seeds that have ever produced findings stay in the table.
 func TestSeeds(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "entry")
 	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "../entry").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
 	tests := []struct {
-		seed           uint64
-		restarts       bool
-		lateReplies    bool
-		garbledReplies bool
-	}{{1, false, false, false}, {2, true, false, false}, {3, false, true, false}, {4, false, false, true}}
+		seed               uint64
+		restarts           bool
+		lateReplies        bool
+		garbledReplies     bool
+		unfinishedRequests bool
+	}{{1, false, false, false, false}, {2, true, false, false, false}, {3, false, true, false, false}, {4, false, false, true, false}, {3, false, false, false, true}}
 	for _, test := range tests {
-		s := &soak{program: program, seed: test.seed, length: 15 * time.Second, hosts: 4, clients: 12, restarts: test.restarts, lateReplies: test.lateReplies, garbledReplies: test.garbledReplies, dir: t.TempDir(), began: time.Now()}
+		s := &soak{
+			program: program, seed: test.seed, length: 15 * time.Second, hosts: 4, clients: 12, dir: t.TempDir(), began: time.Now(),
+			restarts: test.restarts, lateReplies: test.lateReplies, garbledReplies: test.garbledReplies, unfinishedRequests: test.unfinishedRequests,
+		}
 		findings, err := s.run(t.Context())
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, findings, qt.Equals, 0, qt.Commentf("seed %d", test.seed))
