store: Reserve the objects of a list

Found by working out the sum for docs/CAPACITY.md: the memory of a reply of the store is released with the next call, but a list keeps the objects of all its pages; three kinds of 16 MB are 48 MB, which a host of 136 MB does not have beside the rest. A list reserves its objects in the control budget now, until it has ended, besides its own bound.

--- a/entry/onplatform.go
+++ b/entry/onplatform.go
@@ -53,6 +53,7 @@
 	client := store.New(s.Store, func(conn net.Conn) net.Conn {
 		return memory.NewConn(meter.Conn(conn, traffic.Store, true), memory.ConnOptions{Budget: control, Peer: memory.Store, Factor: storeFactor})
 	})
+	client.Reserve = func() (func(bytes int) error, func()) { return reserveList(control) }
 	f, err := front.New(front.Options{
 		Clock: clock.System{}, Log: log, Zone: s.Zone, Region: s.Region, Regions: s.Regions,
 		Front: s.Front, Readiness: s.Readiness, Directory: s.Directory, Peer: s.Peer,
@@ -75,6 +76,15 @@
 	return f.Run(ctx)
 }
 
+// reserveList returns the functions that reserve and release the memory of one list of the store's objects.
+func reserveList(control *memory.Budget) (grow func(bytes int) error, release func()) {
+	list, err := control.Reserve(memory.Store)
+	if err != nil {
+		return func(int) error { return err }, func() {}
+	}
+	return func(bytes int) error { return list.Grow(int64(bytes)) }, list.Release
+}
+
 // storeCalls returns the number of calls to the store, by purpose.
 func storeCalls(client *store.Client) []frontmetrics.StoreCalls {
 	list := make([]frontmetrics.StoreCalls, len(store.AllCalls))
