memory: Leave messages alone that have become small

Found by reading the change: a connection of another host whose large message had been answered stayed among those that may be cut off, and was closed for a small message at the limit, which frees next to nothing (TestSmallMessageIsNotCutOff fails before).

--- a/entry/internal/memory/budget_test.go
+++ b/entry/internal/memory/budget_test.go
@@ -132,6 +132,21 @@
 	qt.Check(t, other.Grow(200*kilobyte), qt.IsNil)
 }
 
+// Guards against a connection of another host that is cut off although it holds little: a large message on it was answered.
+func TestSmallMessageIsNotCutOff(t *testing.T) {
+	b := newBudget(64 * kilobyte)
+	m, err := b.Reserve(memory.Host)
+	qt.Assert(t, err, qt.IsNil)
+	m.OnCut(func() { t.Error("a small message was cut off") })
+	qt.Assert(t, m.Grow(20*kilobyte), qt.IsNil)
+	m.Shrink(16 * kilobyte)
+	for err == nil {
+		_, err = b.Reserve(memory.Host)
+	}
+	qt.Check(t, err, qt.ErrorIs, memory.ErrExceeded)
+	qt.Check(t, m.Err(), qt.IsNil)
+}
+
 // Guards against memory that is never counted as free: a reply that comes once its request has ended has no one to release
 // it.
 func TestReplyAfterItsRequestIsReleased(t *testing.T) {
--- a/entry/internal/memory/reservation.go
+++ b/entry/internal/memory/reservation.go
@@ -62,6 +62,9 @@
 	b.held -= n
 	b.large -= largeBytes(r.bytes) - largeBytes(r.bytes-n)
 	r.bytes -= n
+	if r.bytes <= smallBytes {
+		delete(b.receiving, r)
+	}
 }
 
 // Err returns ErrExceeded if the message was cut off.
