--- a/entry/internal/exchange/limits_test.go
+++ b/entry/internal/exchange/limits_test.go
@@ -203,7 +203,7 @@
 	})
 }
 
-// Guards against cutting off the wrong call: the largest reply was complete when it was chosen to make room, and its
+// Guards against cutting off the wrong call: the largest reply was complete when it was selected to make room, and its
 // connection carries the next call already.
 func TestCutAfterTheReplyLeavesTheNextCallAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
