--- a/entry/internal/exchange/limits_test.go
+++ b/entry/internal/exchange/limits_test.go
@@ -41,6 +41,21 @@
 	return n, err
 }
 
+// newCountedPool returns a pool of connections to r, and the number of bytes that are read from them.
+func newCountedPool(f *replicatest.Farm, r *replicatest.Replica) (*exchange.Pool, *atomic.Int64) {
+	codec, read := wire.Codec(), &atomic.Int64{}
+	return exchange.New(exchange.Options{
+		Clock: clock.System{}, Addr: r.Row.Addr, Codec: &codec, Dial: f.Dial,
+		Opened: func(c net.Conn) net.Conn { return countedConn{Conn: c, read: read} },
+	}), read
+}
+
+// newLimitedPool returns a pool of connections to r whose replies stay within the budget.
+func newLimitedPool(f *replicatest.Farm, r *replicatest.Replica, budget *memory.Budget) *exchange.Pool {
+	codec := wire.Codec()
+	return exchange.New(exchange.Options{Clock: clock.System{}, Addr: r.Row.Addr, Codec: &codec, Dial: f.Dial, Memory: budget})
+}
+
 // Guards against a host that runs out of memory, and loses all its requests, because one replica sends a reply without end:
 // each part of a reply must be bound by itself, and the call must fail as soon as the bound is reached.
 func TestReplyWithoutEndIsCutOff(t *testing.T) {
@@ -80,12 +95,7 @@
 				r := f.Add("a", 1, func(*http.Request, []byte) replicatest.Answer {
 					return replicatest.Answer{Raw: []byte(test.raw), Repeat: []byte(test.repeat), RepeatBytes: replica}
 				})
-				var read atomic.Int64
-				codec := wire.Codec()
-				p := exchange.New(exchange.Options{
-					Clock: clock.System{}, Addr: r.Row.Addr, Codec: &codec, Dial: f.Dial,
-					Opened: func(c net.Conn) net.Conn { return countedConn{Conn: c, read: &read} },
-				})
+				p, read := newCountedPool(f, r)
 				defer p.Close()
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 				defer cancel()
@@ -110,12 +120,7 @@
 			id := platformtest.ReadRequestHeader(req).ID
 			return replicatest.Answer{Raw: platformtest.Reply(200, id, "s", []byte(id)), Repeat: bytes.Repeat([]byte("x"), 32<<10), RepeatBytes: 64 << 20}
 		})
-		var read atomic.Int64
-		codec := wire.Codec()
-		p := exchange.New(exchange.Options{
-			Clock: clock.System{}, Addr: r.Row.Addr, Codec: &codec, Dial: f.Dial,
-			Opened: func(c net.Conn) net.Conn { return countedConn{Conn: c, read: &read} },
-		})
+		p, read := newCountedPool(f, r)
 		defer p.Close()
 		for _, id := range []string{"one", "two"} {
 			res := p.Do(t.Context(), call(id))
@@ -171,11 +176,7 @@
 		})
 		budget := memory.New(memory.Options{Clock: clock.System{}, Log: logr.Discard(), Limit: limit})
 		most := int64(0)
-		pool := func(r *replicatest.Replica) *exchange.Pool {
-			codec := wire.Codec()
-			return exchange.New(exchange.Options{Clock: clock.System{}, Addr: r.Row.Addr, Codec: &codec, Dial: f.Dial, Memory: budget})
-		}
-		faultyPool, soundPool := pool(faulty), pool(sound)
+		faultyPool, soundPool := newLimitedPool(f, faulty, budget), newLimitedPool(f, sound, budget)
 		defer faultyPool.Close()
 		defer soundPool.Close()
 		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
@@ -213,8 +214,7 @@
 			return replicatest.Answer{After: 10 * time.Millisecond, Raw: platformtest.Reply(200, id, "s", bytes.Repeat([]byte("y"), 100_000))}
 		})
 		budget := memory.New(memory.Options{Clock: clock.System{}, Log: logr.Discard(), Limit: 1 << 20})
-		codec := wire.Codec()
-		p := exchange.New(exchange.Options{Clock: clock.System{}, Addr: r.Row.Addr, Codec: &codec, Dial: f.Dial, Memory: budget})
+		p := newLimitedPool(f, r, budget)
 		defer p.Close()
 		for n := range 50 {
 			res := p.Do(t.Context(), call(strconv.Itoa(n)))
