--- a/review/world/poison.go
+++ b/review/world/poison.go
@@ -7,17 +7,6 @@
 	"time"
 )
 
-// smallBounds are the bounds of the site file offcut-search.toml.
-func smallBounds() map[string]any {
-	return map[string]any{
-		"seedLagS": 3, "reuseDelayS": 2, "stabilityWindowMs": 4000, "ackMs": 5000, "catchupS": 4, "drainMs": 3000, "graceS": 6, "lossSlackMs": 200,
-		"configApplyMs": 3000, "rollbackSlackMs": 250, "maxStretchMs": 12000, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retryBudgetSlack": 52,
-		"recoverS": 12, "ttl_max_s": 5,
-	}
-}
-
-const baseContracts = `"base","drain","config","cost","retry","recover","scatter","platform"`
-
 // poison sends a request again and again that crashes the replica that begins to run it.
 func poison(dir string) (int, error) {
 	const (
@@ -26,7 +15,7 @@
 		stabilityWindow = 4 * time.Second
 		maxRetries      = 3
 	)
-	w, err := newWorld(dir, settings{bounds: smallBounds(), contracts: baseContracts, zones: []string{"osborne-hall", "picton-shed", "webberton-room"}, hosts: 3})
+	w, err := newWorld(dir, settings{zones: []string{"osborne-hall", "picton-shed", "webberton-room"}, hosts: 3})
 	if err != nil {
 		return failed, err
 	}
@@ -35,14 +24,7 @@
 	for i := range 9 {
 		w.newReplica(fmt.Sprintf("i-desk%d", i), "donor-desk", zones[i%3], 6, 20*time.Millisecond)
 	}
-	w.store.put("config", "main", map[string]any{
-		"version": 7,
-		"routes": []any{
-			map[string]any{"name": "r-drop", "host": "offcut.example", "pathPrefix": "/drop/", "type": "non_idempotent", "timeoutMs": 8000, "targetLatencyMs": 800, "priority": 1, "service": "donor-desk", "attempts": 2},
-		},
-		"services": []any{map[string]any{"name": "donor-desk", "healthPath": "/healthz", "maxConns": 96, "protocol": "h1", "tls": false, "coldS": 3.0, "coldPerS": 0.0}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 5000, "idleTimeoutMs": 20000},
-	})
+	w.store.put("config", "main", file("poison-7.json"))
 	const bad = "drop-off 4711: ten bags of remnants"
 	if w.trouble {
 		w.crashes = func(body string) bool { return body == bad }
--- a/review/world/popular.go
+++ b/review/world/popular.go
@@ -12,13 +12,13 @@
 func popular(dir string) (int, error) {
 	const (
 		downFor = 3 * time.Second
-		// steadyAfter is the time after the servers are back from which the state counts as steady; stabilityWindowMs is 4 s.
+		// steadyAfter is the time after the servers are back from which the state counts as steady; the stability window is 4 s.
 		steadyAfter = 5 * time.Second
 		judgedFor   = 30 * time.Second
 		minRequests = 20
 	)
 	zones := []string{"leeds-hall", "derby-hall", "bristol-hall"}
-	w, err := newWorld(dir, settings{bounds: smallBounds(), contracts: baseContracts, zones: zones, hosts: 3})
+	w, err := newWorld(dir, settings{zones: zones, hosts: 3})
 	if err != nil {
 		return failed, err
 	}
@@ -26,21 +26,11 @@
 	for i := range 20 {
 		w.newReplica(fmt.Sprintf("i-desk%d", i), "ticket-desk", zones[i%3], 4, 220*time.Millisecond)
 	}
-	route := func(name, prefix string) map[string]any {
-		return map[string]any{"name": name, "host": "qw.example", "pathPrefix": prefix, "type": "idempotent", "timeoutMs": 5000, "targetLatencyMs": 800, "priority": 1, "service": "ticket-desk", "attempts": 2}
-	}
-	manifest := func(version int, routes ...any) map[string]any {
-		return map[string]any{
-			"version": version, "routes": routes,
-			"services": []any{map[string]any{"name": "ticket-desk", "healthPath": "/healthz", "maxConns": 43, "protocol": "h1", "tls": false, "coldS": 3.0, "coldPerS": 0.0}},
-			"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 5000, "idleTimeoutMs": 20000},
-		}
-	}
-	w.store.put("config", "main", manifest(7, route("r-ticket", "/ticket/")))
+	w.store.put("config", "main", file("popular-7.json"))
 	if err := w.startAll(); err != nil {
 		return failed, err
 	}
-	w.store.put("config", "main", manifest(9, route("r-ticket", "/ticket/"), route("r-board", "/board/")))
+	w.store.put("config", "main", file("popular-9.json"))
 	w.log("version 9 adds the route /board/")
 	time.Sleep(4 * time.Second)
 	type outcome struct {
--- a/review/world/replica.go
+++ b/review/world/replica.go
@@ -43,13 +43,10 @@
 	queued   int
 	free     chan struct{}
 	lifetime int
-	// coldLeft is what the replica says in coldLeftMs at its next start.
-	coldLeft time.Duration
-	state    string
 }
 
 func (w *world) newReplica(id, service, zone string, slots int, work time.Duration) *replica {
-	r := &replica{world: w, id: id, service: service, zone: zone, slots: slots, work: work, conns: map[net.Conn]bool{}, state: "ready"}
+	r := &replica{world: w, id: id, service: service, zone: zone, slots: slots, work: work, conns: map[net.Conn]bool{}}
 	if err := r.start(); err != nil {
 		panic(err)
 	}
@@ -91,10 +88,7 @@
 
 func (r *replica) register() {
 	r.mu.Lock()
-	spec := map[string]any{
-		"service": r.service, "addr": r.addr, "zone": r.zone, "version": "v1", "slots": r.slots, "state": r.state,
-		"coldLeftMs": r.coldLeft.Milliseconds(), "seq": 1, "born": time.Now().UnixMilli(),
-	}
+	spec := fill(file("server.txt"), "SERVICE", r.service, "ADDR", r.addr, "ZONE", r.zone, "SLOTS", strconv.Itoa(r.slots), "BORN", strconv.FormatInt(time.Now().UnixMilli(), 10))
 	r.mu.Unlock()
 	r.world.store.put("servers", r.id, spec)
 }
@@ -137,14 +131,14 @@
 }
 
 func (r *replica) serve(w http.ResponseWriter, q *http.Request, lifetime int) {
-	id := q.Header.Get("Request-Id")
+	id := q.Header.Get(name("request_id"))
 	w.Header().Set("Keep-Alive", "timeout=30")
 	if q.URL.Path == "/healthz" {
-		w.Header().Set("Instance-Id", r.id)
+		w.Header().Set(name("instance"), r.id)
 		return
 	}
-	if target := q.Header.Get("Target-Instance"); target != "" && target != r.id {
-		w.Header().Set("Instance-Id", r.id)
+	if target := q.Header.Get(name("target")); target != "" && target != r.id {
+		w.Header().Set(name("instance"), r.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -155,11 +149,11 @@
 	host, _, _ := net.SplitHostPort(q.RemoteAddr)
 	a := &arrival{at: time.Now(), replica: r.id, service: r.service, zone: r.zone, id: id, body: string(body), tenant: q.Header.Get("Tenant"), host: host}
 	r.world.arrived(a)
-	w.Header().Set("Request-Id", id)
+	w.Header().Set(name("request_id"), id)
 	r.mu.Lock()
 	if r.queued >= r.slots*4 {
 		r.mu.Unlock()
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(name("not_run"), "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -168,13 +162,13 @@
 	r.mu.Unlock()
 	defer func() { r.mu.Lock(); r.queued--; r.mu.Unlock() }()
 	deadline := 10 * time.Second
-	if ms, err := strconv.ParseFloat(q.Header.Get("Deadline-Ms"), 64); err == nil {
+	if ms, err := strconv.ParseFloat(q.Header.Get(name("deadline")), 64); err == nil {
 		deadline = time.Duration(ms * float64(time.Millisecond))
 	}
 	select {
 	case free <- struct{}{}:
 	case <-time.After(deadline):
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(name("not_run"), "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case <-q.Context().Done():
@@ -195,6 +189,6 @@
 	case <-q.Context().Done():
 		return
 	}
-	w.Header().Set("Server-Stamp", fmt.Sprintf("%s.%d.%s", r.id, lifetime, strings.ReplaceAll(id, ",", "")))
+	w.Header().Set(name("stamp"), fmt.Sprintf("%s.%d.%s", r.id, lifetime, strings.ReplaceAll(id, ",", "")))
 	_, _ = io.WriteString(w, "done "+r.id+" "+id)
 }
--- a/review/world/store.go
+++ b/review/world/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -22,18 +23,15 @@
 	addr    string
 }
 
-type meta struct {
-	Name       string   `json:"name"`
-	Rev        int64    `json:"rev"`
-	CreateRev  int64    `json:"createRev"`
-	Finalizers []string `json:"finalizers"`
-	Deleting   bool     `json:"deleting"`
+type object struct {
+	name         string
+	rev, created int64
+	spec, status string
 }
 
-type object struct {
-	Meta   meta            `json:"meta"`
-	Spec   json.RawMessage `json:"spec"`
-	Status json.RawMessage `json:"status"`
+// text returns the object as the protocol has it.
+func (o object) text() string {
+	return fill(file("object.txt"), "NAME", strconv.Quote(o.name), "REV", strconv.FormatInt(o.rev, 10), "CREATED", strconv.FormatInt(o.created, 10), "SPEC", o.spec, "STATUS", o.status)
 }
 
 type change struct {
@@ -55,15 +53,11 @@
 	return s, nil
 }
 
-// put writes an object as the operator or a server would, and returns the revision.
-func (s *store) put(kind, name string, spec any) int64 {
-	b, err := json.Marshal(spec)
-	if err != nil {
-		panic(err)
-	}
+// put writes an object as the operator or a server would.
+func (s *store) put(kind, name, spec string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.write(kind, name, b, nil).Meta.Rev
+	s.write(kind, name, spec, "")
 }
 
 // remove deletes an object.
@@ -73,26 +67,26 @@
 	s.delete(kind, name)
 }
 
-func (s *store) write(kind, name string, spec, status json.RawMessage) object {
+// write writes the spec and the status of an object, as far as they are not empty.
+func (s *store) write(kind, name, spec, status string) object {
 	if s.objects[kind] == nil {
 		s.objects[kind] = map[string]*object{}
 	}
 	o := s.objects[kind][name]
 	if o == nil {
-		o = &object{Meta: meta{Name: name, Finalizers: []string{}}, Spec: json.RawMessage("{}"), Status: json.RawMessage("null")}
+		o = &object{name: name, created: s.rev + 1, spec: "{}", status: "null"}
 		s.objects[kind][name] = o
-		o.Meta.CreateRev = s.rev + 1
-	} else if (spec == nil || string(spec) == string(o.Spec)) && (status == nil || string(status) == string(o.Status)) {
+	} else if (spec == "" || spec == o.spec) && (status == "" || status == o.status) {
 		return *o
 	}
-	if spec != nil {
-		o.Spec = spec
+	if spec != "" {
+		o.spec = spec
 	}
-	if status != nil {
-		o.Status = status
+	if status != "" {
+		o.status = status
 	}
 	s.rev++
-	o.Meta.Rev = s.rev
+	o.rev = s.rev
 	s.record(change{rev: s.rev, kind: kind, object: *o})
 	return *o
 }
@@ -105,7 +99,7 @@
 	delete(s.objects[kind], name)
 	s.rev++
 	gone := *o
-	gone.Meta.Rev = s.rev
+	gone.rev = s.rev
 	s.record(change{rev: s.rev, kind: kind, object: gone, deleted: true})
 	return true
 }
@@ -135,55 +129,72 @@
 }
 
 func (s *store) list(w http.ResponseWriter, r *http.Request, kind string) {
+	const page = 500
 	after := r.URL.Query().Get("after")
 	s.mu.Lock()
-	items := []object{}
+	var found []object
 	for name, o := range s.objects[kind] {
 		if name > after {
-			items = append(items, *o)
+			found = append(found, *o)
 		}
 	}
 	rev := s.rev
 	s.mu.Unlock()
-	sort.Slice(items, func(i, j int) bool { return items[i].Meta.Name < items[j].Meta.Name })
-	more := len(items) > 500
-	if more {
-		items = items[:500]
+	sort.Slice(found, func(i, j int) bool { return found[i].name < found[j].name })
+	var items []string
+	for _, o := range found[:min(page, len(found))] {
+		items = append(items, o.text())
 	}
-	answer(w, http.StatusOK, map[string]any{"items": items, "more": more, "storeRevision": rev})
+	answer(w, http.StatusOK, fill(file("list.txt"), "ITEMS", strings.Join(items, ","), "MORE", strconv.FormatBool(len(found) > page), "REV", strconv.FormatInt(rev, 10)))
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
-	since, _ := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
-	ms, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	q := r.URL.Query()
+	since, _ := strconv.ParseInt(q.Get("watch"), 10, 64)
+	ms := 0
+	for field := range q {
+		if field != "watch" {
+			ms, _ = strconv.Atoi(q.Get(field))
+		}
+	}
 	timeout := time.After(time.Duration(min(ms, 30000)) * time.Millisecond)
-	for {
+	for waiting := true; waiting; {
 		s.mu.Lock()
-		events := []map[string]any{}
-		for _, c := range s.history {
-			if c.kind == kind && c.rev > since {
-				events = append(events, map[string]any{"deleted": c.deleted, "object": c.object})
-			}
-		}
-		rev, changed := s.rev, s.changed
+		events, rev, changed := s.eventsSince(kind, since), s.rev, s.changed
 		s.mu.Unlock()
-		if len(events) > 0 {
-			answer(w, http.StatusOK, map[string]any{"events": events, "storeRevision": rev})
-			return
+		if len(events) == 0 {
+			select {
+			case <-changed:
+				continue
+			case <-timeout:
+			case <-r.Context().Done():
+				return
+			}
 		}
-		select {
-		case <-changed:
-		case <-timeout:
-			answer(w, http.StatusOK, map[string]any{"events": events, "storeRevision": rev})
-			return
-		case <-r.Context().Done():
-			return
+		waiting = false
+		answer(w, http.StatusOK, fill(file("events.txt"), "EVENTS", strings.Join(events, ","), "REV", strconv.FormatInt(rev, 10)))
+	}
+}
+
+// eventsSince returns the changes of a kind after a revision.
+func (s *store) eventsSince(kind string, since int64) []string {
+	var list []string
+	for _, c := range s.history {
+		if c.kind == kind && c.rev > since {
+			list = append(list, fill(file("event.txt"), "DELETED", strconv.FormatBool(c.deleted), "OBJECT", c.object.text()))
 		}
 	}
+	return list
 }
 
 func (s *store) single(w http.ResponseWriter, r *http.Request, kind string, rest []string) {
-	var in object
+	var in struct {
+		Meta struct {
+			Name string
+			Rev  int64
+		}
+		Spec, Status json.RawMessage
+	}
 	if r.Method == http.MethodPost || r.Method == http.MethodPut {
 		if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -202,33 +213,29 @@
 	held := s.objects[kind][name]
 	switch {
 	case r.Method == http.MethodPost && held != nil:
-		answer(w, http.StatusConflict, *held)
+		answer(w, http.StatusConflict, held.text())
 	case r.Method == http.MethodPost:
-		answer(w, http.StatusOK, s.write(kind, name, in.Spec, nil))
+		answer(w, http.StatusOK, s.write(kind, name, string(in.Spec), "").text())
 	case held == nil:
 		http.Error(w, "no such object", http.StatusNotFound)
 	case r.Method == http.MethodGet:
-		answer(w, http.StatusOK, *held)
-	case in.Meta.Rev != 0 && in.Meta.Rev != held.Meta.Rev:
-		answer(w, http.StatusConflict, *held)
+		answer(w, http.StatusOK, held.text())
+	case in.Meta.Rev != 0 && in.Meta.Rev != held.rev:
+		answer(w, http.StatusConflict, held.text())
 	case r.Method == http.MethodPut && len(rest) > 1:
-		answer(w, http.StatusOK, s.write(kind, name, nil, in.Status))
+		answer(w, http.StatusOK, s.write(kind, name, "", string(in.Status)).text())
 	case r.Method == http.MethodPut:
-		answer(w, http.StatusOK, s.write(kind, name, in.Spec, nil))
+		answer(w, http.StatusOK, s.write(kind, name, string(in.Spec), "").text())
 	case r.Method == http.MethodDelete:
 		s.delete(kind, name)
-		answer(w, http.StatusOK, map[string]any{})
+		answer(w, http.StatusOK, "{}")
 	default:
 		http.Error(w, "no such call", http.StatusMethodNotAllowed)
 	}
 }
 
-func answer(w http.ResponseWriter, status int, body any) {
-	b, err := json.Marshal(body)
-	if err != nil {
-		panic(err)
-	}
+func answer(w http.ResponseWriter, status int, body string) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_, _ = w.Write(b)
+	_, _ = io.WriteString(w, body)
 }
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -56,10 +56,10 @@
 
 // settings are the figures of an installation that the cases choose.
 type settings struct {
-	bounds    map[string]any
-	contracts string
-	zones     []string
-	hosts     int
+	// bounds holds further bounds, as lines of the settings file.
+	bounds string
+	zones  []string
+	hosts  int
 }
 
 func newWorld(recordDir string, s settings) (*world, error) {
@@ -108,24 +108,14 @@
 	return w, nil
 }
 
-// text returns the settings file of a host, as DEPLOY.md shows it.
+// text returns the settings file of a host.
 func (h *host) text(s settings, seeds []string, store string) string {
-	var b strings.Builder
-	p := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
-	p("node = %q\nrole = \"entry\"\nclass = \"front\"\nserves = [\"front\",\"control\",\"directory\"]\nip = %q\nzone = %q\nregion = \"perth\"", h.name, h.ip, h.zone)
-	p("seeds = [\"%s\"]\nbootstrap = true\ninTolerance = false\ndiscovery = \"platform\"\nentry = \"directory\"\nbeatMs = %d\ncontracts = [%s]", strings.Join(seeds, `","`), beat.Milliseconds(), s.contracts)
-	p("[zones]")
+	var zones []string
 	for _, z := range s.zones {
-		p("%s = \"perth\"", z)
+		zones = append(zones, z+` = "perth"`)
 	}
-	p("[listen]\nfront = %q\nreadiness = %q\ncontrol = %q\ndirectory = %q", h.front, h.ready, h.control, h.resolve)
-	p("[limits]\ncpuShare = 0.4\ncores = 1\nmemoryLimitMb = 284\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0")
-	p("[tolerate]\nmachines = 2\nzones = 0\nregions = 0\n[bounds]")
-	for k, v := range s.bounds {
-		p("%s = %v", k, v)
-	}
-	p("[platform]\naddr = %q\nform = \"objects\"\nwritesPerS = 400\nreadsPerS = 2000\nhistoryS = 20\nvalueBytes = 1048576\nminTtlMs = 1000", store)
-	return b.String()
+	return fill(file("settings.toml"), "NODE", h.name, "IP", h.ip, "ALLZONES", strings.Join(zones, "\n"), "ZONE", h.zone, "SEEDS", `"`+strings.Join(seeds, `","`)+`"`,
+		"FRONT", h.front, "READY", h.ready, "CONTROL", h.control, "DIRECTORY", h.resolve, "STORE", store) + "\n" + s.bounds
 }
 
 func freePorts(ip string, n int) ([]int, error) {
@@ -177,7 +167,7 @@
 	}
 	defer out.Close()
 	cmd := exec.Command(words[0], words[1:]...)
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.dir, "GUAVASPRING_BOOT=" + h.settings}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.dir, name("settings") + "=" + h.settings}
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return err
@@ -280,8 +270,8 @@
 		return reply{id: id, err: err}
 	}
 	req.Host = c.name
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("Deadline-Ms", strconv.FormatInt(c.deadline.Milliseconds(), 10))
+	req.Header.Set(name("request_id"), id)
+	req.Header.Set(name("deadline"), strconv.FormatInt(c.deadline.Milliseconds(), 10))
 	if c.key != "" {
 		req.Header.Set("Authorization", "Token "+c.key)
 	}
@@ -314,7 +304,7 @@
 		fmt.Fprintln(os.Stderr, "usage: world CASE DIR")
 		os.Exit(failed)
 	}
-	run, ok := map[string]func(dir string) (int, error){"poison": poison, "quota": quota, "popular": popular}[os.Args[1]]
+	run, ok := map[string]func(dir string) (int, error){"poison": poison, "quota": quota, "popular": popular, "killed": killed}[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case")
 		os.Exit(failed)
