--- a/review/world/world.go
+++ b/review/world/world.go
@@ -62,7 +62,7 @@
 	hosts  int
 }
 
-func newWorld(recordDir string, s settings) (*world, error) {
+func newWorld(recordDir string, s settings) (_ *world, err error) {
 	f, err := os.Create(filepath.Join(recordDir, "record.txt"))
 	if err != nil {
 		return nil, err
@@ -71,6 +71,11 @@
 	if err != nil {
 		return nil, err
 	}
+	defer func() {
+		if err != nil {
+			_ = os.RemoveAll(dir)
+		}
+	}()
 	w := &world{start: time.Now(), trouble: os.Getenv("TROUBLE") != "0", dir: dir, record: bufio.NewWriter(f), sentAt: map[string]time.Time{}}
 	if w.store, err = newStore(); err != nil {
 		return nil, err
